--- /dev/null
+++ b/ragwortfield/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Ports over HTTP, and conversion of documents."""
--- /dev/null
+++ b/ragwortfield/command/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/ragwortfield/core/__init__.py
@@ -0,0 +1,1 @@
+"""Data model: entities as frozen rows, kept in tables."""
--- /dev/null
+++ b/ragwortfield/core/tables.py
@@ -0,0 +1,156 @@
+"""Tables: everything one entry instance knows, by entity."""
+
+from dataclasses import dataclass, field
+
+from ragwortfield.core.claims import Claim
+from ragwortfield.core.configuration import Configuration, ConfigurationVersion
+from ragwortfield.core.jobs import JobRow, WorkerReport, WorkerRow
+from ragwortfield.core.peers import Peer
+from ragwortfield.core.seats import SeatId, SeatRow
+from ragwortfield.core.targets import Target, TargetHealth
+from ragwortfield.ports.platform import Listing
+from ragwortfield.types import (
+    DataCentreName,
+    InstanceId,
+    Instant,
+    JobId,
+    Seconds,
+    TargetId,
+    WallTime,
+    WorkerId,
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Identity:
+    """Entry instance as its settings name it."""
+
+    instance_id: InstanceId
+    data_centre: DataCentreName
+    region: str
+    http_address: str
+    peer_address: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeldSeat:
+    """
+    Seat that this instance holds.
+
+    :param usable_from: instant from which its shares may be used.
+    :param is_suspended: whether the holder must check the seat again first.
+    :param is_leaving: whether the seat is given back once its part of every
+        target is free.
+    """
+
+    seat_id: SeatId
+    generation: int
+    version: int
+    expires_at: WallTime
+    usable_from: Instant
+    is_suspended: bool = False
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetShare:
+    """Part of a target that this instance may use."""
+
+    slots: int = 0
+    connections: int = 0
+
+
+@dataclass(kw_only=True, slots=True)
+class Tables:
+    """
+    Everything one entry instance knows.
+
+    :param ticked_at: when the last tick ran; tells a pause of the process.
+    :param store_ok_at: when the platform last answered.
+    """
+
+    identity: Identity
+    version: ConfigurationVersion | None = None
+    configuration_text: str = ''
+    listing: Listing | None = None
+    target_by_id: dict[TargetId, Target] = field(default_factory=dict)
+    health_by_target: dict[TargetId, TargetHealth] = field(
+        default_factory=dict,
+    )
+    in_use_by_target: dict[TargetId, int] = field(default_factory=dict)
+    share_by_target: dict[TargetId, TargetShare] = field(default_factory=dict)
+    peer_by_id: dict[InstanceId, Peer] = field(default_factory=dict)
+    seat_row_by_key: dict[str, SeatRow] = field(default_factory=dict)
+    held_by_key: dict[str, HeldSeat] = field(default_factory=dict)
+    claim_by_key: dict[str, Claim] = field(default_factory=dict)
+    job_row_by_id: dict[JobId, JobRow] = field(default_factory=dict)
+    worker_row_by_id: dict[WorkerId, WorkerRow] = field(default_factory=dict)
+    report_by_worker: dict[WorkerId, WorkerReport] = field(
+        default_factory=dict,
+    )
+    reported_at_by_worker: dict[WorkerId, WallTime] = field(
+        default_factory=dict,
+    )
+    ticked_at: Instant = 0
+    store_ok_at: Instant = 0
+    is_leaving: bool = False
+
+    def configuration(self) -> Configuration | None:
+        """
+        Look up the configuration in force.
+
+        :returns: the configuration, ``None`` when none is known.
+        """
+        return None if self.version is None else self.version.configuration
+
+    def configuration_version(self) -> int:
+        """
+        Look up the version in force.
+
+        :returns: the version, zero when none is known.
+        """
+        return 0 if self.version is None else self.version.version
+
+    def usable_seats(self, now: Instant) -> list[HeldSeat]:
+        """
+        List the seats whose shares may be used.
+
+        :param now: reading of the monotonic clock.
+        :returns: the seats, ordered by index.
+        """
+        return [held for held in self.trusted_seats(now) if not held.is_leaving]
+
+    def trusted_seats(self, now: Instant) -> list[HeldSeat]:
+        """
+        List the seats that this instance may decide for.
+
+        :param now: reading of the monotonic clock.
+        :returns: the usable seats and those about to be given back.
+        """
+        if self.is_paused(now):
+            return []
+        return [
+            held
+            for _, held in sorted(self.held_by_key.items())
+            if now >= held.usable_from and not held.is_suspended
+        ]
+
+    def is_paused(self, now: Instant) -> bool:
+        """
+        Tell whether the process stood still since its last tick.
+
+        :param now: reading of the monotonic clock.
+        :returns: whether its seats must be checked before use.
+        """
+        return now - self.ticked_at > self.pause_limit_s()
+
+    def pause_limit_s(self) -> Seconds:
+        """
+        Give the longest pause after which seats are still trusted.
+
+        :returns: seconds.
+        """
+        configuration = self.configuration()
+        if configuration is None:
+            return 1
+        return configuration.timing.seat_lease_s / 2
--- /dev/null
+++ b/ragwortfield/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin daemons that wire the library and run it."""
--- /dev/null
+++ b/ragwortfield/daemons/entry.py
@@ -0,0 +1,179 @@
+"""The daemon of an entry instance: ``ragwortfield-entry --settings FILE``."""
+
+# Sockets must be patched before any other module imports them.
+from gevent import monkey
+
+monkey.patch_all()
+
+import gc
+import logging as stdlib_logging
+import random
+import signal
+import sys
+
+import gevent
+from absl import app, flags, logging
+from gevent.event import Event
+
+from ragwortfield.adapters.platform_http import PlatformClient, WorkerClient
+from ragwortfield.core.tables import Identity
+from ragwortfield.engine.node import Node
+from ragwortfield.front.application import Application
+from ragwortfield.front.callers import CallersFront
+from ragwortfield.front.operators import OperatorsFront
+from ragwortfield.front.server import FrontServer
+from ragwortfield.log import event
+from ragwortfield.ports.clock import SystemClock
+from ragwortfield.settings.checking import SettingsError
+from ragwortfield.settings.instance import (
+    InstanceSettings,
+    Secrets,
+    load_secrets,
+    load_settings,
+    split_address,
+)
+
+#: Exit status for unusable settings.
+EXIT_SETTINGS = 2
+#: Time between looks at the requests under way, in seconds.
+_DRAIN_STEP_S = 0.05
+#: Idle time after which a drained instance stops listening, in seconds.
+_DRAIN_IDLE_S = 1.0
+#: Longest drain, in seconds.
+_DRAIN_LIMIT_S = 60.0
+#: Objects allocated before the garbage collector looks at the youngest.
+_GC_THRESHOLD = 50_000
+
+_LEVEL_BY_NAME = {
+    'debug': logging.DEBUG,
+    'info': logging.INFO,
+    'warning': logging.WARNING,
+    'error': logging.ERROR,
+}
+
+_SETTINGS = flags.DEFINE_string(
+    'settings',
+    '',
+    'TOML file with the settings of this instance.',
+)
+
+
+class EntryDaemon:
+    """
+    Entry instance with its servers and its planned stop.
+
+    :param settings: checked settings.
+    :param secrets: peer and operator tokens.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: InstanceSettings,
+        secrets: Secrets,
+    ) -> None:
+        """Wire the instance; ``run`` starts it."""
+        instance = settings.instance
+        self._node = Node(
+            identity=Identity(
+                instance_id=instance.id,
+                data_centre=instance.data_centre,
+                region=instance.region,
+                http_address=instance.http_address,
+                peer_address=instance.peer_address,
+            ),
+            platform=PlatformClient(
+                address=settings.platform.address,
+                timeout_s=settings.platform.timeout_s,
+            ),
+            control=WorkerClient(timeout_s=settings.platform.timeout_s),
+            peer_token=secrets.peer_token,
+            seeds=settings.peers.seeds,
+            deferred_body_bytes=settings.limits.deferred_body_bytes,
+            clock=SystemClock(),
+            randomness=random.SystemRandom(),
+        )
+        self._application = Application(
+            node=self._node,
+            callers=CallersFront(
+                reception=self._node.reception,
+                deferred=self._node.deferred,
+                signer=self._node.signer,
+                recorder=self._node.recorder,
+                max_body_bytes=settings.limits.body_bytes,
+            ),
+            operators=OperatorsFront(
+                node=self._node,
+                token=secrets.operator_token,
+            ),
+            max_requests=settings.limits.requests,
+        )
+        self._server = FrontServer(
+            address=split_address(instance.http_address) or ('', 0),
+            application=self._application,
+            max_connections=2 * settings.limits.requests,
+        )
+        self._stop_wanted = Event()
+
+    def run(self) -> None:
+        """Run until a planned stop has ended."""
+        gevent.signal_handler(signal.SIGTERM, self._stop_wanted.set)
+        gevent.signal_handler(signal.SIGINT, self._stop_wanted.set)
+        self._server.start()
+        self._node.start()
+        event('started', instance=self._node.tables.identity.instance_id)
+        self._stop_wanted.wait()
+        self._node.leave()
+        self._drain()
+        self._server.close()
+        self._node.hand_over()
+        event('stopped')
+
+    def _drain(self) -> None:
+        # Connections are closed with their next answer; the server goes on
+        # accepting until callers and the balancer have moved on.
+        waited_s = 0.0
+        idle_s = 0.0
+        while idle_s < _DRAIN_IDLE_S and waited_s < _DRAIN_LIMIT_S:
+            gevent.sleep(_DRAIN_STEP_S)
+            waited_s += _DRAIN_STEP_S
+            idle_s += _DRAIN_STEP_S
+            if self._application.active:
+                idle_s = 0
+
+
+def main(arguments: list[str]) -> int:
+    """
+    Run the daemon.
+
+    :param arguments: command line after flag parsing.
+    :returns: exit status.
+    """
+    if len(arguments) > 1 or not _SETTINGS.value:
+        sys.stderr.write('usage: ragwortfield-entry --settings FILE\n')
+        return EXIT_SETTINGS
+    settings = load_settings(_SETTINGS.value)
+    if isinstance(settings, SettingsError):
+        sys.stderr.write(f'{settings.text()}\n')
+        return EXIT_SETTINGS
+    secrets = load_secrets(settings.secrets)
+    if isinstance(secrets, SettingsError):
+        sys.stderr.write(f'{secrets.text()}\n')
+        return EXIT_SETTINGS
+    logging.set_verbosity(_LEVEL_BY_NAME[settings.log.level])
+    logging.set_stderrthreshold('fatal')
+    logging.use_absl_handler()
+    stdlib_logging.getLogger('websockets').setLevel(stdlib_logging.ERROR)
+    gc.freeze()
+    gc.set_threshold(_GC_THRESHOLD)
+    EntryDaemon(settings=settings, secrets=secrets).run()
+    return 0
+
+
+def run() -> None:
+    """Start from the command line."""
+    app.run(main)
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/ragwortfield/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that carry decisions out through the ports."""
--- /dev/null
+++ b/ragwortfield/engine/dispatcher.py
@@ -0,0 +1,557 @@
+"""Dispatcher: takes a checked request to a target or to a peer."""
+
+import random
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+import gevent
+from gevent.event import AsyncResult
+
+from ragwortfield.adapters.http_client import HttpRequest, Limits
+from ragwortfield.core.configuration import Configuration, Service
+from ragwortfield.core.outcomes import (
+    Broken,
+    ExchangeOutcome,
+    HeaderFields,
+    NotSent,
+    Refusal,
+    Relayed,
+    RequestOutcome,
+    RunState,
+    Served,
+    WholeAnswer,
+)
+from ragwortfield.core.peers import Peer
+from ragwortfield.core.requests import CallerRequest
+from ragwortfield.core.tables import Tables, TargetShare
+from ragwortfield.core.targets import Target
+from ragwortfield.engine.target_links import TargetLinks
+from ragwortfield.invariants import INVARIANTS
+from ragwortfield.log import event
+from ragwortfield.ports.clock import Clock
+from ragwortfield.systems.health import (
+    record_abandoned,
+    record_answer,
+    record_dispatch,
+    record_failure,
+)
+from ragwortfield.systems.queueing import RequestQueue
+from ragwortfield.systems.retries import (
+    MAX_ATTEMPTS,
+    RetryBudget,
+    is_retry_safe,
+)
+from ragwortfield.systems.routing import (
+    NoChoice,
+    PeerChoice,
+    TargetChoice,
+    choose_peer,
+    choose_target,
+)
+from ragwortfield.types import Instant, Seconds
+
+#: While a request waits it asks again for a peer after this, in seconds.
+_PEER_RECHECK_S = 0.05
+#: Service time assumed before the first answer, in seconds.
+_ASSUMED_SERVICE_S = 0.02
+#: Weight of the newest answer in the smoothed service time.
+_SERVICE_TIME_WEIGHT = 0.05
+#: Smallest useful rest of a deadline, in seconds.
+_SMALLEST_REST_S = 0.001
+_SERVICE_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+_BAD_GATEWAY = 502
+_SERVER_ERRORS_FROM = 500
+
+
+class RelayFields(Protocol):
+    """Makes the header fields of a request relayed to a peer."""
+
+    def __call__(
+        self,
+        request: CallerRequest,
+        rest_s: Seconds,
+    ) -> HeaderFields:
+        """Sign what the peer has to trust."""
+
+
+@dataclass(kw_only=True, slots=True)
+class DispatchCounts:
+    """What the dispatcher did since its start."""
+
+    dispatched: int = 0
+    relayed: int = 0
+    retried: int = 0
+    wasted: int = 0
+    queued: int = 0
+    refused: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Waiter:
+    request: CallerRequest
+    result: AsyncResult
+    excluded: frozenset[str]
+
+
+#: Where a request may go next.
+_Placement = TargetChoice | PeerChoice | Refusal
+
+
+class Dispatcher:
+    """
+    Takes requests to targets, inside this instance's shares.
+
+    :param tables: the instance's tables.
+    :param clock: source of time.
+    :param randomness: source of random numbers.
+    :param links: connections to targets.
+    :param relay_fields: signs relayed requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        tables: Tables,
+        clock: Clock,
+        randomness: random.Random,
+        links: TargetLinks,
+        relay_fields: RelayFields,
+    ) -> None:
+        """Create a dispatcher with an empty queue."""
+        self.counts = DispatchCounts()
+        self._tables = tables
+        self._clock = clock
+        self._randomness = randomness
+        self._links = links
+        self._relay_fields = relay_fields
+        self._queue: RequestQueue[_Waiter] = RequestQueue()
+        self._budget = RetryBudget()
+        self._service_s = _ASSUMED_SERVICE_S
+
+    def run(
+        self,
+        configuration: Configuration,
+        request: CallerRequest,
+    ) -> RequestOutcome:
+        """
+        Run a request once, with retries only where they are safe.
+
+        :param configuration: the configuration in force.
+        :param request: the checked request.
+        :returns: the answer, or a refusal that says what is certain.
+        """
+        service = configuration.services[request.service]
+        excluded: frozenset[str] = frozenset()
+        outcome: ExchangeOutcome = NotSent(reason='nothing tried yet')
+        for attempt in range(MAX_ATTEMPTS):
+            if attempt and not self._may_retry(request, outcome):
+                break
+            placement = self._place(configuration, request, excluded)
+            if isinstance(placement, Refusal):
+                if isinstance(outcome, Broken):
+                    break
+                return placement
+            if isinstance(placement, PeerChoice):
+                name = placement.peer.instance_id
+                outcome = self._relay(configuration, request, placement.peer)
+                if _is_passed_on(outcome, request):
+                    return Relayed(answer=outcome, peer_id=name)
+                if isinstance(outcome, WholeAnswer):
+                    outcome = NotSent(reason=f'peer {name} had no free slot')
+            else:
+                name = placement.target.target_id
+                outcome = self._attempt(service, request, placement.target)
+                if isinstance(outcome, WholeAnswer):
+                    return Served(answer=outcome, target_id=name)
+            excluded = excluded | {name}
+        return self._failure(request, outcome)
+
+    def relay_to(
+        self,
+        configuration: Configuration,
+        request: CallerRequest,
+        peer: Peer,
+    ) -> RequestOutcome:
+        """
+        Relay a request to one certain peer.
+
+        :param configuration: the configuration in force.
+        :param request: the checked request.
+        :param peer: the only peer that may decide about it.
+        :returns: the peer's answer, or a refusal that says what is certain.
+        """
+        outcome = self._relay(configuration, request, peer)
+        if isinstance(outcome, WholeAnswer):
+            return Relayed(answer=outcome, peer_id=peer.instance_id)
+        return self._failure(request, outcome)
+
+    def pump(self) -> None:
+        """Give free slots to waiting requests."""
+        for service in self._queue.services():
+            self._pump_service(service)
+
+    def queue_length(self) -> int:
+        """
+        Count the requests that wait.
+
+        :returns: the number over all services.
+        """
+        return sum(
+            self._queue.size(service) for service in self._queue.services()
+        )
+
+    def _may_retry(
+        self,
+        request: CallerRequest,
+        outcome: ExchangeOutcome,
+    ) -> bool:
+        rest_s = request.deadline - self._clock.monotonic()
+        if rest_s < _SMALLEST_REST_S or not is_retry_safe(request, outcome):
+            return False
+        if not self._budget.spend():
+            return False
+        self.counts.retried += 1
+        return True
+
+    def _place(
+        self,
+        configuration: Configuration,
+        request: CallerRequest,
+        excluded: frozenset[str],
+    ) -> _Placement:
+        now = self._clock.monotonic()
+        choice = choose_target(self._tables, request.service, now, excluded)
+        is_queue_empty = not self._queue.size(request.service)
+        if isinstance(choice, TargetChoice) and is_queue_empty:
+            self._reserve(choice.target)
+            return choice
+        peer_choice = self._choose_peer(configuration, request, excluded)
+        if isinstance(peer_choice, PeerChoice):
+            return peer_choice
+        if isinstance(choice, NoChoice) and choice.is_hopeless:
+            return self._refuse(
+                'no-target',
+                f'no target of service {request.service!r} can be reached',
+                retry_after_s=1,
+            )
+        return self._wait(configuration, request, excluded)
+
+    def _wait(
+        self,
+        configuration: Configuration,
+        request: CallerRequest,
+        excluded: frozenset[str],
+    ) -> _Placement:
+        rest_s = request.deadline - self._clock.monotonic()
+        expected_s = self._expected_wait_s(request.service)
+        if expected_s > rest_s:
+            return self._refuse(
+                'overload',
+                f'a slot is expected in {expected_s:.3f} s, the deadline is '
+                f'in {rest_s:.3f} s',
+                retry_after_s=expected_s,
+            )
+        self.counts.queued += 1
+        waiter = _Waiter(
+            request=request,
+            result=AsyncResult(),
+            excluded=excluded,
+        )
+        weight = configuration.teams[request.team].requests_per_s
+        sequence = self._queue.push(request, waiter, weight)
+        self._pump_service(request.service)
+        try:
+            return self._await_slot(configuration, waiter)
+        finally:
+            self._queue.remove(request.service, sequence)
+
+    def _await_slot(
+        self,
+        configuration: Configuration,
+        waiter: _Waiter,
+    ) -> _Placement:
+        request = waiter.request
+        while True:
+            rest_s = request.deadline - self._clock.monotonic()
+            if rest_s < _SMALLEST_REST_S:
+                return self._refuse(
+                    'deadline-passed',
+                    'no slot became free before the deadline',
+                )
+            try:
+                return waiter.result.get(timeout=min(rest_s, _PEER_RECHECK_S))
+            except gevent.Timeout:
+                choice = self._choose_peer(
+                    configuration,
+                    request,
+                    waiter.excluded,
+                )
+            if waiter.result.ready():
+                return waiter.result.get()
+            if isinstance(choice, PeerChoice):
+                return choice
+
+    def _choose_peer(
+        self,
+        configuration: Configuration,
+        request: CallerRequest,
+        excluded: frozenset[str],
+    ) -> PeerChoice | NoChoice:
+        return choose_peer(
+            self._tables,
+            request,
+            self._randomness,
+            now=self._clock.monotonic(),
+            peer_timeout_s=configuration.timing.peer_timeout_s,
+            excluded=excluded,
+        )
+
+    def _expected_wait_s(self, service: str) -> Seconds:
+        slots = sum(
+            self._tables.share_by_target.get(
+                target.target_id,
+                TargetShare(),
+            ).slots
+            for target in self._tables.target_by_id.values()
+            if target.service == service
+        )
+        waiting = self._queue.size(service)
+        return waiting * self._service_s / max(slots, 1)
+
+    def _reserve(self, target: Target) -> None:
+        target_id = target.target_id
+        used = self._tables.in_use_by_target.get(target_id, 0) + 1
+        self._tables.in_use_by_target[target_id] = used
+        share = self._tables.share_by_target.get(target_id, TargetShare())
+        INVARIANTS.check(
+            'slots_within_share',
+            is_held=used <= share.slots,
+            detail=f'target={target_id} used={used} share={share.slots}',
+        )
+
+    def _release(self, target: Target) -> None:
+        target_id = target.target_id
+        used = self._tables.in_use_by_target.get(target_id, 0)
+        INVARIANTS.check(
+            'slots_released_once',
+            is_held=used > 0,
+            detail=f'target={target_id} used={used}',
+        )
+        self._tables.in_use_by_target[target_id] = max(used - 1, 0)
+        self._pump_service(target.service)
+
+    def _pump_service(self, service: str) -> None:
+        now = self._clock.monotonic()
+        while self._queue.size(service):
+            choice = choose_target(self._tables, service, now)
+            if not isinstance(choice, TargetChoice):
+                return
+            waiter = self._queue.pop(service)
+            if waiter is None:
+                return
+            if choice.target.target_id in waiter.excluded:
+                waiter.result.set(
+                    self._refuse('no-target', 'no other target is free'),
+                )
+                continue
+            self._reserve(choice.target)
+            waiter.result.set(choice)
+
+    def _attempt(
+        self,
+        service: Service,
+        request: CallerRequest,
+        target: Target,
+    ) -> ExchangeOutcome:
+        now = self._clock.monotonic()
+        rest_s = request.deadline - now
+        if rest_s < _SMALLEST_REST_S:
+            self._release(target)
+            return NotSent(reason='the deadline has passed')
+        record_dispatch(self._tables, target.target_id)
+        self.counts.dispatched += 1
+        outcome = self._links.pool(target).exchange(
+            _target_request(request, rest_s),
+            Limits(
+                first_byte_s=min(service.first_byte_timeout_s, rest_s),
+                total_s=rest_s,
+            ),
+            guard=self._is_running_steadily,
+        )
+        self._settle(request, target, outcome)
+        return _unless_refused_unrun(outcome)
+
+    def _is_running_steadily(self) -> bool:
+        return not self._tables.is_paused(self._clock.monotonic())
+
+    def _settle(
+        self,
+        request: CallerRequest,
+        target: Target,
+        outcome: ExchangeOutcome,
+    ) -> None:
+        now = self._clock.monotonic()
+        if isinstance(outcome, WholeAnswer):
+            self._release(target)
+            self._settle_answer(target, outcome, now)
+            return
+        self.counts.wasted += 1
+        event(
+            'attempt_failed',
+            request=request.request_id,
+            target=target.target_id,
+            reason=outcome.reason,
+        )
+        if isinstance(outcome, NotSent):
+            self._release(target)
+            record_failure(self._tables, target.target_id, now)
+            return
+        # The target may still be working: its slot stays taken until the
+        # deadline that the target was told.
+        gevent.spawn_later(
+            max(request.deadline - now, 0),
+            self._release,
+            target,
+        )
+        gevent.spawn(self._blame, target, outcome)
+
+    def _settle_answer(
+        self,
+        target: Target,
+        answer: WholeAnswer,
+        now: Instant,
+    ) -> None:
+        self._links.observe(target, answer)
+        if answer.status >= _SERVER_ERRORS_FROM:
+            record_failure(self._tables, target.target_id, now)
+            return
+        record_answer(self._tables, target.target_id, answer.duration_s)
+        change = answer.duration_s - self._service_s
+        self._service_s += _SERVICE_TIME_WEIGHT * change
+        self._budget.record_success()
+
+    def _blame(self, target: Target, outcome: Broken) -> None:
+        is_connection_lost = (
+            outcome.is_silent
+            and outcome.is_reused
+            and self._links.is_fresh_connection_fine(target)
+        )
+        if is_connection_lost:
+            record_abandoned(self._tables, target.target_id)
+            self._links.pool(target).retire_generation()
+            event('connections_retired', target=target.target_id)
+            return
+        record_failure(
+            self._tables,
+            target.target_id,
+            self._clock.monotonic(),
+        )
+
+    def _relay(
+        self,
+        configuration: Configuration,
+        request: CallerRequest,
+        peer: Peer,
+    ) -> ExchangeOutcome:
+        now = self._clock.monotonic()
+        rest_s = request.deadline - now
+        if rest_s < _SMALLEST_REST_S:
+            return NotSent(reason='the deadline has passed')
+        self.counts.relayed += 1
+        self._count_free_slot_used(peer, request.service)
+        pool = self._links.peer_pool(peer.http_address)
+        outcome = pool.exchange(
+            HttpRequest(
+                method=request.method,
+                path=f'/services/{request.service}{request.path}',
+                fields=(
+                    *request.fields,
+                    *self._relay_fields(request, rest_s),
+                ),
+                body=request.body,
+            ),
+            Limits(first_byte_s=rest_s, total_s=rest_s),
+        )
+        if isinstance(outcome, Broken) and outcome.is_silent:
+            pool.retire_generation()
+        return outcome
+
+    def _count_free_slot_used(self, peer: Peer, service: str) -> None:
+        known = self._tables.peer_by_id.get(peer.instance_id)
+        if known is None:
+            return
+        free_by_service = dict(known.free_by_service)
+        free = free_by_service.get(service, 0)
+        free_by_service[service] = max(free - 1, 0)
+        self._tables.peer_by_id[peer.instance_id] = replace(
+            known,
+            free_by_service=free_by_service,
+        )
+
+    def _failure(
+        self,
+        request: CallerRequest,
+        outcome: ExchangeOutcome,
+    ) -> Refusal:
+        if isinstance(outcome, Broken):
+            self.counts.refused += 1
+            status = _GATEWAY_TIMEOUT if outcome.is_silent else _BAD_GATEWAY
+            return Refusal(
+                status=status,
+                code='no-whole-answer',
+                message=f'the request was sent, but {outcome.reason}',
+                run_state=RunState.UNKNOWN,
+            )
+        reason = 'no attempt could be made'
+        if isinstance(outcome, NotSent):
+            reason = outcome.reason
+        return self._refuse('not-sent', reason, retry_after_s=1)
+
+    def _refuse(
+        self,
+        code: str,
+        message: str,
+        *,
+        retry_after_s: Seconds = 0,
+    ) -> Refusal:
+        self.counts.refused += 1
+        return Refusal(
+            status=_SERVICE_UNAVAILABLE,
+            code=code,
+            message=message,
+            retry_after_s=retry_after_s,
+        )
+
+
+def _target_request(request: CallerRequest, rest_s: Seconds) -> HttpRequest:
+    return HttpRequest(
+        method=request.method,
+        path=request.path,
+        fields=(
+            *request.fields,
+            ('ragwortfield-request-id', request.request_id),
+            ('ragwortfield-team', request.team),
+            ('ragwortfield-deadline-ms', f'{rest_s * 1000:.0f}'),
+        ),
+        body=request.body,
+    )
+
+
+def _unless_refused_unrun(outcome: ExchangeOutcome) -> ExchangeOutcome:
+    # A target that says itself that it did not run the request is believed.
+    if isinstance(outcome, WholeAnswer):
+        said = outcome.field_value('ragwortfield-run')
+        if outcome.status == _SERVICE_UNAVAILABLE and said == RunState.NOT_RUN:
+            return NotSent(reason='the target refused without running')
+    return outcome
+
+
+def _is_passed_on(outcome: ExchangeOutcome, request: CallerRequest) -> bool:
+    if not isinstance(outcome, WholeAnswer):
+        return False
+    is_capacity_refusal = (
+        outcome.status == _SERVICE_UNAVAILABLE
+        and outcome.field_value('ragwortfield-run') == RunState.NOT_RUN
+    )
+    return not is_capacity_refusal
--- /dev/null
+++ b/ragwortfield/engine/job_runner.py
@@ -0,0 +1,527 @@
+"""Runner of batch jobs: binds, starts, renews, evicts and ends them.
+
+Every change of a job and of its worker's grants is one transaction that
+checks the versions of both rows, so two holders that race lose a comparison
+and nothing else. Starts carry the job's generation, which a worker accepts
+once.
+"""
+
+from dataclasses import dataclass, replace
+
+from ragwortfield.adapters.documents import to_document
+from ragwortfield.core.configuration import Configuration
+from ragwortfield.core.jobs import (
+    GRANTED_STATES,
+    Job,
+    JobRow,
+    JobState,
+    TaskPhase,
+    Worker,
+    WorkerReport,
+    WorkerRow,
+    is_within_capacity,
+)
+from ragwortfield.core.tables import HeldSeat, Tables
+from ragwortfield.engine.job_rows import (
+    job_prefix,
+    job_rows,
+    job_write,
+    worker_key,
+    worker_rows,
+    worker_write,
+)
+from ragwortfield.invariants import INVARIANTS
+from ragwortfield.log import event
+from ragwortfield.ports.clock import Clock
+from ragwortfield.ports.platform import (
+    Committed,
+    ListedInstance,
+    RenewTasks,
+    StartTask,
+    Table,
+    Unavailable,
+    WorkerControl,
+    Write,
+)
+from ragwortfield.systems.eviction import (
+    Evict,
+    Pressure,
+    Throttle,
+    step_pressure,
+)
+from ragwortfield.systems.hashing import stable_hash
+from ragwortfield.systems.job_progress import (
+    JobChange,
+    change_by_cancel,
+    change_by_lapse,
+    change_by_report,
+)
+from ragwortfield.systems.placement import (
+    Binding,
+    Parking,
+    plan_placement,
+)
+from ragwortfield.types import JobId, WallTime, WorkerId
+
+
+#: Job and generation of one lease.
+_Lease = tuple[JobId, int]
+
+
+@dataclass(kw_only=True, slots=True)
+class JobCounts:
+    """What the runner did since its start."""
+
+    starts: int = 0
+    binding_transactions: int = 0
+    conflicts: int = 0
+    evictions: int = 0
+    ended: int = 0
+
+
+class JobRunner:
+    """
+    Runs the jobs of the held seats.
+
+    :param tables: the instance's tables.
+    :param table: the platform's table.
+    :param control: the platform's control of workers.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        tables: Tables,
+        table: Table,
+        control: WorkerControl,
+        clock: Clock,
+    ) -> None:
+        """Create a runner that has seen nothing yet."""
+        self.counts = JobCounts()
+        self._tables = tables
+        self._table = table
+        self._control = control
+        self._clock = clock
+        self._lease_until_by_job: dict[_Lease, WallTime] = {}
+        self._pressure_by_worker: dict[WorkerId, Pressure] = {}
+        self._seen_seats: dict[str, int] = {}
+        self._running_by_worker: dict[WorkerId, frozenset[_Lease]] = {}
+
+    def run_round(self) -> None:
+        """Run one round over all held seats."""
+        configuration = self._tables.configuration()
+        held = self._tables.usable_seats(self._clock.monotonic())
+        if configuration is None or not held:
+            return
+        if self._read_rows(held):
+            self._add_listed_workers(held)
+        self._renew(configuration, held)
+        self._apply_reports(configuration)
+        if not self._tables.is_leaving:
+            self._relieve(configuration, held)
+            self._place(configuration)
+
+    def _read_rows(self, held: list[HeldSeat]) -> bool:
+        name = self._tables.identity.data_centre
+        workers = self._table.scan(f'workers/{name}/')
+        if isinstance(workers, Unavailable):
+            return False
+        job_row_by_id = {}
+        for seat in held:
+            jobs = self._table.scan(job_prefix(seat.seat_id))
+            if isinstance(jobs, Unavailable):
+                return False
+            for row in job_rows(jobs):
+                job_row_by_id[row.job.job_id] = row
+        self._tables.worker_row_by_id = {
+            row.worker.worker_id: row for row in worker_rows(workers)
+        }
+        self._tables.job_row_by_id = job_row_by_id
+        self._check_rows()
+        return True
+
+    def _check_rows(self) -> None:
+        for row in self._tables.worker_row_by_id.values():
+            INVARIANTS.check(
+                'capacity_never_exceeded',
+                is_held=is_within_capacity(row.worker),
+                detail=f'worker={row.worker.worker_id}',
+            )
+
+    def _add_listed_workers(self, held: list[HeldSeat]) -> None:
+        listing = self._tables.listing
+        if listing is None:
+            return
+        for listed in listing.instances:
+            if listed.kind != 'worker':
+                continue
+            if listed.data_centre != self._tables.identity.data_centre:
+                continue
+            row = self._tables.worker_row_by_id.get(listed.instance_id)
+            if not self._is_home_of(listed.instance_id, held):
+                continue
+            if row is None:
+                self._add_worker(listed)
+            elif row.worker.is_draining != listed.is_leaving:
+                self._change_worker(
+                    row,
+                    replace(row.worker, is_draining=listed.is_leaving),
+                )
+
+    def _add_worker(self, listed: ListedInstance) -> None:
+        worker = Worker(
+            worker_id=listed.instance_id,
+            address=listed.address,
+            capacity=listed.capacity,
+        )
+        key = worker_key(listed.data_centre, listed.instance_id)
+        outcome = self._table.transact(
+            (Write(key=key, expected_version=0, body=to_document(worker)),)
+        )
+        if isinstance(outcome, Committed):
+            self._tables.worker_row_by_id[worker.worker_id] = WorkerRow(
+                key=key,
+                version=outcome.version_by_key[key],
+                worker=worker,
+            )
+            event('worker_added', worker=worker.worker_id)
+
+    def _change_worker(self, row: WorkerRow, worker: Worker) -> None:
+        outcome = self._table.transact((worker_write(row, worker),))
+        if isinstance(outcome, Committed):
+            self._tables.worker_row_by_id[worker.worker_id] = replace(
+                row,
+                version=outcome.version_by_key[row.key],
+                worker=worker,
+            )
+
+    def _renew(
+        self,
+        configuration: Configuration,
+        held: list[HeldSeat],
+    ) -> None:
+        wall = self._clock.wall()
+        expires_at = wall + configuration.timing.task_lease_s
+        self._adopt_leases(configuration, held)
+        for worker_id, row in tuple(self._tables.worker_row_by_id.items()):
+            is_home = self._is_home_of(worker_id, held)
+            if not is_home and not self._granted_on(worker_id):
+                continue
+            renewed = self._renewable(configuration, worker_id, wall)
+            report = self._control.renew(
+                row.worker.address,
+                RenewTasks(generation_by_job=renewed, expires_at=expires_at),
+            )
+            # The worker may have taken the renewal although its answer is
+            # missing, so the lease counts as prolonged either way.
+            for lease in renewed.items():
+                self._lease_until_by_job[lease] = expires_at
+            if isinstance(report, Unavailable):
+                event(
+                    'worker_unreachable',
+                    worker=worker_id,
+                    reason=report.reason,
+                )
+                self._tables.report_by_worker.pop(worker_id, None)
+                continue
+            self._tables.report_by_worker[worker_id] = report
+            self._tables.reported_at_by_worker[worker_id] = wall
+            self._running_by_worker[worker_id] = _running_in(report)
+
+    def _adopt_leases(
+        self,
+        configuration: Configuration,
+        held: list[HeldSeat],
+    ) -> None:
+        # The holder before this one may have renewed leases until the very
+        # moment of the takeover.
+        until = self._clock.wall() + configuration.timing.task_lease_s
+        for seat in held:
+            key = seat.seat_id.row_key()
+            if self._seen_seats.get(key) == seat.generation:
+                continue
+            self._seen_seats[key] = seat.generation
+            prefix = job_prefix(seat.seat_id)
+            for row in self._tables.job_row_by_id.values():
+                if row.key.startswith(prefix):
+                    lease = (row.job.job_id, row.job.generation)
+                    self._lease_until_by_job[lease] = until
+
+    def _granted_on(self, worker_id: WorkerId) -> list[Job]:
+        return [
+            row.job
+            for row in self._tables.job_row_by_id.values()
+            if row.job.worker == worker_id and row.job.state in GRANTED_STATES
+        ]
+
+    def _renewable(
+        self,
+        configuration: Configuration,
+        worker_id: WorkerId,
+        wall: WallTime,
+    ) -> dict[JobId, int]:
+        # Renewals stop in time for the lease of a silent worker to end, and
+        # a task that its worker never reported is not renewed at all.
+        reported_at = self._tables.reported_at_by_worker.get(worker_id, 0)
+        if wall - reported_at > configuration.timing.task_lease_s / 2:
+            return {}
+        running = self._running_by_worker.get(worker_id, frozenset())
+        return {
+            job.job_id: job.generation
+            for job in self._granted_on(worker_id)
+            if job.state is JobState.BOUND
+            and (job.job_id, job.generation) in running
+        }
+
+    def _apply_reports(self, configuration: Configuration) -> None:
+        wall = self._clock.wall()
+        rows = tuple(self._tables.job_row_by_id.values())
+        for row in rows:
+            change = change_by_cancel(row, wall)
+            if change is None:
+                change = self._change_of(configuration, row, rows, wall)
+            if change is not None:
+                self._commit_change(change)
+            elif row.job.state is JobState.STOPPING:
+                self._order_stop(row.job)
+
+    def _change_of(
+        self,
+        configuration: Configuration,
+        row: JobRow,
+        rows: tuple[JobRow, ...],
+        wall: WallTime,
+    ) -> JobChange | None:
+        job = row.job
+        if job.state not in GRANTED_STATES:
+            return None
+        worker_row = self._tables.worker_row_by_id.get(job.worker)
+        report = self._tables.report_by_worker.get(job.worker)
+        if worker_row is not None and report is not None:
+            change = change_by_report(row, worker_row, report, rows, wall)
+            if change is not None or _is_reported(report, job):
+                return change
+        lease_until = max(
+            self._lease_until_by_job.get((job.job_id, job.generation), 0),
+            job.lease_until,
+        )
+        return change_by_lapse(
+            row,
+            worker_row,
+            lease_until=lease_until,
+            clock_bound_s=configuration.timing.clock_bound_s,
+            wall=wall,
+        )
+
+    def _commit_change(self, change: JobChange) -> None:
+        writes = [job_write(change.job_row, change.job)]
+        if change.worker_row is not None and change.worker is not None:
+            writes.append(worker_write(change.worker_row, change.worker))
+        outcome = self._table.transact(tuple(writes))
+        if not isinstance(outcome, Committed):
+            # Lost or conflicting: the next round reads the rows again and
+            # decides anew.
+            self.counts.conflicts += 1
+            return
+        self._record_change(change, outcome)
+        job = change.job
+        event(
+            'job_changed',
+            job=job.job_id,
+            state=job.state.value,
+            generation=job.generation,
+            reason=job.reason,
+        )
+        if change.is_end_of_task:
+            self._end_task(change)
+
+    def _record_change(self, change: JobChange, outcome: Committed) -> None:
+        version_by_key = outcome.version_by_key
+        self._tables.job_row_by_id[change.job.job_id] = replace(
+            change.job_row,
+            version=version_by_key[change.job_row.key],
+            job=change.job,
+        )
+        if change.worker_row is not None and change.worker is not None:
+            worker_row = replace(
+                change.worker_row,
+                version=version_by_key[change.worker_row.key],
+                worker=change.worker,
+            )
+            worker_id = change.worker.worker_id
+            self._tables.worker_row_by_id[worker_id] = worker_row
+
+    def _end_task(self, change: JobChange) -> None:
+        self.counts.ended += 1
+        before = change.job_row.job
+        self._lease_until_by_job.pop((before.job_id, before.generation), None)
+        if change.worker_row is not None:
+            self._control.forget(
+                change.worker_row.worker.address,
+                {before.job_id: before.generation},
+            )
+
+    def _order_stop(self, job: Job) -> None:
+        row = self._tables.worker_row_by_id.get(job.worker)
+        if row is not None:
+            self._control.stop(row.worker.address, job.job_id, job.generation)
+
+    def _relieve(
+        self,
+        configuration: Configuration,
+        held: list[HeldSeat],
+    ) -> None:
+        job_by_id = {
+            job_id: row.job
+            for job_id, row in self._tables.job_row_by_id.items()
+        }
+        for worker_id, report in self._tables.report_by_worker.items():
+            row = self._tables.worker_row_by_id.get(worker_id)
+            if row is None or not self._is_home_of(worker_id, held):
+                continue
+            step = step_pressure(
+                self._pressure_by_worker.get(worker_id, Pressure()),
+                row.worker,
+                report,
+                job_by_id,
+            )
+            self._pressure_by_worker[worker_id] = step.pressure
+            if isinstance(step.action, Throttle):
+                self._throttle(row.worker, step.action)
+            elif isinstance(step.action, Evict):
+                self._evict(step.action.job_id)
+
+    def _throttle(self, worker: Worker, action: Throttle) -> None:
+        event(
+            'task_throttled',
+            worker=worker.worker_id,
+            job=action.job_id,
+            share=action.share,
+        )
+        self._control.throttle(worker.address, action.job_id, action.share)
+
+    def _evict(self, job_id: JobId) -> None:
+        row = self._tables.job_row_by_id[job_id]
+        if row.job.state is not JobState.BOUND:
+            return
+        self.counts.evictions += 1
+        event('task_evicted', job=job_id, worker=row.job.worker)
+        self._commit_change(
+            JobChange(
+                job_row=row,
+                job=replace(row.job, state=JobState.STOPPING),
+            ),
+        )
+        self._order_stop(row.job)
+
+    def _place(self, configuration: Configuration) -> None:
+        name = self._tables.identity.data_centre
+        place = configuration.data_centres[name]
+        plan = plan_placement(
+            configuration,
+            job_rows=tuple(self._tables.job_row_by_id.values()),
+            worker_rows=tuple(
+                row
+                for row in self._tables.worker_row_by_id.values()
+                if row.worker.worker_id in self._reachable_workers()
+            ),
+            quota_fraction=place.seats / configuration.total_seats(),
+            wall=self._clock.wall(),
+        )
+        for parking in plan.parkings:
+            self._park(parking)
+        for binding in plan.bindings:
+            self._bind(binding)
+
+    def _reachable_workers(self) -> set[WorkerId]:
+        listing = self._tables.listing
+        if listing is None:
+            return set()
+        return {
+            listed.instance_id
+            for listed in listing.instances
+            if listed.kind == 'worker' and not listed.is_leaving
+        }
+
+    def _park(self, parking: Parking) -> None:
+        self._commit_change(
+            JobChange(job_row=parking.job_row, job=parking.job),
+        )
+
+    def _bind(self, binding: Binding) -> None:
+        writes = [worker_write(binding.worker_row, binding.worker)]
+        writes.extend(
+            job_write(row, job)
+            for row, job in zip(binding.job_rows, binding.jobs, strict=True)
+        )
+        outcome = self._table.transact(tuple(writes))
+        if not isinstance(outcome, Committed):
+            # After a lost answer the rows show whether the binding took
+            # effect; a bound job that no worker runs is started below or
+            # freed when its lease has ended.
+            self.counts.conflicts += 1
+            return
+        self.counts.binding_transactions += 1
+        worker_id = binding.worker.worker_id
+        self._tables.worker_row_by_id[worker_id] = replace(
+            binding.worker_row,
+            version=outcome.version_by_key[binding.worker_row.key],
+            worker=binding.worker,
+        )
+        for row, job in zip(binding.job_rows, binding.jobs, strict=True):
+            self._tables.job_row_by_id[job.job_id] = replace(
+                row,
+                version=outcome.version_by_key[row.key],
+                job=job,
+            )
+            self._start(binding.worker, job)
+
+    def _start(self, worker: Worker, job: Job) -> None:
+        self.counts.starts += 1
+        lease = (job.job_id, job.generation)
+        self._lease_until_by_job[lease] = job.lease_until
+        outcome = self._control.start(
+            worker.address,
+            StartTask(
+                job_id=job.job_id,
+                generation=job.generation,
+                command=job.spec.command,
+                resources=job.spec.resources,
+                expires_at=job.lease_until,
+                checkpoint=job.checkpoint,
+            ),
+        )
+        event(
+            'task_started',
+            job=job.job_id,
+            worker=worker.worker_id,
+            generation=job.generation,
+            accepted=outcome is True,
+        )
+
+    def _is_home_of(self, worker_id: WorkerId, held: list[HeldSeat]) -> bool:
+        # One seat looks after each worker, so that one instance adds its row
+        # and decides about its pressure.
+        configuration = self._tables.configuration()
+        if configuration is None:
+            return False
+        name = self._tables.identity.data_centre
+        seats = configuration.data_centres[name].seats
+        index = stable_hash(worker_id) % seats
+        return any(seat.seat_id.index == index for seat in held)
+
+
+def _is_reported(report: WorkerReport, job: Job) -> bool:
+    return any(
+        task.job_id == job.job_id and task.generation == job.generation
+        for task in report.tasks
+    )
+
+
+def _running_in(report: WorkerReport) -> frozenset[_Lease]:
+    return frozenset(
+        (task.job_id, task.generation)
+        for task in report.tasks
+        if task.phase is TaskPhase.RUNNING
+    )
--- /dev/null
+++ b/ragwortfield/engine/node.py
@@ -0,0 +1,287 @@
+"""Node: one entry instance, wired together."""
+
+import random
+from collections.abc import Callable
+
+import gevent
+
+from ragwortfield.core.tables import Identity, Tables
+from ragwortfield.core.targets import TargetState
+from ragwortfield.engine.burn_writer import BurnWriter
+from ragwortfield.engine.claim_keeper import ClaimKeeper
+from ragwortfield.engine.deferred_desk import DeferredDesk
+from ragwortfield.engine.dispatcher import Dispatcher
+from ragwortfield.engine.grouped_writer import GroupedWriter
+from ragwortfield.engine.job_runner import JobRunner
+from ragwortfield.engine.peer_desk import PeerDesk, is_store_reachable
+from ragwortfield.engine.platform_sync import Platform, PlatformSync
+from ragwortfield.engine.reception import Reception
+from ragwortfield.engine.target_links import TargetLinks
+from ragwortfield.front.fields import RelaySigner
+from ragwortfield.log import event
+from ragwortfield.peering.links import PeerLinks
+from ragwortfield.ports.clock import Clock
+from ragwortfield.ports.platform import (
+    ListedInstance,
+    WorkerControl,
+)
+from ragwortfield.report.recorder import RequestRecorder
+from ragwortfield.systems.membership import forget_silent_peers, is_linked
+from ragwortfield.systems.seats import (
+    drop_superseded,
+    resume_by_peers,
+    suspend_after_pause,
+)
+from ragwortfield.systems.shares import share_targets
+from ragwortfield.types import Seconds
+
+#: Time between ticks, in seconds.
+TICK_S = 0.1
+#: Time between exchanges with the platform, in seconds.
+_SYNC_S = 1.0
+#: Time between rounds over jobs, in seconds.
+_JOBS_S = 0.5
+#: Time between rounds over deferred requests, in seconds.
+_DEFERRED_S = 1.0
+#: Time between checks of the targets' own health pages, in seconds.
+_HEALTH_S = 1.0
+#: Time between writes of the burn report's buckets, in seconds.
+_BURN_S = 10.0
+#: A peer silent for this long is forgotten, in seconds.
+_FORGET_PEER_S = 30.0
+#: Longest wait for peers and balancer to notice a planned stop, in seconds.
+_LEAVE_NOTICE_S = 2.0
+#: Longest wait for the claims and seats to reach the table, in seconds.
+_HAND_OVER_S = 5.0
+
+
+class Node:
+    """
+    One entry instance.
+
+    :param identity: who and where it is.
+    :param platform: the platform's table, list and objects.
+    :param control: the platform's control of workers.
+    :param peer_token: secret shared by all entry instances.
+    :param seeds: peer addresses to try while the list is away.
+    :param deferred_body_bytes: largest body of a deferred request.
+    :param clock: source of time.
+    :param randomness: source of random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        platform: Platform,
+        control: WorkerControl,
+        peer_token: str,
+        seeds: tuple[str, ...],
+        deferred_body_bytes: int,
+        clock: Clock,
+        randomness: random.Random,
+    ) -> None:
+        """Wire a node; ``start`` lets it run."""
+        self.tables = Tables(identity=identity)
+        self.clock = clock
+        self.platform = platform
+        self.signer = RelaySigner(token=peer_token, clock=clock)
+        self.writer = GroupedWriter(table=platform)
+        self.keeper = ClaimKeeper(
+            tables=self.tables,
+            table=platform,
+            writer=self.writer,
+            clock=clock,
+        )
+        self.links = TargetLinks(tables=self.tables)
+        self.dispatcher = Dispatcher(
+            tables=self.tables,
+            clock=clock,
+            randomness=randomness,
+            links=self.links,
+            relay_fields=self.signer,
+        )
+        self.deferred = DeferredDesk(
+            tables=self.tables,
+            table=platform,
+            writer=self.writer,
+            clock=clock,
+            max_body_bytes=deferred_body_bytes,
+        )
+        self.reception = Reception(
+            tables=self.tables,
+            clock=clock,
+            dispatcher=self.dispatcher,
+            keeper=self.keeper,
+            deferred=self.deferred,
+        )
+        self.recorder = RequestRecorder(tables=self.tables)
+        self.jobs = JobRunner(
+            tables=self.tables,
+            table=platform,
+            control=control,
+            clock=clock,
+        )
+        self.peers = PeerLinks(
+            instance_id=identity.instance_id,
+            token=peer_token,
+            handler=PeerDesk(tables=self.tables, clock=clock),
+        )
+        self.sync = PlatformSync(
+            tables=self.tables,
+            platform=platform,
+            keeper=self.keeper,
+            clock=clock,
+        )
+        self._burn = BurnWriter(
+            instance_id=identity.instance_id,
+            recorder=self.recorder,
+            table=platform,
+            clock=clock,
+        )
+        self._seeds = frozenset(seeds)
+        self._paused_at = float('-inf')
+        self._loops: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Start every loop in the background."""
+        self.tables.ticked_at = self.clock.monotonic()
+        self.peers.listen(self.tables.identity.peer_address)
+        self.peers.dial(self._seeds)
+        self._loops = [
+            self.writer.start(),
+            self._spawn('tick', TICK_S, self.tick),
+            self._spawn('platform', _SYNC_S, self._sync_round),
+            self._spawn('jobs', _JOBS_S, self.jobs.run_round),
+            self._spawn('deferred', _DEFERRED_S, self._deferred_round),
+            self._spawn('health', _HEALTH_S, self._check_targets),
+            self._spawn('burn', _BURN_S, self._burn.write_round),
+        ]
+
+    def tick(self) -> None:
+        """Run the systems that follow time once."""
+        now = self.clock.monotonic()
+        if suspend_after_pause(self.tables, now):
+            self._paused_at = now
+            event('process_paused', s=now - self.tables.ticked_at)
+        self.tables.ticked_at = now
+        for seat in drop_superseded(self.tables):
+            event('seat_superseded', seat=seat)
+        if any(held.is_suspended for held in self.tables.held_by_key.values()):
+            resume_by_peers(self.tables, paused_at=self._paused_at, now=now)
+        for peer in forget_silent_peers(self.tables, now, _FORGET_PEER_S):
+            event('peer_forgotten', peer=peer)
+        share_targets(self.tables, now)
+        self.dispatcher.pump()
+
+    def is_ready(self) -> bool:
+        """
+        Tell whether callers may be sent here.
+
+        :returns: whether a configuration and a target or a peer are known,
+            and no planned stop is under way.
+        """
+        if self.tables.version is None or self.tables.is_leaving:
+            return False
+        return bool(self.tables.target_by_id)
+
+    def leave(self) -> None:
+        """Announce a planned stop and hand over what others can take."""
+        self.tables.is_leaving = True
+        self.peers.announce()
+        event('leaving')
+        gevent.sleep(_LEAVE_NOTICE_S)
+
+    def hand_over(self) -> None:
+        """Hand over deferred work, claims and seats, after the last request."""
+        self.deferred.finish()
+        until = self.clock.monotonic() + _HAND_OVER_S
+        is_flushed = self.keeper.flush()
+        while not is_flushed and self.clock.monotonic() < until:
+            gevent.sleep(TICK_S)
+            is_flushed = self.keeper.flush()
+        self._burn.write_round()
+        self.sync.release_seats()
+        event('left', is_flushed=is_flushed)
+
+    def _spawn(
+        self,
+        name: str,
+        period_s: Seconds,
+        round_of: Callable[[], object],
+    ) -> gevent.Greenlet:
+        return gevent.spawn(self._repeat, name, period_s, round_of)
+
+    def _repeat(
+        self,
+        name: str,
+        period_s: Seconds,
+        round_of: Callable[[], object],
+    ) -> None:
+        while True:
+            started_at = self.clock.monotonic()
+            try:
+                round_of()
+            # A loop that ended would leave the instance half alive; the
+            # error is logged and the next round tries again.
+            except Exception as error:
+                event('round_failed', loop=name, error=repr(error))
+            spent_s = self.clock.monotonic() - started_at
+            gevent.sleep(max(period_s - spent_s, TICK_S / 2))
+
+    def _sync_round(self) -> None:
+        self.sync.run_round()
+        self.links.drop_unlisted()
+        self.keeper.drop_expired()
+        if self.keeper.dirty_count() and self._is_store_reachable():
+            self.keeper.flush()
+        self.peers.dial(self._addresses_to_dial())
+
+    def _is_store_reachable(self) -> bool:
+        return is_store_reachable(self.tables, self.clock.monotonic())
+
+    def _deferred_round(self) -> None:
+        self.deferred.run_round(self.reception.run)
+
+    def _check_targets(self) -> None:
+        share_by_target = self.tables.share_by_target
+        checks = [
+            gevent.spawn(self.links.check_health, target)
+            for target in tuple(self.tables.target_by_id.values())
+            if target.state is TargetState.LIVE
+            and target.target_id in share_by_target
+            and not self.tables.in_use_by_target.get(target.target_id)
+        ]
+        gevent.joinall(checks, timeout=_HEALTH_S)
+
+    def _addresses_to_dial(self) -> frozenset[str]:
+        listing = self.tables.listing
+        if listing is None:
+            return self._seeds
+        entries = [
+            listed for listed in listing.instances if listed.kind == 'entry'
+        ]
+        own = _own_entry(entries, self.tables.identity)
+        return frozenset(
+            entry.peer_address
+            for entry in entries
+            if entry.instance_id > own.instance_id
+            and entry.peer_address
+            and is_linked(own, entry, entries)
+        )
+
+
+def _own_entry(
+    entries: list[ListedInstance],
+    identity: Identity,
+) -> ListedInstance:
+    for entry in entries:
+        if entry.instance_id == identity.instance_id:
+            return entry
+    return ListedInstance(
+        instance_id=identity.instance_id,
+        kind='entry',
+        data_centre=identity.data_centre,
+        address=identity.http_address,
+        peer_address=identity.peer_address,
+    )
--- /dev/null
+++ b/ragwortfield/engine/peer_desk.py
@@ -0,0 +1,137 @@
+"""What an entry instance tells its peers and learns from them."""
+
+from ragwortfield.core.configuration import ConfigurationVersion
+from ragwortfield.core.peers import Peer
+from ragwortfield.core.tables import Tables
+from ragwortfield.log import event
+from ragwortfield.peering.messages import (
+    ConfigurationAsk,
+    ConfigurationOffer,
+    Heartbeat,
+    Message,
+)
+from ragwortfield.ports.clock import Clock
+from ragwortfield.settings.checking import SettingsError
+from ragwortfield.settings.deployment import parse_configuration
+from ragwortfield.systems.configuration import adopt_version
+from ragwortfield.systems.routing import free_slots
+from ragwortfield.types import InstanceId, Seconds
+
+#: The store counts as reachable when it answered within this, in seconds.
+STORE_REACHABLE_S: Seconds = 5.0
+
+
+class PeerDesk:
+    """
+    Makes heartbeats and takes peers' messages into the tables.
+
+    :param tables: the instance's tables.
+    :param clock: source of time.
+    """
+
+    def __init__(self, *, tables: Tables, clock: Clock) -> None:
+        """Create a desk without peers."""
+        self._tables = tables
+        self._clock = clock
+
+    def heartbeat(self) -> Heartbeat:
+        """
+        Make the next heartbeat.
+
+        :returns: the heartbeat.
+        """
+        tables = self._tables
+        now = self._clock.monotonic()
+        configuration = tables.configuration()
+        services = () if configuration is None else configuration.services
+        return Heartbeat(
+            instance_id=tables.identity.instance_id,
+            data_centre=tables.identity.data_centre,
+            http_address=tables.identity.http_address,
+            free_by_service={
+                name: free_slots(tables, name, now) for name in services
+            },
+            generation_by_seat={
+                key: held.generation
+                for key, held in tables.held_by_key.items()
+                if not held.is_suspended
+            },
+            configuration_version=tables.configuration_version(),
+            is_leaving=tables.is_leaving,
+            is_store_reachable=is_store_reachable(tables, now),
+        )
+
+    def receive(self, peer_id: InstanceId, message: Message) -> Message | None:
+        """
+        Take a peer's message in.
+
+        :param peer_id: the peer, as its handshake proved.
+        :param message: the message.
+        :returns: the answer, ``None`` when there is none.
+        """
+        if isinstance(message, Heartbeat):
+            return self._receive_heartbeat(peer_id, message)
+        if isinstance(message, ConfigurationAsk):
+            return self._offer(message)
+        if isinstance(message, ConfigurationOffer):
+            self._adopt(peer_id, message)
+        return None
+
+    def _receive_heartbeat(
+        self,
+        peer_id: InstanceId,
+        heartbeat: Heartbeat,
+    ) -> Message | None:
+        self._tables.peer_by_id[peer_id] = Peer(
+            instance_id=peer_id,
+            data_centre=heartbeat.data_centre,
+            http_address=heartbeat.http_address,
+            heard_at=self._clock.monotonic(),
+            free_by_service=heartbeat.free_by_service,
+            generation_by_seat=heartbeat.generation_by_seat,
+            configuration_version=heartbeat.configuration_version,
+            is_leaving=heartbeat.is_leaving,
+            is_store_reachable=heartbeat.is_store_reachable,
+        )
+        known = self._tables.configuration_version()
+        if heartbeat.configuration_version > known:
+            return ConfigurationAsk(known_version=known)
+        return None
+
+    def _offer(self, ask: ConfigurationAsk) -> Message | None:
+        version = self._tables.configuration_version()
+        if version <= ask.known_version:
+            return None
+        return ConfigurationOffer(
+            version=version,
+            text=self._tables.configuration_text,
+        )
+
+    def _adopt(self, peer_id: InstanceId, offer: ConfigurationOffer) -> None:
+        configuration = parse_configuration(offer.text, f'peer {peer_id}')
+        if isinstance(configuration, SettingsError):
+            event('configuration_offer_refused', reason=configuration.text())
+            return
+        version = ConfigurationVersion(
+            version=offer.version,
+            configuration=configuration,
+        )
+        if adopt_version(self._tables, version, offer.text):
+            event(
+                'configuration_in_force',
+                version=offer.version,
+                source=f'peer {peer_id}',
+            )
+
+
+def is_store_reachable(tables: Tables, now: float) -> bool:
+    """
+    Tell whether the platform's table answered lately.
+
+    :param tables: the instance's tables.
+    :param now: reading of the monotonic clock.
+    :returns: whether it did.
+    """
+    return bool(tables.store_ok_at) and (
+        now - tables.store_ok_at <= STORE_REACHABLE_S
+    )
--- /dev/null
+++ b/ragwortfield/engine/platform_sync.py
@@ -0,0 +1,195 @@
+"""Regular exchange with the platform: seats, configuration, list, rows."""
+
+from dataclasses import replace
+from typing import Protocol
+
+from ragwortfield.adapters.documents import (
+    Malformed,
+    from_document,
+    to_document,
+)
+from ragwortfield.core.configuration import ConfigurationVersion
+from ragwortfield.core.seats import Seat, SeatId, SeatRow
+from ragwortfield.core.tables import Tables
+from ragwortfield.engine.claim_keeper import ClaimKeeper
+from ragwortfield.log import event
+from ragwortfield.ports.clock import Clock
+from ragwortfield.ports.platform import (
+    Committed,
+    Conflict,
+    InstanceList,
+    ObjectStore,
+    Row,
+    Rows,
+    Table,
+    Unavailable,
+    Write,
+)
+from ragwortfield.settings.checking import SettingsError
+from ragwortfield.settings.deployment import parse_configuration
+from ragwortfield.systems.configuration import adopt_version
+from ragwortfield.systems.membership import observe_listing
+from ragwortfield.systems.seats import (
+    SeatWrite,
+    observe_seat_rows,
+    plan_seats,
+    record_write,
+)
+
+#: Row that holds the configuration in force; its version is the
+#: configuration's version, and it is never deleted.
+CONFIGURATION_KEY = 'configuration/current'
+#: Rows that hold every accepted configuration.
+HISTORY_PREFIX = 'configuration_history/'
+
+
+class Platform(Table, InstanceList, ObjectStore, Protocol):
+    """Everything of the platform but its control of workers."""
+
+
+class PlatformSync:
+    """
+    Brings the tables of an instance and of the platform together.
+
+    :param tables: the instance's tables.
+    :param platform: the platform's table and list.
+    :param keeper: the claims, read after a seat is taken.
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        tables: Tables,
+        platform: Platform,
+        keeper: ClaimKeeper,
+        clock: Clock,
+    ) -> None:
+        """Create a synchronisation that has not run yet."""
+        self._tables = tables
+        self._platform = platform
+        self._keeper = keeper
+        self._clock = clock
+
+    def run_round(self) -> bool:
+        """
+        Exchange everything once.
+
+        :returns: whether the platform answered.
+        """
+        is_reached = self.read_configuration()
+        listing = self._platform.fetch()
+        if isinstance(listing, Unavailable):
+            event('list_unavailable', reason=listing.reason)
+        else:
+            observe_listing(self._tables, listing)
+        return self.exchange_seats() or is_reached
+
+    def read_configuration(self) -> bool:
+        """
+        Read the configuration and put a newer version in force.
+
+        :returns: whether the platform answered.
+        """
+        found = self._platform.scan(CONFIGURATION_KEY)
+        if isinstance(found, Unavailable):
+            event('table_unavailable', reason=found.reason)
+            return False
+        self._tables.store_ok_at = self._clock.monotonic()
+        for row in found.rows:
+            if row.version > self._tables.configuration_version():
+                self._adopt(row)
+        return True
+
+    def exchange_seats(self) -> bool:
+        """
+        Read the seats of the data centre and write what is due.
+
+        :returns: whether the platform answered.
+        """
+        name = self._tables.identity.data_centre
+        found = self._platform.scan(f'seats/{name}/')
+        if isinstance(found, Unavailable):
+            return False
+        now = self._clock.monotonic()
+        observe_seat_rows(self._tables, _seat_rows(found), now)
+        writes = plan_seats(
+            self._tables,
+            now=now,
+            wall=self._clock.wall(),
+            is_flushed=not self._keeper.dirty_count(),
+        )
+        for write in writes:
+            self._write_seat(write)
+        self._keeper.load_seats()
+        return True
+
+    def release_seats(self) -> None:
+        """Give every held seat back to the platform's table."""
+        for key, held in tuple(self._tables.held_by_key.items()):
+            self._tables.held_by_key[key] = replace(held, is_leaving=True)
+        self.exchange_seats()
+
+    def _write_seat(self, write: SeatWrite) -> None:
+        outcome = self._platform.transact(
+            (
+                Write(
+                    key=write.seat_id.row_key(),
+                    expected_version=write.expected_version,
+                    body=to_document(write.seat),
+                ),
+            )
+        )
+        key = write.seat_id.row_key()
+        if isinstance(outcome, Committed):
+            is_new = key not in self._tables.held_by_key
+            version = outcome.version_by_key[key]
+            record_write(
+                self._tables,
+                write,
+                version,
+                self._clock.monotonic(),
+            )
+            if is_new and write.seat.holder:
+                event(
+                    'seat_taken',
+                    seat=key,
+                    generation=write.seat.generation,
+                )
+        elif isinstance(outcome, Conflict):
+            event('seat_conflict', seat=key, version=outcome.version)
+
+    def _adopt(self, row: Row) -> None:
+        text = str(row.body.get('text', ''))
+        configuration = parse_configuration(text, row.key)
+        if isinstance(configuration, SettingsError):
+            event('configuration_refused', reason=configuration.text())
+            return
+        version = ConfigurationVersion(
+            version=row.version,
+            configuration=configuration,
+        )
+        if adopt_version(self._tables, version, text):
+            event(
+                'configuration_in_force',
+                version=row.version,
+                source='table',
+            )
+
+
+def _seat_rows(found: Rows) -> tuple[SeatRow, ...]:
+    rows = []
+    for row in found.rows:
+        seat = from_document(row.body, Seat)
+        _, data_centre, index = row.key.split('/')
+        if isinstance(seat, Malformed):
+            event('seat_row_malformed', key=row.key, reason=seat.reason)
+            continue
+        rows.append(
+            SeatRow(
+                seat_id=SeatId(data_centre=data_centre, index=int(index)),
+                seat=seat,
+                version=row.version,
+            ),
+        )
+    return tuple(rows)
--- /dev/null
+++ b/ragwortfield/engine/target_links.py
@@ -0,0 +1,131 @@
+"""Connections to targets and peers, and what targets say of themselves."""
+
+from dataclasses import replace
+
+from ragwortfield.adapters.http_client import HttpPool, HttpRequest, Limits
+from ragwortfield.core.outcomes import WholeAnswer
+from ragwortfield.core.tables import Tables
+from ragwortfield.core.targets import Target, TargetState
+from ragwortfield.log import event
+from ragwortfield.types import TargetId
+
+#: Page on which a target says whether it takes new work.
+HEALTH_PATH = '/health'
+#: Header field by which a target says that it is leaving.
+STATE_FIELD = 'ragwortfield-target'
+_PROBE_LIMITS = Limits(first_byte_s=0.5, total_s=0.5)
+_HEALTH_REQUEST = HttpRequest(method='GET', path=HEALTH_PATH)
+
+
+class TargetLinks:
+    """
+    Connection pools by address.
+
+    :param tables: the instance's tables.
+    """
+
+    def __init__(self, *, tables: Tables) -> None:
+        """Create an empty set of pools."""
+        self._tables = tables
+        self._pool_by_target: dict[TargetId, HttpPool] = {}
+        self._pool_by_peer_address: dict[str, HttpPool] = {}
+
+    def pool(self, target: Target) -> HttpPool:
+        """
+        Find the pool of a target.
+
+        :param target: the target.
+        :returns: its pool, a new one when its address changed.
+        """
+        pool = self._pool_by_target.get(target.target_id)
+        if pool is None or pool.address != target.address:
+            if pool is not None:
+                pool.retire_generation()
+            pool = HttpPool(address=target.address)
+            self._pool_by_target[target.target_id] = pool
+        return pool
+
+    def peer_pool(self, address: str) -> HttpPool:
+        """
+        Find the pool of a peer's HTTP address.
+
+        :param address: host and port.
+        :returns: the pool.
+        """
+        pool = self._pool_by_peer_address.get(address)
+        if pool is None:
+            pool = HttpPool(address=address)
+            self._pool_by_peer_address[address] = pool
+        return pool
+
+    def observe(self, target: Target, answer: WholeAnswer) -> None:
+        """
+        Heed what an answer says about its target.
+
+        :param target: the target.
+        :param answer: a whole answer of it.
+        """
+        if answer.field_value(STATE_FIELD) == TargetState.LEAVING:
+            self.mark_leaving(target, 'its own word')
+
+    def mark_leaving(self, target: Target, evidence: str) -> None:
+        """
+        Give a target no new work.
+
+        :param target: the target.
+        :param evidence: how it is known.
+        """
+        known = self._tables.target_by_id.get(target.target_id)
+        if known is None or known.state is TargetState.LEAVING:
+            return
+        self._tables.target_by_id[target.target_id] = replace(
+            known,
+            state=TargetState.LEAVING,
+        )
+        event(
+            'target_leaving',
+            target=target.target_id,
+            evidence=evidence,
+        )
+
+    def is_fresh_connection_fine(self, target: Target) -> bool:
+        """
+        Probe a target over a connection of its own.
+
+        :param target: the target.
+        :returns: whether it answered its health page in time.
+        """
+        outcome = self.pool(target).exchange_fresh(
+            _HEALTH_REQUEST,
+            _PROBE_LIMITS,
+        )
+        return isinstance(outcome, WholeAnswer)
+
+    def check_health(self, target: Target) -> bool:
+        """
+        Ask a target whether it takes new work.
+
+        :param target: the target.
+        :returns: whether it answered in time.
+        """
+        outcome = self.pool(target).exchange(_HEALTH_REQUEST, _PROBE_LIMITS)
+        if isinstance(outcome, WholeAnswer):
+            self.observe(target, outcome)
+            return True
+        return False
+
+    def drop_unlisted(self) -> None:
+        """Close the connections of targets that are known no more."""
+        for target_id in tuple(self._pool_by_target):
+            if target_id not in self._tables.target_by_id:
+                self._pool_by_target.pop(target_id).retire_generation()
+
+    def open_connections(self, target_id: TargetId) -> int:
+        """
+        Count the open connections to a target.
+
+        :param target_id: the target.
+        :returns: the number.
+        """
+        pool = self._pool_by_target.get(target_id)
+        return 0 if pool is None else pool.open_count
--- /dev/null
+++ b/ragwortfield/front/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces of callers and operators over HTTP."""
--- /dev/null
+++ b/ragwortfield/front/application.py
@@ -0,0 +1,163 @@
+"""WSGI application of an entry instance."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from ragwortfield.core.outcomes import RunState
+from ragwortfield.engine.node import Node
+from ragwortfield.front.callers import (
+    RECEIPT_PREFIX,
+    SERVICE_PREFIX,
+    CallersFront,
+)
+from ragwortfield.front.fields import RUN_FIELD
+from ragwortfield.front.http import (
+    Response,
+    StartResponse,
+    json_response,
+    raw_path,
+    send,
+)
+from ragwortfield.front.operators import OPERATOR_PREFIX, OperatorsFront
+from ragwortfield.log import event
+
+#: Answers one WSGI environment.
+Serve = Callable[[dict[str, Any]], Response]
+
+
+class Application:
+    """
+    Routes requests to the fronts, and counts those under way.
+
+    :param node: the instance.
+    :param callers: the callers' interface.
+    :param operators: the operators' interface.
+    :param max_requests: requests in the instance at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        callers: CallersFront,
+        operators: OperatorsFront,
+        max_requests: int,
+    ) -> None:
+        """Create the application."""
+        self.active = 0
+        self._node = node
+        self._callers = callers
+        self._max_requests = max_requests
+        self._serve_by_prefix: dict[str, Serve] = {
+            SERVICE_PREFIX: self._serve_caller,
+            RECEIPT_PREFIX: callers.show_receipt,
+            OPERATOR_PREFIX: operators.serve,
+            '/metrics': self._show_metrics,
+            '/health': self._show_health,
+            '/ready': self._show_ready,
+        }
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """
+        Serve one request.
+
+        :param environ: WSGI environment.
+        :param start_response: the server's function.
+        :returns: body of the response.
+        """
+        self.active += 1
+        try:
+            response = self._serve(environ)
+        except Exception as error:
+            event('request_failed', error=repr(error))
+            response = json_response(
+                500,
+                {
+                    'error': 'internal',
+                    'message': 'an error inside this instance; whether the '
+                    'request ran is not known',
+                    'run': RunState.UNKNOWN.value,
+                },
+                (RUN_FIELD, RunState.UNKNOWN.value),
+            )
+        finally:
+            self.active -= 1
+        return send(
+            response,
+            start_response,
+            is_closing=self._node.tables.is_leaving,
+        )
+
+    def _serve(self, environ: dict[str, Any]) -> Response:
+        path = raw_path(environ)
+        for prefix, serve in self._serve_by_prefix.items():
+            if path.startswith(prefix):
+                return serve(environ)
+        return json_response(
+            404,
+            {
+                'error': 'unknown-path',
+                'message': (
+                    f'path {path!r} is unknown, expected one that starts '
+                    f'with {SERVICE_PREFIX}'
+                ),
+                'run': RunState.NOT_RUN.value,
+            },
+            (RUN_FIELD, RunState.NOT_RUN.value),
+        )
+
+    def _serve_caller(self, environ: dict[str, Any]) -> Response:
+        if self.active > self._max_requests:
+            return json_response(
+                503,
+                {
+                    'error': 'too-many-requests',
+                    'message': f'{self.active} requests are under way, '
+                    f'expected at most {self._max_requests}',
+                    'run': RunState.NOT_RUN.value,
+                },
+                (RUN_FIELD, RunState.NOT_RUN.value),
+                ('retry-after', '1'),
+            )
+        return self._callers.serve(environ)
+
+    def _show_metrics(self, environ: dict[str, Any]) -> Response:
+        self._node.recorder.gauge('requests_active', self.active)
+        self._node.recorder.gauge(
+            'requests_queued',
+            self._node.dispatcher.queue_length(),
+        )
+        body, fields = self._node.recorder.render()
+        return Response(
+            status=200,
+            fields=tuple(
+                (name, text)
+                for name, text in fields.items()
+                if name.lower() != 'content-length'
+            ),
+            body=body,
+        )
+
+    def _show_health(self, environ: dict[str, Any]) -> Response:
+        return json_response(
+            200,
+            {'instance': self._node.tables.identity.instance_id},
+        )
+
+    def _show_ready(self, environ: dict[str, Any]) -> Response:
+        is_ready = self._node.is_ready()
+        tables = self._node.tables
+        return json_response(
+            200 if is_ready else 503,
+            {
+                'ready': is_ready,
+                'configuration_version': tables.configuration_version(),
+                'targets': len(tables.target_by_id),
+                'seats': len(tables.held_by_key),
+                'leaving': tables.is_leaving,
+            },
+        )
--- /dev/null
+++ b/ragwortfield/front/callers.py
@@ -0,0 +1,326 @@
+"""The callers' interface: HTTP requests to services, and receipts."""
+
+import time
+import uuid
+from typing import Any
+from urllib.parse import unquote
+
+from ragwortfield.core.deferred import DeferredRecord, DeferredState
+from ragwortfield.core.outcomes import (
+    Receipt,
+    Refusal,
+    Relayed,
+    RequestOutcome,
+    RunState,
+    Served,
+)
+from ragwortfield.engine.deferred_desk import DeferredDesk
+from ragwortfield.engine.reception import Reception
+from ragwortfield.front.fields import (
+    CLASS_FIELD,
+    CODE_FIELD,
+    DEADLINE_FIELD,
+    EARLIER_FIELD,
+    KEY_FIELD,
+    RELAY_FIELD,
+    REPLAY_FIELD,
+    REQUEST_ID_FIELD,
+    RUN_FIELD,
+    TARGET_FIELD,
+    TEAM_FIELD,
+    TOKEN_FIELD,
+    RelayNote,
+    RelaySigner,
+    forwarded_fields,
+    relayed_answer_fields,
+)
+from ragwortfield.front.http import (
+    BodyError,
+    Response,
+    field_value,
+    header_fields,
+    json_response,
+    raw_path,
+    read_body,
+)
+from ragwortfield.log import event
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.report.recorder import RequestRecorder
+from ragwortfield.systems.admission import RawRequest
+
+#: Start of the paths that lead to services.
+SERVICE_PREFIX = '/services/'
+#: Start of the paths that lead to receipts.
+RECEIPT_PREFIX = '/receipts/'
+#: Longest request identifier that a caller may bring, in characters.
+_MAX_REQUEST_ID = 64
+
+
+class CallersFront:
+    """
+    Translates between HTTP and the reception.
+
+    :param reception: decides about requests.
+    :param deferred: knows the receipts.
+    :param signer: checks relayed requests.
+    :param recorder: counts outcomes and latencies.
+    :param max_body_bytes: largest body of a request.
+    """
+
+    def __init__(
+        self,
+        *,
+        reception: Reception,
+        deferred: DeferredDesk,
+        signer: RelaySigner,
+        recorder: RequestRecorder,
+        max_body_bytes: int,
+    ) -> None:
+        """Create the front."""
+        self._reception = reception
+        self._deferred = deferred
+        self._signer = signer
+        self._recorder = recorder
+        self._max_body_bytes = max_body_bytes
+
+    def serve(self, environ: dict[str, Any]) -> Response:
+        """
+        Answer a request to a service.
+
+        :param environ: WSGI environment.
+        :returns: the response.
+        """
+        started_at = time.monotonic()
+        request_id = _request_id(environ)
+        note = self._note(environ, request_id)
+        if isinstance(note, Refusal):
+            return _refusal_response(note, request_id)
+        body = read_body(environ, self._max_body_bytes)
+        if isinstance(body, BodyError):
+            refusal = Refusal(
+                status=body.status,
+                code=body.code,
+                message=body.message,
+            )
+            return _refusal_response(refusal, request_id)
+        raw = _raw_request(environ, request_id, body, note)
+        outcome = self._reception.serve(raw)
+        duration_s = time.monotonic() - started_at
+        self._record(raw, outcome, duration_s)
+        return _outcome_response(outcome, request_id)
+
+    def show_receipt(self, environ: dict[str, Any]) -> Response:
+        """
+        Answer a question for the result of a deferred request.
+
+        :param environ: WSGI environment.
+        :returns: the kept answer, or how far the request is.
+        """
+        receipt_id = unquote(raw_path(environ)[len(RECEIPT_PREFIX) :])
+        record = self._deferred.look_up(receipt_id)
+        if isinstance(record, Unavailable):
+            return json_response(
+                503,
+                {'error': 'receipt-unavailable', 'message': record.reason},
+                ('retry-after', '1'),
+            )
+        is_own = record is not None and self._reception.is_team_token(
+            record.team,
+            field_value(environ, TOKEN_FIELD),
+        )
+        if record is None or not is_own:
+            return json_response(
+                404,
+                {
+                    'error': 'unknown-receipt',
+                    'message': (
+                        f'receipt {receipt_id!r} is not one of this team'
+                    ),
+                },
+            )
+        return _record_response(receipt_id, record)
+
+    def _note(
+        self,
+        environ: dict[str, Any],
+        request_id: str,
+    ) -> RelayNote | Refusal:
+        text = field_value(environ, RELAY_FIELD)
+        if not text:
+            return RelayNote(hops=0, is_quota_charged=False)
+        team = field_value(environ, TEAM_FIELD)
+        note = self._signer.check(text, request_id, team)
+        if note is None:
+            return Refusal(
+                status=403,
+                code='bad-relay',
+                message=f'header field {RELAY_FIELD!r} is not genuine',
+            )
+        return note
+
+    def _record(
+        self,
+        raw: RawRequest,
+        outcome: RequestOutcome,
+        duration_s: float,
+    ) -> None:
+        run_state, code = _summary(outcome)
+        self._recorder.record(
+            team=raw.team,
+            service=raw.service,
+            run_state=run_state,
+            code=code,
+            duration_s=duration_s,
+            is_relayed_in=raw.hops > 0,
+            status=_status(outcome),
+        )
+        event(
+            'request_ended',
+            request=raw.request_id,
+            team=raw.team,
+            service=raw.service,
+            run=run_state,
+            code=code,
+            target=outcome.target_id if isinstance(outcome, Served) else '',
+            ms=duration_s * 1000,
+        )
+
+
+def _request_id(environ: dict[str, Any]) -> str:
+    text = field_value(environ, REQUEST_ID_FIELD)
+    if 0 < len(text) <= _MAX_REQUEST_ID and text.isprintable():
+        return text
+    return uuid.uuid4().hex
+
+
+def _raw_request(
+    environ: dict[str, Any],
+    request_id: str,
+    body: bytes,
+    note: RelayNote,
+) -> RawRequest:
+    rest = raw_path(environ)[len(SERVICE_PREFIX) :]
+    service, _, path = rest.partition('/')
+    return RawRequest(
+        request_id=request_id,
+        service=unquote(service.partition('?')[0]),
+        team=field_value(environ, TEAM_FIELD),
+        token=field_value(environ, TOKEN_FIELD),
+        class_text=field_value(environ, CLASS_FIELD),
+        deadline_text=field_value(environ, DEADLINE_FIELD),
+        key=field_value(environ, KEY_FIELD).strip('"'),
+        method=str(environ['REQUEST_METHOD']),
+        path=f'/{path}',
+        fields=forwarded_fields(header_fields(environ)),
+        body=body,
+        hops=note.hops,
+        is_quota_charged=note.is_quota_charged,
+    )
+
+
+def _summary(outcome: RequestOutcome) -> tuple[str, str]:
+    if isinstance(outcome, Served):
+        return RunState.RAN.value, 'replayed' if outcome.is_replay else 'ran'
+    if isinstance(outcome, Receipt):
+        return RunState.NOT_RUN.value, 'accepted'
+    if isinstance(outcome, Relayed):
+        said = outcome.answer.field_value(RUN_FIELD)
+        return said or RunState.UNKNOWN.value, 'relayed'
+    return outcome.run_state.value, outcome.code
+
+
+def _status(outcome: RequestOutcome) -> int:
+    if isinstance(outcome, (Served, Relayed)):
+        return outcome.answer.status
+    if isinstance(outcome, Receipt):
+        return 202
+    return outcome.status
+
+
+def _outcome_response(outcome: RequestOutcome, request_id: str) -> Response:
+    if isinstance(outcome, Served):
+        return _served_response(outcome, request_id)
+    if isinstance(outcome, Relayed):
+        return Response(
+            status=outcome.answer.status,
+            fields=relayed_answer_fields(outcome.answer.fields),
+            body=outcome.answer.body,
+        )
+    if isinstance(outcome, Receipt):
+        return json_response(
+            202,
+            {
+                'receipt': outcome.receipt_id,
+                'result': RECEIPT_PREFIX + outcome.receipt_id,
+            },
+            ('location', RECEIPT_PREFIX + outcome.receipt_id),
+            (RUN_FIELD, RunState.NOT_RUN.value),
+            (CODE_FIELD, 'accepted'),
+            (REQUEST_ID_FIELD, request_id),
+        )
+    return _refusal_response(outcome, request_id)
+
+
+def _served_response(outcome: Served, request_id: str) -> Response:
+    fields = [
+        *forwarded_fields(outcome.answer.fields),
+        (RUN_FIELD, RunState.RAN.value),
+        (REQUEST_ID_FIELD, request_id),
+    ]
+    if outcome.target_id:
+        fields.append((TARGET_FIELD, outcome.target_id))
+    if outcome.is_replay:
+        fields.append((REPLAY_FIELD, 'true'))
+    return Response(
+        status=outcome.answer.status,
+        fields=tuple(fields),
+        body=outcome.answer.body,
+    )
+
+
+def _refusal_response(refusal: Refusal, request_id: str) -> Response:
+    document = {
+        'error': refusal.code,
+        'message': refusal.message,
+        'run': refusal.run_state.value,
+        'request_id': request_id,
+    }
+    fields = [
+        (RUN_FIELD, refusal.run_state.value),
+        (CODE_FIELD, refusal.code),
+        (REQUEST_ID_FIELD, request_id),
+    ]
+    if refusal.earlier_state is not None:
+        document['earlier'] = refusal.earlier_state.value
+        fields.append((EARLIER_FIELD, refusal.earlier_state.value))
+    if refusal.retry_after_s:
+        whole_s = max(int(refusal.retry_after_s + 0.999), 1)
+        fields.append(('retry-after', str(whole_s)))
+    return json_response(refusal.status, document, *fields)
+
+
+def _record_response(receipt_id: str, record: DeferredRecord) -> Response:
+    if record.state is DeferredState.DONE:
+        return Response(
+            status=record.answer_status,
+            fields=(
+                *forwarded_fields(record.answer_fields),
+                (RUN_FIELD, RunState.RAN.value),
+                (REQUEST_ID_FIELD, record.request_id),
+            ),
+            body=bytes.fromhex(record.answer_body),
+        )
+    run_state = RunState.UNKNOWN
+    if record.state is DeferredState.WAITING and record.attempts == 0:
+        run_state = RunState.NOT_RUN
+    return json_response(
+        202 if record.state is not DeferredState.UNKNOWN else 409,
+        {
+            'receipt': receipt_id,
+            'state': record.state.value,
+            'reason': record.reason,
+            'run': run_state.value,
+        },
+        (RUN_FIELD, run_state.value),
+        (REQUEST_ID_FIELD, record.request_id),
+    )
--- /dev/null
+++ b/ragwortfield/front/fields.py
@@ -0,0 +1,162 @@
+"""Header fields of the callers' interface and of relays between instances."""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+
+from ragwortfield.core.outcomes import HeaderFields
+from ragwortfield.core.requests import CallerRequest
+from ragwortfield.ports.clock import Clock
+from ragwortfield.types import Seconds
+
+TEAM_FIELD = 'ragwortfield-team'
+TOKEN_FIELD = 'ragwortfield-token'
+CLASS_FIELD = 'ragwortfield-class'
+DEADLINE_FIELD = 'ragwortfield-deadline-ms'
+REQUEST_ID_FIELD = 'ragwortfield-request-id'
+RUN_FIELD = 'ragwortfield-run'
+EARLIER_FIELD = 'ragwortfield-earlier'
+REPLAY_FIELD = 'ragwortfield-replay'
+CODE_FIELD = 'ragwortfield-code'
+TARGET_FIELD = 'ragwortfield-served-by'
+RELAY_FIELD = 'ragwortfield-relay'
+KEY_FIELD = 'idempotency-key'
+
+#: Fields that speak of one connection only, or that are made anew.
+_CONNECTION_FIELDS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'host',
+        'expect',
+    )
+)
+#: Prefix of the fields of this interface.
+_OWN_PREFIX = 'ragwortfield-'
+#: A relay note older than this is not accepted, in seconds.
+_NOTE_LIFETIME_S = 60
+_NOTE_PARTS = 4
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RelayNote:
+    """What an instance says about a request that it relays."""
+
+    hops: int
+    is_quota_charged: bool
+
+
+class RelaySigner:
+    """
+    Signs and checks relayed requests.
+
+    :param token: secret shared by all entry instances.
+    :param clock: source of time.
+    """
+
+    def __init__(self, *, token: str, clock: Clock) -> None:
+        """Create a signer."""
+        self._token = token.encode()
+        self._clock = clock
+
+    def __call__(
+        self,
+        request: CallerRequest,
+        rest_s: Seconds,
+    ) -> HeaderFields:
+        """
+        Make the header fields of a relayed request.
+
+        :param request: the request.
+        :param rest_s: time left until its deadline, in seconds.
+        :returns: the fields, signed.
+        """
+        charged = int(request.is_quota_charged)
+        note = f'{request.hops + 1};{charged};{self._clock.wall():.3f}'
+        fields = [
+            (TEAM_FIELD, request.team),
+            (CLASS_FIELD, request.request_class.value),
+            (DEADLINE_FIELD, f'{rest_s * _MS_PER_S:.3f}'),
+            (REQUEST_ID_FIELD, request.request_id),
+        ]
+        if request.key:
+            fields.append((KEY_FIELD, request.key))
+        mac = self._mac(note, request.request_id, request.team)
+        fields.append((RELAY_FIELD, f'{note};{mac}'))
+        return tuple(fields)
+
+    def check(
+        self,
+        text: str,
+        request_id: str,
+        team: str,
+    ) -> RelayNote | None:
+        """
+        Check the note of a relayed request.
+
+        :param text: the header field.
+        :param request_id: identifier of the request.
+        :param team: team of the request.
+        :returns: the note; ``None`` when it is not genuine.
+        """
+        parts = text.split(';')
+        if len(parts) != _NOTE_PARTS:
+            return None
+        note = ';'.join(parts[:-1])
+        expected = self._mac(note, request_id, team)
+        if not hmac.compare_digest(parts[-1], expected):
+            return None
+        age_s = self._clock.wall() - float(parts[2])
+        if abs(age_s) > _NOTE_LIFETIME_S:
+            return None
+        return RelayNote(
+            hops=int(parts[0]),
+            is_quota_charged=parts[1] == '1',
+        )
+
+    def _mac(self, note: str, request_id: str, team: str) -> str:
+        text = f'relay|{note}|{request_id}|{team}'
+        return hmac.new(
+            self._token,
+            text.encode(),
+            hashlib.sha256,
+        ).hexdigest()
+
+
+def forwarded_fields(fields: HeaderFields) -> HeaderFields:
+    """
+    Keep the fields that go on to the other side.
+
+    :param fields: fields as they came.
+    :returns: fields without those of one connection and of this interface.
+    """
+    return tuple(
+        (name, text)
+        for name, text in fields
+        if name.lower() not in _CONNECTION_FIELDS
+        and not name.lower().startswith(_OWN_PREFIX)
+        and name.lower() != KEY_FIELD
+    )
+
+
+def relayed_answer_fields(fields: HeaderFields) -> HeaderFields:
+    """
+    Keep the fields of a peer's answer that the caller gets.
+
+    :param fields: fields of the peer's answer.
+    :returns: fields without those of one connection.
+    """
+    return tuple(
+        (name, text)
+        for name, text in fields
+        if name.lower() not in _CONNECTION_FIELDS
+    )
--- /dev/null
+++ b/ragwortfield/front/http.py
@@ -0,0 +1,204 @@
+"""Requests and responses of the WSGI applications."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from ragwortfield.adapters.documents import encode_json
+from ragwortfield.core.outcomes import HeaderFields
+from ragwortfield.front.server import RAW_PATH_KEY
+
+#: Start of the WSGI names of header fields.
+_FIELD_PREFIX = 'HTTP_'
+#: Bytes read from a body of unknown length at once.
+_BLOCK_BYTES = 64 * 1024
+
+_PHRASE_BY_STATUS = {
+    200: 'OK',
+    201: 'Created',
+    202: 'Accepted',
+    204: 'No Content',
+    400: 'Bad Request',
+    401: 'Unauthorized',
+    403: 'Forbidden',
+    404: 'Not Found',
+    405: 'Method Not Allowed',
+    409: 'Conflict',
+    413: 'Content Too Large',
+    422: 'Unprocessable Content',
+    429: 'Too Many Requests',
+    431: 'Request Header Fields Too Large',
+    500: 'Internal Server Error',
+    502: 'Bad Gateway',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+
+StartResponse = Callable[..., Any]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BodyError:
+    """
+    A request's body cannot be taken.
+
+    :param status: HTTP status of the refusal.
+    """
+
+    status: int
+    code: str
+    message: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Response:
+    """Response of an application."""
+
+    status: int
+    fields: HeaderFields
+    body: bytes
+
+
+def raw_path(environ: dict[str, Any]) -> str:
+    """
+    Give the path as the client sent it.
+
+    :param environ: WSGI environment.
+    :returns: path and query, percent-encoded.
+    """
+    return str(environ[RAW_PATH_KEY])
+
+
+def field_value(environ: dict[str, Any], name: str) -> str:
+    """
+    Look a header field up.
+
+    :param environ: WSGI environment.
+    :param name: lower-case name of the field.
+    :returns: its value; empty when absent.
+    """
+    key = _FIELD_PREFIX + name.upper().replace('-', '_')
+    return str(environ.get(key, '')).strip()
+
+
+def header_fields(environ: dict[str, Any]) -> HeaderFields:
+    """
+    List the header fields of a request.
+
+    :param environ: WSGI environment.
+    :returns: names in lower case with their values.
+    """
+    fields = [
+        (key[len(_FIELD_PREFIX) :].lower().replace('_', '-'), str(text))
+        for key, text in environ.items()
+        if key.startswith(_FIELD_PREFIX)
+    ]
+    content_type = environ.get('CONTENT_TYPE')
+    if content_type:
+        fields.append(('content-type', str(content_type)))
+    return tuple(fields)
+
+
+def read_body(environ: dict[str, Any], limit: int) -> bytes | BodyError:
+    """
+    Read the whole body of a request.
+
+    :param environ: WSGI environment.
+    :param limit: largest body, in bytes.
+    :returns: the body, or why it is not taken.
+    """
+    length_text = str(environ.get('CONTENT_LENGTH') or '')
+    is_chunked = 'chunked' in field_value(environ, 'transfer-encoding')
+    if length_text and not length_text.isdigit():
+        return BodyError(
+            status=400,
+            code='bad-length',
+            message=f'Content-Length {length_text!r} is not a whole number',
+        )
+    if not length_text and not is_chunked:
+        return b''
+    if length_text and int(length_text) > limit:
+        return _too_large(f'{length_text} bytes', limit)
+    return _read_stream(environ, limit, length_text)
+
+
+def json_response(status: int, document: Any, *fields: Any) -> Response:
+    """
+    Make a JSON response.
+
+    :param status: HTTP status.
+    :param document: data class or JSON-compatible value.
+    :param fields: further header fields, as pairs.
+    :returns: the response.
+    """
+    return Response(
+        status=status,
+        fields=(('content-type', 'application/json'), *fields),
+        body=encode_json(document) + b'\n',
+    )
+
+
+def send(
+    response: Response,
+    start_response: StartResponse,
+    *,
+    is_closing: bool = False,
+) -> Iterable[bytes]:
+    """
+    Send a response through WSGI.
+
+    :param response: the response.
+    :param start_response: the server's function.
+    :param is_closing: whether the connection ends after it.
+    :returns: the body for the server.
+    """
+    phrase = _PHRASE_BY_STATUS.get(response.status, 'Status')
+    fields = [
+        *response.fields,
+        ('content-length', str(len(response.body))),
+    ]
+    if is_closing:
+        fields.append(('connection', 'close'))
+    start_response(f'{response.status} {phrase}', fields)
+    return [response.body]
+
+
+def _read_stream(
+    environ: dict[str, Any],
+    limit: int,
+    length_text: str,
+) -> bytes | BodyError:
+    stream = environ['wsgi.input']
+    body = bytearray()
+    try:
+        while len(body) <= limit:
+            block = stream.read(_BLOCK_BYTES)
+            if not block:
+                break
+            body += block
+    except OSError as error:
+        return BodyError(
+            status=400,
+            code='body-cut-off',
+            message=f'the body ended after {len(body)} bytes: {error}',
+        )
+    if len(body) > limit:
+        return _too_large(f'more than {limit} bytes', limit)
+    if length_text and len(body) != int(length_text):
+        return BodyError(
+            status=400,
+            code='body-cut-off',
+            message=(
+                f'the body has {len(body)} bytes, Content-Length says '
+                f'{length_text}'
+            ),
+        )
+    return bytes(body)
+
+
+def _too_large(size: str, limit: int) -> BodyError:
+    return BodyError(
+        status=413,
+        code='body-too-large',
+        message=f'the body has {size}, expected at most {limit} bytes',
+    )
--- /dev/null
+++ b/ragwortfield/front/operators.py
@@ -0,0 +1,478 @@
+"""The operators' interface: JSON over HTTP, guarded by the operator token."""
+
+import hmac
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+from urllib.parse import unquote
+
+from ragwortfield.adapters.documents import Malformed, decode_json, to_document
+from ragwortfield.core.configuration import Configuration
+from ragwortfield.core.jobs import FINAL_STATES, JobRow, JobSpec
+from ragwortfield.engine.burn_writer import BURN_PREFIX
+from ragwortfield.engine.job_rows import (
+    job_key,
+    job_rows,
+    job_write,
+    new_job,
+    worker_rows,
+    worker_write,
+)
+from ragwortfield.engine.node import Node
+from ragwortfield.engine.platform_sync import (
+    CONFIGURATION_KEY,
+    HISTORY_PREFIX,
+)
+from ragwortfield.front.http import (
+    BodyError,
+    Response,
+    field_value,
+    json_response,
+    raw_path,
+    read_body,
+)
+from ragwortfield.log import event
+from ragwortfield.ports.platform import (
+    Committed,
+    Conflict,
+    Unavailable,
+    Write,
+)
+from ragwortfield.settings.checking import SettingsError
+from ragwortfield.settings.deployment import parse_configuration
+
+#: Start of the paths of this interface.
+OPERATOR_PREFIX = '/operators/'
+#: Header field with the operator token.
+OPERATOR_FIELD = 'ragwortfield-operator'
+_MAX_BODY_BYTES = 1024 * 1024
+#: Tries of a change of a row that others change too.
+_TRIES = 5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AcceptCall:
+    """
+    Body of a call that accepts a configuration.
+
+    :param expected_version: version that the operator started from; 0 for
+        the first one.
+    """
+
+    text: str
+    expected_version: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitCall:
+    """Body of a call that submits jobs; one row is written for each."""
+
+    jobs: tuple[JobSpec, ...]
+    data_centre: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceView:
+    """Entry instance as another one sees it."""
+
+    instance_id: str
+    data_centre: str
+    configuration_version: int
+    seats: tuple[str, ...]
+    silent_s: float = 0
+    is_leaving: bool = False
+    is_store_reachable: bool = True
+    free_by_service: dict[str, int] = field(default_factory=dict)
+
+
+class OperatorsFront:
+    """
+    Answers the operators' calls.
+
+    :param node: the instance.
+    :param token: the operator token.
+    """
+
+    def __init__(self, *, node: Node, token: str) -> None:
+        """Create the front."""
+        self._node = node
+        self._token = token.encode()
+        self._call_by_route: dict[
+            tuple[str, str],
+            Callable[[str, bytes], Response],
+        ] = {
+            ('GET', 'configuration'): self._show_configuration,
+            ('POST', 'configuration'): self._accept_configuration,
+            ('POST', 'jobs'): self._submit_jobs,
+            ('GET', 'jobs'): self._list_jobs,
+            ('DELETE', 'jobs'): self._cancel_job,
+            ('GET', 'workers'): self._list_workers,
+            ('POST', 'workers'): self._drain_worker,
+            ('GET', 'targets'): self._list_targets,
+            ('GET', 'instances'): self._list_instances,
+            ('GET', 'burn'): self._show_burn,
+        }
+
+    def serve(self, environ: dict[str, Any]) -> Response:
+        """
+        Answer one call.
+
+        :param environ: WSGI environment.
+        :returns: the response.
+        """
+        token = field_value(environ, OPERATOR_FIELD).encode()
+        if not hmac.compare_digest(token, self._token):
+            return _error(
+                401,
+                'wrong-operator-token',
+                f'header field {OPERATOR_FIELD!r} is not the operator token',
+            )
+        body = read_body(environ, _MAX_BODY_BYTES)
+        if isinstance(body, BodyError):
+            return _error(body.status, body.code, body.message)
+        path = raw_path(environ)[len(OPERATOR_PREFIX) :].partition('?')[0]
+        subject, _, rest = path.partition('/')
+        call = self._call_by_route.get((environ['REQUEST_METHOD'], subject))
+        if call is None:
+            return _error(
+                404,
+                'unknown-call',
+                f'{environ["REQUEST_METHOD"]} {path!r} is not a call of the '
+                "operators' interface",
+            )
+        return call(unquote(rest), body)
+
+    def _show_configuration(self, rest: str, body: bytes) -> Response:
+        tables = self._node.tables
+        if tables.version is None:
+            return _error(
+                404,
+                'no-configuration',
+                'this instance knows no configuration yet',
+            )
+        views = self._views()
+        return json_response(
+            200,
+            {
+                'version': tables.version.version,
+                'text': tables.configuration_text,
+                'in_force': {
+                    view.instance_id: view.configuration_version
+                    for view in views
+                },
+            },
+        )
+
+    def _accept_configuration(self, rest: str, body: bytes) -> Response:
+        call = decode_json(body, AcceptCall)
+        if isinstance(call, Malformed):
+            return _error(400, 'bad-call', call.reason)
+        configuration = parse_configuration(call.text, 'configuration')
+        if isinstance(configuration, SettingsError):
+            return _error(422, 'bad-configuration', configuration.text())
+        problem = self._place_change(configuration)
+        if problem:
+            return _error(422, 'places-changed', problem)
+        version = call.expected_version + 1
+        row_body = {'text': call.text}
+        outcome = self._node.platform.transact(
+            (
+                Write(
+                    key=CONFIGURATION_KEY,
+                    expected_version=call.expected_version,
+                    body=row_body,
+                ),
+                Write(
+                    key=f'{HISTORY_PREFIX}{version:010d}',
+                    expected_version=0,
+                    body=row_body,
+                ),
+            )
+        )
+        if isinstance(outcome, Conflict):
+            return self._configuration_conflict(call, outcome)
+        if isinstance(outcome, Unavailable):
+            return self._configuration_unsure(call, version, outcome)
+        self._node.sync.read_configuration()
+        self._node.peers.announce()
+        event('configuration_accepted', version=version)
+        return json_response(200, {'version': version})
+
+    def _configuration_conflict(
+        self,
+        call: AcceptCall,
+        conflict: Conflict,
+    ) -> Response:
+        self._node.sync.read_configuration()
+        return _error(
+            409,
+            'configuration-conflict',
+            f'version {conflict.version} was accepted meanwhile, this change '
+            f'started from version {call.expected_version}',
+        )
+
+    def _configuration_unsure(
+        self,
+        call: AcceptCall,
+        version: int,
+        outcome: Unavailable,
+    ) -> Response:
+        # The history row shows whether the lost answer was a success.
+        if outcome.is_effect_possible:
+            key = f'{HISTORY_PREFIX}{version:010d}'
+            found = self._node.platform.scan(key)
+            if not isinstance(found, Unavailable):
+                texts = [row.body.get('text') for row in found.rows]
+                if call.text in texts:
+                    self._node.sync.read_configuration()
+                    return json_response(200, {'version': version})
+                return _error(
+                    503,
+                    'not-accepted',
+                    f'the configuration was not accepted: {outcome.reason}',
+                )
+        code = 'not-accepted'
+        if outcome.is_effect_possible:
+            code = 'acceptance-unknown'
+        return _error(503, code, f'the platform failed: {outcome.reason}')
+
+    def _place_change(self, configuration: Configuration) -> str:
+        # Seats divide each target; another number of seats would give two
+        # holders the same part while both versions are in force.
+        known = self._node.tables.configuration()
+        if known is None:
+            return ''
+        for name, place in known.data_centres.items():
+            wanted = configuration.data_centres.get(name)
+            if wanted is not None and wanted.seats != place.seats:
+                return (
+                    f"key 'data_centres.{name}.seats' is {wanted.seats}, "
+                    f'expected {place.seats} as long as the data centre '
+                    'stands in the configuration'
+                )
+        return ''
+
+    def _submit_jobs(self, rest: str, body: bytes) -> Response:
+        call = decode_json(body, SubmitCall)
+        if isinstance(call, Malformed):
+            return _error(400, 'bad-call', call.reason)
+        configuration = self._node.tables.configuration()
+        if configuration is None:
+            return _error(503, 'no-configuration', 'no configuration known')
+        problem = _submit_problem(configuration, call)
+        if problem:
+            return _error(422, 'bad-job', problem)
+        place = call.data_centre or self._node.tables.identity.data_centre
+        wall = self._node.clock.wall()
+        jobs = [new_job(spec, place, wall) for spec in call.jobs]
+        outcome = self._node.platform.transact(
+            tuple(
+                Write(
+                    key=job_key(configuration, job.job_id) or '',
+                    expected_version=0,
+                    body=to_document(job),
+                )
+                for job in jobs
+            ),
+        )
+        if isinstance(outcome, Committed):
+            return json_response(200, {'jobs': [job.job_id for job in jobs]})
+        if isinstance(outcome, Unavailable) and outcome.is_effect_possible:
+            names = ', '.join(job.job_id for job in jobs)
+            return _error(
+                503,
+                'submission-unknown',
+                f'these jobs may exist, look before sending again: {names}',
+            )
+        return _error(503, 'not-submitted', 'the jobs were not recorded')
+
+    def _list_jobs(self, rest: str, body: bytes) -> Response:
+        if rest:
+            found = self._find_job(rest)
+            if isinstance(found, Response):
+                return found
+            return json_response(200, found.job)
+        scanned = self._node.platform.scan('jobs/')
+        if isinstance(scanned, Unavailable):
+            return _unavailable(scanned)
+        return json_response(
+            200,
+            {'jobs': [to_document(row.job) for row in job_rows(scanned)]},
+        )
+
+    def _cancel_job(self, rest: str, body: bytes) -> Response:
+        for _ in range(_TRIES):
+            found = self._find_job(rest)
+            if isinstance(found, Response):
+                return found
+            is_final = found.job.state in FINAL_STATES
+            if is_final or found.job.is_cancel_wanted:
+                return json_response(200, found.job)
+            wanted = replace(found.job, is_cancel_wanted=True)
+            outcome = self._node.platform.transact((job_write(found, wanted),))
+            if isinstance(outcome, Committed):
+                return json_response(200, wanted)
+            if isinstance(outcome, Unavailable):
+                return _unavailable(outcome)
+        return _error(409, 'job-changing', f'job {rest!r} keeps changing')
+
+    def _find_job(self, job_id: str) -> JobRow | Response:
+        configuration = self._node.tables.configuration()
+        key = None
+        if configuration is not None:
+            key = job_key(configuration, job_id)
+        if key is None:
+            return _error(404, 'unknown-job', f'job {job_id!r} is unknown')
+        found = self._node.platform.scan(key)
+        if isinstance(found, Unavailable):
+            return _unavailable(found)
+        for row in job_rows(found):
+            if row.key == key:
+                return row
+        return _error(404, 'unknown-job', f'job {job_id!r} is unknown')
+
+    def _list_workers(self, rest: str, body: bytes) -> Response:
+        scanned = self._node.platform.scan('workers/')
+        if isinstance(scanned, Unavailable):
+            return _unavailable(scanned)
+        wall = self._node.clock.wall()
+        return json_response(
+            200,
+            {
+                'workers': [
+                    {
+                        **to_document(row.worker),
+                        'is_quarantined': row.worker.quarantined_until > wall,
+                    }
+                    for row in worker_rows(scanned)
+                ],
+            },
+        )
+
+    def _drain_worker(self, rest: str, body: bytes) -> Response:
+        worker_id, _, action = rest.rpartition('/')
+        if action not in {'drain', 'undrain'}:
+            return _error(
+                404,
+                'unknown-call',
+                f"action {action!r}, expected 'drain' or 'undrain'",
+            )
+        for _ in range(_TRIES):
+            scanned = self._node.platform.scan('workers/')
+            if isinstance(scanned, Unavailable):
+                return _unavailable(scanned)
+            rows = [
+                row
+                for row in worker_rows(scanned)
+                if row.worker.worker_id == worker_id
+            ]
+            if not rows:
+                break
+            changed = replace(
+                rows[0].worker,
+                is_draining=action == 'drain',
+            )
+            outcome = self._node.platform.transact(
+                (worker_write(rows[0], changed),)
+            )
+            if isinstance(outcome, Committed):
+                return json_response(200, changed)
+        return _error(404, 'unknown-worker', f'no worker {worker_id!r}')
+
+    def _list_targets(self, rest: str, body: bytes) -> Response:
+        tables = self._node.tables
+        now = self._node.clock.monotonic()
+        targets = []
+        for target in tables.target_by_id.values():
+            health = tables.health_by_target.get(target.target_id)
+            share = tables.share_by_target.get(target.target_id)
+            ejected_s = 0.0
+            if health is not None:
+                ejected_s = max(health.ejected_until - now, 0)
+            targets.append(
+                {
+                    **to_document(target),
+                    'in_use': tables.in_use_by_target.get(target.target_id, 0),
+                    'share': 0 if share is None else share.slots,
+                    'ejected_for_s': ejected_s,
+                }
+            )
+        return json_response(200, {'targets': targets})
+
+    def _list_instances(self, rest: str, body: bytes) -> Response:
+        return json_response(200, {'instances': self._views()})
+
+    def _show_burn(self, rest: str, body: bytes) -> Response:
+        scanned = self._node.platform.scan(BURN_PREFIX)
+        if isinstance(scanned, Unavailable):
+            return _unavailable(scanned)
+        configuration = self._node.tables.configuration()
+        services = {} if configuration is None else configuration.services
+        return json_response(
+            200,
+            {
+                'objectives': {
+                    name: service.objective_share
+                    for name, service in services.items()
+                },
+                'rows': [row.body for row in scanned.rows],
+                'now': self._node.clock.wall(),
+            },
+        )
+
+    def _views(self) -> list[InstanceView]:
+        tables = self._node.tables
+        now = self._node.clock.monotonic()
+        own = InstanceView(
+            instance_id=tables.identity.instance_id,
+            data_centre=tables.identity.data_centre,
+            configuration_version=tables.configuration_version(),
+            seats=tuple(sorted(tables.held_by_key)),
+            is_leaving=tables.is_leaving,
+        )
+        others = [
+            InstanceView(
+                instance_id=peer.instance_id,
+                data_centre=peer.data_centre,
+                configuration_version=peer.configuration_version,
+                seats=tuple(sorted(peer.generation_by_seat)),
+                silent_s=now - peer.heard_at,
+                is_leaving=peer.is_leaving,
+                is_store_reachable=peer.is_store_reachable,
+                free_by_service=peer.free_by_service,
+            )
+            for _, peer in sorted(tables.peer_by_id.items())
+        ]
+        return [own, *others]
+
+
+def _submit_problem(configuration: Configuration, call: SubmitCall) -> str:
+    if not call.jobs:
+        return 'no jobs given, expected one or more'
+    is_known = call.data_centre in configuration.data_centres
+    if call.data_centre and not is_known:
+        return f'data centre {call.data_centre!r} is not in the configuration'
+    for spec in call.jobs:
+        if spec.team not in configuration.teams:
+            return f'team {spec.team!r} is not in the configuration'
+        wanted = spec.resources
+        amounts = (wanted.cpu, wanted.memory_mb, wanted.accelerators)
+        if min(amounts) < 0 or max(amounts) <= 0:
+            return (
+                f'job {spec.name!r} asks for {wanted.cpu:g} cores, '
+                f'{wanted.memory_mb} MiB and {wanted.accelerators} '
+                'accelerators, expected amounts of 0 or more, one above 0'
+            )
+    return ''
+
+
+def _unavailable(outcome: Unavailable) -> Response:
+    return _error(
+        503,
+        'platform-unavailable',
+        f'the platform gave no answer: {outcome.reason}',
+    )
+
+
+def _error(status: int, code: str, message: str) -> Response:
+    return json_response(status, {'error': code, 'message': message})
--- /dev/null
+++ b/ragwortfield/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and links between entry instances."""
--- /dev/null
+++ b/ragwortfield/peering/links.py
@@ -0,0 +1,242 @@
+"""Links to the other entry instances, over websockets."""
+
+import hmac
+import secrets
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+import gevent
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import connect
+from websockets.sync.connection import Connection
+from websockets.sync.server import ServerConnection, serve
+
+from ragwortfield.adapters.documents import Malformed
+from ragwortfield.adapters.http_client import set_socket_options
+from ragwortfield.log import event
+from ragwortfield.peering.messages import (
+    MAX_FRAME_BYTES,
+    Challenge,
+    Hello,
+    Message,
+    Welcome,
+    decode_message,
+    encode_message,
+    proof_of,
+)
+from ragwortfield.settings.instance import split_address
+from ragwortfield.types import InstanceId, Seconds
+
+#: Longest wait for each message of the handshake, in seconds.
+_HANDSHAKE_TIMEOUT_S = 2.0
+#: Time between heartbeats, in seconds.
+HEARTBEAT_S = 1.0
+#: Silence after which a link is closed and dialled again, in seconds.
+SILENCE_S = 3.0
+#: Pause before a failed link is dialled again, in seconds.
+_REDIAL_S = 0.5
+_NONCE_BYTES = 16
+
+_Kind = TypeVar('_Kind')
+
+
+class PeerHandler(Protocol):
+    """What an instance does with its links."""
+
+    def heartbeat(self) -> Message:
+        """Make the next heartbeat."""
+
+    def receive(self, peer_id: InstanceId, message: Message) -> Message | None:
+        """Take a message in and give the answer, if there is one."""
+
+
+class LinkError(Exception):
+    """A link has to be closed; the text says why."""
+
+
+class PeerLinks:
+    """
+    Server and dialled links of one instance.
+
+    :param instance_id: identifier of this instance.
+    :param token: secret shared by all entry instances.
+    :param handler: takes messages in.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: InstanceId,
+        token: str,
+        handler: PeerHandler,
+    ) -> None:
+        """Create links; ``listen`` and ``dial`` open them."""
+        self._instance_id = instance_id
+        self._token = token
+        self._handler = handler
+        self._dialled_by_address: dict[str, gevent.Greenlet] = {}
+        self._connection_by_peer: dict[InstanceId, Connection] = {}
+
+    def listen(self, address: str) -> Callable[[], None]:
+        """
+        Accept links of peers.
+
+        :param address: host and port.
+        :returns: stops accepting.
+        """
+        host, port = split_address(address) or ('', 0)
+        server = serve(
+            self._accept,
+            host,
+            port,
+            max_size=MAX_FRAME_BYTES,
+            compression=None,
+            ping_interval=None,
+            server_header=None,
+        )
+        gevent.spawn(server.serve_forever)
+        return server.shutdown
+
+    def dial(self, addresses: frozenset[str]) -> None:
+        """
+        Keep links to these addresses, and to no others, dialled.
+
+        :param addresses: peer addresses.
+        """
+        for address in tuple(self._dialled_by_address):
+            if address not in addresses:
+                self._dialled_by_address.pop(address).kill(block=False)
+        for address in addresses:
+            if address not in self._dialled_by_address:
+                self._dialled_by_address[address] = gevent.spawn(
+                    self._keep_dialled,
+                    address,
+                )
+
+    def announce(self) -> None:
+        """Send a heartbeat on every link at once."""
+        frame = encode_message(self._handler.heartbeat())
+        for connection in tuple(self._connection_by_peer.values()):
+            _send_quietly(connection, frame)
+
+    def link_count(self) -> int:
+        """
+        Count the links that passed their handshake.
+
+        :returns: the number.
+        """
+        return len(self._connection_by_peer)
+
+    def _keep_dialled(self, address: str) -> None:
+        while True:
+            try:
+                self._dial_once(address)
+            except (OSError, WebSocketException, LinkError) as error:
+                event('peer_link_failed', address=address, reason=error)
+            gevent.sleep(_REDIAL_S)
+
+    def _dial_once(self, address: str) -> None:
+        with connect(
+            f'ws://{address}/',
+            open_timeout=_HANDSHAKE_TIMEOUT_S,
+            close_timeout=_REDIAL_S,
+            max_size=MAX_FRAME_BYTES,
+            compression=None,
+            ping_interval=None,
+            proxy=None,
+            user_agent_header=None,
+        ) as connection:
+            set_socket_options(connection.socket)
+            challenge = _expect(connection, Challenge)
+            nonce = secrets.token_hex(_NONCE_BYTES)
+            hello = Hello(
+                instance_id=self._instance_id,
+                nonce=nonce,
+                proof=proof_of(
+                    self._token,
+                    challenge.nonce,
+                    self._instance_id,
+                ),
+            )
+            connection.send(encode_message(hello))
+            welcome = _expect(connection, Welcome)
+            self._check(welcome.proof, nonce, welcome.instance_id)
+            self._converse(connection, welcome.instance_id)
+
+    def _accept(self, connection: ServerConnection) -> None:
+        try:
+            set_socket_options(connection.socket)
+            self._accept_hello(connection)
+        except (OSError, WebSocketException, LinkError) as error:
+            event(
+                'peer_link_closed',
+                remote=connection.remote_address,
+                reason=error,
+            )
+
+    def _accept_hello(self, connection: ServerConnection) -> None:
+        nonce = secrets.token_hex(_NONCE_BYTES)
+        connection.send(encode_message(Challenge(nonce=nonce)))
+        hello = _expect(connection, Hello)
+        self._check(hello.proof, nonce, hello.instance_id)
+        welcome = Welcome(
+            instance_id=self._instance_id,
+            proof=proof_of(self._token, hello.nonce, self._instance_id),
+        )
+        connection.send(encode_message(welcome))
+        self._converse(connection, hello.instance_id)
+
+    def _check(self, proof: str, nonce: str, peer_id: InstanceId) -> None:
+        expected = proof_of(self._token, nonce, peer_id)
+        if not hmac.compare_digest(proof, expected):
+            raise LinkError(f'peer {peer_id!r} does not know the peer token')
+        if peer_id == self._instance_id:
+            raise LinkError(f'peer has the identifier {peer_id!r} too')
+
+    def _converse(self, connection: Connection, peer_id: InstanceId) -> None:
+        self._connection_by_peer[peer_id] = connection
+        beats = gevent.spawn(self._beat, connection)
+        try:
+            while True:
+                message = _receive(connection, SILENCE_S)
+                answer = self._handler.receive(peer_id, message)
+                if answer is not None:
+                    connection.send(encode_message(answer))
+        finally:
+            beats.kill(block=False)
+            if self._connection_by_peer.get(peer_id) is connection:
+                del self._connection_by_peer[peer_id]
+
+    def _beat(self, connection: Connection) -> None:
+        while True:
+            frame = encode_message(self._handler.heartbeat())
+            if not _send_quietly(connection, frame):
+                return
+            gevent.sleep(HEARTBEAT_S)
+
+
+def _expect(connection: Connection, kind: type[_Kind]) -> _Kind:
+    message = _receive(connection, _HANDSHAKE_TIMEOUT_S)
+    if not isinstance(message, kind):
+        name = type(message).__name__
+        raise LinkError(f'got message {name}, expected {kind.__name__}')
+    return message
+
+
+def _receive(connection: Connection, timeout_s: Seconds) -> Message:
+    try:
+        frame = connection.recv(timeout=timeout_s)
+    except TimeoutError as error:
+        raise LinkError(f'no message for {timeout_s} s') from error
+    message = decode_message(frame)
+    if isinstance(message, Malformed):
+        raise LinkError(f'malformed frame: {message.reason}')
+    return message
+
+
+def _send_quietly(connection: Connection, frame: bytes) -> bool:
+    try:
+        connection.send(frame)
+    except (OSError, WebSocketException):
+        return False
+    return True
--- /dev/null
+++ b/ragwortfield/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols of what is outside."""
--- /dev/null
+++ b/ragwortfield/ports/clock.py
@@ -0,0 +1,36 @@
+"""Port to time."""
+
+import time
+from typing import Protocol
+
+from ragwortfield.types import Instant, WallTime
+
+
+class Clock(Protocol):
+    """Source of time."""
+
+    def monotonic(self) -> Instant:
+        """Read a clock that never goes back."""
+
+    def wall(self) -> WallTime:
+        """Read the wall clock."""
+
+
+class SystemClock:
+    """Clock of the operating system."""
+
+    def monotonic(self) -> Instant:
+        """
+        Read a clock that never goes back.
+
+        :returns: seconds; only differences have a meaning.
+        """
+        return time.monotonic()
+
+    def wall(self) -> WallTime:
+        """
+        Read the wall clock.
+
+        :returns: seconds since the Unix epoch.
+        """
+        return time.time()
--- /dev/null
+++ b/ragwortfield/report/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and the report of service-level burn."""
--- /dev/null
+++ b/ragwortfield/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and configuration: TOML in, checked data classes out."""
--- /dev/null
+++ b/ragwortfield/settings/checking.py
@@ -0,0 +1,121 @@
+"""Checked conversion of TOML into data classes."""
+
+import dataclasses
+import tomllib
+import types
+import typing
+from typing import Any, TypeVar
+
+from ragwortfield.adapters.documents import Malformed, from_document
+
+_Kind = TypeVar('_Kind')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SettingsError:
+    """
+    What is wrong with a file of settings.
+
+    :param source: name of the file.
+    :param problems: one line each, naming key, value and expectation.
+    """
+
+    source: str
+    problems: tuple[str, ...]
+
+    def text(self) -> str:
+        """
+        Format the problems for an operator.
+
+        :returns: one line a problem.
+        """
+        return '\n'.join(
+            f'{self.source}: {problem}' for problem in self.problems
+        )
+
+
+def parse_toml(
+    text: str,
+    kind: type[_Kind],
+    source: str,
+) -> _Kind | SettingsError:
+    """
+    Read TOML text into a data class.
+
+    :param text: the TOML text.
+    :param kind: the data class.
+    :param source: name of the file, for errors.
+    :returns: the instance, or everything that is wrong.
+    """
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return SettingsError(source=source, problems=(f'no TOML: {error}',))
+    unknown = tuple(_unknown_keys(document, kind, ''))
+    if unknown:
+        return SettingsError(source=source, problems=unknown)
+    converted = from_document(document, kind)
+    if isinstance(converted, Malformed):
+        problem = _with_value(converted.reason, document)
+        return SettingsError(source=source, problems=(problem,))
+    return converted
+
+
+def _unknown_keys(document: Any, kind: Any, path: str) -> list[str]:
+    fields_kind = _data_class_in(kind)
+    if not isinstance(document, dict):
+        return []
+    if fields_kind is None:
+        return _unknown_in_mapping(document, kind, path)
+    hints = typing.get_type_hints(fields_kind)
+    problems = []
+    for key, nested in document.items():
+        place = f'{path}.{key}' if path else key
+        if key in hints:
+            problems.extend(_unknown_keys(nested, hints[key], place))
+        else:
+            expected = ', '.join(sorted(hints))
+            problems.append(
+                f'key {place!r} is unknown, expected one of {expected}',
+            )
+    return problems
+
+
+def _unknown_in_mapping(
+    document: dict[str, Any],
+    kind: Any,
+    path: str,
+) -> list[str]:
+    if typing.get_origin(kind) is not dict:
+        return []
+    nested_kind = typing.get_args(kind)[1]
+    problems = []
+    for key, nested in document.items():
+        place = f'{path}.{key}' if path else key
+        problems.extend(_unknown_keys(nested, nested_kind, place))
+    return problems
+
+
+def _data_class_in(kind: Any) -> Any:
+    if dataclasses.is_dataclass(kind):
+        return kind
+    if isinstance(kind, types.UnionType):
+        for option in typing.get_args(kind):
+            if dataclasses.is_dataclass(option):
+                return option
+    return None
+
+
+def _with_value(reason: str, document: dict[str, Any]) -> str:
+    # The reason ends in "- at `$.table.key`"; the value there makes the
+    # error readable without opening the file.
+    message, separator, path = reason.partition(' - at `$.')
+    if not separator:
+        return reason
+    found: Any = document
+    keys = path.rstrip('`').split('.')
+    for key in keys:
+        if not isinstance(found, dict) or key not in found:
+            return reason
+        found = found[key]
+    return f'key {".".join(keys)!r} is {found!r}: {message}'
--- /dev/null
+++ b/ragwortfield/settings/instance.py
@@ -0,0 +1,223 @@
+"""Settings of one entry instance."""
+
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ragwortfield.settings.checking import SettingsError, parse_toml
+from ragwortfield.types import Seconds
+
+#: Shortest secret that is accepted, in characters.
+_MIN_SECRET_LENGTH = 16
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceTable:
+    """
+    Who and where the instance is.
+
+    :param http_address: host and port for callers and operators.
+    :param peer_address: host and port for the other entry instances.
+    """
+
+    id: str
+    data_centre: str
+    region: str
+    http_address: str
+    peer_address: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlatformTable:
+    """How to reach the platform."""
+
+    address: str
+    timeout_s: Seconds = 2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SecretsTable:
+    """
+    Where secrets are: a file, or else an environment variable.
+
+    :param peer_token_file: secret shared by all entry instances.
+    :param operator_token_file: secret of the operators.
+    """
+
+    peer_token_file: str = ''
+    peer_token_variable: str = 'RAGWORTFIELD_PEER_TOKEN'
+    operator_token_file: str = ''
+    operator_token_variable: str = 'RAGWORTFIELD_OPERATOR_TOKEN'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeersTable:
+    """
+    Where to find peers while the platform's list is away.
+
+    :param seeds: peer addresses of other instances.
+    """
+
+    seeds: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LimitsTable:
+    """
+    Limits of what callers may send.
+
+    :param body_bytes: largest body of a request.
+    :param deferred_body_bytes: largest body of a deferred request.
+    :param requests: requests in the instance at once.
+    """
+
+    body_bytes: int = 4 * 1024 * 1024
+    deferred_body_bytes: int = 64 * 1024
+    requests: int = 2000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogTable:
+    """Log settings; ``level`` is ``debug``, ``info``, ``warning``, ``error``."""
+
+    level: str = 'info'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceSettings:
+    """All settings of one entry instance."""
+
+    instance: InstanceTable
+    platform: PlatformTable
+    secrets: SecretsTable = field(default_factory=SecretsTable)
+    peers: PeersTable = field(default_factory=PeersTable)
+    limits: LimitsTable = field(default_factory=LimitsTable)
+    log: LogTable = field(default_factory=LogTable)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Secrets:
+    """Secrets of one entry instance; never logged."""
+
+    peer_token: str = field(repr=False)
+    operator_token: str = field(repr=False)
+
+
+def load_settings(path: str) -> InstanceSettings | SettingsError:
+    """
+    Read the settings of an instance from a file.
+
+    :param path: name of the TOML file.
+    :returns: the settings, or everything that is wrong with them.
+    """
+    text = read_text(path)
+    if isinstance(text, SettingsError):
+        return text
+    settings = parse_toml(text, InstanceSettings, path)
+    if isinstance(settings, SettingsError):
+        return settings
+    problems = tuple(_problems(settings))
+    if problems:
+        return SettingsError(source=path, problems=problems)
+    return settings
+
+
+def load_secrets(table: SecretsTable) -> Secrets | SettingsError:
+    """
+    Read the secrets that the settings point to.
+
+    :param table: where the secrets are.
+    :returns: the secrets, or which one is missing.
+    """
+    peer_token = _secret(
+        'peer_token',
+        table.peer_token_file,
+        table.peer_token_variable,
+    )
+    if isinstance(peer_token, SettingsError):
+        return peer_token
+    operator_token = _secret(
+        'operator_token',
+        table.operator_token_file,
+        table.operator_token_variable,
+    )
+    if isinstance(operator_token, SettingsError):
+        return operator_token
+    return Secrets(peer_token=peer_token, operator_token=operator_token)
+
+
+def read_text(path: str) -> str | SettingsError:
+    """
+    Read a text file.
+
+    :param path: name of the file.
+    :returns: its text, or why it cannot be read.
+    """
+    try:
+        return Path(path).read_text(encoding='utf-8')
+    except OSError as error:
+        problem = f'file cannot be read: {error.strerror}'
+    except UnicodeDecodeError as error:
+        problem = f'file is not UTF-8: {error.reason} at byte {error.start}'
+    return SettingsError(source=path, problems=(problem,))
+
+
+def split_address(address: str) -> tuple[str, int] | None:
+    """
+    Split an address into host and port.
+
+    :param address: host and port, joined by a colon.
+    :returns: both, ``None`` when the text is no address.
+    """
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdigit() or not 0 < int(port) < 2**16:
+        return None
+    return host, int(port)
+
+
+def _problems(settings: InstanceSettings) -> list[str]:
+    address_by_key = {
+        'instance.http_address': settings.instance.http_address,
+        'instance.peer_address': settings.instance.peer_address,
+        'platform.address': settings.platform.address,
+    }
+    for index, seed in enumerate(settings.peers.seeds):
+        address_by_key[f'peers.seeds[{index}]'] = seed
+    problems = [
+        f'key {key!r} is {address!r}, expected HOST:PORT'
+        for key, address in address_by_key.items()
+        if split_address(address) is None
+    ]
+    if settings.platform.timeout_s <= 0:
+        problems.append(
+            f"key 'platform.timeout_s' is {settings.platform.timeout_s!r}, "
+            'expected more than 0',
+        )
+    levels = ('debug', 'info', 'warning', 'error')
+    if settings.log.level not in levels:
+        problems.append(
+            f"key 'log.level' is {settings.log.level!r}, expected one of "
+            + ', '.join(levels),
+        )
+    return problems
+
+
+def _secret(name: str, path: str, variable: str) -> str | SettingsError:
+    if path:
+        text = read_text(path)
+        if isinstance(text, SettingsError):
+            return text
+        source = path
+    else:
+        text = os.environ.get(variable, '')
+        source = f'environment variable {variable}'
+    secret = text.strip()
+    if len(secret) < _MIN_SECRET_LENGTH:
+        return SettingsError(
+            source=source,
+            problems=(
+                f'secret {name!r} has {len(secret)} characters, expected at '
+                f'least {_MIN_SECRET_LENGTH}',
+            ),
+        )
+    return secret
--- /dev/null
+++ b/ragwortfield/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: functions over the tables, without input or output."""
--- /dev/null
+++ b/ragwortfield/systems/admission.py
@@ -0,0 +1,214 @@
+"""Admission: what a caller asked for, checked against the configuration."""
+
+import hashlib
+import hmac
+import math
+from dataclasses import dataclass
+
+from ragwortfield.core.configuration import (
+    RANK_BY_CLASS,
+    Configuration,
+    RequestClass,
+    Service,
+    Team,
+)
+from ragwortfield.core.outcomes import HeaderFields, Refusal
+from ragwortfield.core.requests import CallerRequest
+from ragwortfield.types import Instant, Seconds
+
+#: Longest idempotency key, in characters.
+MAX_KEY_LENGTH = 128
+_MS_PER_S = 1000
+_BAD_REQUEST = 400
+_UNAUTHORIZED = 401
+_FORBIDDEN = 403
+_NOT_FOUND = 404
+_GATEWAY_TIMEOUT = 504
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RawRequest:
+    """
+    Request as the caller sent it; texts are empty where it sent none.
+
+    :param elapsed_s: time spent since the request came, in seconds.
+    :param hops: instances that relayed the request; a relayed request was
+        checked by the first of them.
+    :param is_quota_charged: whether one of them charged the quota.
+    """
+
+    request_id: str
+    service: str
+    team: str
+    token: str
+    class_text: str
+    deadline_text: str
+    key: str
+    method: str
+    path: str
+    fields: HeaderFields
+    body: bytes
+    elapsed_s: Seconds = 0
+    hops: int = 0
+    is_quota_charged: bool = False
+
+
+def token_digest(token: str) -> str:
+    """
+    Digest a token as the configuration keeps it.
+
+    :param token: the secret token.
+    :returns: hexadecimal SHA-256 digest.
+    """
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def is_token_of(team: Team, token: str) -> bool:
+    """
+    Tell whether a token is one of a team, in constant time.
+
+    :param team: the team.
+    :param token: the secret token.
+    :returns: whether it is.
+    """
+    return hmac.compare_digest(token_digest(token), team.token_sha256)
+
+
+def admit(
+    configuration: Configuration,
+    raw: RawRequest,
+    now: Instant,
+) -> CallerRequest | Refusal:
+    """
+    Check a request and complete it from the configuration.
+
+    :param configuration: the configuration in force.
+    :param raw: the request as the caller sent it.
+    :param now: reading of the monotonic clock.
+    :returns: the request, or a refusal that names what was wrong.
+    """
+    service = configuration.services.get(raw.service)
+    if service is None:
+        return Refusal(
+            status=_NOT_FOUND,
+            code='unknown-service',
+            message=f'service {raw.service!r} is not in the configuration',
+        )
+    team = _checked_team(configuration, raw)
+    if isinstance(team, Refusal):
+        return team
+    request_class = _checked_class(service, team, raw)
+    if isinstance(request_class, Refusal):
+        return request_class
+    budget_s = _checked_budget(configuration, service, raw)
+    if isinstance(budget_s, Refusal):
+        return budget_s
+    if len(raw.key) > MAX_KEY_LENGTH or not raw.key.isprintable():
+        return Refusal(
+            status=_BAD_REQUEST,
+            code='bad-key',
+            message=(
+                f'Idempotency-Key has {len(raw.key)} characters, expected at '
+                f'most {MAX_KEY_LENGTH} printable ones'
+            ),
+        )
+    return CallerRequest(
+        request_id=raw.request_id,
+        team=raw.team,
+        service=raw.service,
+        request_class=request_class,
+        method=raw.method,
+        path=raw.path,
+        fields=raw.fields,
+        body=raw.body,
+        deadline=now + budget_s - raw.elapsed_s,
+        is_idempotent=raw.method in service.idempotent_methods,
+        key=raw.key,
+        hops=raw.hops,
+        is_quota_charged=raw.is_quota_charged,
+    )
+
+
+def _checked_team(
+    configuration: Configuration,
+    raw: RawRequest,
+) -> Team | Refusal:
+    team = configuration.teams.get(raw.team)
+    if team is None:
+        return Refusal(
+            status=_UNAUTHORIZED,
+            code='unknown-team',
+            message=f'team {raw.team!r} is not in the configuration',
+        )
+    if raw.hops:
+        return team
+    if not is_token_of(team, raw.token):
+        return Refusal(
+            status=_UNAUTHORIZED,
+            code='wrong-token',
+            message=f'the token is not one of team {raw.team!r}',
+        )
+    return team
+
+
+def _checked_class(
+    service: Service,
+    team: Team,
+    raw: RawRequest,
+) -> RequestClass | Refusal:
+    text = raw.class_text
+    if not text:
+        rank = max(
+            RANK_BY_CLASS[service.default_class],
+            RANK_BY_CLASS[team.highest_class],
+        )
+        return tuple(RequestClass)[rank]
+    if text not in tuple(RequestClass):
+        expected = ', '.join(RequestClass)
+        return Refusal(
+            status=_BAD_REQUEST,
+            code='unknown-class',
+            message=f'class {text!r} is unknown, expected one of {expected}',
+        )
+    wanted = RequestClass(text)
+    if RANK_BY_CLASS[wanted] < RANK_BY_CLASS[team.highest_class]:
+        return Refusal(
+            status=_FORBIDDEN,
+            code='class-too-high',
+            message=(
+                f'team {raw.team!r} may ask for class '
+                f'{team.highest_class.value!r} at most, not {text!r}'
+            ),
+        )
+    return wanted
+
+
+def _checked_budget(
+    configuration: Configuration,
+    service: Service,
+    raw: RawRequest,
+) -> Seconds | Refusal:
+    if not raw.deadline_text:
+        return service.deadline_s
+    try:
+        budget_s = float(raw.deadline_text) / _MS_PER_S
+    except ValueError:
+        budget_s = math.nan
+    # A seat may change hands after this time; no request may outlast it.
+    longest_s = configuration.timing.takeover_after_s
+    if math.isnan(budget_s) or budget_s > longest_s:
+        return Refusal(
+            status=_BAD_REQUEST,
+            code='bad-deadline',
+            message=(
+                f'deadline {raw.deadline_text!r} is not a number of '
+                f'milliseconds up to {longest_s * _MS_PER_S:.0f}'
+            ),
+        )
+    if budget_s <= raw.elapsed_s:
+        return Refusal(
+            status=_GATEWAY_TIMEOUT,
+            code='deadline-passed',
+            message=f'the deadline of {raw.deadline_text} ms has passed',
+        )
+    return budget_s
--- /dev/null
+++ b/ragwortfield/systems/eviction.py
@@ -0,0 +1,141 @@
+"""Eviction: throttle first, then checkpoint and stop, least work lost first."""
+
+from dataclasses import dataclass, replace
+
+from ragwortfield.core.jobs import (
+    Job,
+    JobState,
+    TaskReport,
+    Worker,
+    WorkerReport,
+)
+from ragwortfield.core.resources import Resources
+from ragwortfield.types import JobId
+
+#: Load at which a worker counts as under pressure.
+_PRESSURE_LOAD = 0.95
+#: Load below which pressure counts as over; the gap keeps a worker from
+#: being throttled and released by turns.
+_RELIEF_LOAD = 0.85
+#: Reports in a row that must show pressure before a step is taken.
+_REPORTS_TO_ACT = 2
+#: Share of its processor grant that a throttled task keeps.
+THROTTLED_SHARE = 0.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Pressure:
+    """
+    Pressure on one worker, over its reports.
+
+    :param reports: reports in a row that showed pressure.
+    :param throttled: task that was throttled; empty for none.
+    """
+
+    reports: int = 0
+    throttled: JobId = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Throttle:
+    """Order to throttle a task, or to lift it with a share of 1."""
+
+    job_id: JobId
+    share: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Evict:
+    """Order to checkpoint and stop a task."""
+
+    job_id: JobId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PressureStep:
+    """Next state of the pressure, and what to do."""
+
+    pressure: Pressure
+    action: Throttle | Evict | None = None
+
+
+def step_pressure(
+    pressure: Pressure,
+    worker: Worker,
+    report: WorkerReport,
+    job_by_id: dict[JobId, Job],
+) -> PressureStep:
+    """
+    Take one report of a worker into account.
+
+    :param pressure: state so far.
+    :param worker: the worker.
+    :param report: its newest report.
+    :param job_by_id: jobs known; only bound ones are victims.
+    :returns: the next state, and the step to take.
+    """
+    load = load_of(report.usage, worker.capacity)
+    if load < _RELIEF_LOAD:
+        if pressure.throttled:
+            return PressureStep(
+                pressure=Pressure(),
+                action=Throttle(job_id=pressure.throttled, share=1),
+            )
+        return PressureStep(pressure=Pressure())
+    if load < _PRESSURE_LOAD:
+        return PressureStep(pressure=replace(pressure, reports=0))
+    reports = pressure.reports + 1
+    if reports < _REPORTS_TO_ACT:
+        return PressureStep(pressure=replace(pressure, reports=reports))
+    victim = _victim(report, job_by_id)
+    if victim is None:
+        return PressureStep(pressure=replace(pressure, reports=0))
+    if pressure.throttled and victim.job_id == pressure.throttled:
+        return PressureStep(
+            pressure=Pressure(),
+            action=Evict(job_id=victim.job_id),
+        )
+    return PressureStep(
+        pressure=Pressure(throttled=victim.job_id),
+        action=Throttle(job_id=victim.job_id, share=THROTTLED_SHARE),
+    )
+
+
+def load_of(usage: Resources, capacity: Resources) -> float:
+    """
+    Give the load of the scarcest resource.
+
+    :param usage: measured usage.
+    :param capacity: size of the worker.
+    :returns: fraction; 1 means full.
+    """
+    loads = [0.0]
+    if capacity.cpu:
+        loads.append(usage.cpu / capacity.cpu)
+    if capacity.memory_mb:
+        loads.append(usage.memory_mb / capacity.memory_mb)
+    return max(loads)
+
+
+def _victim(
+    report: WorkerReport,
+    job_by_id: dict[JobId, Job],
+) -> TaskReport | None:
+    candidates = [
+        task
+        for task in report.tasks
+        if task.job_id in job_by_id
+        and job_by_id[task.job_id].state is JobState.BOUND
+        and job_by_id[task.job_id].generation == task.generation
+    ]
+    if not candidates:
+        return None
+    return min(
+        candidates,
+        key=lambda task: (
+            -job_by_id[task.job_id].spec.urgency,
+            job_by_id[task.job_id].evictions,
+            task.ran_s,
+            task.job_id,
+        ),
+    )
--- /dev/null
+++ b/ragwortfield/systems/health.py
@@ -0,0 +1,141 @@
+"""Ejection of failing targets and their return.
+
+Only what a target did itself counts against it: a connection that had gone
+silent is the connection's fault and is left out by the caller.
+"""
+
+from dataclasses import replace
+
+from ragwortfield.core.tables import Tables
+from ragwortfield.core.targets import Target, TargetHealth, TargetState
+from ragwortfield.types import Instant, Seconds, TargetId
+
+#: Failures in a row after which a target is ejected.
+_FAILURES_TO_EJECT = 3
+#: First ejection, in seconds; each further one lasts twice as long.
+_FIRST_EJECTION_S = 1.0
+#: Longest ejection, in seconds.
+_LONGEST_EJECTION_S = 30.0
+#: At least this share of a service's targets stays in use.
+_MIN_POOL_SHARE = 0.5
+#: Weight of the newest answer in the smoothed latency.
+_LATENCY_WEIGHT = 0.2
+
+
+def record_answer(
+    tables: Tables,
+    target_id: TargetId,
+    duration_s: Seconds,
+) -> None:
+    """
+    Record a whole answer of a target.
+
+    :param tables: the instance's tables.
+    :param target_id: the target.
+    :param duration_s: time the answer took, in seconds.
+    """
+    health = tables.health_by_target.get(target_id, TargetHealth())
+    smoothed = duration_s
+    if health.latency_s:
+        change = duration_s - health.latency_s
+        smoothed = health.latency_s + _LATENCY_WEIGHT * change
+    tables.health_by_target[target_id] = TargetHealth(latency_s=smoothed)
+
+
+def record_failure(tables: Tables, target_id: TargetId, now: Instant) -> bool:
+    """
+    Record a failure that the target is to blame for.
+
+    :param tables: the instance's tables.
+    :param target_id: the target.
+    :param now: reading of the monotonic clock.
+    :returns: whether the target was ejected by this failure.
+    """
+    health = tables.health_by_target.get(target_id, TargetHealth())
+    failures = health.failures + 1
+    is_due = failures >= _FAILURES_TO_EJECT or health.is_probing
+    if is_due and _is_ejection_allowed(tables, target_id, now):
+        lasts_s = min(
+            _FIRST_EJECTION_S * 2**health.ejections,
+            _LONGEST_EJECTION_S,
+        )
+        tables.health_by_target[target_id] = replace(
+            health,
+            failures=0,
+            ejections=health.ejections + 1,
+            ejected_until=now + lasts_s,
+            is_probing=False,
+        )
+        return True
+    tables.health_by_target[target_id] = replace(health, failures=failures)
+    return False
+
+
+def is_available(tables: Tables, target: Target, now: Instant) -> bool:
+    """
+    Tell whether a target may get new work.
+
+    After an ejection one request at a time probes the target.
+
+    :param tables: the instance's tables.
+    :param target: the target.
+    :param now: reading of the monotonic clock.
+    :returns: whether new work may go there.
+    """
+    if target.state is not TargetState.LIVE:
+        return False
+    health = tables.health_by_target.get(target.target_id)
+    if health is None or not health.ejections:
+        return True
+    return now >= health.ejected_until and not health.is_probing
+
+
+def record_dispatch(tables: Tables, target_id: TargetId) -> None:
+    """
+    Record that work goes to a target; after an ejection it is the probe.
+
+    :param tables: the instance's tables.
+    :param target_id: the target.
+    """
+    health = tables.health_by_target.get(target_id)
+    if health is not None and health.ejections:
+        tables.health_by_target[target_id] = replace(health, is_probing=True)
+
+
+def record_abandoned(tables: Tables, target_id: TargetId) -> None:
+    """
+    Record that a dispatch ended without evidence about the target.
+
+    :param tables: the instance's tables.
+    :param target_id: the target.
+    """
+    health = tables.health_by_target.get(target_id)
+    if health is not None and health.is_probing:
+        tables.health_by_target[target_id] = replace(health, is_probing=False)
+
+
+def _is_ejection_allowed(
+    tables: Tables,
+    target_id: TargetId,
+    now: Instant,
+) -> bool:
+    target = tables.target_by_id.get(target_id)
+    if target is None:
+        return False
+    pool = [
+        other
+        for other in tables.target_by_id.values()
+        if other.service == target.service
+        and other.data_centre == target.data_centre
+    ]
+    ejected = 1 + sum(
+        1
+        for other in pool
+        if other.target_id != target_id and _is_ejected(tables, other, now)
+    )
+    return len(pool) - ejected >= len(pool) * _MIN_POOL_SHARE
+
+
+def _is_ejected(tables: Tables, target: Target, now: Instant) -> bool:
+    health = tables.health_by_target.get(target.target_id)
+    return health is not None and health.ejected_until > now
--- /dev/null
+++ b/ragwortfield/systems/job_progress.py
@@ -0,0 +1,196 @@
+"""Progress of bound jobs: what reports and lapsed leases change."""
+
+from dataclasses import dataclass, replace
+
+from ragwortfield.core.jobs import (
+    GRANTED_STATES,
+    Job,
+    JobRow,
+    JobState,
+    TaskPhase,
+    TaskReport,
+    Worker,
+    WorkerReport,
+    WorkerRow,
+)
+from ragwortfield.systems.quarantine import (
+    is_job_to_blame,
+    with_failure,
+    with_success,
+)
+from ragwortfield.types import JobId, WallTime
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobChange:
+    """
+    Transaction that changes one job, and with it the grant on its worker.
+
+    :param worker: the worker without the grant; ``None`` when it keeps it.
+    :param is_end_of_task: whether the worker may forget the task's report.
+    """
+
+    job_row: JobRow
+    job: Job
+    worker_row: WorkerRow | None = None
+    worker: Worker | None = None
+    is_end_of_task: bool = False
+
+
+def change_by_report(
+    job_row: JobRow,
+    worker_row: WorkerRow,
+    report: WorkerReport,
+    job_rows: tuple[JobRow, ...],
+    wall: WallTime,
+) -> JobChange | None:
+    """
+    Find what a worker's report changes for one of its jobs.
+
+    :param job_row: a job bound to the worker.
+    :param worker_row: the worker.
+    :param report: the worker's report.
+    :param job_rows: jobs known, as evidence about failures.
+    :param wall: reading of the wall clock.
+    :returns: the change; ``None`` when there is none.
+    """
+    task = _task_of(report, job_row.job)
+    if task is None or task.phase is TaskPhase.RUNNING:
+        return None
+    if job_row.job.state not in GRANTED_STATES:
+        return None
+    if task.phase is TaskPhase.DONE:
+        job = replace(
+            job_row.job,
+            state=JobState.DONE,
+            ended_at=wall,
+            reason='',
+        )
+        worker = with_success(worker_row.worker)
+    elif task.phase is TaskPhase.FAILED:
+        job = _failed(job_row.job, task, wall)
+        worker = with_failure(worker_row.worker, job, job_rows, wall)
+    else:
+        job = _stopped(job_row.job, task, wall)
+        worker = worker_row.worker
+    return JobChange(
+        job_row=job_row,
+        job=job,
+        worker_row=worker_row,
+        worker=_without_grant(worker, job.job_id),
+        is_end_of_task=True,
+    )
+
+
+def change_by_lapse(
+    job_row: JobRow,
+    worker_row: WorkerRow | None,
+    *,
+    lease_until: WallTime,
+    clock_bound_s: float,
+    wall: WallTime,
+) -> JobChange | None:
+    """
+    Free a job whose lease has certainly ended at its worker.
+
+    :param job_row: a bound job whose worker does not report it.
+    :param worker_row: the worker; ``None`` when its row is gone.
+    :param lease_until: end of the last lease that was given.
+    :param clock_bound_s: largest difference between two wall clocks.
+    :param wall: reading of the wall clock.
+    :returns: the change; ``None`` while the task may still run.
+    """
+    if job_row.job.state not in GRANTED_STATES:
+        return None
+    # Both clocks may be off, the worker's and this one's.
+    if wall <= lease_until + 2 * clock_bound_s:
+        return None
+    job = replace(
+        job_row.job,
+        state=_state_after_stop(job_row.job),
+        worker='',
+        reason=f'the lease ended at worker {job_row.job.worker}',
+        ended_at=wall if job_row.job.is_cancel_wanted else 0,
+    )
+    if worker_row is None:
+        return JobChange(job_row=job_row, job=job)
+    return JobChange(
+        job_row=job_row,
+        job=job,
+        worker_row=worker_row,
+        worker=_without_grant(worker_row.worker, job.job_id),
+    )
+
+
+def change_by_cancel(job_row: JobRow, wall: WallTime) -> JobChange | None:
+    """
+    Carry a wanted cancel on.
+
+    :param job_row: the job.
+    :param wall: reading of the wall clock.
+    :returns: the change; ``None`` when there is none.
+    """
+    job = job_row.job
+    if not job.is_cancel_wanted:
+        return None
+    if job.state is JobState.PENDING:
+        cancelled = replace(job, state=JobState.CANCELLED, ended_at=wall)
+        return JobChange(job_row=job_row, job=cancelled)
+    if job.state is JobState.BOUND:
+        return JobChange(
+            job_row=job_row,
+            job=replace(job, state=JobState.STOPPING),
+        )
+    return None
+
+
+def _task_of(report: WorkerReport, job: Job) -> TaskReport | None:
+    for task in report.tasks:
+        is_same = task.generation == job.generation
+        if task.job_id == job.job_id and is_same:
+            return task
+    return None
+
+
+def _failed(job: Job, task: TaskReport, wall: WallTime) -> Job:
+    failed = replace(
+        job,
+        state=_state_after_stop(job),
+        worker='',
+        failed_workers=(*job.failed_workers, job.worker),
+        reason=f'failed on worker {job.worker}: {task.reason}',
+    )
+    if job.is_cancel_wanted:
+        return replace(failed, ended_at=wall)
+    if is_job_to_blame(failed):
+        names = ', '.join(failed.failed_workers)
+        return replace(
+            failed,
+            state=JobState.PARKED,
+            reason=f'failed on workers {names}: {task.reason}',
+            ended_at=wall,
+        )
+    return failed
+
+
+def _stopped(job: Job, task: TaskReport, wall: WallTime) -> Job:
+    stopped = replace(
+        job,
+        state=_state_after_stop(job),
+        worker='',
+        checkpoint=task.checkpoint,
+    )
+    if job.is_cancel_wanted:
+        return replace(stopped, ended_at=wall)
+    return replace(stopped, evictions=job.evictions + 1)
+
+
+def _state_after_stop(job: Job) -> JobState:
+    return JobState.CANCELLED if job.is_cancel_wanted else JobState.PENDING
+
+
+def _without_grant(worker: Worker, job_id: JobId) -> Worker:
+    grants = {
+        key: grant for key, grant in worker.grants.items() if key != job_id
+    }
+    return replace(worker, grants=grants)
--- /dev/null
+++ b/ragwortfield/systems/membership.py
@@ -0,0 +1,140 @@
+"""Targets, workers and peers, from the lagging list and direct evidence."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from ragwortfield.core.tables import Tables
+from ragwortfield.core.targets import Target, TargetState
+from ragwortfield.ports.platform import ListedInstance, Listing
+from ragwortfield.systems.hashing import rendezvous
+from ragwortfield.types import DataCentreName, InstanceId, Instant, Seconds
+
+#: Up to this many entry instances every pair is linked.
+_FULL_MESH_LIMIT = 12
+#: Neighbours that an instance links to in a large data centre.
+_NEIGHBOURS = 3
+
+
+def observe_listing(tables: Tables, listing: Listing) -> None:
+    """
+    Take over the platform's list.
+
+    The list lags: a target that said itself that it is leaving stays so, and
+    an older list than the one known is ignored.
+
+    :param tables: the instance's tables.
+    :param listing: the list.
+    """
+    known = tables.listing
+    if known is not None and listing.as_of < known.as_of:
+        return
+    tables.listing = listing
+    target_by_id = {}
+    for listed in listing.instances:
+        if listed.kind == 'target':
+            target_by_id[listed.instance_id] = _merged(tables, listed)
+    tables.target_by_id = target_by_id
+
+
+def forget_silent_peers(
+    tables: Tables,
+    now: Instant,
+    after_s: Seconds,
+) -> tuple[InstanceId, ...]:
+    """
+    Forget peers that were silent for long.
+
+    :param tables: the instance's tables.
+    :param now: reading of the monotonic clock.
+    :param after_s: silence after which a peer is forgotten.
+    :returns: the peers forgotten.
+    """
+    silent = tuple(
+        peer.instance_id
+        for peer in tables.peer_by_id.values()
+        if now - peer.heard_at > after_s
+    )
+    for instance_id in silent:
+        del tables.peer_by_id[instance_id]
+    return silent
+
+
+def is_linked(
+    first: ListedInstance,
+    second: ListedInstance,
+    entries: Iterable[ListedInstance],
+) -> bool:
+    """
+    Tell whether two entry instances keep a link.
+
+    Both ends come to the same result from the same list. In a large
+    deployment each data centre is a ring with chords, and one pair of
+    delegates joins each two data centres, so that the traffic of an instance
+    does not grow with the deployment.
+
+    :param first: one end.
+    :param second: the other end.
+    :param entries: all entry instances.
+    :returns: whether they are linked.
+    """
+    all_entries = tuple(entries)
+    if len(all_entries) <= _FULL_MESH_LIMIT:
+        return True
+    if first.data_centre == second.data_centre:
+        return _is_neighbour(first, second, all_entries)
+    centres = sorted((first.data_centre, second.data_centre))
+    delegates = {
+        centre: _delegate(all_entries, centre, '|'.join(centres))
+        for centre in centres
+    }
+    return (
+        delegates[first.data_centre] == first.instance_id
+        and delegates[second.data_centre] == second.instance_id
+    )
+
+
+def _merged(tables: Tables, listed: ListedInstance) -> Target:
+    state = TargetState.LEAVING if listed.is_leaving else TargetState.LIVE
+    target = Target(
+        target_id=listed.instance_id,
+        service=listed.service,
+        data_centre=listed.data_centre,
+        address=listed.address,
+        state=state,
+    )
+    known = tables.target_by_id.get(listed.instance_id)
+    if known is None or known.address != target.address:
+        return target
+    if known.state is TargetState.LEAVING:
+        return replace(target, state=TargetState.LEAVING)
+    return target
+
+
+def _is_neighbour(
+    first: ListedInstance,
+    second: ListedInstance,
+    entries: tuple[ListedInstance, ...],
+) -> bool:
+    ring = sorted(
+        entry.instance_id
+        for entry in entries
+        if entry.data_centre == first.data_centre
+    )
+    if first.instance_id not in ring or second.instance_id not in ring:
+        return False
+    distance = abs(
+        ring.index(first.instance_id) - ring.index(second.instance_id),
+    )
+    shortest = min(distance, len(ring) - distance)
+    return shortest <= _NEIGHBOURS
+
+
+def _delegate(
+    entries: tuple[ListedInstance, ...],
+    centre: DataCentreName,
+    pair: str,
+) -> InstanceId:
+    names = [
+        entry.instance_id for entry in entries if entry.data_centre == centre
+    ]
+    return rendezvous(pair, names)
--- /dev/null
+++ b/ragwortfield/systems/quarantine.py
@@ -0,0 +1,124 @@
+"""Blame for failed tasks: the worker or the job.
+
+A worker that fails what other workers run is quarantined; a job that fails on
+several workers is parked. Failures of a job that failed elsewhere too say
+nothing about a worker.
+"""
+
+from dataclasses import replace
+
+from ragwortfield.core.jobs import Job, JobRow, JobState, Worker
+from ragwortfield.types import Seconds, WallTime
+
+#: Distinct workers on which a job must fail to be parked.
+WORKERS_TO_PARK = 3
+#: Failures that speak against a worker when a job of them ran elsewhere.
+_CONFIRMED_FAILURES = 3
+#: Failures that speak against a worker without such a proof.
+_UNCONFIRMED_FAILURES = 5
+#: Failures that a worker's row remembers.
+_REMEMBERED_FAILURES = 8
+#: First quarantine, in seconds; each further one lasts twice as long.
+_FIRST_QUARANTINE_S: Seconds = 30.0
+#: Longest quarantine, in seconds.
+_LONGEST_QUARANTINE_S: Seconds = 3600.0
+
+
+def with_success(worker: Worker) -> Worker:
+    """
+    Clear a worker on which a task ended well.
+
+    :param worker: the worker.
+    :returns: the worker without failures.
+    """
+    return replace(
+        worker,
+        failures=(),
+        quarantined_until=0,
+        quarantines=0,
+    )
+
+
+def with_failure(
+    worker: Worker,
+    job: Job,
+    job_rows: tuple[JobRow, ...],
+    wall: WallTime,
+) -> Worker:
+    """
+    Record a failure, and quarantine the worker when it is to blame.
+
+    :param worker: the worker.
+    :param job: the job that failed on it.
+    :param job_rows: jobs known, as evidence.
+    :param wall: reading of the wall clock.
+    :returns: the worker with the failure.
+    """
+    failures = tuple(
+        job_id for job_id in worker.failures if job_id != job.job_id
+    )
+    failures = (*failures, job.job_id)[-_REMEMBERED_FAILURES:]
+    failed = replace(worker, failures=failures)
+    if not _is_worker_to_blame(failed, job, job_rows):
+        return failed
+    lasts_s = min(
+        _FIRST_QUARANTINE_S * 2**worker.quarantines,
+        _LONGEST_QUARANTINE_S,
+    )
+    return replace(
+        failed,
+        failures=(),
+        quarantined_until=wall + lasts_s,
+        quarantines=worker.quarantines + 1,
+    )
+
+
+def is_open_for_starts(worker: Worker, wall: WallTime) -> bool:
+    """
+    Tell whether a worker may get new tasks.
+
+    After a quarantine it gets one at a time until one ends well.
+
+    :param worker: the worker.
+    :param wall: reading of the wall clock.
+    :returns: whether it may.
+    """
+    if worker.is_draining or wall < worker.quarantined_until:
+        return False
+    return not worker.quarantines or not worker.grants
+
+
+def is_job_to_blame(job: Job) -> bool:
+    """
+    Tell whether a job failed on enough workers to be parked.
+
+    :param job: the job with its failures.
+    :returns: whether it did.
+    """
+    return len(set(job.failed_workers)) >= WORKERS_TO_PARK
+
+
+def _is_worker_to_blame(
+    worker: Worker,
+    job: Job,
+    job_rows: tuple[JobRow, ...],
+) -> bool:
+    job_by_id = {row.job.job_id: row.job for row in job_rows}
+    job_by_id[job.job_id] = job
+    counted = 0
+    is_confirmed = worker.quarantines > 0
+    for job_id in worker.failures:
+        evidence = job_by_id.get(job_id)
+        if evidence is not None and _failed_elsewhere(evidence, worker):
+            continue
+        counted += 1
+        if evidence is not None and evidence.state is JobState.DONE:
+            is_confirmed = True
+    if counted >= _UNCONFIRMED_FAILURES:
+        return True
+    is_half_open = worker.quarantines > 0 and counted > 0
+    return is_half_open or (is_confirmed and counted >= _CONFIRMED_FAILURES)
+
+
+def _failed_elsewhere(job: Job, worker: Worker) -> bool:
+    return any(name != worker.worker_id for name in job.failed_workers)
--- /dev/null
+++ b/ragwortfield/systems/queueing.py
@@ -0,0 +1,132 @@
+"""Queue of requests that wait for a slot: urgent first, fair among teams."""
+
+import heapq
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from ragwortfield.core.configuration import RANK_BY_CLASS
+from ragwortfield.core.requests import CallerRequest
+from ragwortfield.types import ServiceName, TeamName
+
+_Ticket = TypeVar('_Ticket')
+
+
+@dataclass(order=True, slots=True)
+class _Entry(Generic[_Ticket]):
+    rank: int
+    finish: float
+    sequence: int
+    ticket: _Ticket = field(compare=False)
+    is_removed: bool = field(default=False, compare=False)
+
+
+@dataclass(kw_only=True, slots=True)
+class _ServiceQueue(Generic[_Ticket]):
+    entries: list[_Entry[_Ticket]] = field(default_factory=list)
+    size: int = 0
+    virtual_time: float = 0
+    finish_by_team: dict[TeamName, float] = field(default_factory=dict)
+
+
+class RequestQueue(Generic[_Ticket]):
+    """
+    Waiting requests of one instance, one queue for each service.
+
+    Inside a class the teams share by start-time fair queueing: a team that
+    sends much waits behind its own requests, not in front of others'.
+    """
+
+    def __init__(self) -> None:
+        """Create an empty queue."""
+        self._queue_by_service: dict[ServiceName, _ServiceQueue[_Ticket]] = {}
+        self._entry_by_sequence: dict[int, _Entry[_Ticket]] = {}
+        self._sequence = 0
+
+    def push(
+        self,
+        request: CallerRequest,
+        ticket: _Ticket,
+        weight: float,
+    ) -> int:
+        """
+        Add a request.
+
+        :param request: the request.
+        :param ticket: what ``pop`` gives back.
+        :param weight: the team's part; a larger one is served more often.
+        :returns: number by which the request can be removed.
+        """
+        queue = self._queue_by_service.setdefault(
+            request.service,
+            _ServiceQueue(),
+        )
+        start = max(
+            queue.virtual_time,
+            queue.finish_by_team.get(request.team, 0),
+        )
+        finish = start + 1 / max(weight, 1)
+        queue.finish_by_team[request.team] = finish
+        self._sequence += 1
+        entry = _Entry(
+            rank=RANK_BY_CLASS[request.request_class],
+            finish=finish,
+            sequence=self._sequence,
+            ticket=ticket,
+        )
+        heapq.heappush(queue.entries, entry)
+        queue.size += 1
+        self._entry_by_sequence[entry.sequence] = entry
+        return entry.sequence
+
+    def pop(self, service: ServiceName) -> _Ticket | None:
+        """
+        Take the request that is served next.
+
+        :param service: the service.
+        :returns: its ticket; ``None`` when nothing waits.
+        """
+        queue = self._queue_by_service.get(service)
+        if queue is None:
+            return None
+        while queue.entries:
+            entry = heapq.heappop(queue.entries)
+            if entry.is_removed:
+                continue
+            queue.size -= 1
+            queue.virtual_time = max(queue.virtual_time, entry.finish)
+            del self._entry_by_sequence[entry.sequence]
+            return entry.ticket
+        queue.finish_by_team.clear()
+        return None
+
+    def remove(self, service: ServiceName, sequence: int) -> None:
+        """
+        Remove a request that waits no longer.
+
+        :param service: the service.
+        :param sequence: the number that ``push`` gave.
+        """
+        entry = self._entry_by_sequence.pop(sequence, None)
+        if entry is not None:
+            entry.is_removed = True
+            self._queue_by_service[service].size -= 1
+
+    def size(self, service: ServiceName) -> int:
+        """
+        Count the requests that wait for a service.
+
+        :param service: the service.
+        :returns: the number.
+        """
+        queue = self._queue_by_service.get(service)
+        return 0 if queue is None else queue.size
+
+    def services(self) -> tuple[ServiceName, ...]:
+        """
+        List the services for which requests wait.
+
+        :returns: their names.
+        """
+        return tuple(
+            name for name, queue in self._queue_by_service.items() if queue.size
+        )
--- /dev/null
+++ b/ragwortfield/systems/routing.py
@@ -0,0 +1,202 @@
+"""Choice of the target, or of the peer that has a free slot."""
+
+import random
+from dataclasses import dataclass
+
+from ragwortfield.core.configuration import RequestClass
+from ragwortfield.core.peers import Peer
+from ragwortfield.core.requests import CallerRequest
+from ragwortfield.core.tables import Tables, TargetShare
+from ragwortfield.core.targets import Target, TargetHealth
+from ragwortfield.systems.health import is_available
+from ragwortfield.types import InstanceId, Instant, Seconds, TargetId
+
+#: Latency assumed for a target that has answered nothing yet, in seconds.
+_ASSUMED_LATENCY_S = 0.001
+#: Relays of one request at most.
+MAX_HOPS = 2
+_NO_SHARE = TargetShare()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TargetChoice:
+    """The request goes to a target of this instance's shares."""
+
+    target: Target
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerChoice:
+    """
+    The request is relayed to a peer that has a free slot.
+
+    :param is_cross_region: whether the relay leaves the region.
+    """
+
+    peer: Peer
+    is_cross_region: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NoChoice:
+    """
+    Nothing is free at present.
+
+    :param is_hopeless: whether waiting cannot help either.
+    """
+
+    is_hopeless: bool
+
+
+def choose_target(
+    tables: Tables,
+    service: str,
+    now: Instant,
+    excluded: frozenset[TargetId] = frozenset(),
+) -> TargetChoice | NoChoice:
+    """
+    Choose the target that is expected to answer first.
+
+    Shares belong to one instance alone, so the own view is exact and the
+    least-loaded target can be taken without herding.
+
+    :param tables: the instance's tables.
+    :param service: the service.
+    :param now: reading of the monotonic clock.
+    :param excluded: targets that failed this request before.
+    :returns: the target, or that none is free.
+    """
+    is_hopeless = True
+    best: Target | None = None
+    best_cost = float('inf')
+    for target in tables.target_by_id.values():
+        if target.service != service or target.target_id in excluded:
+            continue
+        share = tables.share_by_target.get(target.target_id, _NO_SHARE)
+        if not share.slots or not is_available(tables, target, now):
+            continue
+        is_hopeless = False
+        cost = _expected_cost(tables, target.target_id, share)
+        if cost < best_cost:
+            best = target
+            best_cost = cost
+    if best is None:
+        return NoChoice(is_hopeless=is_hopeless)
+    return TargetChoice(target=best)
+
+
+def free_slots(tables: Tables, service: str, now: Instant) -> int:
+    """
+    Count the slots that this instance could use at once.
+
+    :param tables: the instance's tables.
+    :param service: the service.
+    :param now: reading of the monotonic clock.
+    :returns: the number of slots.
+    """
+    free = 0
+    for target in tables.target_by_id.values():
+        if target.service != service or not is_available(tables, target, now):
+            continue
+        share = tables.share_by_target.get(target.target_id, _NO_SHARE)
+        used = tables.in_use_by_target.get(target.target_id, 0)
+        free += max(share.slots - used, 0)
+    return free
+
+
+def choose_peer(
+    tables: Tables,
+    request: CallerRequest,
+    randomness: random.Random,
+    *,
+    now: Instant,
+    peer_timeout_s: Seconds,
+    excluded: frozenset[InstanceId] = frozenset(),
+) -> PeerChoice | NoChoice:
+    """
+    Choose a peer with a free slot: own data centre, own region, then others.
+
+    Of two peers taken at random the freer one is chosen, so that peers which
+    heard the same heartbeats do not all choose alike.
+
+    :param tables: the instance's tables.
+    :param request: the request.
+    :param randomness: source of random numbers.
+    :param now: reading of the monotonic clock.
+    :param peer_timeout_s: silence after which a peer is left out.
+    :param excluded: peers that refused this request before.
+    :returns: the peer, or that none is known to have a slot.
+    """
+    if request.hops >= MAX_HOPS:
+        return NoChoice(is_hopeless=True)
+    for peers in _tiers(tables, request):
+        free = [
+            peer
+            for peer in peers
+            if peer.instance_id not in excluded
+            and not peer.is_leaving
+            and now - peer.heard_at <= peer_timeout_s
+            and peer.free_by_service.get(request.service, 0) > 0
+        ]
+        if free:
+            pair = randomness.sample(free, min(2, len(free)))
+            peer = max(
+                pair,
+                key=lambda one: one.free_by_service[request.service],
+            )
+            return PeerChoice(
+                peer=peer,
+                is_cross_region=not _is_same_region(tables, peer),
+            )
+    return NoChoice(is_hopeless=False)
+
+
+def _expected_cost(
+    tables: Tables,
+    target_id: TargetId,
+    share: TargetShare,
+) -> float:
+    used = tables.in_use_by_target.get(target_id, 0)
+    if used >= share.slots:
+        return float('inf')
+    health = tables.health_by_target.get(target_id, TargetHealth())
+    latency_s = health.latency_s or _ASSUMED_LATENCY_S
+    return latency_s * (used + 1) / share.slots
+
+
+def _tiers(tables: Tables, request: CallerRequest) -> list[list[Peer]]:
+    peers = list(tables.peer_by_id.values())
+    home = tables.identity.data_centre
+    tiers = [
+        [peer for peer in peers if peer.data_centre == home],
+        [
+            peer
+            for peer in peers
+            if peer.data_centre != home and _is_same_region(tables, peer)
+        ],
+    ]
+    if _is_cross_region_allowed(tables, request):
+        tiers.append(
+            [peer for peer in peers if not _is_same_region(tables, peer)],
+        )
+    return tiers
+
+
+def _is_same_region(tables: Tables, peer: Peer) -> bool:
+    configuration = tables.configuration()
+    if configuration is None:
+        return peer.data_centre == tables.identity.data_centre
+    place = configuration.data_centres.get(peer.data_centre)
+    return place is not None and place.region == tables.identity.region
+
+
+def _is_cross_region_allowed(tables: Tables, request: CallerRequest) -> bool:
+    configuration = tables.configuration()
+    if configuration is None:
+        return False
+    service = configuration.services.get(request.service)
+    return (
+        service is not None
+        and service.is_cross_region_allowed
+        and request.request_class is RequestClass.URGENT
+    )
--- /dev/null
+++ b/ragwortfield/systems/seats.py
@@ -0,0 +1,367 @@
+"""Holding, renewing, taking over and giving back seats.
+
+The platform's table decides who holds a seat. A holder that cannot reach the
+table keeps its seat: nobody takes it over while there is any sign that the
+holder lives. A holder whose process stood still checks its seats before it
+uses them again.
+"""
+
+import math
+from dataclasses import dataclass, replace
+
+from ragwortfield.core.configuration import Configuration, Timing
+from ragwortfield.core.seats import Seat, SeatId, SeatRow
+from ragwortfield.core.tables import HeldSeat, Tables
+from ragwortfield.types import Instant, TargetId, WallTime
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SeatWrite:
+    """
+    Change of a seat's row.
+
+    :param expected_version: version that the row must have.
+    """
+
+    seat_id: SeatId
+    seat: Seat
+    expected_version: int
+
+
+def plan_seats(
+    tables: Tables,
+    *,
+    now: Instant,
+    wall: WallTime,
+    is_flushed: bool,
+) -> tuple[SeatWrite, ...]:
+    """
+    Decide which seat rows to write.
+
+    :param tables: the instance's tables, with freshly read seat rows.
+    :param now: reading of the monotonic clock.
+    :param wall: reading of the wall clock.
+    :param is_flushed: whether every claim of this instance is in the table.
+    :returns: the writes; each stands on its own.
+    """
+    configuration = tables.configuration()
+    if configuration is None:
+        return ()
+    if not tables.is_leaving:
+        _mark_surplus(tables, configuration.timing, now)
+    writes = _renewals(tables, configuration.timing, wall, is_flushed)
+    if tables.is_leaving:
+        return tuple(writes)
+    wanted = fair_seat_count(tables, configuration, now)
+    vacancies = _vacancies(tables, configuration, wall)
+    spare = max(wanted - len(tables.held_by_key), 0)
+    writes.extend(vacancies[:spare])
+    return tuple(writes)
+
+
+def fair_seat_count(
+    tables: Tables,
+    configuration: Configuration,
+    now: Instant,
+) -> int:
+    """
+    Work out how many seats this instance should hold.
+
+    :param tables: the instance's tables.
+    :param configuration: the configuration in force.
+    :param now: reading of the monotonic clock.
+    :returns: the number of seats, at least one.
+    """
+    place = configuration.data_centres.get(tables.identity.data_centre)
+    if place is None:
+        return 0
+    others = live_neighbours(tables, configuration.timing, now)
+    return math.ceil(place.seats / (len(others) + 1))
+
+
+def live_neighbours(
+    tables: Tables,
+    timing: Timing,
+    now: Instant,
+) -> list[str]:
+    """
+    List the peers of the own data centre that were heard lately.
+
+    :param tables: the instance's tables.
+    :param timing: durations in force.
+    :param now: reading of the monotonic clock.
+    :returns: their identifiers.
+    """
+    return [
+        peer.instance_id
+        for peer in tables.peer_by_id.values()
+        if peer.data_centre == tables.identity.data_centre
+        and not peer.is_leaving
+        and now - peer.heard_at <= timing.peer_timeout_s
+    ]
+
+
+def observe_seat_rows(
+    tables: Tables,
+    rows: tuple[SeatRow, ...],
+    now: Instant,
+) -> None:
+    """
+    Take over what the platform's table says about the seats.
+
+    :param tables: the instance's tables.
+    :param rows: every seat row of the own data centre.
+    :param now: reading of the monotonic clock.
+    """
+    tables.seat_row_by_key = {row.seat_id.row_key(): row for row in rows}
+    for key, held in tuple(tables.held_by_key.items()):
+        row = tables.seat_row_by_key.get(key)
+        if row is None or not _is_own_row(tables, held, row):
+            del tables.held_by_key[key]
+            continue
+        tables.held_by_key[key] = replace(
+            held,
+            version=row.version,
+            expires_at=row.seat.expires_at,
+            is_suspended=False,
+        )
+    _readopt(tables, now)
+
+
+def record_write(
+    tables: Tables,
+    write: SeatWrite,
+    version: int,
+    now: Instant,
+) -> None:
+    """
+    Record a seat write that took effect.
+
+    :param tables: the instance's tables.
+    :param write: the write.
+    :param version: version the row has now.
+    :param now: reading of the monotonic clock.
+    """
+    key = write.seat_id.row_key()
+    row = SeatRow(seat_id=write.seat_id, seat=write.seat, version=version)
+    tables.seat_row_by_key[key] = row
+    if write.seat.holder != tables.identity.instance_id:
+        tables.held_by_key.pop(key, None)
+        return
+    held = tables.held_by_key.get(key)
+    tables.held_by_key[key] = HeldSeat(
+        seat_id=write.seat_id,
+        generation=write.seat.generation,
+        version=version,
+        expires_at=write.seat.expires_at,
+        usable_from=now if held is None else held.usable_from,
+        is_leaving=held is not None and held.is_leaving,
+    )
+
+
+def suspend_after_pause(tables: Tables, now: Instant) -> bool:
+    """
+    Suspend the seats of a process that stood still.
+
+    :param tables: the instance's tables.
+    :param now: reading of the monotonic clock.
+    :returns: whether the process had stood still.
+    """
+    if not tables.ticked_at or not tables.is_paused(now):
+        return False
+    for key, held in tuple(tables.held_by_key.items()):
+        tables.held_by_key[key] = replace(held, is_suspended=True)
+    return True
+
+
+def resume_by_peers(
+    tables: Tables,
+    *,
+    paused_at: Instant,
+    now: Instant,
+) -> None:
+    """
+    Trust suspended seats again on a neighbour's word, the store being away.
+
+    :param tables: the instance's tables.
+    :param paused_at: when the pause was noticed.
+    :param now: reading of the monotonic clock.
+    """
+    heard = [
+        peer
+        for peer in tables.peer_by_id.values()
+        if peer.data_centre == tables.identity.data_centre
+        and peer.heard_at > paused_at
+        and not peer.is_store_reachable
+    ]
+    if not heard or tables.is_paused(now):
+        return
+    for key, held in tuple(tables.held_by_key.items()):
+        tables.held_by_key[key] = replace(held, is_suspended=False)
+
+
+def drop_superseded(tables: Tables) -> tuple[str, ...]:
+    """
+    Give up seats that a peer holds under a higher generation.
+
+    :param tables: the instance's tables.
+    :returns: keys of the seats given up.
+    """
+    dropped = []
+    for key, held in tuple(tables.held_by_key.items()):
+        for peer in tables.peer_by_id.values():
+            if peer.generation_by_seat.get(key, 0) > held.generation:
+                dropped.append(key)
+                del tables.held_by_key[key]
+                break
+    return tuple(dropped)
+
+
+def _mark_surplus(tables: Tables, timing: Timing, now: Instant) -> None:
+    # One seat at a time: the next one is judged by the heartbeats that
+    # follow, so two instances do not hand seats to and fro.
+    if any(held.is_leaving for held in tables.held_by_key.values()):
+        return
+    neighbours = live_neighbours(tables, timing, now)
+    if not neighbours or not tables.held_by_key:
+        return
+    fewest = min(
+        len(tables.peer_by_id[name].generation_by_seat) for name in neighbours
+    )
+    if fewest < len(tables.held_by_key) - 1:
+        key = max(tables.held_by_key)
+        tables.held_by_key[key] = replace(
+            tables.held_by_key[key],
+            is_leaving=True,
+        )
+
+
+def _is_part_free(tables: Tables) -> bool:
+    return all(
+        used <= _slots_of(tables, target_id)
+        for target_id, used in tables.in_use_by_target.items()
+    )
+
+
+def _slots_of(tables: Tables, target_id: TargetId) -> int:
+    share = tables.share_by_target.get(target_id)
+    return 0 if share is None else share.slots
+
+
+def _renewals(
+    tables: Tables,
+    timing: Timing,
+    wall: WallTime,
+    is_flushed: bool,
+) -> list[SeatWrite]:
+    writes = []
+    for key, held in sorted(tables.held_by_key.items()):
+        row = tables.seat_row_by_key.get(key)
+        is_due = held.expires_at - wall < timing.seat_lease_s / 2
+        is_release = held.is_leaving and (
+            tables.is_leaving or (is_flushed and _is_part_free(tables))
+        )
+        if row is None or not (is_due or is_release):
+            continue
+        seat = replace(row.seat, expires_at=wall + timing.seat_lease_s)
+        if is_release:
+            seat = replace(
+                row.seat,
+                holder='',
+                expires_at=wall,
+                gap_until=row.seat.gap_until if is_flushed else wall,
+            )
+        writes.append(
+            SeatWrite(
+                seat_id=held.seat_id,
+                seat=seat,
+                expected_version=held.version,
+            ),
+        )
+    return writes
+
+
+def _vacancies(
+    tables: Tables,
+    configuration: Configuration,
+    wall: WallTime,
+) -> list[SeatWrite]:
+    name = tables.identity.data_centre
+    place = configuration.data_centres.get(name)
+    seats = 0 if place is None else place.seats
+    writes = []
+    for index in range(seats):
+        seat_id = SeatId(data_centre=name, index=index)
+        row = tables.seat_row_by_key.get(seat_id.row_key())
+        taken = _taken(tables, configuration.timing, row, wall)
+        if taken is not None:
+            writes.append(
+                SeatWrite(
+                    seat_id=seat_id,
+                    seat=taken,
+                    expected_version=0 if row is None else row.version,
+                ),
+            )
+    return writes
+
+
+def _taken(
+    tables: Tables,
+    timing: Timing,
+    row: SeatRow | None,
+    wall: WallTime,
+) -> Seat | None:
+    own = Seat(
+        holder=tables.identity.instance_id,
+        generation=1,
+        expires_at=wall + timing.seat_lease_s,
+        taken_at=wall,
+    )
+    if row is None:
+        return own
+    own = replace(own, generation=row.seat.generation + 1)
+    if not row.seat.holder:
+        return replace(own, gap_until=row.seat.gap_until)
+    if _is_holder_gone(tables, timing, row.seat, wall):
+        return replace(own, gap_until=wall + timing.clock_bound_s)
+    return None
+
+
+def _is_holder_gone(
+    tables: Tables,
+    timing: Timing,
+    seat: Seat,
+    wall: WallTime,
+) -> bool:
+    listing = tables.listing
+    lapsed_until = seat.expires_at + timing.takeover_after_s
+    if listing is None or wall < lapsed_until + timing.clock_bound_s:
+        return False
+    # The list must have been drawn up after the lapse; an older one cannot
+    # tell whether the holder is still there.
+    if listing.as_of <= seat.expires_at:
+        return False
+    if any(entry.instance_id == seat.holder for entry in listing.instances):
+        return False
+    return seat.holder not in tables.peer_by_id
+
+
+def _is_own_row(tables: Tables, held: HeldSeat, row: SeatRow) -> bool:
+    return (
+        row.seat.holder == tables.identity.instance_id
+        and row.seat.generation == held.generation
+    )
+
+
+def _readopt(tables: Tables, now: Instant) -> None:
+    # A write whose answer was lost still made this instance the holder.
+    for key, row in tables.seat_row_by_key.items():
+        is_own = row.seat.holder == tables.identity.instance_id
+        if is_own and key not in tables.held_by_key:
+            tables.held_by_key[key] = HeldSeat(
+                seat_id=row.seat_id,
+                generation=row.seat.generation,
+                version=row.version,
+                expires_at=row.seat.expires_at,
+                usable_from=now,
+            )
--- /dev/null
+++ b/ragwortfield/systems/shares.py
@@ -0,0 +1,84 @@
+"""Division of a target's slots and connections among the seats."""
+
+from ragwortfield.core.configuration import Configuration
+from ragwortfield.core.tables import HeldSeat, Tables, TargetShare
+from ragwortfield.core.targets import Target
+from ragwortfield.systems.hashing import stable_hash
+from ragwortfield.types import Instant
+
+
+def seat_share(total: int, seats: int, index: int, offset: int) -> int:
+    """
+    Give one seat its part of a total.
+
+    The remainder rotates with the offset, so that no seat gets the larger
+    part of every target.
+
+    :param total: what is divided, a whole number.
+    :param seats: number of seats in the data centre.
+    :param index: index of the seat, from zero.
+    :param offset: rotation, alike on every instance.
+    :returns: the part; the parts of all seats add up to the total.
+    """
+    base, remainder = divmod(total, seats)
+    position = (index + offset) % seats
+    return base + (1 if position < remainder else 0)
+
+
+def share_targets(tables: Tables, now: Instant) -> None:
+    """
+    Work out which part of each target this instance may use.
+
+    :param tables: the instance's tables; its shares are replaced.
+    :param now: reading of the monotonic clock.
+    """
+    configuration = tables.configuration()
+    if configuration is None:
+        tables.share_by_target = {}
+        return
+    held = tables.usable_seats(now)
+    tables.share_by_target = {
+        target_id: _share_of(target, held, configuration)
+        for target_id, target in tables.target_by_id.items()
+        if target.data_centre == tables.identity.data_centre
+    }
+
+
+def seat_fraction(tables: Tables, now: Instant) -> float:
+    """
+    Give this instance's part of what all seats of a deployment divide.
+
+    :param tables: the instance's tables.
+    :param now: reading of the monotonic clock.
+    :returns: fraction between 0 and 1.
+    """
+    configuration = tables.configuration()
+    if configuration is None:
+        return 0
+    total = configuration.total_seats()
+    return len(tables.usable_seats(now)) / total if total else 0
+
+
+def _share_of(
+    target: Target,
+    held: list[HeldSeat],
+    configuration: Configuration,
+) -> TargetShare:
+    service = configuration.services.get(target.service)
+    place = configuration.data_centres.get(target.data_centre)
+    if service is None or place is None:
+        return TargetShare()
+    offset = stable_hash(target.target_id) % place.seats
+    indexes = [
+        seat.seat_id.index for seat in held if seat.seat_id.index < place.seats
+    ]
+    return TargetShare(
+        slots=sum(
+            seat_share(service.slots, place.seats, index, offset)
+            for index in indexes
+        ),
+        connections=sum(
+            seat_share(service.connections, place.seats, index, offset)
+            for index in indexes
+        ),
+    )
--- /dev/null
+++ b/ragwortfield/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Public stand-ins and helpers for tests and trials."""
