--- /dev/null
+++ b/ragwortfield/testing/platform.py
@@ -0,0 +1,259 @@
+"""Stand-in for the platform, in memory, with switches for its faults."""
+
+from dataclasses import dataclass, field, replace
+
+from ragwortfield.ports.clock import Clock
+from ragwortfield.ports.platform import (
+    Committed,
+    Conflict,
+    ListedInstance,
+    Listing,
+    Row,
+    Rows,
+    Unavailable,
+    Write,
+)
+from ragwortfield.types import RowBody, Seconds
+
+
+@dataclass(kw_only=True, slots=True)
+class PlatformSwitches:
+    """
+    Faults of the platform; all off by default.
+
+    :param is_down: every call fails without an effect.
+    :param delay_s: wait before each answer of the server, in seconds.
+    :param lost_answers: transactions to come whose answer is lost after
+        the writes took effect.
+    :param list_lag_s: age of the list handed out, in seconds.
+    :param hidden_instances: instances that the list leaves out.
+    :param cut_data_centres: data centres that cannot reach the platform.
+    """
+
+    is_down: bool = False
+    delay_s: Seconds = 0
+    lost_answers: int = 0
+    list_lag_s: Seconds = 0
+    hidden_instances: tuple[str, ...] = ()
+    cut_data_centres: tuple[str, ...] = ()
+
+
+@dataclass(kw_only=True, slots=True)
+class _StoredRow:
+    version: int
+    body: RowBody
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _ListEvent:
+    at: float
+    instance: ListedInstance
+    is_present: bool = True
+
+
+@dataclass(kw_only=True, slots=True)
+class PlatformCounts:
+    """Calls served, by kind."""
+
+    transactions: int = 0
+    rows_written: int = 0
+    scans: int = 0
+    conflicts: int = 0
+
+
+class MemoryPlatform:
+    """
+    Tables, objects and the lagging list, in memory.
+
+    :param clock: source of time.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Create an empty platform with all switches off."""
+        self.switches = PlatformSwitches()
+        self.counts = PlatformCounts()
+        self._clock = clock
+        self._row_by_key: dict[str, _StoredRow] = {}
+        self._object_by_key: dict[str, bytes] = {}
+        self._events: list[_ListEvent] = []
+
+    def scan(self, prefix: str) -> Rows | Unavailable:
+        """
+        Read every row whose key starts with a prefix.
+
+        :param prefix: start of the keys.
+        :returns: the rows, ordered by key, or why there are none.
+        """
+        if self.switches.is_down:
+            return Unavailable(reason='platform is down')
+        self.counts.scans += 1
+        rows = [
+            Row(key=key, version=stored.version, body=stored.body)
+            for key, stored in sorted(self._row_by_key.items())
+            if key.startswith(prefix)
+        ]
+        return Rows(rows=tuple(rows))
+
+    def transact(
+        self,
+        writes: tuple[Write, ...],
+    ) -> Committed | Conflict | Unavailable:
+        """
+        Apply all writes or none of them.
+
+        :param writes: the writes with the versions they expect.
+        :returns: the new versions, the conflict, or why it is not known.
+        """
+        if self.switches.is_down:
+            return Unavailable(reason='platform is down')
+        for write in writes:
+            version = self._version_of(write.key)
+            if version != write.expected_version:
+                self.counts.conflicts += 1
+                return Conflict(key=write.key, version=version)
+        committed = Committed(
+            version_by_key={write.key: self._apply(write) for write in writes},
+        )
+        self.counts.transactions += 1
+        self.counts.rows_written += len(writes)
+        if self.switches.lost_answers > 0:
+            self.switches.lost_answers -= 1
+            return Unavailable(reason='answer lost', is_effect_possible=True)
+        return committed
+
+    def put(self, key: str, content: bytes) -> bool | Unavailable:
+        """
+        Store an object.
+
+        :param key: name of the object.
+        :param content: its bytes.
+        :returns: true when stored.
+        """
+        if self.switches.is_down:
+            return Unavailable(reason='platform is down')
+        self._object_by_key[key] = content
+        return True
+
+    def get(self, key: str) -> bytes | None | Unavailable:
+        """
+        Read an object.
+
+        :param key: name of the object.
+        :returns: its bytes, or ``None`` when absent.
+        """
+        if self.switches.is_down:
+            return Unavailable(reason='platform is down')
+        return self._object_by_key.get(key)
+
+    def fetch(self) -> Listing | Unavailable:
+        """
+        Read the list as it was before the lag.
+
+        :returns: the list.
+        """
+        if self.switches.is_down:
+            return Unavailable(reason='platform is down')
+        as_of = self._clock.wall() - self.switches.list_lag_s
+        instance_by_id: dict[str, ListedInstance] = {}
+        for event in self._events:
+            if event.at > as_of:
+                continue
+            if event.is_present:
+                instance_by_id[event.instance.instance_id] = event.instance
+            else:
+                instance_by_id.pop(event.instance.instance_id, None)
+        for hidden in self.switches.hidden_instances:
+            instance_by_id.pop(hidden, None)
+        return Listing(as_of=as_of, instances=tuple(instance_by_id.values()))
+
+    def add_instance(self, instance: ListedInstance) -> None:
+        """
+        List an instance, or list it anew with another state.
+
+        :param instance: the instance.
+        """
+        self._events.append(
+            _ListEvent(at=self._clock.wall(), instance=instance),
+        )
+
+    def remove_instance(self, instance_id: str) -> None:
+        """
+        Take an instance off the list.
+
+        :param instance_id: identifier of the instance.
+        """
+        instance = self._latest(instance_id)
+        if instance is not None:
+            self._events.append(
+                _ListEvent(
+                    at=self._clock.wall(),
+                    instance=instance,
+                    is_present=False,
+                ),
+            )
+
+    def mark_leaving(self, instance_id: str) -> None:
+        """
+        List an instance as leaving.
+
+        :param instance_id: identifier of the instance.
+        """
+        instance = self._latest(instance_id)
+        if instance is not None:
+            self.add_instance(replace(instance, is_leaving=True))
+
+    def _latest(self, instance_id: str) -> ListedInstance | None:
+        for event in reversed(self._events):
+            if event.instance.instance_id == instance_id:
+                return event.instance
+        return None
+
+    def _version_of(self, key: str) -> int:
+        stored = self._row_by_key.get(key)
+        return 0 if stored is None else stored.version
+
+    def _apply(self, write: Write) -> int:
+        if write.body is None:
+            self._row_by_key.pop(write.key, None)
+            return 0
+        version = write.expected_version + 1
+        self._row_by_key[write.key] = _StoredRow(
+            version=version,
+            body=write.body,
+        )
+        return version
+
+
+@dataclass(kw_only=True, slots=True)
+class ManualClock:
+    """
+    Clock that a test moves by hand.
+
+    :param now_s: reading of both the monotonic and the wall clock.
+    """
+
+    now_s: float = field(default=1_000_000)
+
+    def monotonic(self) -> float:
+        """
+        Read the monotonic clock.
+
+        :returns: seconds.
+        """
+        return self.now_s
+
+    def wall(self) -> float:
+        """
+        Read the wall clock.
+
+        :returns: seconds.
+        """
+        return self.now_s
+
+    def advance(self, seconds: Seconds) -> None:
+        """
+        Move the clock.
+
+        :param seconds: how far.
+        """
+        self.now_s += seconds
--- /dev/null
+++ b/ragwortfield/testing/servers.py
@@ -0,0 +1,399 @@
+"""Stand-ins as HTTP servers: the platform, and workers with targets."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, fields, replace
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import gevent
+import msgspec
+
+from ragwortfield.adapters.documents import (
+    Malformed,
+    decode_json,
+    to_document,
+)
+from ragwortfield.adapters.platform_http import TaskCall, Transaction
+from ragwortfield.core.targets import TargetState
+from ragwortfield.engine.target_links import STATE_FIELD
+from ragwortfield.front.http import (
+    Response,
+    StartResponse,
+    field_value,
+    json_response,
+    raw_path,
+    send,
+)
+from ragwortfield.front.server import FrontServer
+from ragwortfield.ports.platform import (
+    Conflict,
+    ListedInstance,
+    RenewTasks,
+    StartTask,
+    Unavailable,
+)
+from ragwortfield.testing.platform import MemoryPlatform, PlatformSwitches
+from ragwortfield.testing.worker import MemoryWorker, WorkerSwitches
+
+#: Connections that a stand-in takes at once.
+_MAX_CONNECTIONS = 1000
+#: Longest wait while a silent switch is on, in seconds.
+_SILENCE_S = 3600.0
+_MS_PER_S = 1000
+
+
+class PlatformServer:
+    """
+    The platform over HTTP.
+
+    :param platform: tables, objects and list.
+    """
+
+    def __init__(self, *, platform: MemoryPlatform) -> None:
+        """Create the application."""
+        self.platform = platform
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """
+        Serve one call.
+
+        :param environ: WSGI environment.
+        :param start_response: the server's function.
+        :returns: body of the response.
+        """
+        path = urlsplit(raw_path(environ))
+        method = environ['REQUEST_METHOD']
+        body = environ['wsgi.input'].read()
+        if path.path == '/switches':
+            return send(self._switch(method, body), start_response)
+        gevent.sleep(self.platform.switches.delay_s)
+        if path.path == '/instances':
+            return send(self._list_change(body), start_response)
+        if self.platform.switches.is_down:
+            gevent.sleep(self.platform.switches.delay_s)
+            return send(_down(), start_response)
+        response = self._serve(method, path.path, path.query, body)
+        return send(response, start_response)
+
+    def _serve(
+        self,
+        method: str,
+        path: str,
+        query: str,
+        body: bytes,
+    ) -> Response:
+        if path == '/tables/scan':
+            prefix = parse_qs(query).get('prefix', [''])[0]
+            return _answer(self.platform.scan(prefix))
+        if path == '/tables/transact':
+            transaction = decode_json(body, Transaction)
+            if isinstance(transaction, Malformed):
+                return json_response(400, {'error': transaction.reason})
+            return _answer(self.platform.transact(transaction.writes))
+        if path == '/list':
+            return _answer(self.platform.fetch())
+        if path.startswith('/objects/'):
+            return self._object(method, unquote(path), body)
+        return json_response(404, {'error': f'unknown path {path!r}'})
+
+    def _object(self, method: str, path: str, body: bytes) -> Response:
+        if method == 'PUT':
+            self.platform.put(path, body)
+            return json_response(200, {})
+        content = self.platform.get(path)
+        if not isinstance(content, bytes):
+            return json_response(404, {'error': 'absent'})
+        return Response(status=200, fields=(), body=content)
+
+    def _switch(self, method: str, body: bytes) -> Response:
+        if method == 'POST':
+            self.platform.switches = _with_changes(
+                self.platform.switches,
+                body,
+                PlatformSwitches,
+            )
+        return json_response(
+            200,
+            {
+                'switches': to_document(self.platform.switches),
+                'counts': to_document(self.platform.counts),
+            },
+        )
+
+    def _list_change(self, body: bytes) -> Response:
+        change = decode_json(body, ListChange)
+        if isinstance(change, Malformed):
+            return json_response(400, {'error': change.reason})
+        for instance in change.add:
+            self.platform.add_instance(instance)
+        for instance_id in change.remove:
+            self.platform.remove_instance(instance_id)
+        for instance_id in change.leaving:
+            self.platform.mark_leaving(instance_id)
+        return json_response(200, {})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListChange:
+    """Change of the stand-in's list of instances."""
+
+    add: tuple[ListedInstance, ...] = ()
+    remove: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
+
+
+@dataclass(kw_only=True, slots=True)
+class TargetSwitches:
+    """
+    Faults of a target; all off by default.
+
+    :param delay_s: extra time that each request takes, in seconds.
+    :param is_failing: every request gets status 500 at once.
+    :param is_truncating: answers end before their declared length.
+    :param is_silent: requests are taken and never answered.
+    :param is_leaving: the target says that it is leaving.
+    """
+
+    delay_s: float = 0
+    is_failing: bool = False
+    is_truncating: bool = False
+    is_silent: bool = False
+    is_leaving: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class TargetCounts:
+    """What a target saw since its start."""
+
+    requests: int = 0
+    at_once: int = 0
+    most_at_once: int = 0
+    over_slots: int = 0
+    connections: int = 0
+    most_connections: int = 0
+    after_leaving: int = 0
+    runs_by_booking: dict[str, int] = field(default_factory=dict)
+
+
+class WorkerServer:
+    """
+    A worker's control and its target, over HTTP on one address.
+
+    The target runs ``/echo`` and ``/bookings`` and takes ``ms`` in the query
+    as the time that the work takes.
+
+    :param worker: the worker.
+    :param slots: requests that the target runs at once.
+    """
+
+    def __init__(self, *, worker: MemoryWorker, slots: int) -> None:
+        """Create the application."""
+        self.worker = worker
+        self.slots = slots
+        self.target_switches = TargetSwitches()
+        self.counts = TargetCounts()
+        self._serve_by_path: dict[str, Callable[[bytes], Response]] = {
+            '/control/start': self._start,
+            '/control/renew': self._renew,
+            '/control/stop': self._stop,
+            '/control/throttle': self._throttle,
+            '/control/forget': self._forget,
+            '/stand-in': self._describe,
+            '/stand-in/target': self._switch_target,
+            '/stand-in/worker': self._switch_worker,
+        }
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """
+        Serve one request.
+
+        :param environ: WSGI environment.
+        :param start_response: the server's function.
+        :returns: body of the response.
+        """
+        path = urlsplit(raw_path(environ))
+        body = environ['wsgi.input'].read()
+        serve = self._serve_by_path.get(path.path)
+        if serve is not None:
+            return send(serve(body), start_response)
+        if path.path == '/health':
+            return send(self._health(), start_response)
+        query = parse_qs(path.query)
+        response = self._work(environ, path.path, query, body)
+        if self.target_switches.is_truncating:
+            return _send_truncated(response, start_response)
+        return send(response, start_response)
+
+    def _work(
+        self,
+        environ: dict[str, Any],
+        path: str,
+        query: dict[str, list[str]],
+        body: bytes,
+    ) -> Response:
+        counts = self.counts
+        counts.requests += 1
+        if self.target_switches.is_leaving:
+            counts.after_leaving += 1
+        counts.at_once += 1
+        counts.most_at_once = max(counts.most_at_once, counts.at_once)
+        if counts.at_once > self.slots:
+            counts.over_slots += 1
+        try:
+            return self._run(environ, path, query, body)
+        finally:
+            counts.at_once -= 1
+
+    def _run(
+        self,
+        environ: dict[str, Any],
+        path: str,
+        query: dict[str, list[str]],
+        body: bytes,
+    ) -> Response:
+        if self.target_switches.is_failing:
+            return json_response(500, {'error': 'failing'}, *self._state())
+        work_s = float(query.get('ms', ['0'])[0]) / _MS_PER_S
+        if self.target_switches.is_silent:
+            gevent.sleep(_SILENCE_S)
+        gevent.sleep(work_s + self.target_switches.delay_s)
+        if path == '/bookings' and environ['REQUEST_METHOD'] == 'POST':
+            booking = body.decode()
+            runs = self.counts.runs_by_booking
+            runs[booking] = runs.get(booking, 0) + 1
+        return Response(
+            status=200,
+            fields=(
+                ('content-type', 'text/plain'),
+                ('x-echo', field_value(environ, 'x-echo')),
+                *self._state(),
+            ),
+            body=body or raw_path(environ).encode(),
+        )
+
+    def _state(self) -> tuple[tuple[str, str], ...]:
+        state = TargetState.LIVE
+        if self.target_switches.is_leaving:
+            state = TargetState.LEAVING
+        return ((STATE_FIELD, state.value),)
+
+    def _health(self) -> Response:
+        if self.target_switches.is_silent:
+            gevent.sleep(_SILENCE_S)
+        return json_response(200, {}, *self._state())
+
+    def _start(self, body: bytes) -> Response:
+        order = decode_json(body, StartTask)
+        if isinstance(order, Malformed):
+            return json_response(400, {'error': order.reason})
+        is_started = self.worker.start(order)
+        return json_response(200 if is_started else 409, {})
+
+    def _renew(self, body: bytes) -> Response:
+        order = decode_json(body, RenewTasks)
+        if isinstance(order, Malformed):
+            return json_response(400, {'error': order.reason})
+        return json_response(200, self.worker.renew(order))
+
+    def _stop(self, body: bytes) -> Response:
+        call = msgspec.json.decode(body, type=TaskCall)
+        for job_id, generation in call.generation_by_job.items():
+            self.worker.stop(job_id, generation)
+        return json_response(200, {})
+
+    def _throttle(self, body: bytes) -> Response:
+        call = msgspec.json.decode(body, type=TaskCall)
+        for job_id in call.generation_by_job:
+            self.worker.throttle(job_id, call.share)
+        return json_response(200, {})
+
+    def _forget(self, body: bytes) -> Response:
+        call = msgspec.json.decode(body, type=TaskCall)
+        self.worker.forget(call.generation_by_job)
+        return json_response(200, {})
+
+    def _describe(self, body: bytes) -> Response:
+        self.worker.step()
+        return json_response(
+            200,
+            {
+                'target': to_document(self.counts),
+                'spans': to_document(self.worker.spans),
+                'running': self.worker.running(),
+                'over_capacity': self.worker.over_capacity,
+            },
+        )
+
+    def _switch_target(self, body: bytes) -> Response:
+        self.target_switches = _with_changes(
+            self.target_switches,
+            body,
+            TargetSwitches,
+        )
+        return json_response(200, self.target_switches)
+
+    def _switch_worker(self, body: bytes) -> Response:
+        self.worker.switches = _with_changes(
+            self.worker.switches,
+            body,
+            WorkerSwitches,
+        )
+        return json_response(200, self.worker.switches)
+
+
+def serve_stand_in(address: tuple[str, int], application: Any) -> FrontServer:
+    """
+    Serve a stand-in.
+
+    :param address: host and port; port 0 takes a free one.
+    :param application: a WSGI application of this module.
+    :returns: the running server.
+    """
+    server = FrontServer(
+        address=address,
+        application=application,
+        max_connections=_MAX_CONNECTIONS,
+    )
+    server.start()
+    return server
+
+
+def _with_changes(switches: Any, body: bytes, kind: Any) -> Any:
+    changes = msgspec.json.decode(body)
+    known = {one.name for one in fields(kind)}
+    return replace(
+        switches,
+        **{name: set_to for name, set_to in changes.items() if name in known},
+    )
+
+
+def _answer(outcome: Any) -> Response:
+    if isinstance(outcome, Conflict):
+        return json_response(409, outcome)
+    if isinstance(outcome, Unavailable):
+        return json_response(503, {'error': outcome.reason})
+    return json_response(200, outcome)
+
+
+def _down() -> Response:
+    return json_response(503, {'error': 'platform is down'})
+
+
+def _send_truncated(
+    response: Response,
+    start_response: StartResponse,
+) -> Iterable[bytes]:
+    longer = len(response.body) + 10
+    start_response(
+        '200 OK',
+        [('content-length', str(longer)), ('connection', 'close')],
+    )
+    return [response.body]
--- /dev/null
+++ b/ragwortfield/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; modules mirror those of the package."""
