--- a/ragwortfield/adapters/http_client.py
+++ b/ragwortfield/adapters/http_client.py
@@ -10,7 +10,7 @@
 import gevent
 from gevent import socket
 from gevent.monkey import get_original
-from geventhttpclient.response import HTTPSocketResponse
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 from ragwortfield.core.outcomes import (
     Broken,
@@ -22,9 +22,9 @@
 from ragwortfield.types import Instant, Seconds
 
 #: Largest answer that is buffered, in bytes.
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 2**24
 #: Bytes read from a socket at once.
-_BLOCK_BYTES = 16 * 1024
+_BLOCK_BYTES = 10**4
 #: An idle connection older than this is closed, in seconds.
 _IDLE_LIMIT_S = 20.0
 #: Longest wait for a new connection, in seconds.
@@ -259,8 +259,7 @@
                 is_silent=True,
                 is_reused=connection.is_reused,
             ), False
-        # The response parser reports broken messages as ValueError kin.
-        except (OSError, ValueError, RuntimeError) as error:
+        except (OSError, ValueError, HTTPParseError) as error:
             return Broken(
                 reason=f'answer broken off: {error}',
                 is_reused=connection.is_reused,
@@ -355,5 +354,6 @@
     lines = [f'{request.method} {request.path} HTTP/1.1', f'host: {host}']
     lines.extend(f'{name}: {text}' for name, text in request.fields)
     lines.append(f'content-length: {len(request.body)}')
-    head = '\r\n'.join(lines)
-    return head.encode('latin-1') + b'\r\n\r\n' + request.body
+    lines.append('\r\n')
+    head = '\r\n'.join(lines).encode('latin-1')
+    return b''.join((head, request.body))
--- a/ragwortfield/adapters/platform_http.py
+++ b/ragwortfield/adapters/platform_http.py
@@ -1,6 +1,7 @@
 """Platform ports over the platform's HTTP interface."""
 
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any, TypeVar
 from urllib.parse import quote
 
@@ -21,13 +22,13 @@
 from ragwortfield.types import JobId, Seconds
 
 #: Status of a successful call.
-_OK = 200
+_OK = HTTPStatus.OK
 #: Status of an absent object.
-_ABSENT = 404
+_ABSENT = HTTPStatus.NOT_FOUND
 #: Status of a transaction or start that lost a comparison.
-_CONFLICT = 409
+_CONFLICT = HTTPStatus.CONFLICT
 #: Status by which the platform says that it took nothing.
-_UNAVAILABLE = 503
+_UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
 
 _Kind = TypeVar('_Kind')
 
--- /dev/null
+++ b/ragwortfield/command/main.py
@@ -0,0 +1,195 @@
+"""The operators' command line: ``ragwortfield GROUP ACTION [ARGUMENT]``."""
+
+import os
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from absl import app, flags
+
+from ragwortfield.command.actions import Actions
+from ragwortfield.command.client import OperatorClient
+from ragwortfield.command.output import ExitStatus, write_error, write_line
+from ragwortfield.settings.instance import split_address
+
+_ENTRY = flags.DEFINE_string(
+    'entry',
+    os.environ.get('RAGWORTFIELD_ENTRY', '127.0.0.1:8080'),
+    'Address of an entry instance; default from RAGWORTFIELD_ENTRY.',
+)
+_TOKEN_FILE = flags.DEFINE_string(
+    'token_file',
+    '',
+    'File with the operator token; without it RAGWORTFIELD_OPERATOR_TOKEN.',
+)
+_JSON = flags.DEFINE_bool('json', False, 'Write JSON instead of tables.')
+
+_HELP = """\
+usage: ragwortfield [FLAGS] GROUP ACTION [ARGUMENT]
+
+configuration
+  config questionnaire        print the questionnaire for a new team
+  config generate ANSWERS     make a configuration from answers
+                              (--base FILE adds the team to another one)
+  config check FILE           check a configuration without an instance
+  config accept FILE          put a configuration in force
+                              (--from_version N: the version you started from)
+  config show                 print the configuration in force
+  config where                list the version in force on each instance
+
+batch jobs
+  jobs submit FILE            submit the jobs of a TOML file
+  jobs list                   list jobs (--team NAME, --state STATE)
+  jobs show JOB               show one job
+  jobs cancel JOB             cancel one job
+
+machines
+  workers list                list workers, grants and quarantine
+  workers drain WORKER        give a worker no new jobs
+  workers undrain WORKER      give it jobs again
+  targets list                list targets as the entry instance sees them
+  instances list              list entry instances and their seats
+
+report
+  report burn                 service-level burn by team and service
+                              (--html FILE writes a page with a plot)
+
+flags
+  --entry HOST:PORT           instance to ask (or RAGWORTFIELD_ENTRY)
+  --token_file FILE           operator token (or RAGWORTFIELD_OPERATOR_TOKEN)
+  --json                      machine-readable output
+
+exit status
+  0 done   1 refused   2 usage or bad file   3 instance not reached
+  4 conflict with another change   5 outcome unknown, look before repeating
+"""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Command:
+    """
+    One action of the command line.
+
+    :param run: carries it out.
+    :param has_argument: whether it takes one argument.
+    """
+
+    run: Callable[..., ExitStatus]
+    has_argument: bool = False
+
+
+def main(arguments: list[str]) -> int:
+    """
+    Run one command.
+
+    :param arguments: program name and positional arguments.
+    :returns: exit status.
+    """
+    words = arguments[1:]
+    if not words or words[0] == 'help':
+        write_line(_HELP.rstrip())
+        return ExitStatus.DONE if words else ExitStatus.USAGE
+    if split_address(_ENTRY.value) is None:
+        write_error(f'--entry is {_ENTRY.value!r}, expected HOST:PORT')
+        return ExitStatus.USAGE
+    token = _token()
+    if token is None:
+        return ExitStatus.USAGE
+    client = OperatorClient(address=_ENTRY.value, token=token)
+    actions = Actions(client=client, is_json=_JSON.value)
+    return _run(_commands(actions), words)
+
+
+def run() -> None:
+    """Start from the command line."""
+    if '--help' in sys.argv or '-h' in sys.argv:
+        write_line(_HELP.rstrip())
+        return
+    flags.FLAGS.set_gnu_getopt(gnu_getopt=True)
+    app.run(main, flags_parser=_parse)
+
+
+def _parse(arguments: list[str]) -> list[str]:
+    try:
+        return list(flags.FLAGS(arguments))
+    except flags.Error as error:
+        write_error(str(error))
+        sys.exit(ExitStatus.USAGE)
+
+
+def _commands(actions: Actions) -> dict[tuple[str, str], _Command]:
+    return {
+        ('config', 'questionnaire'): _Command(run=actions.show_questionnaire),
+        ('config', 'generate'): _Command(
+            run=actions.generate_configuration,
+            has_argument=True,
+        ),
+        ('config', 'check'): _Command(
+            run=actions.check_configuration,
+            has_argument=True,
+        ),
+        ('config', 'accept'): _Command(
+            run=actions.accept_configuration,
+            has_argument=True,
+        ),
+        ('config', 'show'): _Command(run=actions.show_configuration),
+        ('config', 'where'): _Command(run=actions.show_versions),
+        ('jobs', 'submit'): _Command(
+            run=actions.submit_jobs,
+            has_argument=True,
+        ),
+        ('jobs', 'list'): _Command(run=actions.list_jobs),
+        ('jobs', 'show'): _Command(run=actions.show_job, has_argument=True),
+        ('jobs', 'cancel'): _Command(
+            run=actions.cancel_job,
+            has_argument=True,
+        ),
+        ('workers', 'list'): _Command(run=actions.list_workers),
+        ('workers', 'drain'): _Command(
+            run=actions.drain_worker,
+            has_argument=True,
+        ),
+        ('workers', 'undrain'): _Command(
+            run=actions.undrain_worker,
+            has_argument=True,
+        ),
+        ('targets', 'list'): _Command(run=actions.list_targets),
+        ('instances', 'list'): _Command(run=actions.list_instances),
+        ('report', 'burn'): _Command(run=actions.report_burn),
+    }
+
+
+def _run(
+    command_by_words: dict[tuple[str, str], _Command],
+    words: list[str],
+) -> int:
+    pair = (words[0], words[1] if len(words) > 1 else '')
+    command = command_by_words.get(pair)
+    if command is None:
+        known = ', '.join(' '.join(one) for one in command_by_words)
+        write_error(f'{" ".join(words)!r} is unknown, expected one of {known}')
+        return ExitStatus.USAGE
+    arguments = words[2:]
+    expected = 1 if command.has_argument else 0
+    if len(arguments) != expected:
+        write_error(
+            f'{" ".join(pair)!r} takes {expected} arguments, got '
+            f'{len(arguments)}',
+        )
+        return ExitStatus.USAGE
+    return command.run(*arguments)
+
+
+def _token() -> str | None:
+    if not _TOKEN_FILE.value:
+        return os.environ.get('RAGWORTFIELD_OPERATOR_TOKEN', '')
+    try:
+        with open(_TOKEN_FILE.value, encoding='utf-8') as token_file:
+            return token_file.read().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        write_error(f'--token_file {_TOKEN_FILE.value!r}: {error}')
+        return None
+
+
+if __name__ == '__main__':
+    run()
--- a/ragwortfield/core/resources.py
+++ b/ragwortfield/core/resources.py
@@ -60,6 +60,20 @@
             and self.accelerators <= limit.accelerators
         )
 
+    def load_of(self, capacity: 'Resources') -> float:
+        """
+        Give the load that this amount puts on the scarcest resource.
+
+        :param capacity: size of the worker.
+        :returns: fraction; 1 means full.
+        """
+        pairs = (
+            (self.cpu, capacity.cpu),
+            (self.memory_mb, capacity.memory_mb),
+            (self.accelerators, capacity.accelerators),
+        )
+        return max((used / size for used, size in pairs if size), default=0)
+
 
 def total_of(amounts: 'list[Resources]') -> Resources:
     """
--- a/ragwortfield/daemons/entry.py
+++ b/ragwortfield/daemons/entry.py
@@ -32,6 +32,7 @@
     load_settings,
     split_address,
 )
+from ragwortfield.types import Seconds
 
 #: Exit status for unusable settings.
 EXIT_SETTINGS = 2
@@ -132,8 +133,8 @@
     def _drain(self) -> None:
         # Connections are closed with their next answer; the server goes on
         # accepting until callers and the balancer have moved on.
-        waited_s = 0.0
-        idle_s = 0.0
+        waited_s: Seconds = 0
+        idle_s: Seconds = 0
         while idle_s < _DRAIN_IDLE_S and waited_s < _DRAIN_LIMIT_S:
             gevent.sleep(_DRAIN_STEP_S)
             waited_s += _DRAIN_STEP_S
--- a/ragwortfield/engine/deferred_desk.py
+++ b/ragwortfield/engine/deferred_desk.py
@@ -1,9 +1,10 @@
-"""Deferred requests: accepted durably, run later by the holder of their seat."""
+"""Deferred requests: recorded first, run by the holder of their seat."""
 
 import hashlib
 import uuid
 from collections.abc import Callable
 from dataclasses import replace
+from http import HTTPStatus
 
 import gevent
 from gevent.pool import Pool
@@ -44,9 +45,6 @@
 _ACCEPT_TIMEOUT_S = 2.0
 #: Deferred requests that one instance runs at once.
 _CONCURRENCY = 4
-_TOO_LARGE = 413
-_SERVICE_UNAVAILABLE = 503
-_UNPROCESSABLE = 422
 
 #: Runs an admitted request to its outcome.
 RunRequest = Callable[[Configuration, CallerRequest], RequestOutcome]
@@ -95,7 +93,7 @@
         """
         if len(request.body) > self._max_body_bytes:
             return Refusal(
-                status=_TOO_LARGE,
+                status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                 code='body-too-large',
                 message=(
                     f'the body of a deferred request has '
@@ -171,26 +169,31 @@
             if isinstance(record, Malformed):
                 event('deferred_row_malformed', key=row.key)
                 continue
-            if row.key in self._running:
-                continue
-            if record.state is DeferredState.RUNNING:
-                self._recover(row.key, row.version, record, held)
-            elif (
-                record.state is DeferredState.WAITING
-                and self._pool.free_count()
-            ):
-                self._running.add(row.key)
-                self._pool.spawn(
-                    self._run_one,
-                    configuration,
-                    _Task(
-                        row_key=row.key,
-                        version=row.version,
-                        record=record,
-                        generation=held.generation,
-                    ),
-                    run,
-                )
+            task = _Task(
+                row_key=row.key,
+                version=row.version,
+                record=record,
+                generation=held.generation,
+            )
+            self._take_on(configuration, task, held, run)
+
+    def _take_on(
+        self,
+        configuration: Configuration,
+        task: '_Task',
+        held: HeldSeat,
+        run: RunRequest,
+    ) -> None:
+        record = task.record
+        if task.row_key in self._running:
+            return
+        if record.state is DeferredState.RUNNING:
+            self._recover(task.row_key, task.version, record, held)
+            return
+        is_waiting = record.state is DeferredState.WAITING
+        if is_waiting and self._pool.free_count():
+            self._running.add(task.row_key)
+            self._pool.spawn(self._run_one, configuration, task, run)
 
     def _run_one(
         self,
@@ -322,7 +325,7 @@
         same = (known.method, known.path, known.body)
         if same != (record.method, record.path, record.body):
             return Refusal(
-                status=_UNPROCESSABLE,
+                status=HTTPStatus.UNPROCESSABLE_ENTITY,
                 code='key-reused',
                 message='this key was used before for another request',
             )
@@ -340,7 +343,7 @@
         if isinstance(known, DeferredRecord):
             return self._accepted_before(receipt_id, record)
         return Refusal(
-            status=_SERVICE_UNAVAILABLE,
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
             code='acceptance-unknown',
             message=f'the record may exist: {outcome.reason}',
             run_state=RunState.UNKNOWN,
@@ -463,7 +466,7 @@
 
 def _not_durable(reason: str) -> Refusal:
     return Refusal(
-        status=_SERVICE_UNAVAILABLE,
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
         code='not-durable',
         message=f'the request could not be recorded: {reason}',
         retry_after_s=1,
--- a/ragwortfield/engine/dispatcher.py
+++ b/ragwortfield/engine/dispatcher.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import dataclass, replace
+from http import HTTPStatus
 from typing import Protocol
 
 import gevent
@@ -58,10 +59,6 @@
 _SERVICE_TIME_WEIGHT = 0.05
 #: Smallest useful rest of a deadline, in seconds.
 _SMALLEST_REST_S = 0.001
-_SERVICE_UNAVAILABLE = 503
-_GATEWAY_TIMEOUT = 504
-_BAD_GATEWAY = 502
-_SERVER_ERRORS_FROM = 500
 
 
 class RelayFields(Protocol):
@@ -94,6 +91,20 @@
     excluded: frozenset[str]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Step:
+    """
+    One attempt of a request.
+
+    :param name: the target or peer that was tried.
+    :param served: what the caller gets; ``None`` when the attempt failed.
+    """
+
+    name: str
+    outcome: ExchangeOutcome
+    served: Served | Relayed | None = None
+
+
 #: Where a request may go next.
 _Placement = TargetChoice | PeerChoice | Refusal
 
@@ -141,7 +152,6 @@
         :param request: the checked request.
         :returns: the answer, or a refusal that says what is certain.
         """
-        service = configuration.services[request.service]
         excluded: frozenset[str] = frozenset()
         outcome: ExchangeOutcome = NotSent(reason='nothing tried yet')
         for attempt in range(MAX_ATTEMPTS):
@@ -149,22 +159,15 @@
                 break
             placement = self._place(configuration, request, excluded)
             if isinstance(placement, Refusal):
+                # A send whose run is unknown is not undone by a refusal.
                 if isinstance(outcome, Broken):
                     break
                 return placement
-            if isinstance(placement, PeerChoice):
-                name = placement.peer.instance_id
-                outcome = self._relay(configuration, request, placement.peer)
-                if _is_passed_on(outcome, request):
-                    return Relayed(answer=outcome, peer_id=name)
-                if isinstance(outcome, WholeAnswer):
-                    outcome = NotSent(reason=f'peer {name} had no free slot')
-            else:
-                name = placement.target.target_id
-                outcome = self._attempt(service, request, placement.target)
-                if isinstance(outcome, WholeAnswer):
-                    return Served(answer=outcome, target_id=name)
-            excluded = excluded | {name}
+            step = self._step(configuration, request, placement)
+            if step.served is not None:
+                return step.served
+            outcome = step.outcome
+            excluded = excluded | {step.name}
         return self._failure(request, outcome)
 
     def relay_to(
@@ -181,7 +184,7 @@
         :param peer: the only peer that may decide about it.
         :returns: the peer's answer, or a refusal that says what is certain.
         """
-        outcome = self._relay(configuration, request, peer)
+        outcome = self._relay(request, peer)
         if isinstance(outcome, WholeAnswer):
             return Relayed(answer=outcome, peer_id=peer.instance_id)
         return self._failure(request, outcome)
@@ -201,6 +204,45 @@
             self._queue.size(service) for service in self._queue.services()
         )
 
+    def _step(
+        self,
+        configuration: Configuration,
+        request: CallerRequest,
+        placement: TargetChoice | PeerChoice,
+    ) -> _Step:
+        if isinstance(placement, TargetChoice):
+            service = configuration.services[request.service]
+            return self._step_to_target(service, request, placement.target)
+        peer = placement.peer
+        name = peer.instance_id
+        outcome = self._relay(request, peer)
+        if not isinstance(outcome, WholeAnswer):
+            return _Step(name=name, outcome=outcome)
+        if _is_capacity_refusal(outcome):
+            reason = f'peer {name} had no free slot'
+            return _Step(name=name, outcome=NotSent(reason=reason))
+        return _Step(
+            name=name,
+            outcome=outcome,
+            served=Relayed(answer=outcome, peer_id=name),
+        )
+
+    def _step_to_target(
+        self,
+        service: Service,
+        request: CallerRequest,
+        target: Target,
+    ) -> _Step:
+        name = target.target_id
+        outcome = self._attempt(service, request, target)
+        if isinstance(outcome, WholeAnswer):
+            return _Step(
+                name=name,
+                outcome=outcome,
+                served=Served(answer=outcome, target_id=name),
+            )
+        return _Step(name=name, outcome=outcome)
+
     def _may_retry(
         self,
         request: CallerRequest,
@@ -423,7 +465,7 @@
         now: Instant,
     ) -> None:
         self._links.observe(target, answer)
-        if answer.status >= _SERVER_ERRORS_FROM:
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             record_failure(self._tables, target.target_id, now)
             return
         record_answer(self._tables, target.target_id, answer.duration_s)
@@ -450,7 +492,6 @@
 
     def _relay(
         self,
-        configuration: Configuration,
         request: CallerRequest,
         peer: Peer,
     ) -> ExchangeOutcome:
@@ -496,7 +537,11 @@
     ) -> Refusal:
         if isinstance(outcome, Broken):
             self.counts.refused += 1
-            status = _GATEWAY_TIMEOUT if outcome.is_silent else _BAD_GATEWAY
+            status = (
+                HTTPStatus.GATEWAY_TIMEOUT
+                if outcome.is_silent
+                else HTTPStatus.BAD_GATEWAY
+            )
             return Refusal(
                 status=status,
                 code='no-whole-answer',
@@ -517,7 +562,7 @@
     ) -> Refusal:
         self.counts.refused += 1
         return Refusal(
-            status=_SERVICE_UNAVAILABLE,
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
             code=code,
             message=message,
             retry_after_s=retry_after_s,
@@ -540,18 +585,13 @@
 
 def _unless_refused_unrun(outcome: ExchangeOutcome) -> ExchangeOutcome:
     # A target that says itself that it did not run the request is believed.
-    if isinstance(outcome, WholeAnswer):
-        said = outcome.field_value('ragwortfield-run')
-        if outcome.status == _SERVICE_UNAVAILABLE and said == RunState.NOT_RUN:
-            return NotSent(reason='the target refused without running')
+    if isinstance(outcome, WholeAnswer) and _is_capacity_refusal(outcome):
+        return NotSent(reason='the target refused without running')
     return outcome
 
 
-def _is_passed_on(outcome: ExchangeOutcome, request: CallerRequest) -> bool:
-    if not isinstance(outcome, WholeAnswer):
-        return False
-    is_capacity_refusal = (
-        outcome.status == _SERVICE_UNAVAILABLE
-        and outcome.field_value('ragwortfield-run') == RunState.NOT_RUN
+def _is_capacity_refusal(answer: WholeAnswer) -> bool:
+    return (
+        answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+        and answer.field_value('ragwortfield-run') == RunState.NOT_RUN
     )
-    return not is_capacity_refusal
--- a/ragwortfield/engine/job_runner.py
+++ b/ragwortfield/engine/job_runner.py
@@ -153,14 +153,13 @@
         listing = self._tables.listing
         if listing is None:
             return
+        own = self._tables.identity.data_centre
         for listed in listing.instances:
-            if listed.kind != 'worker':
+            if listed.kind != 'worker' or listed.data_centre != own:
                 continue
-            if listed.data_centre != self._tables.identity.data_centre:
-                continue
-            row = self._tables.worker_row_by_id.get(listed.instance_id)
             if not self._is_home_of(listed.instance_id, held):
                 continue
+            row = self._tables.worker_row_by_id.get(listed.instance_id)
             if row is None:
                 self._add_worker(listed)
             elif row.worker.is_draining != listed.is_leaving:
--- a/ragwortfield/engine/reception.py
+++ b/ragwortfield/engine/reception.py
@@ -1,6 +1,7 @@
 """Reception: what happens to a caller's request, from admission to outcome."""
 
 from dataclasses import replace
+from http import HTTPStatus
 
 import gevent
 
@@ -44,10 +45,6 @@
 _HOME_WAIT_S = 2.0
 #: Time between looks for the next holder, in seconds.
 _HOME_STEP_S = 0.05
-_CONFLICT = 409
-_UNPROCESSABLE = 422
-_TOO_MANY = 429
-_SERVICE_UNAVAILABLE = 503
 #: Advice to a caller whose earlier send is still running, in seconds.
 _RUNNING_RETRY_S = 1
 #: Advice to a caller while a seat has no reachable holder, in seconds.
@@ -92,7 +89,7 @@
         configuration = self._tables.configuration()
         if configuration is None:
             return Refusal(
-                status=_SERVICE_UNAVAILABLE,
+                status=HTTPStatus.SERVICE_UNAVAILABLE,
                 code='no-configuration',
                 message='this instance knows no configuration yet',
                 retry_after_s=1,
@@ -154,7 +151,7 @@
         )
         if isinstance(spent, QuotaSpent):
             return Refusal(
-                status=_TOO_MANY,
+                status=HTTPStatus.TOO_MANY_REQUESTS,
                 code='quota-spent',
                 message=f'the quota of team {request.team!r} is spent',
                 retry_after_s=spent.retry_after_s,
@@ -249,14 +246,14 @@
                     is_replay=True,
                 )
             return Refusal(
-                status=_CONFLICT,
+                status=HTTPStatus.CONFLICT,
                 code='already-ran',
                 message='an earlier send ran; its answer was not kept',
                 earlier_state=RunState.RAN,
             )
         if isinstance(decision, RunningClaim):
             return Refusal(
-                status=_CONFLICT,
+                status=HTTPStatus.CONFLICT,
                 code='still-running',
                 message='an earlier send of this key is still running',
                 earlier_state=RunState.UNKNOWN,
@@ -264,7 +261,7 @@
             )
         if isinstance(decision, MismatchedClaim):
             return Refusal(
-                status=_UNPROCESSABLE,
+                status=HTTPStatus.UNPROCESSABLE_ENTITY,
                 code='key-reused',
                 message='this key was used before for another request',
             )
@@ -274,7 +271,7 @@
 
     def _uncertain(self, reason: str) -> Refusal:
         return Refusal(
-            status=_CONFLICT,
+            status=HTTPStatus.CONFLICT,
             code='earlier-send-unknown',
             message=f'this send was not run: {reason}',
             earlier_state=RunState.UNKNOWN,
@@ -283,7 +280,7 @@
     def _homeless(self, home: SeatId) -> Refusal:
         place = self._tables.identity.data_centre
         return Refusal(
-            status=_SERVICE_UNAVAILABLE,
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
             code='key-home-unreachable',
             message=(
                 f'this send was not run: seat {home.row_key()}, which '
--- a/ragwortfield/front/application.py
+++ b/ragwortfield/front/application.py
@@ -1,6 +1,7 @@
 """WSGI application of an entry instance."""
 
 from collections.abc import Callable, Iterable
+from http import HTTPStatus
 from typing import Any
 
 from ragwortfield.core.outcomes import RunState
@@ -75,7 +76,7 @@
         except Exception as error:
             event('request_failed', error=repr(error))
             response = json_response(
-                500,
+                HTTPStatus.INTERNAL_SERVER_ERROR,
                 {
                     'error': 'internal',
                     'message': 'an error inside this instance; whether the '
@@ -98,7 +99,7 @@
             if path.startswith(prefix):
                 return serve(environ)
         return json_response(
-            404,
+            HTTPStatus.NOT_FOUND,
             {
                 'error': 'unknown-path',
                 'message': (
@@ -113,7 +114,7 @@
     def _serve_caller(self, environ: dict[str, Any]) -> Response:
         if self.active > self._max_requests:
             return json_response(
-                503,
+                HTTPStatus.SERVICE_UNAVAILABLE,
                 {
                     'error': 'too-many-requests',
                     'message': f'{self.active} requests are under way, '
@@ -133,7 +134,7 @@
         )
         body, fields = self._node.recorder.render()
         return Response(
-            status=200,
+            status=HTTPStatus.OK,
             fields=tuple(
                 (name, text)
                 for name, text in fields.items()
@@ -144,7 +145,7 @@
 
     def _show_health(self, environ: dict[str, Any]) -> Response:
         return json_response(
-            200,
+            HTTPStatus.OK,
             {'instance': self._node.tables.identity.instance_id},
         )
 
@@ -152,7 +153,7 @@
         is_ready = self._node.is_ready()
         tables = self._node.tables
         return json_response(
-            200 if is_ready else 503,
+            HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE,
             {
                 'ready': is_ready,
                 'configuration_version': tables.configuration_version(),
--- a/ragwortfield/front/callers.py
+++ b/ragwortfield/front/callers.py
@@ -1,7 +1,9 @@
 """The callers' interface: HTTP requests to services, and receipts."""
 
+import math
 import time
 import uuid
+from http import HTTPStatus
 from typing import Any
 from urllib.parse import unquote
 
@@ -120,7 +122,7 @@
         record = self._deferred.look_up(receipt_id)
         if isinstance(record, Unavailable):
             return json_response(
-                503,
+                HTTPStatus.SERVICE_UNAVAILABLE,
                 {'error': 'receipt-unavailable', 'message': record.reason},
                 ('retry-after', '1'),
             )
@@ -130,7 +132,7 @@
         )
         if record is None or not is_own:
             return json_response(
-                404,
+                HTTPStatus.NOT_FOUND,
                 {
                     'error': 'unknown-receipt',
                     'message': (
@@ -152,7 +154,7 @@
         note = self._signer.check(text, request_id, team)
         if note is None:
             return Refusal(
-                status=403,
+                status=HTTPStatus.FORBIDDEN,
                 code='bad-relay',
                 message=f'header field {RELAY_FIELD!r} is not genuine',
             )
@@ -233,7 +235,7 @@
     if isinstance(outcome, (Served, Relayed)):
         return outcome.answer.status
     if isinstance(outcome, Receipt):
-        return 202
+        return HTTPStatus.ACCEPTED
     return outcome.status
 
 
@@ -248,7 +250,7 @@
         )
     if isinstance(outcome, Receipt):
         return json_response(
-            202,
+            HTTPStatus.ACCEPTED,
             {
                 'receipt': outcome.receipt_id,
                 'result': RECEIPT_PREFIX + outcome.receipt_id,
@@ -294,7 +296,7 @@
         document['earlier'] = refusal.earlier_state.value
         fields.append((EARLIER_FIELD, refusal.earlier_state.value))
     if refusal.retry_after_s:
-        whole_s = max(int(refusal.retry_after_s + 0.999), 1)
+        whole_s = max(math.ceil(refusal.retry_after_s), 1)
         fields.append(('retry-after', str(whole_s)))
     return json_response(refusal.status, document, *fields)
 
@@ -311,10 +313,13 @@
             body=bytes.fromhex(record.answer_body),
         )
     run_state = RunState.UNKNOWN
+    status = HTTPStatus.ACCEPTED
+    if record.state is DeferredState.UNKNOWN:
+        status = HTTPStatus.CONFLICT
     if record.state is DeferredState.WAITING and record.attempts == 0:
         run_state = RunState.NOT_RUN
     return json_response(
-        202 if record.state is not DeferredState.UNKNOWN else 409,
+        status,
         {
             'receipt': receipt_id,
             'state': record.state.value,
--- a/ragwortfield/front/http.py
+++ b/ragwortfield/front/http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
 from ragwortfield.adapters.documents import encode_json
@@ -11,28 +12,7 @@
 #: Start of the WSGI names of header fields.
 _FIELD_PREFIX = 'HTTP_'
 #: Bytes read from a body of unknown length at once.
-_BLOCK_BYTES = 64 * 1024
-
-_PHRASE_BY_STATUS = {
-    200: 'OK',
-    201: 'Created',
-    202: 'Accepted',
-    204: 'No Content',
-    400: 'Bad Request',
-    401: 'Unauthorized',
-    403: 'Forbidden',
-    404: 'Not Found',
-    405: 'Method Not Allowed',
-    409: 'Conflict',
-    413: 'Content Too Large',
-    422: 'Unprocessable Content',
-    429: 'Too Many Requests',
-    431: 'Request Header Fields Too Large',
-    500: 'Internal Server Error',
-    502: 'Bad Gateway',
-    503: 'Service Unavailable',
-    504: 'Gateway Timeout',
-}
+_BLOCK_BYTES = 10**5
 
 StartResponse = Callable[..., Any]
 
@@ -77,7 +57,7 @@
     :param name: lower-case name of the field.
     :returns: its value; empty when absent.
     """
-    key = _FIELD_PREFIX + name.upper().replace('-', '_')
+    key = '{0}{1}'.format(_FIELD_PREFIX, name.upper().replace('-', '_'))
     return str(environ.get(key, '')).strip()
 
 
@@ -111,7 +91,7 @@
     is_chunked = 'chunked' in field_value(environ, 'transfer-encoding')
     if length_text and not length_text.isdigit():
         return BodyError(
-            status=400,
+            status=HTTPStatus.BAD_REQUEST,
             code='bad-length',
             message=f'Content-Length {length_text!r} is not a whole number',
         )
@@ -134,7 +114,7 @@
     return Response(
         status=status,
         fields=(('content-type', 'application/json'), *fields),
-        body=encode_json(document) + b'\n',
+        body=b'%b\n' % encode_json(document),
     )
 
 
@@ -152,17 +132,23 @@
     :param is_closing: whether the connection ends after it.
     :returns: the body for the server.
     """
-    phrase = _PHRASE_BY_STATUS.get(response.status, 'Status')
     fields = [
         *response.fields,
         ('content-length', str(len(response.body))),
     ]
     if is_closing:
         fields.append(('connection', 'close'))
-    start_response(f'{response.status} {phrase}', fields)
+    start_response(_status_line(response.status), fields)
     return [response.body]
 
 
+def _status_line(status: int) -> str:
+    # A target may answer with a status that no registry knows.
+    if status in tuple(HTTPStatus):
+        return f'{int(status)} {HTTPStatus(status).phrase}'
+    return f'{status} Status'
+
+
 def _read_stream(
     environ: dict[str, Any],
     limit: int,
@@ -178,7 +164,7 @@
             body += block
     except OSError as error:
         return BodyError(
-            status=400,
+            status=HTTPStatus.BAD_REQUEST,
             code='body-cut-off',
             message=f'the body ended after {len(body)} bytes: {error}',
         )
@@ -186,7 +172,7 @@
         return _too_large(f'more than {limit} bytes', limit)
     if length_text and len(body) != int(length_text):
         return BodyError(
-            status=400,
+            status=HTTPStatus.BAD_REQUEST,
             code='body-cut-off',
             message=(
                 f'the body has {len(body)} bytes, Content-Length says '
@@ -198,7 +184,7 @@
 
 def _too_large(size: str, limit: int) -> BodyError:
     return BodyError(
-        status=413,
+        status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
         code='body-too-large',
         message=f'the body has {size}, expected at most {limit} bytes',
     )
--- a/ragwortfield/front/operators.py
+++ b/ragwortfield/front/operators.py
@@ -3,6 +3,7 @@
 import hmac
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from http import HTTPStatus
 from typing import Any
 from urllib.parse import unquote
 
@@ -123,7 +124,7 @@
         token = field_value(environ, OPERATOR_FIELD).encode()
         if not hmac.compare_digest(token, self._token):
             return _error(
-                401,
+                HTTPStatus.UNAUTHORIZED,
                 'wrong-operator-token',
                 f'header field {OPERATOR_FIELD!r} is not the operator token',
             )
@@ -135,7 +136,7 @@
         call = self._call_by_route.get((environ['REQUEST_METHOD'], subject))
         if call is None:
             return _error(
-                404,
+                HTTPStatus.NOT_FOUND,
                 'unknown-call',
                 f'{environ["REQUEST_METHOD"]} {path!r} is not a call of the '
                 "operators' interface",
@@ -146,13 +147,13 @@
         tables = self._node.tables
         if tables.version is None:
             return _error(
-                404,
+                HTTPStatus.NOT_FOUND,
                 'no-configuration',
                 'this instance knows no configuration yet',
             )
         views = self._views()
         return json_response(
-            200,
+            HTTPStatus.OK,
             {
                 'version': tables.version.version,
                 'text': tables.configuration_text,
@@ -166,13 +167,19 @@
     def _accept_configuration(self, rest: str, body: bytes) -> Response:
         call = decode_json(body, AcceptCall)
         if isinstance(call, Malformed):
-            return _error(400, 'bad-call', call.reason)
+            return _error(HTTPStatus.BAD_REQUEST, 'bad-call', call.reason)
         configuration = parse_configuration(call.text, 'configuration')
         if isinstance(configuration, SettingsError):
-            return _error(422, 'bad-configuration', configuration.text())
+            return _error(
+                HTTPStatus.UNPROCESSABLE_ENTITY,
+                'bad-configuration',
+                configuration.text(),
+            )
         problem = self._place_change(configuration)
         if problem:
-            return _error(422, 'places-changed', problem)
+            return _error(
+                HTTPStatus.UNPROCESSABLE_ENTITY, 'places-changed', problem
+            )
         version = call.expected_version + 1
         row_body = {'text': call.text}
         outcome = self._node.platform.transact(
@@ -196,7 +203,7 @@
         self._node.sync.read_configuration()
         self._node.peers.announce()
         event('configuration_accepted', version=version)
-        return json_response(200, {'version': version})
+        return json_response(HTTPStatus.OK, {'version': version})
 
     def _configuration_conflict(
         self,
@@ -205,7 +212,7 @@
     ) -> Response:
         self._node.sync.read_configuration()
         return _error(
-            409,
+            HTTPStatus.CONFLICT,
             'configuration-conflict',
             f'version {conflict.version} was accepted meanwhile, this change '
             f'started from version {call.expected_version}',
@@ -225,16 +232,20 @@
                 texts = [row.body.get('text') for row in found.rows]
                 if call.text in texts:
                     self._node.sync.read_configuration()
-                    return json_response(200, {'version': version})
+                    return json_response(HTTPStatus.OK, {'version': version})
                 return _error(
-                    503,
+                    HTTPStatus.SERVICE_UNAVAILABLE,
                     'not-accepted',
                     f'the configuration was not accepted: {outcome.reason}',
                 )
         code = 'not-accepted'
         if outcome.is_effect_possible:
             code = 'acceptance-unknown'
-        return _error(503, code, f'the platform failed: {outcome.reason}')
+        return _error(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            code,
+            f'the platform failed: {outcome.reason}',
+        )
 
     def _place_change(self, configuration: Configuration) -> str:
         # Seats divide each target; another number of seats would give two
@@ -255,13 +266,17 @@
     def _submit_jobs(self, rest: str, body: bytes) -> Response:
         call = decode_json(body, SubmitCall)
         if isinstance(call, Malformed):
-            return _error(400, 'bad-call', call.reason)
+            return _error(HTTPStatus.BAD_REQUEST, 'bad-call', call.reason)
         configuration = self._node.tables.configuration()
         if configuration is None:
-            return _error(503, 'no-configuration', 'no configuration known')
+            return _error(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'no-configuration',
+                'no configuration known',
+            )
         problem = _submit_problem(configuration, call)
         if problem:
-            return _error(422, 'bad-job', problem)
+            return _error(HTTPStatus.UNPROCESSABLE_ENTITY, 'bad-job', problem)
         place = call.data_centre or self._node.tables.identity.data_centre
         wall = self._node.clock.wall()
         jobs = [new_job(spec, place, wall) for spec in call.jobs]
@@ -276,27 +291,33 @@
             ),
         )
         if isinstance(outcome, Committed):
-            return json_response(200, {'jobs': [job.job_id for job in jobs]})
+            return json_response(
+                HTTPStatus.OK, {'jobs': [job.job_id for job in jobs]}
+            )
         if isinstance(outcome, Unavailable) and outcome.is_effect_possible:
             names = ', '.join(job.job_id for job in jobs)
             return _error(
-                503,
+                HTTPStatus.SERVICE_UNAVAILABLE,
                 'submission-unknown',
                 f'these jobs may exist, look before sending again: {names}',
             )
-        return _error(503, 'not-submitted', 'the jobs were not recorded')
+        return _error(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'not-submitted',
+            'the jobs were not recorded',
+        )
 
     def _list_jobs(self, rest: str, body: bytes) -> Response:
         if rest:
             found = self._find_job(rest)
             if isinstance(found, Response):
                 return found
-            return json_response(200, found.job)
+            return json_response(HTTPStatus.OK, found.job)
         scanned = self._node.platform.scan('jobs/')
         if isinstance(scanned, Unavailable):
             return _unavailable(scanned)
         return json_response(
-            200,
+            HTTPStatus.OK,
             {'jobs': [to_document(row.job) for row in job_rows(scanned)]},
         )
 
@@ -307,14 +328,16 @@
                 return found
             is_final = found.job.state in FINAL_STATES
             if is_final or found.job.is_cancel_wanted:
-                return json_response(200, found.job)
+                return json_response(HTTPStatus.OK, found.job)
             wanted = replace(found.job, is_cancel_wanted=True)
             outcome = self._node.platform.transact((job_write(found, wanted),))
             if isinstance(outcome, Committed):
-                return json_response(200, wanted)
+                return json_response(HTTPStatus.OK, wanted)
             if isinstance(outcome, Unavailable):
                 return _unavailable(outcome)
-        return _error(409, 'job-changing', f'job {rest!r} keeps changing')
+        return _error(
+            HTTPStatus.CONFLICT, 'job-changing', f'job {rest!r} keeps changing'
+        )
 
     def _find_job(self, job_id: str) -> JobRow | Response:
         configuration = self._node.tables.configuration()
@@ -322,14 +345,20 @@
         if configuration is not None:
             key = job_key(configuration, job_id)
         if key is None:
-            return _error(404, 'unknown-job', f'job {job_id!r} is unknown')
+            return _error(
+                HTTPStatus.NOT_FOUND,
+                'unknown-job',
+                f'job {job_id!r} is unknown',
+            )
         found = self._node.platform.scan(key)
         if isinstance(found, Unavailable):
             return _unavailable(found)
         for row in job_rows(found):
             if row.key == key:
                 return row
-        return _error(404, 'unknown-job', f'job {job_id!r} is unknown')
+        return _error(
+            HTTPStatus.NOT_FOUND, 'unknown-job', f'job {job_id!r} is unknown'
+        )
 
     def _list_workers(self, rest: str, body: bytes) -> Response:
         scanned = self._node.platform.scan('workers/')
@@ -337,7 +366,7 @@
             return _unavailable(scanned)
         wall = self._node.clock.wall()
         return json_response(
-            200,
+            HTTPStatus.OK,
             {
                 'workers': [
                     {
@@ -353,7 +382,7 @@
         worker_id, _, action = rest.rpartition('/')
         if action not in {'drain', 'undrain'}:
             return _error(
-                404,
+                HTTPStatus.NOT_FOUND,
                 'unknown-call',
                 f"action {action!r}, expected 'drain' or 'undrain'",
             )
@@ -376,8 +405,10 @@
                 (worker_write(rows[0], changed),)
             )
             if isinstance(outcome, Committed):
-                return json_response(200, changed)
-        return _error(404, 'unknown-worker', f'no worker {worker_id!r}')
+                return json_response(HTTPStatus.OK, changed)
+        return _error(
+            HTTPStatus.NOT_FOUND, 'unknown-worker', f'no worker {worker_id!r}'
+        )
 
     def _list_targets(self, rest: str, body: bytes) -> Response:
         tables = self._node.tables
@@ -386,7 +417,7 @@
         for target in tables.target_by_id.values():
             health = tables.health_by_target.get(target.target_id)
             share = tables.share_by_target.get(target.target_id)
-            ejected_s = 0.0
+            ejected_s: float = 0
             if health is not None:
                 ejected_s = max(health.ejected_until - now, 0)
             targets.append(
@@ -397,10 +428,10 @@
                     'ejected_for_s': ejected_s,
                 }
             )
-        return json_response(200, {'targets': targets})
+        return json_response(HTTPStatus.OK, {'targets': targets})
 
     def _list_instances(self, rest: str, body: bytes) -> Response:
-        return json_response(200, {'instances': self._views()})
+        return json_response(HTTPStatus.OK, {'instances': self._views()})
 
     def _show_burn(self, rest: str, body: bytes) -> Response:
         scanned = self._node.platform.scan(BURN_PREFIX)
@@ -409,7 +440,7 @@
         configuration = self._node.tables.configuration()
         services = {} if configuration is None else configuration.services
         return json_response(
-            200,
+            HTTPStatus.OK,
             {
                 'objectives': {
                     name: service.objective_share
@@ -468,7 +499,7 @@
 
 def _unavailable(outcome: Unavailable) -> Response:
     return _error(
-        503,
+        HTTPStatus.SERVICE_UNAVAILABLE,
         'platform-unavailable',
         f'the platform gave no answer: {outcome.reason}',
     )
--- a/ragwortfield/report/recorder.py
+++ b/ragwortfield/report/recorder.py
@@ -3,6 +3,7 @@
 import time
 from collections import deque
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -15,7 +16,7 @@
 #: Buckets kept in memory until they are in the platform's table.
 _KEPT_BUCKETS = 24 * 60
 _MS_PER_S = 1000
-_SERVER_ERRORS_FROM = 500
+_SERVER_ERRORS_FROM = HTTPStatus.INTERNAL_SERVER_ERROR
 _LATENCY_BOUNDS_S = (
     0.001,
     0.0025,
--- a/ragwortfield/settings/checking.py
+++ b/ragwortfield/settings/checking.py
@@ -56,8 +56,8 @@
         return SettingsError(source=source, problems=unknown)
     converted = from_document(document, kind)
     if isinstance(converted, Malformed):
-        problem = _with_value(converted.reason, document)
-        return SettingsError(source=source, problems=(problem,))
+        problems = _misfits(document, kind, '', converted.reason)
+        return SettingsError(source=source, problems=tuple(problems))
     return converted
 
 
@@ -71,13 +71,14 @@
     problems = []
     for key, nested in document.items():
         place = f'{path}.{key}' if path else key
-        if key in hints:
-            problems.extend(_unknown_keys(nested, hints[key], place))
-        else:
+        nested_kind = hints.get(key)
+        if nested_kind is None:
             expected = ', '.join(sorted(hints))
             problems.append(
                 f'key {place!r} is unknown, expected one of {expected}',
             )
+            continue
+        problems.extend(_unknown_keys(nested, nested_kind, place))
     return problems
 
 
@@ -106,16 +107,35 @@
     return None
 
 
-def _with_value(reason: str, document: dict[str, Any]) -> str:
-    # The reason ends in "- at `$.table.key`"; the value there makes the
-    # error readable without opening the file.
-    message, separator, path = reason.partition(' - at `$.')
-    if not separator:
-        return reason
-    found: Any = document
-    keys = path.rstrip('`').split('.')
-    for key in keys:
-        if not isinstance(found, dict) or key not in found:
-            return reason
-        found = found[key]
-    return f'key {".".join(keys)!r} is {found!r}: {message}'
+def _misfits(document: Any, kind: Any, path: str, reason: str) -> list[str]:
+    """Find the innermost values that do not fit, to name each of them."""
+    nested_kinds = _nested_kinds(document, kind)
+    problems = []
+    for key, nested_kind in nested_kinds.items():
+        nested = from_document(document[key], nested_kind)
+        if isinstance(nested, Malformed):
+            place = f'{path}.{key}' if path else key
+            problems.extend(
+                _misfits(document[key], nested_kind, place, nested.reason),
+            )
+    if problems:
+        return problems
+    if not path:
+        return [reason]
+    message = reason.partition(' - at `')[0]
+    if isinstance(document, dict):
+        return [f'table {path!r}: {message}']
+    return [f'key {path!r} is {document!r}: {message}']
+
+
+def _nested_kinds(document: Any, kind: Any) -> dict[str, Any]:
+    if not isinstance(document, dict):
+        return {}
+    if typing.get_origin(kind) is dict:
+        nested_kind = typing.get_args(kind)[1]
+        return dict.fromkeys(document, nested_kind)
+    fields_kind = _data_class_in(kind)
+    if fields_kind is None:
+        return {}
+    hints = typing.get_type_hints(fields_kind)
+    return {key: hints[key] for key in document if key in hints}
--- a/ragwortfield/settings/instance.py
+++ b/ragwortfield/settings/instance.py
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LogTable:
-    """Log settings; ``level`` is ``debug``, ``info``, ``warning``, ``error``."""
+    """Level of the log: ``debug``, ``info``, ``warning`` or ``error``."""
 
     level: str = 'info'
 
--- a/ragwortfield/systems/admission.py
+++ b/ragwortfield/systems/admission.py
@@ -4,6 +4,7 @@
 import hmac
 import math
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from ragwortfield.core.configuration import (
     RANK_BY_CLASS,
@@ -19,11 +20,6 @@
 #: Longest idempotency key, in characters.
 MAX_KEY_LENGTH = 128
 _MS_PER_S = 1000
-_BAD_REQUEST = 400
-_UNAUTHORIZED = 401
-_FORBIDDEN = 403
-_NOT_FOUND = 404
-_GATEWAY_TIMEOUT = 504
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -90,7 +86,7 @@
     service = configuration.services.get(raw.service)
     if service is None:
         return Refusal(
-            status=_NOT_FOUND,
+            status=HTTPStatus.NOT_FOUND,
             code='unknown-service',
             message=f'service {raw.service!r} is not in the configuration',
         )
@@ -105,7 +101,7 @@
         return budget_s
     if len(raw.key) > MAX_KEY_LENGTH or not raw.key.isprintable():
         return Refusal(
-            status=_BAD_REQUEST,
+            status=HTTPStatus.BAD_REQUEST,
             code='bad-key',
             message=(
                 f'Idempotency-Key has {len(raw.key)} characters, expected at '
@@ -136,7 +132,7 @@
     team = configuration.teams.get(raw.team)
     if team is None:
         return Refusal(
-            status=_UNAUTHORIZED,
+            status=HTTPStatus.UNAUTHORIZED,
             code='unknown-team',
             message=f'team {raw.team!r} is not in the configuration',
         )
@@ -144,7 +140,7 @@
         return team
     if not is_token_of(team, raw.token):
         return Refusal(
-            status=_UNAUTHORIZED,
+            status=HTTPStatus.UNAUTHORIZED,
             code='wrong-token',
             message=f'the token is not one of team {raw.team!r}',
         )
@@ -166,14 +162,14 @@
     if text not in tuple(RequestClass):
         expected = ', '.join(RequestClass)
         return Refusal(
-            status=_BAD_REQUEST,
+            status=HTTPStatus.BAD_REQUEST,
             code='unknown-class',
             message=f'class {text!r} is unknown, expected one of {expected}',
         )
     wanted = RequestClass(text)
     if RANK_BY_CLASS[wanted] < RANK_BY_CLASS[team.highest_class]:
         return Refusal(
-            status=_FORBIDDEN,
+            status=HTTPStatus.FORBIDDEN,
             code='class-too-high',
             message=(
                 f'team {raw.team!r} may ask for class '
@@ -198,7 +194,7 @@
     longest_s = configuration.timing.takeover_after_s
     if math.isnan(budget_s) or budget_s > longest_s:
         return Refusal(
-            status=_BAD_REQUEST,
+            status=HTTPStatus.BAD_REQUEST,
             code='bad-deadline',
             message=(
                 f'deadline {raw.deadline_text!r} is not a number of '
@@ -207,7 +203,7 @@
         )
     if budget_s <= raw.elapsed_s:
         return Refusal(
-            status=_GATEWAY_TIMEOUT,
+            status=HTTPStatus.GATEWAY_TIMEOUT,
             code='deadline-passed',
             message=f'the deadline of {raw.deadline_text} ms has passed',
         )
--- a/ragwortfield/systems/eviction.py
+++ b/ragwortfield/systems/eviction.py
@@ -9,7 +9,6 @@
     Worker,
     WorkerReport,
 )
-from ragwortfield.core.resources import Resources
 from ragwortfield.types import JobId
 
 #: Load at which a worker counts as under pressure.
@@ -74,7 +73,7 @@
     :param job_by_id: jobs known; only bound ones are victims.
     :returns: the next state, and the step to take.
     """
-    load = load_of(report.usage, worker.capacity)
+    load = report.usage.load_of(worker.capacity)
     if load < _RELIEF_LOAD:
         if pressure.throttled:
             return PressureStep(
@@ -101,22 +100,6 @@
     )
 
 
-def load_of(usage: Resources, capacity: Resources) -> float:
-    """
-    Give the load of the scarcest resource.
-
-    :param usage: measured usage.
-    :param capacity: size of the worker.
-    :returns: fraction; 1 means full.
-    """
-    loads = [0.0]
-    if capacity.cpu:
-        loads.append(usage.cpu / capacity.cpu)
-    if capacity.memory_mb:
-        loads.append(usage.memory_mb / capacity.memory_mb)
-    return max(loads)
-
-
 def _victim(
     report: WorkerReport,
     job_by_id: dict[JobId, Job],
--- a/ragwortfield/systems/placement.py
+++ b/ragwortfield/systems/placement.py
@@ -20,7 +20,6 @@
 
 #: Jobs bound by one transaction at most.
 MAX_GROUP = 16
-_NO_LOAD = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -159,24 +158,34 @@
         )
 
     def _best_worker(self, job: Job) -> Worker | None:
-        best: Worker | None = None
-        best_score = float('inf')
-        for worker in self._worker_by_id.values():
-            group = self._jobs_by_worker.get(worker.worker_id, ())
-            if len(group) >= MAX_GROUP:
-                continue
-            if not is_open_for_starts(worker, self._wall):
-                continue
-            if worker.worker_id in job.failed_workers:
-                continue
-            after = granted_total(worker).plus(job.spec.resources)
-            if not after.is_within(worker.capacity):
-                continue
-            score = _score(self._configuration.objective, worker, after)
-            if score < best_score:
-                best = worker
-                best_score = score
-        return best
+        wanted = job.spec.resources
+        candidates = [
+            worker
+            for worker in self._worker_by_id.values()
+            if self._is_open_for(worker, job)
+        ]
+        return min(
+            candidates,
+            key=lambda worker: (
+                _score(self._configuration.objective, worker, wanted),
+                worker.worker_id,
+            ),
+            default=None,
+        )
+
+    def _is_open_for(self, worker: Worker, job: Job) -> bool:
+        group = self._jobs_by_worker.get(worker.worker_id, ())
+        if len(group) >= MAX_GROUP:
+            return False
+        if not is_open_for_starts(worker, self._wall):
+            return False
+        # A worker on trial gets one task at a time, in this round too.
+        if worker.quarantines and group:
+            return False
+        if worker.worker_id in job.failed_workers:
+            return False
+        after = granted_total(worker).plus(job.spec.resources)
+        return after.is_within(worker.capacity)
 
     def _is_within_quota(self, job: Job) -> bool:
         team = self._configuration.teams.get(job.spec.team)
@@ -213,25 +222,14 @@
     )
 
 
-def _score(objective: Objective, worker: Worker, after: Resources) -> float:
+def _score(objective: Objective, worker: Worker, wanted: Resources) -> float:
     # Spreading keeps neighbours of services lightly loaded; packing leaves
     # whole workers free for large jobs.
-    load = _load(after, worker.capacity)
+    load = granted_total(worker).plus(wanted).load_of(worker.capacity)
     spreading = objective.tail_latency + objective.evictions
     return (spreading - objective.throughput) * load
 
 
-def _load(used: Resources, capacity: Resources) -> float:
-    loads = [_NO_LOAD]
-    if capacity.cpu:
-        loads.append(used.cpu / capacity.cpu)
-    if capacity.memory_mb:
-        loads.append(used.memory_mb / capacity.memory_mb)
-    if capacity.accelerators:
-        loads.append(used.accelerators / capacity.accelerators)
-    return max(loads)
-
-
 def _team_cpu(workers: tuple[Worker, ...], team: TeamName) -> float:
     return sum(
         grant.resources.cpu
--- a/ragwortfield/systems/quarantine.py
+++ b/ragwortfield/systems/quarantine.py
@@ -105,20 +105,24 @@
 ) -> bool:
     job_by_id = {row.job.job_id: row.job for row in job_rows}
     job_by_id[job.job_id] = job
-    counted = 0
-    is_confirmed = worker.quarantines > 0
-    for job_id in worker.failures:
-        evidence = job_by_id.get(job_id)
-        if evidence is not None and _failed_elsewhere(evidence, worker):
-            continue
-        counted += 1
-        if evidence is not None and evidence.state is JobState.DONE:
-            is_confirmed = True
-    if counted >= _UNCONFIRMED_FAILURES:
+    counted = [
+        job_id
+        for job_id in worker.failures
+        if not _failed_elsewhere(job_by_id.get(job_id), worker)
+    ]
+    if len(counted) >= _UNCONFIRMED_FAILURES:
         return True
-    is_half_open = worker.quarantines > 0 and counted > 0
-    return is_half_open or (is_confirmed and counted >= _CONFIRMED_FAILURES)
+    if worker.quarantines and counted:
+        return True
+    ran_elsewhere = [
+        job_id
+        for job_id in counted
+        if job_id in job_by_id and job_by_id[job_id].state is JobState.DONE
+    ]
+    return bool(ran_elsewhere) and len(counted) >= _CONFIRMED_FAILURES
 
 
-def _failed_elsewhere(job: Job, worker: Worker) -> bool:
-    return any(name != worker.worker_id for name in job.failed_workers)
+def _failed_elsewhere(job: Job | None, worker: Worker) -> bool:
+    return job is not None and any(
+        name != worker.worker_id for name in job.failed_workers
+    )
--- a/ragwortfield/systems/routing.py
+++ b/ragwortfield/systems/routing.py
@@ -9,7 +9,13 @@
 from ragwortfield.core.tables import Tables, TargetShare
 from ragwortfield.core.targets import Target, TargetHealth
 from ragwortfield.systems.health import is_available
-from ragwortfield.types import InstanceId, Instant, Seconds, TargetId
+from ragwortfield.types import (
+    InstanceId,
+    Instant,
+    Seconds,
+    ServiceName,
+    TargetId,
+)
 
 #: Latency assumed for a target that has answered nothing yet, in seconds.
 _ASSUMED_LATENCY_S = 0.001
@@ -66,22 +72,23 @@
     :param excluded: targets that failed this request before.
     :returns: the target, or that none is free.
     """
-    is_hopeless = True
+    candidates = [
+        target
+        for target in tables.target_by_id.values()
+        if target.service == service
+        and target.target_id not in excluded
+        and tables.share_by_target.get(target.target_id, _NO_SHARE).slots
+        and is_available(tables, target, now)
+    ]
     best: Target | None = None
     best_cost = float('inf')
-    for target in tables.target_by_id.values():
-        if target.service != service or target.target_id in excluded:
-            continue
-        share = tables.share_by_target.get(target.target_id, _NO_SHARE)
-        if not share.slots or not is_available(tables, target, now):
-            continue
-        is_hopeless = False
-        cost = _expected_cost(tables, target.target_id, share)
+    for target in candidates:
+        cost = _expected_cost(tables, target.target_id)
         if cost < best_cost:
             best = target
             best_cost = cost
     if best is None:
-        return NoChoice(is_hopeless=is_hopeless)
+        return NoChoice(is_hopeless=not candidates)
     return TargetChoice(target=best)
 
 
@@ -139,11 +146,7 @@
             and peer.free_by_service.get(request.service, 0) > 0
         ]
         if free:
-            pair = randomness.sample(free, min(2, len(free)))
-            peer = max(
-                pair,
-                key=lambda one: one.free_by_service[request.service],
-            )
+            peer = _freer_of_two(free, request.service, randomness)
             return PeerChoice(
                 peer=peer,
                 is_cross_region=not _is_same_region(tables, peer),
@@ -151,11 +154,17 @@
     return NoChoice(is_hopeless=False)
 
 
-def _expected_cost(
-    tables: Tables,
-    target_id: TargetId,
-    share: TargetShare,
-) -> float:
+def _freer_of_two(
+    peers: list[Peer],
+    service: ServiceName,
+    randomness: random.Random,
+) -> Peer:
+    pair = randomness.sample(peers, min(2, len(peers)))
+    return max(pair, key=lambda peer: peer.free_by_service[service])
+
+
+def _expected_cost(tables: Tables, target_id: TargetId) -> float:
+    share = tables.share_by_target[target_id]
     used = tables.in_use_by_target.get(target_id, 0)
     if used >= share.slots:
         return float('inf')
--- a/ragwortfield/systems/seats.py
+++ b/ragwortfield/systems/seats.py
@@ -53,7 +53,7 @@
     if tables.is_leaving:
         return tuple(writes)
     wanted = fair_seat_count(tables, configuration, now)
-    vacancies = _vacancies(tables, configuration, wall)
+    vacancies = _vacancies(tables, configuration, now, wall)
     spare = max(wanted - len(tables.held_by_key), 0)
     writes.extend(vacancies[:spare])
     return tuple(writes)
@@ -255,12 +255,11 @@
     is_flushed: bool,
 ) -> list[SeatWrite]:
     writes = []
+    can_release = tables.is_leaving or (is_flushed and _is_part_free(tables))
     for key, held in sorted(tables.held_by_key.items()):
         row = tables.seat_row_by_key.get(key)
         is_due = held.expires_at - wall < timing.seat_lease_s / 2
-        is_release = held.is_leaving and (
-            tables.is_leaving or (is_flushed and _is_part_free(tables))
-        )
+        is_release = held.is_leaving and can_release
         if row is None or not (is_due or is_release):
             continue
         seat = replace(row.seat, expires_at=wall + timing.seat_lease_s)
@@ -284,6 +283,7 @@
 def _vacancies(
     tables: Tables,
     configuration: Configuration,
+    now: Instant,
     wall: WallTime,
 ) -> list[SeatWrite]:
     name = tables.identity.data_centre
@@ -293,6 +293,13 @@
     for index in range(seats):
         seat_id = SeatId(data_centre=name, index=index)
         row = tables.seat_row_by_key.get(seat_id.row_key())
+        if row is not None and _is_holder_heard(
+            tables,
+            configuration.timing,
+            row.seat,
+            now,
+        ):
+            continue
         taken = _taken(tables, configuration.timing, row, wall)
         if taken is not None:
             writes.append(
@@ -341,9 +348,17 @@
     # tell whether the holder is still there.
     if listing.as_of <= seat.expires_at:
         return False
-    if any(entry.instance_id == seat.holder for entry in listing.instances):
-        return False
-    return seat.holder not in tables.peer_by_id
+    return all(entry.instance_id != seat.holder for entry in listing.instances)
+
+
+def _is_holder_heard(
+    tables: Tables,
+    timing: Timing,
+    seat: Seat,
+    now: Instant,
+) -> bool:
+    peer = tables.peer_by_id.get(seat.holder)
+    return peer is not None and (now - peer.heard_at <= timing.takeover_after_s)
 
 
 def _is_own_row(tables: Tables, held: HeldSeat, row: SeatRow) -> bool:
--- a/ragwortfield/systems/shares.py
+++ b/ragwortfield/systems/shares.py
@@ -22,7 +22,7 @@
     """
     base, remainder = divmod(total, seats)
     position = (index + offset) % seats
-    return base + (1 if position < remainder else 0)
+    return base + int(position < remainder)
 
 
 def share_targets(tables: Tables, now: Instant) -> None:
@@ -56,7 +56,9 @@
     if configuration is None:
         return 0
     total = configuration.total_seats()
-    return len(tables.usable_seats(now)) / total if total else 0
+    if not total:
+        return 0
+    return len(tables.usable_seats(now)) / total
 
 
 def _share_of(
--- a/ragwortfield/testing/deployment.py
+++ b/ragwortfield/testing/deployment.py
@@ -9,9 +9,12 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
+import gevent
+
 from ragwortfield.adapters.documents import encode_json
 from ragwortfield.adapters.http_client import HttpPool, HttpRequest, Limits
 from ragwortfield.core.outcomes import WholeAnswer
@@ -36,6 +39,7 @@
 _HOST = '127.0.0.1'
 _LIMITS = Limits(first_byte_s=5, total_s=5)
 _POLL_S = 0.05
+_WORKER_MEMORY_MB = 125_000
 _TERMINATE_WAIT_S = 15
 
 #: Configuration of a trial; leases are short, so that a trial is short too.
@@ -122,7 +126,7 @@
         process = self._spawn('platform', command)
         running = Running(name='platform', process=process, address=address)
         self.platform = running
-        self.wait_for(lambda: self._is_answering(address, '/switches'))
+        self.wait_for(lambda: self.is_answering(address, '/switches'))
         return running
 
     def start_worker(
@@ -156,7 +160,7 @@
             data_centre=data_centre,
         )
         self.worker_by_id[worker_id] = running
-        self.wait_for(lambda: self._is_answering(address, '/health'))
+        self.wait_for(lambda: self.is_answering(address, '/health'))
         self.change_list(
             ListChange(
                 add=(
@@ -165,7 +169,9 @@
                         kind='worker',
                         data_centre=data_centre,
                         address=address,
-                        capacity=Resources(cpu=cpu, memory_mb=125_000),
+                        capacity=Resources(
+                            cpu=cpu, memory_mb=_WORKER_MEMORY_MB
+                        ),
                     ),
                     ListedInstance(
                         instance_id=f'{worker_id}-{SERVICE}',
@@ -344,11 +350,7 @@
 
         :param within_s: longest wait, in seconds.
         """
-        for running in self.entry_by_id.values():
-            self.wait_for(
-                lambda: self._is_answering(running.address, '/ready'),
-                within_s,
-            )
+        self.wait_for(self._is_every_entry_ready, within_s)
         self.wait_for(self._is_every_seat_held, within_s)
 
     def seats_by_instance(self) -> dict[str, tuple[str, ...]]:
@@ -382,7 +384,7 @@
         while not is_reached():
             if time.monotonic() > until:
                 raise TimeoutError(f'condition not reached in {within_s} s')
-            time.sleep(_POLL_S)
+            gevent.sleep(_POLL_S)
 
     def ask(self, address: str, request: HttpRequest) -> WholeAnswer:
         """
@@ -402,6 +404,20 @@
             raise TimeoutError(outcome.reason)
         return outcome
 
+    def is_answering(self, address: str, path: str) -> bool:
+        """
+        Tell whether a page answers with status 200.
+
+        :param address: host and port.
+        :param path: the page.
+        :returns: whether it does.
+        """
+        try:
+            answer = self.ask(address, HttpRequest(method='GET', path=path))
+        except TimeoutError:
+            return False
+        return answer.status == HTTPStatus.OK
+
     def send_signal(self, running: Running, number: signal.Signals) -> None:
         """
         Send a signal to one process of this deployment.
@@ -490,12 +506,11 @@
         )
         self.ask(address, request)
 
-    def _is_answering(self, address: str, path: str) -> bool:
-        try:
-            answer = self.ask(address, HttpRequest(method='GET', path=path))
-        except TimeoutError:
-            return False
-        return answer.status == 200
+    def _is_every_entry_ready(self) -> bool:
+        return all(
+            self.is_answering(running.address, '/ready')
+            for running in self.entry_by_id.values()
+        )
 
     def _is_every_seat_held(self) -> bool:
         by_place: dict[str, int] = {}
--- /dev/null
+++ b/ragwortfield/testing/load.py
@@ -0,0 +1,307 @@
+"""Open-loop load: requests leave on time, whether or not others came back."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import gevent
+from gevent.pool import Pool
+from hdrh.histogram import HdrHistogram
+
+from ragwortfield.adapters.http_client import HttpPool, HttpRequest, Limits
+from ragwortfield.core.outcomes import (
+    Broken,
+    ExchangeOutcome,
+    HeaderFields,
+    NotSent,
+    WholeAnswer,
+)
+from ragwortfield.front.fields import (
+    CLASS_FIELD,
+    CODE_FIELD,
+    DEADLINE_FIELD,
+    KEY_FIELD,
+    RUN_FIELD,
+    TEAM_FIELD,
+    TOKEN_FIELD,
+)
+from ragwortfield.types import Seconds
+
+#: Largest latency that the histogram keeps, in microseconds.
+_MAX_LATENCY_US = 60_000_000
+_SIGNIFICANT_DIGITS = 3
+_US_PER_S = 1_000_000
+_MS_PER_S = 1000
+_READY_PERIOD_S = 0.25
+_READY_LIMITS = Limits(first_byte_s=0.5, total_s=0.5)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Call:
+    """
+    One request of the load.
+
+    :param booking: identifier of a booking; empty for other requests.
+    """
+
+    path: str
+    method: str = 'GET'
+    body: bytes = b''
+    request_class: str = ''
+    key: str = ''
+    booking: str = ''
+    deadline_s: Seconds = 4
+
+
+@dataclass(kw_only=True, slots=True)
+class LoadResult:
+    """
+    What the callers saw.
+
+    :param count_by_outcome: requests by outcome, ``ran`` and others.
+    :param states_by_booking: what each send of a booking was told.
+    :param receipts: receipts of deferred requests.
+    :param wrong_answers: answers that belonged to another request.
+    """
+
+    count_by_outcome: dict[str, int] = field(default_factory=dict)
+    states_by_booking: dict[str, list[str]] = field(default_factory=dict)
+    receipts: list[str] = field(default_factory=list)
+    wrong_answers: int = 0
+    histogram: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(
+            1,
+            _MAX_LATENCY_US,
+            _SIGNIFICANT_DIGITS,
+        ),
+    )
+
+    def latency_ms(self, percentile: float) -> float:
+        """
+        Look a latency up.
+
+        :param percentile: between 0 and 100.
+        :returns: milliseconds from the intended send time.
+        """
+        value_us = self.histogram.get_value_at_percentile(percentile)
+        return value_us * _MS_PER_S / _US_PER_S
+
+    def count(self, outcome: str) -> None:
+        """
+        Count an outcome.
+
+        :param outcome: its name.
+        """
+        known = self.count_by_outcome.get(outcome, 0)
+        self.count_by_outcome[outcome] = known + 1
+
+
+class Balancer:
+    """
+    Stand-in for the platform's balancer: sends where ``/ready`` says so.
+
+    :param addresses: HTTP addresses of the entry instances.
+    :param randomness: source of random numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        addresses: list[str],
+        randomness: random.Random,
+    ) -> None:
+        """Create a balancer that knows nothing to be ready yet."""
+        self._addresses = list(addresses)
+        self._ready: list[str] = list(addresses)
+        self._randomness = randomness
+        self._pool_by_address: dict[str, HttpPool] = {}
+        self._probe_by_address: dict[str, HttpPool] = {}
+
+    def start(self) -> gevent.Greenlet:
+        """
+        Watch the instances in the background.
+
+        :returns: the greenlet that watches.
+        """
+        return gevent.spawn(self._watch)
+
+    def add(self, address: str) -> None:
+        """
+        Watch one more instance.
+
+        :param address: its HTTP address.
+        """
+        self._addresses.append(address)
+
+    def choose(self) -> str:
+        """
+        Choose an instance for a request.
+
+        :returns: its HTTP address.
+        """
+        return self._randomness.choice(self._ready or self._addresses)
+
+    def pool(self, address: str) -> HttpPool:
+        """
+        Find the connections to an instance.
+
+        :param address: its HTTP address.
+        :returns: the pool.
+        """
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = HttpPool(address=address)
+            self._pool_by_address[address] = pool
+        return pool
+
+    def _watch(self) -> None:
+        while True:
+            checks = {
+                address: gevent.spawn(self._is_ready, address)
+                for address in self._addresses
+            }
+            gevent.joinall(tuple(checks.values()))
+            self._ready = [
+                address for address, check in checks.items() if check.value
+            ]
+            gevent.sleep(_READY_PERIOD_S)
+
+    def _is_ready(self, address: str) -> bool:
+        pool = self._probe_by_address.get(address)
+        if pool is None:
+            pool = HttpPool(address=address)
+            self._probe_by_address[address] = pool
+        outcome = pool.exchange(
+            HttpRequest(method='GET', path='/ready'),
+            _READY_LIMITS,
+        )
+        return (
+            isinstance(outcome, WholeAnswer) and outcome.status == HTTPStatus.OK
+        )
+
+
+class LoadRunner:
+    """
+    Sends calls on time and records what came of them.
+
+    :param balancer: chooses the entry instances.
+    :param service: the service to call.
+    :param team: the calling team.
+    :param token: its token.
+    """
+
+    def __init__(
+        self,
+        *,
+        balancer: Balancer,
+        service: str,
+        team: str,
+        token: str,
+    ) -> None:
+        """Create a runner without results."""
+        self.result = LoadResult()
+        self._balancer = balancer
+        self._service = service
+        self._team = team
+        self._token = token
+        self._pool = Pool()
+
+    def run(
+        self,
+        make_call: Callable[[], Call],
+        *,
+        rate_per_s: float,
+        duration_s: Seconds,
+        randomness: random.Random,
+    ) -> None:
+        """
+        Send calls with exponential gaps between them.
+
+        :param make_call: makes the next call.
+        :param rate_per_s: calls a second on average.
+        :param duration_s: how long, in seconds.
+        :param randomness: source of random numbers.
+        """
+        started_at = time.monotonic()
+        due_s: Seconds = 0
+        while due_s < duration_s:
+            due_s += randomness.expovariate(rate_per_s)
+            ahead_s = started_at + due_s - time.monotonic()
+            if ahead_s > 0:
+                gevent.sleep(ahead_s)
+            self._pool.spawn(self.send, make_call(), started_at + due_s)
+        self._pool.join()
+
+    def send(self, call: Call, due_at: float) -> None:
+        """
+        Send one call and record its outcome.
+
+        :param call: the call.
+        :param due_at: when it should have left, by the monotonic clock.
+        """
+        outcome = self._exchange(call)
+        latency_us = int((time.monotonic() - due_at) * _US_PER_S)
+        name = self._classify(call, outcome)
+        self.result.count(name)
+        if call.booking:
+            states = self.result.states_by_booking.setdefault(
+                call.booking,
+                [],
+            )
+            states.append(name)
+        if name == 'ran':
+            self.result.histogram.record_value(
+                min(max(latency_us, 1), _MAX_LATENCY_US),
+            )
+
+    def _exchange(self, call: Call) -> ExchangeOutcome:
+        # A balancer sends a request elsewhere when it could not connect.
+        outcome: ExchangeOutcome = NotSent(reason='not tried')
+        for _ in range(3):
+            address = self._balancer.choose()
+            outcome = self._balancer.pool(address).exchange(
+                HttpRequest(
+                    method=call.method,
+                    path=f'/services/{self._service}{call.path}',
+                    fields=self._fields(call),
+                    body=call.body,
+                ),
+                Limits(
+                    first_byte_s=call.deadline_s + 1,
+                    total_s=call.deadline_s + 1,
+                ),
+            )
+            if not isinstance(outcome, NotSent):
+                break
+        return outcome
+
+    def _fields(self, call: Call) -> HeaderFields:
+        fields = [
+            (TEAM_FIELD, self._team),
+            (TOKEN_FIELD, self._token),
+            (DEADLINE_FIELD, f'{call.deadline_s * _MS_PER_S:.0f}'),
+        ]
+        if call.request_class:
+            fields.append((CLASS_FIELD, call.request_class))
+        if call.key:
+            fields.append((KEY_FIELD, call.key))
+        return tuple(fields)
+
+    def _classify(self, call: Call, outcome: ExchangeOutcome) -> str:
+        if isinstance(outcome, NotSent):
+            return 'not connected'
+        if isinstance(outcome, Broken):
+            return 'cut off'
+        said = outcome.field_value(RUN_FIELD)
+        code = outcome.field_value(CODE_FIELD)
+        if code == 'accepted':
+            self.result.receipts.append(outcome.field_value('location'))
+            return 'accepted'
+        if said == 'ran':
+            expected = call.body or call.path.encode()
+            if outcome.body != expected:
+                self.result.wrong_answers += 1
+            return 'ran'
+        return f'{said or "unsaid"}: {code}'
--- a/ragwortfield/testing/platform.py
+++ b/ragwortfield/testing/platform.py
@@ -232,7 +232,7 @@
     :param now_s: reading of both the monotonic and the wall clock.
     """
 
-    now_s: float = field(default=1_000_000)
+    now_s: float = field(default=10**6)
 
     def monotonic(self) -> float:
         """
--- a/ragwortfield/testing/servers.py
+++ b/ragwortfield/testing/servers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, fields, replace
+from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -92,22 +93,24 @@
         if path == '/tables/transact':
             transaction = decode_json(body, Transaction)
             if isinstance(transaction, Malformed):
-                return json_response(400, {'error': transaction.reason})
+                return _malformed(transaction)
             return _answer(self.platform.transact(transaction.writes))
         if path == '/list':
             return _answer(self.platform.fetch())
         if path.startswith('/objects/'):
             return self._object(method, unquote(path), body)
-        return json_response(404, {'error': f'unknown path {path!r}'})
+        return json_response(
+            HTTPStatus.NOT_FOUND, {'error': f'unknown path {path!r}'}
+        )
 
     def _object(self, method: str, path: str, body: bytes) -> Response:
         if method == 'PUT':
             self.platform.put(path, body)
-            return json_response(200, {})
+            return json_response(HTTPStatus.OK, {})
         content = self.platform.get(path)
         if not isinstance(content, bytes):
-            return json_response(404, {'error': 'absent'})
-        return Response(status=200, fields=(), body=content)
+            return json_response(HTTPStatus.NOT_FOUND, {'error': 'absent'})
+        return Response(status=HTTPStatus.OK, fields=(), body=content)
 
     def _switch(self, method: str, body: bytes) -> Response:
         if method == 'POST':
@@ -117,7 +120,7 @@
                 PlatformSwitches,
             )
         return json_response(
-            200,
+            HTTPStatus.OK,
             {
                 'switches': to_document(self.platform.switches),
                 'counts': to_document(self.platform.counts),
@@ -127,14 +130,14 @@
     def _list_change(self, body: bytes) -> Response:
         change = decode_json(body, ListChange)
         if isinstance(change, Malformed):
-            return json_response(400, {'error': change.reason})
+            return _malformed(change)
         for instance in change.add:
             self.platform.add_instance(instance)
         for instance_id in change.remove:
             self.platform.remove_instance(instance_id)
         for instance_id in change.leaving:
             self.platform.mark_leaving(instance_id)
-        return json_response(200, {})
+        return json_response(HTTPStatus.OK, {})
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -260,7 +263,11 @@
         body: bytes,
     ) -> Response:
         if self.target_switches.is_failing:
-            return json_response(500, {'error': 'failing'}, *self._state())
+            return json_response(
+                HTTPStatus.INTERNAL_SERVER_ERROR,
+                {'error': 'failing'},
+                *self._state(),
+            )
         work_s = float(query.get('ms', ['0'])[0]) / _MS_PER_S
         if self.target_switches.is_silent:
             gevent.sleep(_SILENCE_S)
@@ -270,7 +277,7 @@
             runs = self.counts.runs_by_booking
             runs[booking] = runs.get(booking, 0) + 1
         return Response(
-            status=200,
+            status=HTTPStatus.OK,
             fields=(
                 ('content-type', 'text/plain'),
                 ('x-echo', field_value(environ, 'x-echo')),
@@ -288,42 +295,44 @@
     def _health(self) -> Response:
         if self.target_switches.is_silent:
             gevent.sleep(_SILENCE_S)
-        return json_response(200, {}, *self._state())
+        return json_response(HTTPStatus.OK, {}, *self._state())
 
     def _start(self, body: bytes) -> Response:
         order = decode_json(body, StartTask)
         if isinstance(order, Malformed):
-            return json_response(400, {'error': order.reason})
+            return _malformed(order)
         is_started = self.worker.start(order)
-        return json_response(200 if is_started else 409, {})
+        return json_response(
+            HTTPStatus.OK if is_started else HTTPStatus.CONFLICT, {}
+        )
 
     def _renew(self, body: bytes) -> Response:
         order = decode_json(body, RenewTasks)
         if isinstance(order, Malformed):
-            return json_response(400, {'error': order.reason})
-        return json_response(200, self.worker.renew(order))
+            return _malformed(order)
+        return json_response(HTTPStatus.OK, self.worker.renew(order))
 
     def _stop(self, body: bytes) -> Response:
         call = msgspec.json.decode(body, type=TaskCall)
         for job_id, generation in call.generation_by_job.items():
             self.worker.stop(job_id, generation)
-        return json_response(200, {})
+        return json_response(HTTPStatus.OK, {})
 
     def _throttle(self, body: bytes) -> Response:
         call = msgspec.json.decode(body, type=TaskCall)
         for job_id in call.generation_by_job:
             self.worker.throttle(job_id, call.share)
-        return json_response(200, {})
+        return json_response(HTTPStatus.OK, {})
 
     def _forget(self, body: bytes) -> Response:
         call = msgspec.json.decode(body, type=TaskCall)
         self.worker.forget(call.generation_by_job)
-        return json_response(200, {})
+        return json_response(HTTPStatus.OK, {})
 
     def _describe(self, body: bytes) -> Response:
         self.worker.step()
         return json_response(
-            200,
+            HTTPStatus.OK,
             {
                 'target': to_document(self.counts),
                 'spans': to_document(self.worker.spans),
@@ -338,7 +347,7 @@
             body,
             TargetSwitches,
         )
-        return json_response(200, self.target_switches)
+        return json_response(HTTPStatus.OK, self.target_switches)
 
     def _switch_worker(self, body: bytes) -> Response:
         self.worker.switches = _with_changes(
@@ -346,7 +355,7 @@
             body,
             WorkerSwitches,
         )
-        return json_response(200, self.worker.switches)
+        return json_response(HTTPStatus.OK, self.worker.switches)
 
 
 def serve_stand_in(address: tuple[str, int], application: Any) -> FrontServer:
@@ -377,14 +386,22 @@
 
 def _answer(outcome: Any) -> Response:
     if isinstance(outcome, Conflict):
-        return json_response(409, outcome)
+        return json_response(HTTPStatus.CONFLICT, outcome)
     if isinstance(outcome, Unavailable):
-        return json_response(503, {'error': outcome.reason})
-    return json_response(200, outcome)
+        return json_response(
+            HTTPStatus.SERVICE_UNAVAILABLE, {'error': outcome.reason}
+        )
+    return json_response(HTTPStatus.OK, outcome)
+
+
+def _malformed(call: Malformed) -> Response:
+    return json_response(HTTPStatus.BAD_REQUEST, {'error': call.reason})
 
 
 def _down() -> Response:
-    return json_response(503, {'error': 'platform is down'})
+    return json_response(
+        HTTPStatus.SERVICE_UNAVAILABLE, {'error': 'platform is down'}
+    )
 
 
 def _send_truncated(
--- a/ragwortfield/testing/stand_in_daemon.py
+++ b/ragwortfield/testing/stand_in_daemon.py
@@ -1,4 +1,4 @@
-"""Stand-ins as processes: ``python -m ragwortfield.testing.stand_in_daemon``."""
+"""Stand-ins for the platform and for workers, as processes."""
 
 # Sockets must be patched before any other module imports them.
 from gevent import monkey
