Seats: give up before a release is written, watch by the own clock

Cause: the first randomised runs of the seat machine (hypothesis, DC of three to five instances under kills, freezes, cuts, a lagging list, lost answers and planned stops) found a seat with two holders. (3) A seat whose taking was answered by silence named its holder in the row but was used by nobody, and nobody else could take it: "has no holder".

Adopting a seat again on reading the row: a delayed release could still take effect.

Change: a holder stops using a seat before it writes the release, and takes a seat whose row names it only by a write of its own; a takeover needs the row unchanged for a lease and the takeover time by the taker's own clock, counted anew after each time the rows could not be read; an instance that hears nobody suspends its seats before one could be taken over.

--- a/ragwortfield/core/tables.py
+++ b/ragwortfield/core/tables.py
@@ -52,6 +52,19 @@
     is_leaving: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SeatWatch:
+    """
+    Watch over a seat's row.
+
+    :param version: version of the row all the while.
+    :param since: when the row was first read with it.
+    """
+
+    version: int
+    since: Instant
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TargetShare:
     """Part of a target that this instance may use."""
@@ -67,6 +80,7 @@
 
     :param ticked_at: when the last tick ran; tells a pause of the process.
     :param store_ok_at: when the platform last answered.
+    :param seats_read_at: when the seat rows were last read.
     """
 
     identity: Identity
@@ -82,6 +96,7 @@
     peer_by_id: dict[InstanceId, Peer] = field(default_factory=dict)
     seat_row_by_key: dict[str, SeatRow] = field(default_factory=dict)
     held_by_key: dict[str, HeldSeat] = field(default_factory=dict)
+    watch_by_seat: dict[str, SeatWatch] = field(default_factory=dict)
     claim_by_key: dict[str, Claim] = field(default_factory=dict)
     job_row_by_id: dict[JobId, JobRow] = field(default_factory=dict)
     worker_row_by_id: dict[WorkerId, WorkerRow] = field(default_factory=dict)
@@ -92,6 +107,7 @@
         default_factory=dict,
     )
     ticked_at: Instant = 0
+    seats_read_at: Instant = 0
     store_ok_at: Instant = 0
     is_leaving: bool = False
 
--- a/ragwortfield/engine/node.py
+++ b/ragwortfield/engine/node.py
@@ -31,6 +31,7 @@
     drop_superseded,
     resume_by_peers,
     suspend_after_pause,
+    suspend_if_isolated,
 )
 from ragwortfield.systems.shares import share_targets
 from ragwortfield.types import Seconds
@@ -167,6 +168,10 @@
         self.tables.ticked_at = now
         for seat in drop_superseded(self.tables):
             event('seat_superseded', seat=seat)
+        wall = self.clock.wall()
+        if suspend_if_isolated(self.tables, now=now, wall=wall):
+            self._paused_at = now
+            event('isolated')
         if any(held.is_suspended for held in self.tables.held_by_key.values()):
             resume_by_peers(self.tables, paused_at=self._paused_at, now=now)
         for peer in forget_silent_peers(self.tables, now, _FORGET_PEER_S):
--- a/ragwortfield/engine/platform_sync.py
+++ b/ragwortfield/engine/platform_sync.py
@@ -31,6 +31,7 @@
 from ragwortfield.systems.membership import observe_listing
 from ragwortfield.systems.seats import (
     SeatWrite,
+    give_up_before_release,
     observe_seat_rows,
     plan_seats,
     record_write,
@@ -131,6 +132,7 @@
         self.exchange_seats()
 
     def _write_seat(self, write: SeatWrite) -> None:
+        give_up_before_release(self._tables, write)
         outcome = self._platform.transact(
             (
                 Write(
--- a/ragwortfield/systems/seats.py
+++ b/ragwortfield/systems/seats.py
@@ -11,7 +11,7 @@
 
 from ragwortfield.core.configuration import Configuration, Timing
 from ragwortfield.core.seats import Seat, SeatId, SeatRow
-from ragwortfield.core.tables import HeldSeat, Tables
+from ragwortfield.core.tables import HeldSeat, SeatWatch, Tables
 from ragwortfield.types import Instant, TargetId, WallTime
 
 
@@ -54,9 +54,12 @@
         return tuple(writes)
     wanted = fair_seat_count(tables, configuration, now)
     vacancies = _vacancies(tables, configuration, now, wall)
-    spare = max(wanted - len(tables.held_by_key), 0)
-    writes.extend(vacancies[:spare])
-    return tuple(writes)
+    # Nobody else takes a seat whose row names this instance, so those are
+    # taken even when it has its fair part already.
+    own = [one for one in vacancies if _is_named_in_row(tables, one)]
+    others = [one for one in vacancies if one not in own]
+    spare = max(wanted - len(tables.held_by_key) - len(own), 0)
+    return (*writes, *own, *others[:spare])
 
 
 def fair_seat_count(
@@ -113,6 +116,7 @@
     :param rows: every seat row of the own data centre.
     :param now: reading of the monotonic clock.
     """
+    _watch(tables, rows, now)
     tables.seat_row_by_key = {row.seat_id.row_key(): row for row in rows}
     for key, held in tuple(tables.held_by_key.items()):
         row = tables.seat_row_by_key.get(key)
@@ -125,7 +129,20 @@
             expires_at=row.seat.expires_at,
             is_suspended=False,
         )
-    _readopt(tables, now)
+
+
+def give_up_before_release(tables: Tables, write: SeatWrite) -> None:
+    """
+    Stop using a seat before its release is written.
+
+    The release may take effect although its answer is lost, and another
+    instance may then take the seat at once.
+
+    :param tables: the instance's tables.
+    :param write: the write that is about to go out.
+    """
+    if write.seat.holder != tables.identity.instance_id:
+        tables.held_by_key.pop(write.seat_id.row_key(), None)
 
 
 def record_write(
@@ -146,7 +163,6 @@
     row = SeatRow(seat_id=write.seat_id, seat=write.seat, version=version)
     tables.seat_row_by_key[key] = row
     if write.seat.holder != tables.identity.instance_id:
-        tables.held_by_key.pop(key, None)
         return
     held = tables.held_by_key.get(key)
     tables.held_by_key[key] = HeldSeat(
@@ -174,6 +190,50 @@
     return True
 
 
+def suspend_if_isolated(
+    tables: Tables,
+    *,
+    now: Instant,
+    wall: WallTime,
+) -> bool:
+    """
+    Suspend seats that others could take over unheard.
+
+    An instance that reaches neither the platform nor any other instance
+    cannot learn of a takeover, so it stops before one may happen.
+
+    :param tables: the instance's tables.
+    :param now: reading of the monotonic clock.
+    :param wall: reading of the wall clock.
+    :returns: whether seats were suspended now.
+    """
+    configuration = tables.configuration()
+    if configuration is None or not _are_others_known(tables):
+        return False
+    silence_s = configuration.timing.takeover_after_s / 2
+    is_heard = any(
+        now - peer.heard_at <= silence_s for peer in tables.peer_by_id.values()
+    )
+    is_suspended_now = False
+    for key, held in tuple(tables.held_by_key.items()):
+        is_lapsed = wall > held.expires_at + silence_s
+        if is_lapsed and not is_heard and not held.is_suspended:
+            tables.held_by_key[key] = replace(held, is_suspended=True)
+            is_suspended_now = True
+    return is_suspended_now
+
+
+def _are_others_known(tables: Tables) -> bool:
+    if tables.peer_by_id:
+        return True
+    listing = tables.listing
+    return listing is not None and any(
+        entry.kind == 'entry'
+        and entry.instance_id != tables.identity.instance_id
+        for entry in listing.instances
+    )
+
+
 def resume_by_peers(
     tables: Tables,
     *,
@@ -293,14 +353,9 @@
     for index in range(seats):
         seat_id = SeatId(data_centre=name, index=index)
         row = tables.seat_row_by_key.get(seat_id.row_key())
-        if row is not None and _is_holder_heard(
-            tables,
-            configuration.timing,
-            row.seat,
-            now,
-        ):
+        if seat_id.row_key() in tables.held_by_key:
             continue
-        taken = _taken(tables, configuration.timing, row, wall)
+        taken = _taken(tables, configuration.timing, row, now=now, wall=wall)
         if taken is not None:
             writes.append(
                 SeatWrite(
@@ -316,6 +371,8 @@
     tables: Tables,
     timing: Timing,
     row: SeatRow | None,
+    *,
+    now: Instant,
     wall: WallTime,
 ) -> Seat | None:
     own = Seat(
@@ -327,9 +384,12 @@
     if row is None:
         return own
     own = replace(own, generation=row.seat.generation + 1)
-    if not row.seat.holder:
+    # A row may name this instance although it does not hold the seat: the
+    # answer of a write was lost. A write of its own settles that, because
+    # whatever is still on its way then meets another version.
+    if row.seat.holder in {'', tables.identity.instance_id}:
         return replace(own, gap_until=row.seat.gap_until)
-    if _is_holder_gone(tables, timing, row.seat, wall):
+    if _is_holder_gone(tables, timing, row, now):
         return replace(own, gap_until=wall + timing.clock_bound_s)
     return None
 
@@ -337,12 +397,20 @@
 def _is_holder_gone(
     tables: Tables,
     timing: Timing,
-    seat: Seat,
-    wall: WallTime,
+    row: SeatRow,
+    now: Instant,
 ) -> bool:
+    seat = row.seat
+    watch = tables.watch_by_seat.get(row.seat_id.row_key())
     listing = tables.listing
-    lapsed_until = seat.expires_at + timing.takeover_after_s
-    if listing is None or wall < lapsed_until + timing.clock_bound_s:
+    if listing is None or watch is None:
+        return False
+    # A full lease and the takeover time are waited out by the own clock, in
+    # which the holder would have renewed the row or been heard.
+    unchanged_s = now - watch.since
+    if unchanged_s <= timing.seat_lease_s + timing.takeover_after_s:
+        return False
+    if _is_holder_heard(tables, timing, seat, now):
         return False
     # The list must have been drawn up after the lapse; an older one cannot
     # tell whether the holder is still there.
@@ -361,22 +429,33 @@
     return peer is not None and (now - peer.heard_at <= timing.takeover_after_s)
 
 
+def _watch(
+    tables: Tables,
+    rows: tuple[SeatRow, ...],
+    now: Instant,
+) -> None:
+    # While the rows could not be read their holders could not renew them
+    # either, so every watch starts again.
+    if now - tables.seats_read_at > tables.pause_limit_s():
+        tables.watch_by_seat = {}
+    tables.seats_read_at = now
+    for row in rows:
+        key = row.seat_id.row_key()
+        watch = tables.watch_by_seat.get(key)
+        if watch is None or watch.version != row.version:
+            tables.watch_by_seat[key] = SeatWatch(
+                version=row.version,
+                since=now,
+            )
+
+
+def _is_named_in_row(tables: Tables, write: SeatWrite) -> bool:
+    row = tables.seat_row_by_key.get(write.seat_id.row_key())
+    return row is not None and (row.seat.holder == tables.identity.instance_id)
+
+
 def _is_own_row(tables: Tables, held: HeldSeat, row: SeatRow) -> bool:
     return (
         row.seat.holder == tables.identity.instance_id
         and row.seat.generation == held.generation
     )
-
-
-def _readopt(tables: Tables, now: Instant) -> None:
-    # A write whose answer was lost still made this instance the holder.
-    for key, row in tables.seat_row_by_key.items():
-        is_own = row.seat.holder == tables.identity.instance_id
-        if is_own and key not in tables.held_by_key:
-            tables.held_by_key[key] = HeldSeat(
-                seat_id=row.seat_id,
-                generation=row.seat.generation,
-                version=row.version,
-                expires_at=row.seat.expires_at,
-                usable_from=now,
-            )
--- /dev/null
+++ b/ragwortfield/testing/long_run.py
@@ -0,0 +1,54 @@
+"""Long randomised runs: ``python -m ragwortfield.testing.long_run NAME``.
+
+Runs the machine of ``ragwortfield.tests.test_NAME_machine`` with
+``--seed 7 --seeds 50 --runs 20 --steps 50``; a failure is printed as a shrunk
+trace together with its seed.
+"""
+
+import importlib
+import sys
+
+from absl import app, flags, logging
+
+from ragwortfield.testing.randomised import STEPS, run_machine
+
+_SEED = flags.DEFINE_integer('seed', 1, 'First seed.')
+_SEEDS = flags.DEFINE_integer('seeds', 1, 'Seeds to run, from the first on.')
+_RUNS = flags.DEFINE_integer('runs', 20, 'Runs for each seed.')
+_SHRINK = flags.DEFINE_bool('shrink', True, 'Shorten a failing trace.')
+_STEPS = flags.DEFINE_integer('steps', 50, 'Steps of a run.')
+
+
+def main(arguments: list[str]) -> int:
+    """
+    Run one machine over many seeds.
+
+    :param arguments: program name and the machine's name.
+    :returns: exit status.
+    """
+    logging.set_verbosity(logging.FATAL)
+    name = arguments[1]
+    module = importlib.import_module(
+        f'ragwortfield.tests.test_{name}_machine',
+    )
+    machine = getattr(module, f'{name.capitalize()}Machine')
+    for one in range(_SEED.value, _SEED.value + _SEEDS.value):
+        sys.stdout.write(f'machine={name} seed={one} runs={_RUNS.value}\n')
+        run_machine(
+            machine,
+            steps=_STEPS.value,
+            runs=_RUNS.value,
+            first_seed=one,
+            is_shrinking=_SHRINK.value,
+        )
+    sys.stdout.write(
+        f'machine={name} seeds={_SEEDS.value} '
+        f'runs={_SEEDS.value * _RUNS.value} steps={STEPS.count} '
+        'violations=0\n',
+    )
+    return 0
+
+
+if __name__ == '__main__':
+    flags.FLAGS.set_gnu_getopt(gnu_getopt=True)
+    app.run(main)
--- /dev/null
+++ b/ragwortfield/tests/seat_world.py
@@ -0,0 +1,221 @@
+"""Instances that hold seats, on a platform in memory, driven by one clock."""
+
+from dataclasses import dataclass, field
+
+from ragwortfield.core.configuration import ConfigurationVersion
+from ragwortfield.core.peers import Peer
+from ragwortfield.core.tables import Identity, Tables
+from ragwortfield.engine.claim_keeper import ClaimKeeper
+from ragwortfield.engine.peer_desk import PeerDesk, is_store_reachable
+from ragwortfield.engine.platform_sync import CONFIGURATION_KEY, PlatformSync
+from ragwortfield.peering.messages import Heartbeat
+from ragwortfield.ports.platform import (
+    Conflict,
+    ListedInstance,
+    Unavailable,
+    Write,
+)
+from ragwortfield.settings.deployment import parse_configuration
+from ragwortfield.systems.configuration import adopt_version
+from ragwortfield.systems.seats import (
+    drop_superseded,
+    resume_by_peers,
+    suspend_after_pause,
+    suspend_if_isolated,
+)
+from ragwortfield.systems.shares import share_targets
+from ragwortfield.testing.deployment import CONFIGURATION
+from ragwortfield.testing.platform import ManualClock, MemoryPlatform
+from ragwortfield.testing.writer import DirectWriter
+
+STEP_S = 0.25
+SYNC_S = 1.0
+
+
+@dataclass(kw_only=True)
+class Reach:
+    """Way of one instance to the platform."""
+
+    platform: MemoryPlatform
+    is_cut: bool = False
+
+    def scan(self, prefix):
+        if self.is_cut:
+            return Unavailable(reason='cut')
+        return self.platform.scan(prefix)
+
+    def transact(self, writes):
+        if self.is_cut:
+            return Unavailable(reason='cut')
+        return self.platform.transact(writes)
+
+    def fetch(self):
+        if self.is_cut:
+            return Unavailable(reason='cut')
+        return self.platform.fetch()
+
+
+@dataclass(kw_only=True, repr=False)
+class Member:
+    """One instance of the world."""
+
+    tables: Tables
+    reach: Reach
+    keeper: ClaimKeeper
+    sync: PlatformSync
+    desk: PeerDesk
+    is_alive: bool = True
+    is_frozen: bool = False
+    is_peer_cut: bool = False
+    paused_at: float = float('-inf')
+    synced_at: float = float('-inf')
+
+    @property
+    def name(self):
+        return self.tables.identity.instance_id
+
+    def __repr__(self):
+        return self.name
+
+    def is_running(self):
+        return self.is_alive and not self.is_frozen
+
+
+@dataclass(kw_only=True)
+class SeatWorld:
+    """Platform, clock and the instances of one data centre or more."""
+
+    clock: ManualClock = field(default_factory=ManualClock)
+    member_by_id: dict[str, Member] = field(default_factory=dict)
+    born: int = 0
+    text: str = CONFIGURATION
+
+    def __post_init__(self):
+        self.platform = MemoryPlatform(clock=self.clock)
+        self.configuration = parse_configuration(self.text, 'test')
+        outcome = self.platform.transact(
+            (
+                Write(
+                    key=CONFIGURATION_KEY,
+                    expected_version=0,
+                    body={'text': self.text},
+                ),
+            )
+        )
+        assert not isinstance(outcome, Conflict)
+
+    def bear(self, data_centre='bergamo'):
+        self.born += 1
+        name = f'entry-{self.born}'
+        tables = Tables(
+            identity=Identity(
+                instance_id=name,
+                data_centre=data_centre,
+                region='lombardy',
+                http_address=f'{name}:1',
+                peer_address=f'{name}:2',
+            ),
+        )
+        adopt_version(
+            tables,
+            ConfigurationVersion(version=1, configuration=self.configuration),
+            self.text,
+        )
+        reach = Reach(platform=self.platform)
+        keeper = ClaimKeeper(
+            tables=tables,
+            table=reach,
+            writer=DirectWriter(table=reach),
+            clock=self.clock,
+        )
+        tables.ticked_at = self.clock.monotonic()
+        member = Member(
+            tables=tables,
+            reach=reach,
+            keeper=keeper,
+            sync=PlatformSync(
+                tables=tables,
+                platform=reach,
+                keeper=keeper,
+                clock=self.clock,
+            ),
+            desk=PeerDesk(tables=tables, clock=self.clock),
+        )
+        self.member_by_id[name] = member
+        self.platform.add_instance(
+            ListedInstance(
+                instance_id=name,
+                kind='entry',
+                data_centre=data_centre,
+                address=f'{name}:1',
+                peer_address=f'{name}:2',
+            ),
+        )
+        return member
+
+    def kill(self, member):
+        member.is_alive = False
+        self.platform.remove_instance(member.name)
+
+    def run(self, seconds, check=lambda: None):
+        for _ in range(int(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            for member in tuple(self.member_by_id.values()):
+                if member.is_running():
+                    self.step(member)
+                    check()
+
+    def step(self, member):
+        now = self.clock.monotonic()
+        tables = member.tables
+        if suspend_after_pause(tables, now):
+            member.paused_at = now
+        tables.ticked_at = now
+        drop_superseded(tables)
+        if suspend_if_isolated(tables, now=now, wall=self.clock.wall()):
+            member.paused_at = now
+        resume_by_peers(tables, paused_at=member.paused_at, now=now)
+        share_targets(tables, now)
+        if now - member.synced_at >= SYNC_S:
+            member.synced_at = now
+            member.sync.run_round()
+            self.send_heartbeats(member)
+
+    def send_heartbeats(self, member):
+        beat = member.desk.heartbeat()
+        assert isinstance(beat, Heartbeat)
+        for other in self.member_by_id.values():
+            if other is member or not other.is_running():
+                continue
+            if member.is_peer_cut or other.is_peer_cut:
+                continue
+            other.desk.receive(member.name, beat)
+
+    def holders(self, seat_key):
+        now = self.clock.monotonic()
+        return [
+            member.name
+            for member in self.member_by_id.values()
+            if member.is_alive
+            and any(
+                held.seat_id.row_key() == seat_key
+                for held in member.tables.trusted_seats(now)
+            )
+        ]
+
+    def seat_keys(self, data_centre='bergamo'):
+        seats = self.configuration.data_centres[data_centre].seats
+        return [f'seats/{data_centre}/{index}' for index in range(seats)]
+
+    def is_store_seen(self, member):
+        return is_store_reachable(member.tables, self.clock.monotonic())
+
+
+def known_peer(name, heard_at, **details):
+    return Peer(
+        instance_id=name,
+        data_centre='bergamo',
+        http_address=f'{name}:1',
+        heard_at=heard_at,
+        **details,
+    )
