--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of whole processes."""
--- a/ragwortfield/engine/job_runner.py
+++ b/ragwortfield/engine/job_runner.py
@@ -52,6 +52,7 @@
 from ragwortfield.systems.hashing import stable_hash
 from ragwortfield.systems.job_progress import (
     JobChange,
+    Lapse,
     change_by_cancel,
     change_by_lapse,
     change_by_report,
@@ -308,9 +309,13 @@
         return change_by_lapse(
             row,
             worker_row,
-            lease_until=lease_until,
-            clock_bound_s=configuration.timing.clock_bound_s,
-            wall=wall,
+            Lapse(
+                lease_until=lease_until,
+                clock_bound_s=configuration.timing.clock_bound_s,
+                is_worker_listed=job.worker in self._listed_workers(),
+                is_worker_heard=report is not None,
+            ),
+            wall,
         )
 
     def _commit_change(self, change: JobChange) -> None:
@@ -417,13 +422,14 @@
     def _place(self, configuration: Configuration) -> None:
         name = self._tables.identity.data_centre
         place = configuration.data_centres[name]
+        reachable = self._listed_workers() & set(self._tables.report_by_worker)
         plan = plan_placement(
             configuration,
             job_rows=tuple(self._tables.job_row_by_id.values()),
             worker_rows=tuple(
                 row
                 for row in self._tables.worker_row_by_id.values()
-                if row.worker.worker_id in self._reachable_workers()
+                if row.worker.worker_id in reachable
             ),
             quota_fraction=place.seats / configuration.total_seats(),
             wall=self._clock.wall(),
@@ -433,14 +439,14 @@
         for binding in plan.bindings:
             self._bind(binding)
 
-    def _reachable_workers(self) -> set[WorkerId]:
+    def _listed_workers(self) -> set[WorkerId]:
         listing = self._tables.listing
         if listing is None:
             return set()
         return {
             listed.instance_id
             for listed in listing.instances
-            if listed.kind == 'worker' and not listed.is_leaving
+            if listed.kind == 'worker'
         }
 
     def _park(self, parking: Parking) -> None:
--- a/ragwortfield/systems/job_progress.py
+++ b/ragwortfield/systems/job_progress.py
@@ -18,7 +18,7 @@
     with_failure,
     with_success,
 )
-from ragwortfield.types import JobId, WallTime
+from ragwortfield.types import JobId, Seconds, WallTime
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,6 +37,23 @@
     is_end_of_task: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Lapse:
+    """
+    What is known about a lease whose task its worker does not report.
+
+    :param lease_until: end of the last lease that was given.
+    :param clock_bound_s: largest difference between two wall clocks.
+    :param is_worker_listed: whether the platform lists the worker.
+    :param is_worker_heard: whether the worker reports at present.
+    """
+
+    lease_until: WallTime
+    clock_bound_s: Seconds
+    is_worker_listed: bool
+    is_worker_heard: bool
+
+
 def change_by_report(
     job_row: JobRow,
     worker_row: WorkerRow,
@@ -85,25 +102,27 @@
 def change_by_lapse(
     job_row: JobRow,
     worker_row: WorkerRow | None,
-    *,
-    lease_until: WallTime,
-    clock_bound_s: float,
+    lapse: Lapse,
     wall: WallTime,
 ) -> JobChange | None:
     """
     Free a job whose lease has certainly ended at its worker.
 
+    A worker that is listed but cannot be reached may have finished the task;
+    the job waits for its word, so that ended work is not done again.
+
     :param job_row: a bound job whose worker does not report it.
     :param worker_row: the worker; ``None`` when its row is gone.
-    :param lease_until: end of the last lease that was given.
-    :param clock_bound_s: largest difference between two wall clocks.
+    :param lapse: what is known about the lease and the worker.
     :param wall: reading of the wall clock.
     :returns: the change; ``None`` while the task may still run.
     """
     if job_row.job.state not in GRANTED_STATES:
         return None
+    if lapse.is_worker_listed and not lapse.is_worker_heard:
+        return None
     # Both clocks may be off, the worker's and this one's.
-    if wall <= lease_until + 2 * clock_bound_s:
+    if wall <= lapse.lease_until + 2 * lapse.clock_bound_s:
         return None
     job = replace(
         job_row.job,
--- a/ragwortfield/systems/placement.py
+++ b/ragwortfield/systems/placement.py
@@ -167,6 +167,7 @@
         return min(
             candidates,
             key=lambda worker: (
+                worker.worker_id in job.failed_workers,
                 _score(self._configuration.objective, worker, wanted),
                 worker.worker_id,
             ),
@@ -182,8 +183,6 @@
         # A worker on trial gets one task at a time, in this round too.
         if worker.quarantines and group:
             return False
-        if worker.worker_id in job.failed_workers:
-            return False
         after = granted_total(worker).plus(job.spec.resources)
         return after.is_within(worker.capacity)
 
--- a/ragwortfield/systems/quarantine.py
+++ b/ragwortfield/systems/quarantine.py
@@ -12,6 +12,8 @@
 
 #: Distinct workers on which a job must fail to be parked.
 WORKERS_TO_PARK = 3
+#: Failures after which a job is parked, on however few workers.
+_FAILURES_TO_PARK = 6
 #: Failures that speak against a worker when a job of them ran elsewhere.
 _CONFIRMED_FAILURES = 3
 #: Failures that speak against a worker without such a proof.
@@ -90,12 +92,16 @@
 
 def is_job_to_blame(job: Job) -> bool:
     """
-    Tell whether a job failed on enough workers to be parked.
+    Tell whether a job failed often enough to be parked.
 
     :param job: the job with its failures.
     :returns: whether it did.
     """
-    return len(set(job.failed_workers)) >= WORKERS_TO_PARK
+    failures = job.failed_workers
+    return (
+        len(set(failures)) >= WORKERS_TO_PARK
+        or len(failures) >= _FAILURES_TO_PARK
+    )
 
 
 def _is_worker_to_blame(
--- a/ragwortfield/testing/randomised.py
+++ b/ragwortfield/testing/randomised.py
@@ -52,6 +52,7 @@
         database=None,
         derandomize=False,
         print_blob=False,
+        report_multiple_bugs=False,
         phases=phases,
         suppress_health_check=tuple(HealthCheck),
         verbosity=Verbosity.normal,
--- a/ragwortfield/testing/worker.py
+++ b/ragwortfield/testing/worker.py
@@ -24,6 +24,7 @@
     :param is_failing_all: every task fails at once.
     :param usage_factor: measured usage as a multiple of the declared size.
     :param usage_lag_s: age of the usage reported, in seconds.
+    :param checkpoint_s: time that a checkpoint takes, in seconds.
     """
 
     is_unreachable: bool = False
@@ -31,6 +32,7 @@
     is_failing_all: bool = False
     usage_factor: float = 1
     usage_lag_s: Seconds = 0
+    checkpoint_s: Seconds = 0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -49,6 +51,7 @@
     phase: TaskPhase = TaskPhase.RUNNING
     reason: str = ''
     ended_at: WallTime = 0
+    stops_at: WallTime = float('inf')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -60,7 +63,8 @@
     generation: int
     started_at: WallTime
     ended_at: WallTime
-    from_progress_s: Seconds
+    progress_s: Seconds
+    phase: TaskPhase
 
 
 class MemoryWorker:
@@ -171,13 +175,9 @@
         self.step()
         task = self._task_by_job.get(job_id)
         if task is not None and task.generation == generation:
-            if task.phase is TaskPhase.RUNNING:
-                self._end(
-                    task,
-                    TaskPhase.STOPPED,
-                    self._clock.wall(),
-                    'stopped by order',
-                )
+            stops_at = self._clock.wall() + self.switches.checkpoint_s
+            task.stops_at = min(task.stops_at, stops_at)
+            self.step()
         return True
 
     def throttle(self, job_id: JobId, share: float) -> bool:
@@ -241,7 +241,9 @@
             return
         task.progress_s += works_s
         task.stepped_at = now
-        if now >= task.expires_at:
+        if now >= task.stops_at:
+            self._end(task, TaskPhase.STOPPED, now, 'stopped by order')
+        elif now >= task.expires_at:
             self._end(task, TaskPhase.STOPPED, task.expires_at, 'lease over')
 
     def _end(
@@ -261,7 +263,8 @@
                 generation=task.generation,
                 started_at=task.started_at,
                 ended_at=at,
-                from_progress_s=task.progress_s,
+                progress_s=task.progress_s,
+                phase=phase,
             ),
         )
 
@@ -305,9 +308,15 @@
     Control of workers in memory, for tests without sockets.
 
     :param worker_by_address: the workers.
+    :param late_starts: orders that are still on their way.
+    :param echoed_starts: orders that arrived and will arrive again.
+    :param is_delaying_starts: whether further orders are delayed.
     """
 
     worker_by_address: dict[str, MemoryWorker] = field(default_factory=dict)
+    late_starts: list[tuple[str, StartTask]] = field(default_factory=list)
+    echoed_starts: list[tuple[str, StartTask]] = field(default_factory=list)
+    is_delaying_starts: bool = False
 
     def start(self, address: str, order: StartTask) -> bool | Unavailable:
         """
@@ -320,9 +329,22 @@
         worker = self._reach(address)
         if isinstance(worker, Unavailable):
             return worker
+        if self.is_delaying_starts:
+            self.late_starts.append((address, order))
+            return Unavailable(reason='no answer', is_effect_possible=True)
         is_started = worker.start(order)
         return self._lose(worker) or is_started
 
+    def deliver_late_starts(self) -> None:
+        """Let the delayed orders reach their workers, and once more later."""
+        orders = (*self.late_starts, *self.echoed_starts)
+        for address, order in orders:
+            worker = self.worker_by_address.get(address)
+            if worker is not None:
+                worker.start(order)
+        self.echoed_starts = self.late_starts
+        self.late_starts = []
+
     def renew(
         self,
         address: str,
--- /dev/null
+++ b/ragwortfield/tests/test_http_client.py
@@ -0,0 +1,142 @@
+"""Tests of HTTP exchanges against sockets that misbehave."""
+
+from unittest import TestCase
+
+import gevent
+from gevent import socket
+
+from ragwortfield.adapters.http_client import HttpPool, HttpRequest, Limits
+from ragwortfield.core.outcomes import Broken, NotSent, WholeAnswer
+
+_LIMITS = Limits(first_byte_s=0.3, total_s=0.6)
+_REQUEST = HttpRequest(method='GET', path='/')
+
+
+class ScriptedServer:
+    """Server that sends fixed bytes for each request it reads."""
+
+    def __init__(self, *replies, is_closing=False):
+        self.replies = list(replies)
+        self.is_closing = is_closing
+        self.requests = 0
+        self.connections = 0
+        self._listener = socket.socket()
+        self._listener.bind(('127.0.0.1', 0))
+        self._listener.listen()
+        self.address = '127.0.0.1:{0}'.format(self._listener.getsockname()[1])
+        self._greenlet = gevent.spawn(self._accept)
+
+    def close(self):
+        self._greenlet.kill()
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            connection, _ = self._listener.accept()
+            self.connections += 1
+            gevent.spawn(self._serve, connection)
+
+    def _serve(self, connection):
+        while self.replies:
+            head = b''
+            while b'\r\n\r\n' not in head:
+                block = connection.recv(1000)
+                if not block:
+                    return
+                head += block
+            self.requests += 1
+            connection.sendall(self.replies.pop(0))
+            if self.is_closing:
+                break
+        if self.is_closing:
+            connection.close()
+        else:
+            gevent.sleep(5)
+
+
+def answer(body, length=None):
+    shown = len(body) if length is None else length
+    return b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b' % (shown, body)
+
+
+class ExchangeTests(TestCase):
+    """What is certain after each kind of failure."""
+
+    def exchange(self, *replies, is_closing=False, times=1):
+        self.server = ScriptedServer(*replies, is_closing=is_closing)
+        self.addCleanup(self.server.close)
+        self.pool = HttpPool(address=self.server.address)
+        return [self.pool.exchange(_REQUEST, _LIMITS) for _ in range(times)]
+
+    def test_whole_answer(self):
+        (outcome,) = self.exchange(answer(b'whole'))
+        self.assertIsInstance(outcome, WholeAnswer)
+        self.assertEqual(outcome.body, b'whole')
+
+    def test_connection_is_used_again(self):
+        self.exchange(answer(b'one'), answer(b'two'), times=2)
+        self.assertEqual(self.server.connections, 1)
+
+    def test_truncated_answer_is_not_passed_off_as_whole(self):
+        (outcome,) = self.exchange(answer(b'part', length=9), is_closing=True)
+        self.assertIsInstance(outcome, Broken)
+        self.assertEqual(self.pool.idle_count(), 0)
+
+    def test_connection_closed_without_an_answer(self):
+        (outcome,) = self.exchange(b'', is_closing=True)
+        self.assertIsInstance(outcome, Broken)
+
+    def test_answer_that_is_no_http(self):
+        (outcome,) = self.exchange(b'nonsense\r\n\r\n', is_closing=True)
+        self.assertIsInstance(outcome, Broken)
+
+    def test_silence_is_told_from_a_broken_answer(self):
+        (outcome,) = self.exchange(b'')
+        self.assertIsInstance(outcome, Broken)
+        self.assertTrue(outcome.is_silent)
+
+    def test_overlong_answer_never_reaches_the_next_request(self):
+        first, second = self.exchange(
+            answer(b'four')
+            + b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstale',
+            answer(b'fresh'),
+            times=2,
+        )
+        bodies = [
+            one.body for one in (first, second) if isinstance(one, WholeAnswer)
+        ]
+        self.assertNotIn(b'stale', bodies)
+        self.assertIsInstance(second, WholeAnswer)
+        self.assertEqual(second.body, b'fresh')
+
+    def test_late_answer_never_reaches_the_next_request(self):
+        server = ScriptedServer()
+        self.addCleanup(server.close)
+        pool = HttpPool(address=server.address)
+        outcome = pool.exchange(_REQUEST, _LIMITS)
+        self.assertIsInstance(outcome, Broken)
+        self.assertEqual((pool.idle_count(), pool.open_count), (0, 0))
+
+    def test_refused_connection_is_not_sent(self):
+        server = ScriptedServer()
+        server.close()
+        pool = HttpPool(address=server.address)
+        outcome = pool.exchange(_REQUEST, _LIMITS)
+        self.assertIsInstance(outcome, NotSent)
+
+    def test_guard_keeps_a_request_from_being_sent(self):
+        server = ScriptedServer(answer(b'ran'))
+        self.addCleanup(server.close)
+        pool = HttpPool(address=server.address)
+        outcome = pool.exchange(_REQUEST, _LIMITS, guard=lambda: False)
+        self.assertIsInstance(outcome, NotSent)
+        self.assertEqual(server.requests, 0)
+
+    def test_stale_idle_connection_is_replaced_before_sending(self):
+        (first,) = self.exchange(answer(b'one'), is_closing=True)
+        self.assertIsInstance(first, WholeAnswer)
+        gevent.sleep(0.05)
+        self.server.replies.append(answer(b'two'))
+        second = self.pool.exchange(_REQUEST, _LIMITS)
+        self.assertIsInstance(second, WholeAnswer)
+        self.assertEqual(self.server.connections, 2)
--- /dev/null
+++ b/ragwortfield/tests/test_mechanisms.py
@@ -0,0 +1,99 @@
+"""Each mechanism is needed: without it the randomised runs find a violation."""
+
+from dataclasses import replace
+from unittest import TestCase, mock
+
+from ragwortfield.core.tables import Tables
+from ragwortfield.systems.job_progress import change_by_lapse
+from ragwortfield.testing.platform import MemoryPlatform
+from ragwortfield.testing.randomised import run_machine
+from ragwortfield.tests.test_claim_machine import ClaimMachine
+from ragwortfield.tests.test_job_machine import JobMachine
+from ragwortfield.tests.test_seat_machine import SeatMachine
+
+_STEPS = 40
+_RUNS = 60
+_transact = MemoryPlatform.transact
+
+
+def _lapse_at_once(row, worker_row, lapse, wall):
+    return change_by_lapse(
+        row,
+        worker_row,
+        replace(lapse, lease_until=0, is_worker_listed=False),
+        wall,
+    )
+
+
+def _transact_unchecked(platform, writes):
+    found = platform.scan('')
+    versions = {row.key: row.version for row in getattr(found, 'rows', ())}
+    return _transact(
+        platform,
+        tuple(
+            replace(write, expected_version=versions.get(write.key, 0))
+            for write in writes
+        ),
+    )
+
+
+class MechanismTests(TestCase):
+    """Mutations of the program that the machines must notice."""
+
+    def assert_needed(self, machine, patch, steps=_STEPS):
+        with patch, self.assertRaises(AssertionError):
+            run_machine(
+                machine,
+                steps=steps,
+                runs=_RUNS,
+                is_shrinking=False,
+            )
+
+    def test_pause_check_of_seats(self):
+        self.assert_needed(
+            SeatMachine,
+            mock.patch.object(Tables, 'is_paused', lambda tables, now: False),
+        )
+
+    def test_watch_before_takeover(self):
+        self.assert_needed(
+            SeatMachine,
+            mock.patch(
+                'ragwortfield.systems.seats._is_holder_gone',
+                lambda tables, timing, row, now: now > row.seat.expires_at,
+            ),
+            steps=30,
+        )
+
+    def test_gap_after_lost_holder(self):
+        self.assert_needed(
+            ClaimMachine,
+            mock.patch(
+                'ragwortfield.systems.claims._open_gap',
+                lambda tables, key, wall: '',
+            ),
+        )
+
+    def test_claims_read_back_at_takeover(self):
+        self.assert_needed(
+            ClaimMachine,
+            mock.patch(
+                'ragwortfield.engine.claim_keeper.adopt_claims',
+                lambda tables, claims, own: None,
+            ),
+        )
+
+    def test_wait_for_the_end_of_a_lease(self):
+        self.assert_needed(
+            JobMachine,
+            mock.patch(
+                'ragwortfield.engine.job_runner.change_by_lapse',
+                _lapse_at_once,
+            ),
+        )
+
+    def test_versions_checked_in_transactions(self):
+        self.assert_needed(
+            JobMachine,
+            mock.patch.object(MemoryPlatform, 'transact', _transact_unchecked),
+        )
