Instances without a share wait for one; newborns learn of all peers

Cause: focused tests with real processes found (1) that an instance without seats refused requests as "no-target" although a peer's first heartbeat with free slots was a moment away (503 for all four requests of the planned-stop test, and for first bookings in an outage); (2) that an instance born while the store is away knew only its seed peer, and could not serve when that peer held no seat (no answer within 8 s).

Ruled out: counting an instance as ready only with seats of its own; an instance without a seat serves through its peers.

Change: a request for which there is no share yet waits 1.5 s at most for seats or heartbeats; heartbeats go out at once when seats change hands; an instance without a list asks its peers for the other instances' addresses.

--- a/ragwortfield/core/tables.py
+++ b/ragwortfield/core/tables.py
@@ -78,6 +78,7 @@
     """
     Everything one entry instance knows.
 
+    :param peer_addresses: addresses that peers named while there is no list.
     :param ticked_at: when the last tick ran; tells a pause of the process.
     :param store_ok_at: when the platform last answered.
     :param seats_read_at: when the seat rows were last read.
@@ -87,6 +88,7 @@
     version: ConfigurationVersion | None = None
     configuration_text: str = ''
     listing: Listing | None = None
+    peer_addresses: frozenset[str] = frozenset()
     target_by_id: dict[TargetId, Target] = field(default_factory=dict)
     health_by_target: dict[TargetId, TargetHealth] = field(
         default_factory=dict,
--- a/ragwortfield/engine/dispatcher.py
+++ b/ragwortfield/engine/dispatcher.py
@@ -53,6 +53,8 @@
 
 #: While a request waits it asks again for a peer after this, in seconds.
 _PEER_RECHECK_S = 0.05
+#: Longest wait of a request for which this instance has no share, in seconds.
+_NO_SHARE_WAIT_S = 1.5
 #: Service time assumed before the first answer, in seconds.
 _ASSUMED_SERVICE_S = 0.02
 #: Weight of the newest answer in the smoothed service time.
@@ -271,19 +273,18 @@
         peer_choice = self._choose_peer(configuration, request, excluded)
         if isinstance(peer_choice, PeerChoice):
             return peer_choice
+        until = request.deadline
         if isinstance(choice, NoChoice) and choice.is_hopeless:
-            return self._refuse(
-                'no-target',
-                f'no target of service {request.service!r} can be reached',
-                retry_after_s=1,
-            )
-        return self._wait(configuration, request, excluded)
+            # Seats and heartbeats may be on their way to this instance.
+            until = min(until, now + _NO_SHARE_WAIT_S)
+        return self._wait(configuration, request, excluded, until)
 
     def _wait(
         self,
         configuration: Configuration,
         request: CallerRequest,
         excluded: frozenset[str],
+        until: Instant,
     ) -> _Placement:
         rest_s = request.deadline - self._clock.monotonic()
         expected_s = self._expected_wait_s(request.service)
@@ -304,7 +305,7 @@
         sequence = self._queue.push(request, waiter, weight)
         self._pump_service(request.service)
         try:
-            return self._await_slot(configuration, waiter)
+            return self._await_slot(configuration, waiter, until)
         finally:
             self._queue.remove(request.service, sequence)
 
@@ -312,15 +313,13 @@
         self,
         configuration: Configuration,
         waiter: _Waiter,
+        until: Instant,
     ) -> _Placement:
         request = waiter.request
         while True:
-            rest_s = request.deadline - self._clock.monotonic()
+            rest_s = until - self._clock.monotonic()
             if rest_s < _SMALLEST_REST_S:
-                return self._refuse(
-                    'deadline-passed',
-                    'no slot became free before the deadline',
-                )
+                return self._refuse_waiter(request, until)
             try:
                 return waiter.result.get(timeout=min(rest_s, _PEER_RECHECK_S))
             except gevent.Timeout:
@@ -334,6 +333,22 @@
             if isinstance(choice, PeerChoice):
                 return choice
 
+    def _refuse_waiter(
+        self,
+        request: CallerRequest,
+        until: Instant,
+    ) -> Refusal:
+        if until < request.deadline:
+            return self._refuse(
+                'no-target',
+                f'no target of service {request.service!r} can be reached',
+                retry_after_s=1,
+            )
+        return self._refuse(
+            'deadline-passed',
+            'no slot became free before the deadline',
+        )
+
     def _choose_peer(
         self,
         configuration: Configuration,
--- a/ragwortfield/engine/node.py
+++ b/ragwortfield/engine/node.py
@@ -188,7 +188,10 @@
         """
         if self.tables.version is None or self.tables.is_leaving:
             return False
-        return bool(self.tables.target_by_id)
+        if not self.tables.target_by_id:
+            return False
+        now = self.clock.monotonic()
+        return bool(self.tables.usable_seats(now) or self.tables.peer_by_id)
 
     def leave(self) -> None:
         """Announce a planned stop and hand over what others can take."""
@@ -235,7 +238,11 @@
             gevent.sleep(max(period_s - spent_s, TICK_S / 2))
 
     def _sync_round(self) -> None:
+        seats_before = set(self.tables.held_by_key)
         self.sync.run_round()
+        if seats_before != set(self.tables.held_by_key):
+            share_targets(self.tables, self.clock.monotonic())
+            self.peers.announce()
         self.links.drop_unlisted()
         self.keeper.drop_expired()
         if self.keeper.dirty_count() and self._is_store_reachable():
@@ -262,7 +269,8 @@
     def _addresses_to_dial(self) -> frozenset[str]:
         listing = self.tables.listing
         if listing is None:
-            return self._seeds
+            own_address = self.tables.identity.peer_address
+            return (self._seeds | self.tables.peer_addresses) - {own_address}
         entries = [
             listed for listed in listing.instances if listed.kind == 'entry'
         ]
--- a/ragwortfield/engine/peer_desk.py
+++ b/ragwortfield/engine/peer_desk.py
@@ -9,6 +9,8 @@
     ConfigurationOffer,
     Heartbeat,
     Message,
+    PeersAsk,
+    PeersOffer,
 )
 from ragwortfield.ports.clock import Clock
 from ragwortfield.settings.checking import SettingsError
@@ -73,8 +75,12 @@
             return self._receive_heartbeat(peer_id, message)
         if isinstance(message, ConfigurationAsk):
             return self._offer(message)
+        if isinstance(message, PeersAsk):
+            return self._name_peers()
         if isinstance(message, ConfigurationOffer):
             self._adopt(peer_id, message)
+        elif isinstance(message, PeersOffer):
+            self._tables.peer_addresses |= frozenset(message.addresses)
         return None
 
     def _receive_heartbeat(
@@ -96,8 +102,19 @@
         known = self._tables.configuration_version()
         if heartbeat.configuration_version > known:
             return ConfigurationAsk(known_version=known)
+        if self._tables.listing is None:
+            return PeersAsk(data_centre=self._tables.identity.data_centre)
         return None
 
+    def _name_peers(self) -> Message:
+        listing = self._tables.listing
+        listed = () if listing is None else listing.instances
+        addresses = {
+            entry.peer_address for entry in listed if entry.kind == 'entry'
+        }
+        addresses |= self._tables.peer_addresses
+        return PeersOffer(addresses=tuple(sorted(addresses - {''})))
+
     def _offer(self, ask: ConfigurationAsk) -> Message | None:
         version = self._tables.configuration_version()
         if version <= ask.known_version:
--- a/ragwortfield/peering/messages.py
+++ b/ragwortfield/peering/messages.py
@@ -78,6 +78,20 @@
     text: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeersAsk:
+    """Question for other instances, of one that has no list yet."""
+
+    data_centre: DataCentreName
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeersOffer:
+    """Peer addresses of the instances that the sender knows."""
+
+    addresses: tuple[str, ...]
+
+
 #: Any message.
 Message = (
     Challenge
@@ -86,6 +100,8 @@
     | Heartbeat
     | ConfigurationAsk
     | ConfigurationOffer
+    | PeersAsk
+    | PeersOffer
 )
 
 _KIND_BY_NAME: dict[str, type[Message]] = {
@@ -97,6 +113,8 @@
         Heartbeat,
         ConfigurationAsk,
         ConfigurationOffer,
+        PeersAsk,
+        PeersOffer,
     )
 }
 
--- /dev/null
+++ b/ragwortfield/tests/test_processes.py
@@ -0,0 +1,202 @@
+"""Focused tests with real processes, sockets and signals."""
+
+import json
+import shutil
+import signal
+import tempfile
+import uuid
+from pathlib import Path
+from unittest import TestCase
+
+import gevent
+
+from ragwortfield.adapters.http_client import HttpRequest
+from ragwortfield.front.fields import KEY_FIELD, TEAM_FIELD, TOKEN_FIELD
+from ragwortfield.testing.deployment import (
+    CONFIGURATION,
+    SERVICE,
+    TEAM,
+    TEAM_TOKEN,
+    TrialDeployment,
+)
+
+_FIELDS = ((TEAM_FIELD, TEAM), (TOKEN_FIELD, TEAM_TOKEN))
+
+
+class ProcessTests(TestCase):
+    """Two entry instances and two workers in one data centre."""
+
+    def setUp(self):
+        self.folder = Path(tempfile.mkdtemp())
+        self.trial = TrialDeployment(folder=self.folder)
+        self.addCleanup(shutil.rmtree, self.folder)
+        self.addCleanup(self.trial.stop)
+        self.trial.start_platform()
+        for number in (1, 2):
+            self.trial.start_worker(f'worker-{number}', 'bergamo')
+        for number in (1, 2):
+            self.trial.start_entry(f'entry-{number}', 'bergamo')
+        address = self.address('entry-1')
+        self.trial.wait_for(
+            lambda: self.trial.is_answering(address, '/health'),
+        )
+        accepted = self.trial.accept_configuration('entry-1')
+        self.assertEqual(accepted.status, 200)
+        self.trial.wait_until_ready(20)
+
+    def address(self, name):
+        return self.trial.entry_by_id[name].address
+
+    def call(self, name, path='/echo', method='GET', body=b'', **fields):
+        more = tuple(
+            (key.replace('_', '-'), text) for key, text in fields.items()
+        )
+        return self.trial.ask(
+            self.address(name),
+            HttpRequest(
+                method=method,
+                path=f'/services/{SERVICE}{path}',
+                fields=(*_FIELDS, *more),
+                body=body,
+            ),
+        )
+
+    def book(self, name, booking, key):
+        return self.trial.ask(
+            self.address(name),
+            HttpRequest(
+                method='POST',
+                path=f'/services/{SERVICE}/bookings',
+                fields=(*_FIELDS, (KEY_FIELD, key)),
+                body=booking,
+            ),
+        )
+
+    def runs(self, booking):
+        total = 0
+        for worker_id in self.trial.worker_by_id:
+            seen = self.trial.describe_worker(worker_id)
+            total += seen['target']['runs_by_booking'].get(booking, 0)
+        return total
+
+    def test_repeat_at_another_instance_in_an_outage_runs_once(self):
+        self.trial.switch_platform(is_down=True)
+        gevent.sleep(4)
+        for number in range(12):
+            key = f'bergamo:{uuid.uuid4()}'
+            booking = f'booking-{number}'
+            first = self.book('entry-1', booking.encode(), key)
+            second = self.book('entry-2', booking.encode(), key)
+            self.assertEqual(first.field_value('ragwortfield-run'), 'ran')
+            self.assertEqual(second.field_value('ragwortfield-run'), 'ran')
+            self.assertEqual(second.body, booking.encode())
+            self.assertEqual(self.runs(booking), 1)
+
+    def test_planned_stop_cuts_off_no_request(self):
+        calls = [
+            gevent.spawn(self.call, 'entry-1', f'/echo?ms=1500&n={number}')
+            for number in range(4)
+        ]
+        gevent.sleep(0.3)
+        stopping = self.trial.entry_by_id['entry-1']
+        self.trial.send_signal(stopping, signal.SIGTERM)
+        gevent.joinall(calls)
+        self.assertEqual([call.value.status for call in calls], [200] * 4)
+        self.trial.wait_for(lambda: stopping.process.poll() is not None)
+        self.assertEqual(stopping.process.returncode, 0)
+        del self.trial.entry_by_id['entry-1']
+        self.trial.wait_until_ready()
+
+    def test_frozen_instance_sends_nothing_after_it_wakes(self):
+        frozen = self.trial.entry_by_id['entry-1']
+        self.trial.send_signal(frozen, signal.SIGSTOP)
+        gevent.sleep(4)
+        self.trial.switch_platform(is_down=True)
+        self.trial.send_signal(self.trial.entry_by_id['entry-2'], 9)
+        self.trial.send_signal(frozen, signal.SIGCONT)
+        answer = self.call('entry-1', ragwortfield_deadline_ms='500')
+        self.assertEqual(answer.field_value('ragwortfield-run'), 'not-run')
+
+    def test_silent_target_is_left_and_the_answer_comes_from_another(self):
+        self.trial.switch_target('worker-1', is_silent=True)
+        answers = [self.call('entry-1') for _ in range(4)]
+        states = {one.field_value('ragwortfield-run') for one in answers}
+        self.assertEqual(states, {'ran'})
+
+    def test_truncated_answer_is_reported_as_unknown_and_not_sent_again(self):
+        for worker_id in self.trial.worker_by_id:
+            self.trial.switch_target(worker_id, is_truncating=True)
+        answer = self.book('entry-1', b'cut', f'bergamo:{uuid.uuid4()}')
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(answer.field_value('ragwortfield-run'), 'unknown')
+        self.assertEqual(self.runs('cut'), 1)
+
+    def test_leaving_target_gets_no_new_work_with_list_and_store_away(self):
+        self.trial.switch_platform(is_down=True)
+        self.trial.switch_target('worker-1', is_leaving=True)
+        gevent.sleep(3)
+        before = self.trial.describe_worker('worker-1')['target']['requests']
+        for _ in range(20):
+            self.call('entry-1')
+            self.call('entry-2')
+        after = self.trial.describe_worker('worker-1')['target']['requests']
+        self.assertEqual(after, before)
+
+    def test_newborn_in_an_outage_serves_with_its_peers_configuration(self):
+        self.trial.switch_platform(is_down=True)
+        seed = self.trial.entry_by_id['entry-1'].peer_address
+        newborn = self.trial.start_entry('entry-3', 'bergamo', seeds=(seed,))
+        self.trial.wait_for(
+            lambda: self.trial.is_answering(newborn.address, '/health'),
+        )
+        self.trial.wait_for(
+            lambda: self.call('entry-3').status == 200,
+            within_s=8,
+        )
+
+    def test_racing_operators_get_one_winner_and_one_conflict(self):
+        changed = CONFIGURATION.replace('objective_ms = 500', '{0}')
+        texts = [
+            changed.replace('{0}', f'objective_ms = {number}')
+            for number in (400, 600)
+        ]
+        races = [
+            gevent.spawn(self.trial.accept_configuration, name, text, 1)
+            for name, text in zip(
+                ('entry-1', 'entry-2'),
+                texts,
+                strict=True,
+            )
+        ]
+        gevent.joinall(races)
+        statuses = sorted(race.value.status for race in races)
+        self.assertEqual(statuses, [200, 409])
+        self.trial.wait_for(lambda: self.versions() == {2}, within_s=5)
+
+    def test_bad_requests_get_the_truth_and_harm_nothing(self):
+        cases = (
+            ('unknown-service', '/services/nothing/x', {}),
+            ('wrong-token', None, {'ragwortfield-token': 'wrong'}),
+            ('unknown-team', None, {'ragwortfield-team': 'nobody'}),
+            ('bad-deadline', None, {'ragwortfield-deadline-ms': 'soon'}),
+            ('deadline-passed', None, {'ragwortfield-deadline-ms': '-1'}),
+            ('unknown-class', None, {'ragwortfield-class': 'asap'}),
+        )
+        for code, path, changes in cases:
+            fields = {**dict(_FIELDS), **changes}
+            answer = self.trial.ask(
+                self.address('entry-1'),
+                HttpRequest(
+                    method='GET',
+                    path=path or f'/services/{SERVICE}/echo',
+                    fields=tuple(fields.items()),
+                ),
+            )
+            document = json.loads(answer.body)
+            self.assertEqual(document['error'], code)
+            self.assertEqual(document['run'], 'not-run')
+        self.assertEqual(self.call('entry-1').status, 200)
+
+    def versions(self):
+        answer = self.trial.operate('entry-1', 'GET', 'configuration')
+        return set(json.loads(answer.body)['in_force'].values())
