Placement in groups, sampled targets, shares only when they change

Cause: slopes measured for docs/CAPACITY.md (benchmarks/slopes.py, sizes 35, 220 and 2,200) showed placement of a burst of 220 jobs over 220 workers at 812 ms and 1.0 starts a transaction, against a target of 4 and several hundred writes/s; the choice of a target at 0.42 ms, and the division of shares, ten times a second, at 1.0 ms for 220 targets.

Ruled out: packing to fill transactions; it would load few workers fully and is what the tail-latency weight speaks against.

Change: a round looks first at the best eighth of as many workers as jobs are pending (four at least) and keeps sums up to date instead of adding grants again; of more than 12 targets a random sample of 12 is compared, all of them when none of the sample is free (Mitzenmacher, The power of two choices); shares are worked out again only when seats, targets or the configuration changed.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 bench: setup
 	$(BIN)/python -m benchmarks.proxy
+	$(BIN)/python -m benchmarks.slopes
 
 clean:
 	rm -rf $(VENV) var
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,209 @@
+"""Slopes of what control costs, at three sizes each, for docs/CAPACITY.md."""
+
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import replace
+
+from absl import app
+
+from ragwortfield.adapters.documents import encode_json, to_document
+from ragwortfield.core.claims import Claim, ClaimState
+from ragwortfield.core.configuration import ConfigurationVersion, Team
+from ragwortfield.core.jobs import Job, JobRow, JobSpec, Worker, WorkerRow
+from ragwortfield.core.resources import Resources
+from ragwortfield.core.seats import SeatId
+from ragwortfield.core.tables import HeldSeat, Identity, Tables
+from ragwortfield.core.targets import Target
+from ragwortfield.engine.peer_desk import PeerDesk
+from ragwortfield.peering.messages import encode_message
+from ragwortfield.ports.clock import SystemClock
+from ragwortfield.ports.platform import Row, Rows
+from ragwortfield.settings.deployment import parse_configuration
+from ragwortfield.systems.placement import plan_placement
+from ragwortfield.systems.routing import choose_target, free_slots
+from ragwortfield.systems.shares import share_targets
+from ragwortfield.testing.deployment import CONFIGURATION, SERVICE, TEAM
+
+_SIZES = (35, 220, 2200)
+_REPEATS = 20
+_MS = 1000
+_BURST = 220
+_RANDOMNESS = random.Random(1)
+
+
+def main(arguments: list[str]) -> int:
+    """
+    Print the cost of each part at each size.
+
+    :param arguments: command line after flag parsing.
+    :returns: exit status.
+    """
+    for size in _SIZES:
+        tables = _tables(size)
+        now = tables.ticked_at
+        _write(
+            'tick: shares of targets',
+            size,
+            _time(
+                lambda: share_targets(tables, now),
+            ),
+        )
+        _write(
+            'heartbeat: count of free slots',
+            size,
+            _time(
+                lambda: free_slots(tables, SERVICE, now),
+            ),
+        )
+        _write(
+            'request: choice of a target',
+            size,
+            _time(
+                lambda: choose_target(
+                    tables,
+                    SERVICE,
+                    now,
+                    randomness=_RANDOMNESS,
+                ),
+            ),
+        )
+        desk = PeerDesk(tables=tables, clock=SystemClock())
+        frame = encode_message(desk.heartbeat())
+        sys.stdout.write(f'heartbeat frame: {size}: {len(frame)} B\n')
+        _write_placement(tables, size)
+        _write_rows(size)
+        _write_memory(size)
+    return 0
+
+
+def _tables(size: int) -> Tables:
+    tables = Tables(
+        identity=Identity(
+            instance_id='bergamo-1',
+            data_centre='bergamo',
+            region='lombardy',
+            http_address='127.0.0.1:1',
+            peer_address='127.0.0.1:2',
+        ),
+    )
+    configuration = parse_configuration(CONFIGURATION, 'bench')
+    team = Team(token_sha256='0' * 64, jobs_cpu=10**9)
+    tables.version = ConfigurationVersion(
+        version=1,
+        configuration=replace(configuration, teams={TEAM: team}),
+    )
+    tables.ticked_at = time.monotonic() + 10**6
+    for number in range(size):
+        name = f'target-{number}'
+        tables.target_by_id[name] = Target(
+            target_id=name,
+            service=SERVICE,
+            data_centre='bergamo',
+            address='127.0.0.1:3',
+        )
+    for index in range(2):
+        seat_id = SeatId(data_centre='bergamo', index=index)
+        tables.held_by_key[seat_id.row_key()] = HeldSeat(
+            seat_id=seat_id,
+            generation=1,
+            version=1,
+            expires_at=0,
+            usable_from=0,
+        )
+    share_targets(tables, tables.ticked_at)
+    return tables
+
+
+def _write_placement(tables: Tables, size: int) -> None:
+    configuration = tables.configuration()
+    workers = tuple(
+        WorkerRow(
+            key=f'workers/bergamo/{number}',
+            version=1,
+            worker=Worker(
+                worker_id=f'worker-{number}',
+                address='127.0.0.1:4',
+                capacity=Resources(cpu=64, memory_mb=250_000),
+            ),
+        )
+        for number in range(size)
+    )
+    jobs = tuple(_job_row(number) for number in range(_BURST))
+    started_at = time.perf_counter()
+    plan = plan_placement(
+        configuration,
+        job_rows=jobs,
+        worker_rows=workers,
+        quota_fraction=1,
+        wall=0,
+    )
+    spent_ms = (time.perf_counter() - started_at) * _MS
+    bound = sum(len(binding.jobs) for binding in plan.bindings)
+    sys.stdout.write(
+        f'placement of {_BURST} jobs: {size}: {spent_ms:.1f} ms, '
+        f'{bound / len(plan.bindings):.1f} starts a transaction\n',
+    )
+
+
+def _job_row(number: int) -> JobRow:
+    spec = JobSpec(
+        name='job',
+        team=TEAM,
+        resources=Resources(cpu=1, memory_mb=100),
+        command='sleep 1',
+    )
+    job = Job(job_id=f'bergamo.{number:032x}', spec=spec)
+    return JobRow(key=f'jobs/bergamo/0/{job.job_id}', version=1, job=job)
+
+
+def _write_rows(size: int) -> None:
+    rows = Rows(
+        rows=tuple(
+            Row(key=row.key, version=1, body=to_document(row.job))
+            for row in (_job_row(number) for number in range(size))
+        ),
+    )
+    text = encode_json(rows)
+    sys.stdout.write(
+        f'scan of jobs: {size}: {len(text)} B, {len(text) / size:.0f} B a '
+        'row\n',
+    )
+
+
+def _write_memory(size: int) -> None:
+    tracemalloc.start()
+    claims = {
+        f'team:bergamo:{number:032x}': Claim(
+            state=ClaimState.RAN,
+            digest=f'{number:064x}',
+            nonce=f'{number:032x}',
+            opened_at=float(number),
+            answer_status=200,
+            is_answer_kept=True,
+            answer_body='00' * 100,
+        )
+        for number in range(size * 10)
+    }
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    sys.stdout.write(
+        f'memory of claims: {len(claims)}: {used / len(claims):.0f} B each\n',
+    )
+
+
+def _time(act: Callable[[], object]) -> float:
+    started_at = time.perf_counter()
+    for _ in range(_REPEATS):
+        act()
+    return (time.perf_counter() - started_at) / _REPEATS
+
+
+def _write(name: str, size: int, spent_s: float) -> None:
+    sys.stdout.write(f'{name}: {size}: {spent_s * _MS:.3f} ms\n')
+
+
+if __name__ == '__main__':
+    app.run(main)
--- a/ragwortfield/core/tables.py
+++ b/ragwortfield/core/tables.py
@@ -15,6 +15,7 @@
     Instant,
     JobId,
     Seconds,
+    ServiceName,
     TargetId,
     WallTime,
     WorkerId,
@@ -73,12 +74,22 @@
     connections: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ShareBasis:
+    """What the shares were worked out from; equal means unchanged."""
+
+    seat_indexes: tuple[int, ...]
+    configuration_version: int
+    targets: tuple[TargetId, ...]
+
+
 @dataclass(kw_only=True, slots=True)
 class Tables:
     """
     Everything one entry instance knows.
 
     :param peer_addresses: addresses that peers named while there is no list.
+    :param shared_by_service: targets of which this instance has a share.
     :param ticked_at: when the last tick ran; tells a pause of the process.
     :param store_ok_at: when the platform last answered.
     :param seats_read_at: when the seat rows were last read.
@@ -95,6 +106,10 @@
     )
     in_use_by_target: dict[TargetId, int] = field(default_factory=dict)
     share_by_target: dict[TargetId, TargetShare] = field(default_factory=dict)
+    share_basis: ShareBasis | None = None
+    shared_by_service: dict[ServiceName, list[TargetId]] = field(
+        default_factory=dict,
+    )
     peer_by_id: dict[InstanceId, Peer] = field(default_factory=dict)
     seat_row_by_key: dict[str, SeatRow] = field(default_factory=dict)
     held_by_key: dict[str, HeldSeat] = field(default_factory=dict)
--- a/ragwortfield/engine/dispatcher.py
+++ b/ragwortfield/engine/dispatcher.py
@@ -265,7 +265,13 @@
         excluded: frozenset[str],
     ) -> _Placement:
         now = self._clock.monotonic()
-        choice = choose_target(self._tables, request.service, now, excluded)
+        choice = choose_target(
+            self._tables,
+            request.service,
+            now,
+            excluded,
+            self._randomness,
+        )
         is_queue_empty = not self._queue.size(request.service)
         if isinstance(choice, TargetChoice) and is_queue_empty:
             self._reserve(choice.target)
@@ -401,7 +407,12 @@
     def _pump_service(self, service: str) -> None:
         now = self._clock.monotonic()
         while self._queue.size(service):
-            choice = choose_target(self._tables, service, now)
+            choice = choose_target(
+                self._tables,
+                service,
+                now,
+                randomness=self._randomness,
+            )
             if not isinstance(choice, TargetChoice):
                 return
             waiter = self._queue.pop(service)
--- a/ragwortfield/front/http.py
+++ b/ragwortfield/front/http.py
@@ -14,6 +14,10 @@
 #: Bytes read from a body of unknown length at once.
 _BLOCK_BYTES = 10**5
 
+_LINE_BY_STATUS = {
+    int(status): f'{int(status)} {status.phrase}' for status in HTTPStatus
+}
+
 StartResponse = Callable[..., Any]
 
 
@@ -144,9 +148,7 @@
 
 def _status_line(status: int) -> str:
     # A target may answer with a status that no registry knows.
-    if status in tuple(HTTPStatus):
-        return f'{int(status)} {HTTPStatus(status).phrase}'
-    return f'{status} Status'
+    return _LINE_BY_STATUS.get(status, f'{status} Status')
 
 
 def _read_stream(
--- a/ragwortfield/front/server.py
+++ b/ragwortfield/front/server.py
@@ -24,6 +24,9 @@
         environ[RAW_PATH_KEY] = self.path
         return environ
 
+    def log_request(self) -> None:
+        """Leave the log of requests to the application."""
+
 
 class FrontServer(WSGIServer):
     """
--- a/ragwortfield/systems/placement.py
+++ b/ragwortfield/systems/placement.py
@@ -1,8 +1,10 @@
 """Placement: which pending job goes to which worker."""
 
+import heapq
+import math
 from dataclasses import dataclass, replace
 
-from ragwortfield.core.configuration import Configuration, Objective
+from ragwortfield.core.configuration import Configuration
 from ragwortfield.core.jobs import (
     Grant,
     Job,
@@ -16,10 +18,14 @@
 from ragwortfield.core.resources import Resources
 from ragwortfield.invariants import INVARIANTS
 from ragwortfield.systems.quarantine import is_open_for_starts
-from ragwortfield.types import TeamName, WallTime
+from ragwortfield.types import TeamName, WallTime, WorkerId
 
 #: Jobs bound by one transaction at most.
 MAX_GROUP = 16
+#: Jobs that one transaction should bind when many are pending.
+_WANTED_GROUP = 8
+#: Workers that a round looks at first, however few jobs are pending.
+_MIN_SHORTLIST = 4
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -73,9 +79,11 @@
     :param wall: reading of the wall clock.
     :returns: transactions that bind, and jobs to park.
     """
+    pending = sorted(_pending(job_rows), key=_order)
     draft = _Draft(worker_rows, configuration, quota_fraction, wall)
+    draft.shorten_list(len(pending))
     parkings = []
-    for job_row in sorted(_pending(job_rows), key=_order):
+    for job_row in pending:
         reason = _impossible_reason(job_row.job, worker_rows)
         if reason:
             parked = replace(
@@ -107,11 +115,35 @@
         self._worker_by_id = {
             row.worker.worker_id: row.worker for row in worker_rows
         }
+        self._granted_by_id = {
+            row.worker.worker_id: granted_total(row.worker)
+            for row in worker_rows
+        }
+        self._cpu_by_team = _cpu_by_team(worker_rows)
+        self._shortlist = list(self._worker_by_id)
         self._jobs_by_worker: dict[str, list[tuple[JobRow, Job]]] = {}
         self._configuration = configuration
         self._quota_fraction = quota_fraction
         self._wall = wall
 
+    def shorten_list(self, pending: int) -> None:
+        # A burst goes to a few of the best workers, so that one transaction
+        # carries several starts.
+        size = max(_MIN_SHORTLIST, math.ceil(pending / _WANTED_GROUP))
+        nothing = Resources()
+        self._shortlist = heapq.nsmallest(
+            size,
+            (
+                worker_id
+                for worker_id, worker in self._worker_by_id.items()
+                if is_open_for_starts(worker, self._wall)
+            ),
+            key=lambda worker_id: (
+                self._score(worker_id, nothing),
+                worker_id,
+            ),
+        )
+
     def place(self, job_row: JobRow) -> None:
         job = job_row.job
         if not self._is_within_quota(job):
@@ -143,6 +175,10 @@
             detail=f'worker={worker.worker_id} job={job.job_id}',
         )
         self._worker_by_id[worker.worker_id] = granted
+        self._granted_by_id[worker.worker_id] = granted_total(granted)
+        team = job.spec.team
+        held = self._cpu_by_team.get(team, 0)
+        self._cpu_by_team[team] = held + job.spec.resources.cpu
         group = self._jobs_by_worker.setdefault(worker.worker_id, [])
         group.append((job_row, bound))
 
@@ -158,21 +194,33 @@
         )
 
     def _best_worker(self, job: Job) -> Worker | None:
+        for names in (self._shortlist, self._worker_by_id):
+            open_names = [
+                name
+                for name in names
+                if self._is_open_for(self._worker_by_id[name], job)
+            ]
+            fresh = [
+                name for name in open_names if name not in job.failed_workers
+            ]
+            is_last = names is self._worker_by_id
+            if fresh or (is_last and open_names):
+                return self._best_of(fresh or open_names, job)
+        return None
+
+    def _best_of(self, names: list[WorkerId], job: Job) -> Worker:
         wanted = job.spec.resources
-        candidates = [
-            worker
-            for worker in self._worker_by_id.values()
-            if self._is_open_for(worker, job)
-        ]
-        return min(
-            candidates,
-            key=lambda worker: (
-                worker.worker_id in job.failed_workers,
-                _score(self._configuration.objective, worker, wanted),
-                worker.worker_id,
-            ),
-            default=None,
-        )
+        best = min(names, key=lambda name: (self._score(name, wanted), name))
+        return self._worker_by_id[best]
+
+    def _score(self, worker_id: WorkerId, wanted: Resources) -> float:
+        # Spreading keeps neighbours of services lightly loaded; packing
+        # leaves whole workers free for large jobs.
+        objective = self._configuration.objective
+        after = self._granted_by_id[worker_id].plus(wanted)
+        load = after.load_of(self._worker_by_id[worker_id].capacity)
+        spreading = objective.tail_latency + objective.evictions
+        return (spreading - objective.throughput) * load
 
     def _is_open_for(self, worker: Worker, job: Job) -> bool:
         group = self._jobs_by_worker.get(worker.worker_id, ())
@@ -183,14 +231,14 @@
         # A worker on trial gets one task at a time, in this round too.
         if worker.quarantines and group:
             return False
-        after = granted_total(worker).plus(job.spec.resources)
-        return after.is_within(worker.capacity)
+        granted = self._granted_by_id[worker.worker_id]
+        return granted.plus(job.spec.resources).is_within(worker.capacity)
 
     def _is_within_quota(self, job: Job) -> bool:
         team = self._configuration.teams.get(job.spec.team)
         if team is None:
             return False
-        held = _team_cpu(tuple(self._worker_by_id.values()), job.spec.team)
+        held = self._cpu_by_team.get(job.spec.team, 0)
         limit = team.jobs_cpu * self._quota_fraction
         return held + job.spec.resources.cpu <= limit
 
@@ -221,18 +269,10 @@
     )
 
 
-def _score(objective: Objective, worker: Worker, wanted: Resources) -> float:
-    # Spreading keeps neighbours of services lightly loaded; packing leaves
-    # whole workers free for large jobs.
-    load = granted_total(worker).plus(wanted).load_of(worker.capacity)
-    spreading = objective.tail_latency + objective.evictions
-    return (spreading - objective.throughput) * load
-
-
-def _team_cpu(workers: tuple[Worker, ...], team: TeamName) -> float:
-    return sum(
-        grant.resources.cpu
-        for worker in workers
-        for grant in worker.grants.values()
-        if grant.team == team
-    )
+def _cpu_by_team(worker_rows: tuple[WorkerRow, ...]) -> dict[TeamName, float]:
+    cpu_by_team: dict[TeamName, float] = {}
+    for row in worker_rows:
+        for grant in row.worker.grants.values():
+            held = cpu_by_team.get(grant.team, 0)
+            cpu_by_team[grant.team] = held + grant.resources.cpu
+    return cpu_by_team
--- a/ragwortfield/systems/routing.py
+++ b/ragwortfield/systems/routing.py
@@ -1,6 +1,7 @@
 """Choice of the target, or of the peer that has a free slot."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ragwortfield.core.configuration import RequestClass
@@ -21,6 +22,8 @@
 _ASSUMED_LATENCY_S = 0.001
 #: Relays of one request at most.
 MAX_HOPS = 2
+#: Targets that are compared when there are more of them.
+_SAMPLE = 12
 _NO_SHARE = TargetShare()
 
 
@@ -59,6 +62,7 @@
     service: str,
     now: Instant,
     excluded: frozenset[TargetId] = frozenset(),
+    randomness: random.Random | None = None,
 ) -> TargetChoice | NoChoice:
     """
     Choose the target that is expected to answer first.
@@ -70,15 +74,31 @@
     :param service: the service.
     :param now: reading of the monotonic clock.
     :param excluded: targets that failed this request before.
+    :param randomness: with it, only a sample of many targets is looked at
+        as long as one of them is free.
     :returns: the target, or that none is free.
     """
+    shared = tables.shared_by_service.get(service, ())
+    if randomness is not None and len(shared) > _SAMPLE:
+        sample = randomness.sample(shared, _SAMPLE)
+        choice = _cheapest(tables, sample, now, excluded)
+        if isinstance(choice, TargetChoice):
+            return choice
+    return _cheapest(tables, shared, now, excluded)
+
+
+def _cheapest(
+    tables: Tables,
+    target_ids: Sequence[TargetId],
+    now: Instant,
+    excluded: frozenset[TargetId],
+) -> TargetChoice | NoChoice:
     candidates = [
-        target
-        for target in tables.target_by_id.values()
-        if target.service == service
-        and target.target_id not in excluded
-        and tables.share_by_target.get(target.target_id, _NO_SHARE).slots
-        and is_available(tables, target, now)
+        tables.target_by_id[target_id]
+        for target_id in target_ids
+        if target_id not in excluded
+        and target_id in tables.target_by_id
+        and is_available(tables, tables.target_by_id[target_id], now)
     ]
     best: Target | None = None
     best_cost = float('inf')
@@ -102,8 +122,9 @@
     :returns: the number of slots.
     """
     free = 0
-    for target in tables.target_by_id.values():
-        if target.service != service or not is_available(tables, target, now):
+    for target_id in tables.shared_by_service.get(service, ()):
+        target = tables.target_by_id.get(target_id)
+        if target is None or not is_available(tables, target, now):
             continue
         share = tables.share_by_target.get(target.target_id, _NO_SHARE)
         used = tables.in_use_by_target.get(target.target_id, 0)
--- a/ragwortfield/systems/shares.py
+++ b/ragwortfield/systems/shares.py
@@ -1,10 +1,15 @@
 """Division of a target's slots and connections among the seats."""
 
 from ragwortfield.core.configuration import Configuration
-from ragwortfield.core.tables import HeldSeat, Tables, TargetShare
+from ragwortfield.core.tables import (
+    HeldSeat,
+    ShareBasis,
+    Tables,
+    TargetShare,
+)
 from ragwortfield.core.targets import Target
 from ragwortfield.systems.hashing import stable_hash
-from ragwortfield.types import Instant
+from ragwortfield.types import Instant, ServiceName, TargetId
 
 
 def seat_share(total: int, seats: int, index: int, offset: int) -> int:
@@ -35,13 +40,29 @@
     configuration = tables.configuration()
     if configuration is None:
         tables.share_by_target = {}
+        tables.shared_by_service = {}
+        tables.share_basis = None
         return
     held = tables.usable_seats(now)
+    basis = ShareBasis(
+        seat_indexes=tuple(seat.seat_id.index for seat in held),
+        configuration_version=tables.configuration_version(),
+        targets=tuple(tables.target_by_id),
+    )
+    if basis == tables.share_basis:
+        return
+    tables.share_basis = basis
     tables.share_by_target = {
         target_id: _share_of(target, held, configuration)
         for target_id, target in tables.target_by_id.items()
         if target.data_centre == tables.identity.data_centre
     }
+    shared_by_service: dict[ServiceName, list[TargetId]] = {}
+    for target_id, share in tables.share_by_target.items():
+        if share.slots:
+            service = tables.target_by_id[target_id].service
+            shared_by_service.setdefault(service, []).append(target_id)
+    tables.shared_by_service = shared_by_service
 
 
 def seat_fraction(tables: Tables, now: Instant) -> float:
--- a/ragwortfield/tests/test_http_client.py
+++ b/ragwortfield/tests/test_http_client.py
@@ -128,7 +128,7 @@
         server = ScriptedServer(answer(b'ran'))
         self.addCleanup(server.close)
         pool = HttpPool(address=server.address)
-        outcome = pool.exchange(_REQUEST, _LIMITS, guard=lambda: False)
+        outcome = pool.exchange(_REQUEST, _LIMITS, guard=bool)
         self.assertIsInstance(outcome, NotSent)
         self.assertEqual(server.requests, 0)
 
