Slots apart from the dispatcher; a request that cannot be encoded is not sent

Ruled out: encoding fields as UTF-8; HTTP servers read them as Latin-1.

Change: engine/slots.py takes and gives back slots and holds the queue; a request is encoded before it counts as sent; the next free target is chosen again without the excluded ones; names of teams are plain ASCII words, which the check of a configuration says.

--- a/ragwortfield/adapters/http_client.py
+++ b/ragwortfield/adapters/http_client.py
@@ -245,11 +245,15 @@
         request: HttpRequest,
         limits: Limits,
     ) -> tuple[ExchangeOutcome, bool]:
+        try:
+            encoded = _encode(request, self.address)
+        except UnicodeEncodeError as error:
+            return NotSent(reason=f'request cannot be encoded: {error}'), True
         started_at = time.monotonic()
         sock = connection.sock
         sock.settimeout(max(limits.first_byte_s, _SMALLEST_TIMEOUT_S))
         try:
-            sock.sendall(_encode(request, self.address))
+            sock.sendall(encoded)
             response = _Response(sock, _BLOCK_BYTES, request.method)
             sock.settimeout(max(limits.total_s, _SMALLEST_TIMEOUT_S))
             body = response.read_whole(sock)
--- a/ragwortfield/engine/dispatcher.py
+++ b/ragwortfield/engine/dispatcher.py
@@ -6,7 +6,6 @@
 from typing import Protocol
 
 import gevent
-from gevent.event import AsyncResult
 
 from ragwortfield.adapters.http_client import HttpRequest, Limits
 from ragwortfield.core.configuration import Configuration, Service
@@ -24,10 +23,10 @@
 )
 from ragwortfield.core.peers import Peer
 from ragwortfield.core.requests import CallerRequest
-from ragwortfield.core.tables import Tables, TargetShare
+from ragwortfield.core.tables import Tables
 from ragwortfield.core.targets import Target
+from ragwortfield.engine.slots import SlotDesk, SlotWait
 from ragwortfield.engine.target_links import TargetLinks
-from ragwortfield.invariants import INVARIANTS
 from ragwortfield.log import event
 from ragwortfield.ports.clock import Clock
 from ragwortfield.systems.byte_budget import ByteBudget
@@ -37,7 +36,6 @@
     record_dispatch,
     record_failure,
 )
-from ragwortfield.systems.queueing import RequestQueue
 from ragwortfield.systems.retries import (
     MAX_ATTEMPTS,
     RetryBudget,
@@ -48,7 +46,6 @@
     PeerChoice,
     TargetChoice,
     choose_peer,
-    choose_target,
     is_same_region,
 )
 from ragwortfield.systems.shares import seat_fraction
@@ -60,10 +57,6 @@
 _NO_SHARE_WAIT_S = 1.5
 #: Bytes that the head of a request or answer is taken for.
 _HEAD_BYTES = 600
-#: Service time assumed before the first answer, in seconds.
-_ASSUMED_SERVICE_S = 0.02
-#: Weight of the newest answer in the smoothed service time.
-_SERVICE_TIME_WEIGHT = 0.05
 #: Smallest useful rest of a deadline, in seconds.
 _SMALLEST_REST_S = 0.001
 
@@ -91,13 +84,6 @@
     refused: int = 0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Waiter:
-    request: CallerRequest
-    result: AsyncResult
-    excluded: frozenset[str]
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Step:
     """
@@ -144,9 +130,12 @@
         self._randomness = randomness
         self._links = links
         self._relay_fields = relay_fields
-        self._queue: RequestQueue[_Waiter] = RequestQueue()
+        self.slots = SlotDesk(
+            tables=tables,
+            clock=clock,
+            randomness=randomness,
+        )
         self._budget = RetryBudget()
-        self._service_s = _ASSUMED_SERVICE_S
 
     def run(
         self,
@@ -197,21 +186,6 @@
             return Relayed(answer=outcome, peer_id=peer.instance_id)
         return self._failure(request, outcome)
 
-    def pump(self) -> None:
-        """Give free slots to waiting requests."""
-        for service in self._queue.services():
-            self._pump_service(service)
-
-    def queue_length(self) -> int:
-        """
-        Count the requests that wait.
-
-        :returns: the number over all services.
-        """
-        return sum(
-            self._queue.size(service) for service in self._queue.services()
-        )
-
     def _step(
         self,
         configuration: Configuration,
@@ -271,22 +245,14 @@
         excluded: frozenset[str],
     ) -> _Placement:
         now = self._clock.monotonic()
-        choice = choose_target(
-            self._tables,
-            request.service,
-            now,
-            excluded,
-            self._randomness,
-        )
-        is_queue_empty = not self._queue.size(request.service)
-        if isinstance(choice, TargetChoice) and is_queue_empty:
-            self._reserve(choice.target)
+        choice = self.slots.take(request, excluded)
+        if isinstance(choice, TargetChoice):
             return choice
         peer_choice = self._choose_peer(configuration, request, excluded)
         if isinstance(peer_choice, PeerChoice):
             return peer_choice
         until = request.deadline
-        if isinstance(choice, NoChoice) and choice.is_hopeless:
+        if choice.is_hopeless:
             # Seats and heartbeats may be on their way to this instance.
             until = min(until, now + _NO_SHARE_WAIT_S)
         return self._wait(configuration, request, excluded, until)
@@ -299,7 +265,7 @@
         until: Instant,
     ) -> _Placement:
         rest_s = request.deadline - self._clock.monotonic()
-        expected_s = self._expected_wait_s(request.service)
+        expected_s = self.slots.expected_wait_s(request.service)
         if expected_s > rest_s:
             return self._refuse(
                 'overload',
@@ -308,42 +274,36 @@
                 retry_after_s=expected_s,
             )
         self.counts.queued += 1
-        waiter = _Waiter(
-            request=request,
-            result=AsyncResult(),
-            excluded=excluded,
-        )
         weight = configuration.teams[request.team].requests_per_s
-        sequence = self._queue.push(request, waiter, weight)
-        self._pump_service(request.service)
+        waiting = self.slots.enter(request, excluded, weight)
         try:
-            return self._await_slot(configuration, waiter, until)
+            return self._await_slot(configuration, waiting, until)
         finally:
-            self._queue.remove(request.service, sequence)
+            self.slots.leave(waiting)
 
     def _await_slot(
         self,
         configuration: Configuration,
-        waiter: _Waiter,
+        waiting: SlotWait,
         until: Instant,
     ) -> _Placement:
-        request = waiter.request
+        request = waiting.request
         while True:
             rest_s = until - self._clock.monotonic()
             if rest_s < _SMALLEST_REST_S:
                 return self._refuse_waiter(request, until)
-            try:
-                return waiter.result.get(timeout=min(rest_s, _PEER_RECHECK_S))
-            except gevent.Timeout:
-                choice = self._choose_peer(
-                    configuration,
-                    request,
-                    waiter.excluded,
-                )
-            if waiter.result.ready():
-                return waiter.result.get()
-            if isinstance(choice, PeerChoice):
-                return choice
+            if waiting.slot.wait(min(rest_s, _PEER_RECHECK_S)) is not None:
+                choice = waiting.slot.get()
+                if isinstance(choice, TargetChoice):
+                    return choice
+                return self._refuse('no-target', 'no other target is free')
+            peer_choice = self._choose_peer(
+                configuration,
+                request,
+                waiting.excluded,
+            )
+            if isinstance(peer_choice, PeerChoice):
+                return peer_choice
 
     def _refuse_waiter(
         self,
@@ -383,62 +343,6 @@
             return NoChoice(is_hopeless=False)
         return choice
 
-    def _expected_wait_s(self, service: str) -> Seconds:
-        slots = sum(
-            self._tables.share_by_target.get(
-                target.target_id,
-                TargetShare(),
-            ).slots
-            for target in self._tables.target_by_id.values()
-            if target.service == service
-        )
-        waiting = self._queue.size(service)
-        return waiting * self._service_s / max(slots, 1)
-
-    def _reserve(self, target: Target) -> None:
-        target_id = target.target_id
-        used = self._tables.in_use_by_target.get(target_id, 0) + 1
-        self._tables.in_use_by_target[target_id] = used
-        share = self._tables.share_by_target.get(target_id, TargetShare())
-        INVARIANTS.check(
-            'slots_within_share',
-            is_held=used <= share.slots,
-            detail=f'target={target_id} used={used} share={share.slots}',
-        )
-
-    def _release(self, target: Target) -> None:
-        target_id = target.target_id
-        used = self._tables.in_use_by_target.get(target_id, 0)
-        INVARIANTS.check(
-            'slots_released_once',
-            is_held=used > 0,
-            detail=f'target={target_id} used={used}',
-        )
-        self._tables.in_use_by_target[target_id] = max(used - 1, 0)
-        self._pump_service(target.service)
-
-    def _pump_service(self, service: str) -> None:
-        now = self._clock.monotonic()
-        while self._queue.size(service):
-            choice = choose_target(
-                self._tables,
-                service,
-                now,
-                randomness=self._randomness,
-            )
-            if not isinstance(choice, TargetChoice):
-                return
-            waiter = self._queue.pop(service)
-            if waiter is None:
-                return
-            if choice.target.target_id in waiter.excluded:
-                waiter.result.set(
-                    self._refuse('no-target', 'no other target is free'),
-                )
-                continue
-            self._reserve(choice.target)
-            waiter.result.set(choice)
-
     def _attempt(
         self,
         service: Service,
@@ -448,7 +352,7 @@
         now = self._clock.monotonic()
         rest_s = request.deadline - now
         if rest_s < _SMALLEST_REST_S:
-            self._release(target)
+            self.slots.release(target)
             return NotSent(reason='the deadline has passed')
         record_dispatch(self._tables, target.target_id)
         self.counts.dispatched += 1
@@ -474,7 +378,7 @@
     ) -> None:
         now = self._clock.monotonic()
         if isinstance(outcome, WholeAnswer):
-            self._release(target)
+            self.slots.release(target)
             self._settle_answer(target, outcome, now)
             return
         self.counts.wasted += 1
@@ -485,14 +389,14 @@
             reason=outcome.reason,
         )
         if isinstance(outcome, NotSent):
-            self._release(target)
+            self.slots.release(target)
             record_failure(self._tables, target.target_id, now)
             return
         # The target may still be working: its slot stays taken until the
         # deadline that the target was told.
         gevent.spawn_later(
             max(request.deadline - now, 0),
-            self._release,
+            self.slots.release,
             target,
         )
         gevent.spawn(self._blame, target, outcome)
@@ -508,8 +412,7 @@
             record_failure(self._tables, target.target_id, now)
             return
         record_answer(self._tables, target.target_id, answer.duration_s)
-        change = answer.duration_s - self._service_s
-        self._service_s += _SERVICE_TIME_WEIGHT * change
+        self.slots.record_duration(answer.duration_s)
         self._budget.record_success()
 
     def _blame(self, target: Target, outcome: Broken) -> None:
--- a/ragwortfield/engine/job_runner.py
+++ b/ragwortfield/engine/job_runner.py
@@ -65,7 +65,6 @@
 )
 from ragwortfield.types import JobId, WallTime, WorkerId
 
-
 #: Time without new starts on a worker after an eviction, in seconds.
 _REST_AFTER_EVICTION_S = 10.0
 #: Job and generation of one lease.
--- a/ragwortfield/engine/node.py
+++ b/ragwortfield/engine/node.py
@@ -177,7 +177,7 @@
         for peer in forget_silent_peers(self.tables, now, _FORGET_PEER_S):
             event('peer_forgotten', peer=peer)
         share_targets(self.tables, now)
-        self.dispatcher.pump()
+        self.dispatcher.slots.pump()
 
     def is_ready(self) -> bool:
         """
--- a/ragwortfield/engine/reception.py
+++ b/ragwortfield/engine/reception.py
@@ -40,7 +40,6 @@
 from ragwortfield.systems.routing import MAX_HOPS
 from ragwortfield.systems.shares import seat_fraction
 
-
 #: Longest wait for the next holder of a seat, in seconds.
 _HOME_WAIT_S = 2.0
 #: Time between looks for the next holder, in seconds.
--- a/ragwortfield/settings/deployment.py
+++ b/ragwortfield/settings/deployment.py
@@ -1,9 +1,13 @@
 """Configuration of a deployment: TOML in, checked configuration out."""
 
+import re
+
 from ragwortfield.core.configuration import Configuration
 from ragwortfield.settings.checking import SettingsError, parse_toml
 
 _SHA256_HEX_LENGTH = 64
+#: Names that fit into a header field and into a row's key.
+_TEAM_NAME = re.compile('[A-Za-z0-9._-]+')
 
 
 def parse_configuration(
@@ -93,10 +97,10 @@
                 f'{team.requests_per_s} and {team.burst_s}, expected more '
                 'than 0',
             )
-        if not name or not name.isprintable() or ':' in name or '/' in name:
+        if not _TEAM_NAME.fullmatch(name):
             problems.append(
-                f"name {name!r} in 'teams' must not be empty or contain "
-                "':' or '/'",
+                f"name {name!r} in 'teams' is no plain word, expected ASCII "
+                "letters, digits, '-', '_' and '.'",
             )
     return problems
 
--- a/ragwortfield/tests/test_http_client.py
+++ b/ragwortfield/tests/test_http_client.py
@@ -124,6 +124,19 @@
         outcome = pool.exchange(_REQUEST, _LIMITS)
         self.assertIsInstance(outcome, NotSent)
 
+    def test_request_that_cannot_be_encoded_is_not_sent(self):
+        server = ScriptedServer(answer(b'ran'))
+        self.addCleanup(server.close)
+        pool = HttpPool(address=server.address)
+        request = HttpRequest(
+            method='GET',
+            path='/',
+            fields=(('x-team', 'বিচার'),),
+        )
+        outcome = pool.exchange(request, _LIMITS)
+        self.assertIsInstance(outcome, NotSent)
+        self.assertEqual(server.requests, 0)
+
     def test_guard_keeps_a_request_from_being_sent(self):
         server = ScriptedServer(answer(b'ran'))
         self.addCleanup(server.close)
