Demonstration: only a killed instance may cut requests off

Cause: the report showed one or two requests cut off, and nothing checked that they were the killed instance's.

Ruled out: counting every cut-off as a violation; a killed process cannot answer.

Change: the audit compares the addresses of requests that were cut off with the killed instance's.

--- a/ragwortfield/testing/demo.py
+++ b/ragwortfield/testing/demo.py
@@ -174,6 +174,12 @@
         is_held=deployment.entry_by_id['milano-1'].process.poll() == 0,
         detail='milano-1 did not end with status 0',
     )
+    killed = deployment.entry_by_id['bergamo-1'].address
+    audit.check(
+        'only_a_killed_instance_cuts_off',
+        is_held=runner.result.cut_addresses <= {killed},
+        detail=f'requests were cut off at {runner.result.cut_addresses}',
+    )
     _print_report(deployment, runner, audit, ready_s)
     sys.stdout.write(f'took {time.monotonic() - started_at:.1f} s\n')
     return 1 if audit.violations else 0
--- a/ragwortfield/testing/load.py
+++ b/ragwortfield/testing/load.py
@@ -63,12 +63,14 @@
     :param count_by_outcome: requests by outcome, ``ran`` and others.
     :param states_by_booking: what each send of a booking was told.
     :param receipts: receipts of deferred requests.
+    :param cut_addresses: instances at which a request was cut off.
     :param wrong_answers: answers that belonged to another request.
     """
 
     count_by_outcome: dict[str, int] = field(default_factory=dict)
     states_by_booking: dict[str, list[str]] = field(default_factory=dict)
     receipts: list[str] = field(default_factory=list)
+    cut_addresses: set[str] = field(default_factory=set)
     wrong_answers: int = 0
     histogram: HdrHistogram = field(
         default_factory=lambda: HdrHistogram(
@@ -273,6 +275,8 @@
                     total_s=call.deadline_s + 1,
                 ),
             )
+            if isinstance(outcome, Broken):
+                self.result.cut_addresses.add(address)
             if not isinstance(outcome, NotSent):
                 break
         return outcome
