Unreadable requests and broken links: the truth, in one log line

Cause: raw sockets against an instance showed that the WSGI server answers over-long headers, bad lengths and nonsense with an empty 400 that does not say whether the request ran, and prints a traceback; frames that break a link ended in a second error, because the address of a closed socket was asked for when the first was logged.

Ruled out: a parser of our own in front of the server.

Change: the handler's own hook for unreadable requests refuses them as not run, in body and header, and logs one event; the remote address is read before the handshake.

--- a/ragwortfield/front/server.py
+++ b/ragwortfield/front/server.py
@@ -5,12 +5,22 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from ragwortfield.adapters.documents import encode_json
 from ragwortfield.adapters.http_client import set_socket_options
+from ragwortfield.log import event
 
 #: Path as the client sent it, still percent-encoded.
 RAW_PATH_KEY = 'ragwortfield.raw_path'
 
 
+#: Text of a refusal by status, for requests that could not be read.
+_MESSAGE_BY_STATUS = {
+    '400': 'the request line, a header field or a length is malformed or '
+    'too long',
+    '414': 'the request line is longer than 8192 bytes',
+}
+
+
 class _Handler(WSGIHandler):
     """Handler that keeps the raw path and can end keep-alive for a drain."""
 
@@ -24,9 +34,24 @@
         environ[RAW_PATH_KEY] = self.path
         return environ
 
+    def handle_one_request(self) -> Any:
+        """
+        Say in the refusal of an unreadable request that it was not run.
+
+        :returns: what the base class returns, or status and refusal.
+        """
+        outcome = super().handle_one_request()
+        if isinstance(outcome, tuple):
+            return outcome[0], _unreadable(str(outcome[0]))
+        return outcome
+
     def log_request(self) -> None:
         """Leave the log of requests to the application."""
 
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        event('request_unreadable', remote=self.client_address, error=ex)
+        return '400', b''
+
 
 class FrontServer(WSGIServer):
     """
@@ -63,3 +88,24 @@
         """
         set_socket_options(args[0])
         super().do_handle(*args)
+
+
+def _unreadable(status: str) -> bytes:
+    body = encode_json(
+        {
+            'error': 'unreadable-request',
+            'message': _MESSAGE_BY_STATUS.get(
+                status, 'the request is malformed'
+            ),
+            'run': 'not-run',
+        }
+    )
+    head = (
+        f'HTTP/1.1 {status} Bad Request\r\n'
+        'connection: close\r\n'
+        'content-type: application/json\r\n'
+        'ragwortfield-run: not-run\r\n'
+        'ragwortfield-code: unreadable-request\r\n'
+        f'content-length: {len(body)}\r\n\r\n'
+    )
+    return b''.join((head.encode('ascii'), body))
--- a/ragwortfield/peering/links.py
+++ b/ragwortfield/peering/links.py
@@ -164,15 +164,13 @@
             self._converse(connection, welcome.instance_id)
 
     def _accept(self, connection: ServerConnection) -> None:
+        # The address cannot be asked for once the socket is closed.
+        remote = connection.remote_address
         try:
             set_socket_options(connection.socket)
             self._accept_hello(connection)
         except (OSError, WebSocketException, LinkError) as error:
-            event(
-                'peer_link_closed',
-                remote=connection.remote_address,
-                reason=error,
-            )
+            event('peer_link_closed', remote=remote, reason=error)
 
     def _accept_hello(self, connection: ServerConnection) -> None:
         nonce = secrets.token_hex(_NONCE_BYTES)
--- a/ragwortfield/tests/test_processes.py
+++ b/ragwortfield/tests/test_processes.py
@@ -3,6 +3,7 @@
 import json
 import shutil
 import signal
+import socket
 import tempfile
 import uuid
 from pathlib import Path
@@ -197,6 +198,27 @@
             self.assertEqual(document['run'], 'not-run')
         self.assertEqual(self.call('entry-1').status, 200)
 
+    def test_unreadable_requests_are_refused_as_not_run(self):
+        team = '\r\n'.join(f'{name}: {text}' for name, text in _FIELDS)
+        path = f'/services/{SERVICE}/echo'
+        cases = (
+            f'GET {path} HTTP/1.1\r\n{team}\r\nx: {"a" * 100_000}\r\n\r\n',
+            f'GET {path} HTTP/1.1\r\n{team}\r\n{"x: y" * 3}\r\n' * 300,
+            f'POST {path} HTTP/1.1\r\n{team}\r\ncontent-length: x\r\n\r\n',
+            f'POST {path} HTTP/1.1\r\n{team}\r\ncontent-length: -5\r\n\r\n',
+            f'GET {path}{"e" * 9000} HTTP/1.1\r\n{team}\r\n\r\n',
+            'NONSENSE\r\n\r\n',
+        )
+        host, _, port = self.address('entry-1').rpartition(':')
+        for case in cases:
+            with self.subTest(case[:40]):
+                with socket.create_connection((host, int(port))) as caller:
+                    caller.settimeout(5)
+                    caller.sendall(case.encode())
+                    answer = caller.recv(10_000).decode()
+                self.assertIn('ragwortfield-run: not-run', answer)
+        self.assertEqual(self.call('entry-1').status, 200)
+
     def versions(self):
         answer = self.trial.operate('entry-1', 'GET', 'configuration')
         return set(json.loads(answer.body)['in_force'].values())
