--- a/ragwortfield/daemons/entry.py
+++ b/ragwortfield/daemons/entry.py
@@ -45,6 +45,10 @@
 #: Objects allocated before the garbage collector looks at the youngest.
 _GC_THRESHOLD = 50_000
 
+#: A line of the log; the event's own pairs follow.
+_LOG_FORMAT = 'time=%(asctime)s.%(msecs)03d level=%(levelname)s %(message)s'
+_LOG_TIME = '%Y-%m-%dT%H:%M:%S'
+
 _LEVEL_BY_NAME = {
     'debug': logging.DEBUG,
     'info': logging.INFO,
@@ -164,6 +168,9 @@
     logging.set_verbosity(_LEVEL_BY_NAME[settings.log.level])
     logging.set_stderrthreshold('fatal')
     logging.use_absl_handler()
+    logging.get_absl_handler().setFormatter(
+        stdlib_logging.Formatter(_LOG_FORMAT, datefmt=_LOG_TIME),
+    )
     stdlib_logging.getLogger('websockets').setLevel(stdlib_logging.ERROR)
     gc.freeze()
     gc.set_threshold(_GC_THRESHOLD)
