A target that failed once is taken last for a while

Cause: on a fresh clone the process test of a silent target failed once (103 passed, 1 failed): a GET was answered "unknown". Four requests in a row may each have met the silent target first, and the third needs a retry that the budget of a quiet instance (two, and a tenth of the successes) no longer gives.

Ruled out: a larger retry budget; it would lift the limit of a tenth under load. Not ruled out by a trace: the log of the failed run was not kept.

Change: for 5 s after a failure a target is taken only when no other has a free slot. Test red first: the failed target was chosen at once again.

Conclusion: kept; if the process test fails again, its log is to be kept.

--- a/ragwortfield/core/targets.py
+++ b/ragwortfield/core/targets.py
@@ -40,6 +40,7 @@
     Evidence about one target, gathered by this instance.
 
     :param failures: failures in a row blamed on the target.
+    :param failed_at: when the last of them was.
     :param ejected_until: end of the ejection; zero when not ejected.
     :param ejections: ejections in a row; the next one lasts longer.
     :param is_probing: whether a half-open probe is on its way.
@@ -47,6 +48,7 @@
     """
 
     failures: int = 0
+    failed_at: Instant = 0
     ejected_until: Instant = 0
     ejections: int = 0
     is_probing: bool = False
--- a/ragwortfield/systems/health.py
+++ b/ragwortfield/systems/health.py
@@ -12,6 +12,8 @@
 
 #: Failures in a row after which a target is ejected.
 _FAILURES_TO_EJECT = 3
+#: Time for which a failed target is taken last, in seconds.
+_SUSPECT_S = 5.0
 #: First ejection, in seconds; each further one lasts twice as long.
 _FIRST_EJECTION_S = 1.0
 #: Longest ejection, in seconds.
@@ -52,6 +54,7 @@
     :returns: whether the target was ejected by this failure.
     """
     health = tables.health_by_target.get(target_id, TargetHealth())
+    health = replace(health, failed_at=now)
     failures = health.failures + 1
     is_due = failures >= _FAILURES_TO_EJECT or health.is_probing
     if is_due and _is_ejection_allowed(tables, target_id, now):
@@ -114,6 +117,17 @@
         tables.health_by_target[target_id] = replace(health, is_probing=False)
 
 
+def is_suspect(health: TargetHealth, now: Instant) -> bool:
+    """
+    Tell whether a target failed lately, though not often enough to eject it.
+
+    :param health: evidence about the target.
+    :param now: reading of the monotonic clock.
+    :returns: whether other targets should be taken first.
+    """
+    return health.failures > 0 and now - health.failed_at < _SUSPECT_S
+
+
 def _is_ejection_allowed(
     tables: Tables,
     target_id: TargetId,
--- a/ragwortfield/systems/routing.py
+++ b/ragwortfield/systems/routing.py
@@ -9,7 +9,7 @@
 from ragwortfield.core.requests import CallerRequest
 from ragwortfield.core.tables import Tables, TargetShare
 from ragwortfield.core.targets import Target, TargetHealth
-from ragwortfield.systems.health import is_available
+from ragwortfield.systems.health import is_available, is_suspect
 from ragwortfield.types import (
     InstanceId,
     Instant,
@@ -24,6 +24,8 @@
 MAX_HOPS = 2
 #: Targets that are compared when there are more of them.
 _SAMPLE = 12
+#: Cost that puts a target behind every other with a free slot, in seconds.
+_SUSPECT_COST_S = 1000.0
 _NO_SHARE = TargetShare()
 
 
@@ -103,7 +105,7 @@
     best: Target | None = None
     best_cost = float('inf')
     for target in candidates:
-        cost = _expected_cost(tables, target.target_id)
+        cost = _expected_cost(tables, target.target_id, now)
         if cost < best_cost:
             best = target
             best_cost = cost
@@ -184,14 +186,19 @@
     return max(pair, key=lambda peer: peer.free_by_service[service])
 
 
-def _expected_cost(tables: Tables, target_id: TargetId) -> float:
+def _expected_cost(
+    tables: Tables,
+    target_id: TargetId,
+    now: Instant,
+) -> float:
     share = tables.share_by_target[target_id]
     used = tables.in_use_by_target.get(target_id, 0)
     if used >= share.slots:
         return float('inf')
     health = tables.health_by_target.get(target_id, TargetHealth())
     latency_s = health.latency_s or _ASSUMED_LATENCY_S
-    return latency_s * (used + 1) / share.slots
+    cost = latency_s * (used + 1) / share.slots
+    return cost + _SUSPECT_COST_S if is_suspect(health, now) else cost
 
 
 def _tiers(tables: Tables, request: CallerRequest) -> list[list[Peer]]:
--- a/ragwortfield/tests/test_systems.py
+++ b/ragwortfield/tests/test_systems.py
@@ -175,6 +175,15 @@
             self.assertIsInstance(choice, TargetChoice)
             self.assertEqual(choice.target.target_id, 'target-39')
 
+    def test_target_that_failed_once_is_taken_last_for_a_while(self):
+        tables = tables_with_targets(2)
+        record_failure(tables, 'target-0', 100)
+        chosen = [
+            choose_target(tables, 'shifts', now).target.target_id
+            for now in (100, 104, 106)
+        ]
+        self.assertEqual(chosen, ['target-1', 'target-1', 'target-0'])
+
     def test_at_least_half_of_the_pool_stays_in_use(self):
         tables = tables_with_targets(4)
         for name in tables.target_by_id:
