Remove counts of connections that nothing reads

Cause: reading the whole change again: the pools' count by target and two counts of the target stand-in were written or offered and never read, which looked as if the sum of connections were checked.

Ruled out: asserting the sum now, without a run that shows it under load.

--- a/ragwortfield/engine/target_links.py
+++ b/ragwortfield/engine/target_links.py
@@ -119,13 +119,3 @@
         for target_id in tuple(self._pool_by_target):
             if target_id not in self._tables.target_by_id:
                 self._pool_by_target.pop(target_id).retire_generation()
-
-    def open_connections(self, target_id: TargetId) -> int:
-        """
-        Count the open connections to a target.
-
-        :param target_id: the target.
-        :returns: the number.
-        """
-        pool = self._pool_by_target.get(target_id)
-        return 0 if pool is None else pool.open_count
--- a/ragwortfield/testing/servers.py
+++ b/ragwortfield/testing/servers.py
@@ -176,8 +176,6 @@
     at_once: int = 0
     most_at_once: int = 0
     over_slots: int = 0
-    connections: int = 0
-    most_connections: int = 0
     after_leaving: int = 0
     runs_by_booking: dict[str, int] = field(default_factory=dict)
 
