--- /dev/null
+++ b/ragwortfield/engine/cluster.py
@@ -0,0 +1,145 @@
+"""What an instance knows of the deployment: members, owners, layout."""
+
+import math
+from dataclasses import dataclass, field
+
+from ragwortfield.adapters.documents import Malformed
+from ragwortfield.engine.names import (
+    is_layout_row,
+    is_owner_row,
+    member_of,
+)
+from ragwortfield.log import event
+from ragwortfield.ports.row_store import StoredRow
+from ragwortfield.scheduling.records import (
+    LayoutRecord,
+    MemberRecord,
+    OwnerRecord,
+    decode_record,
+)
+from ragwortfield.systems.hashing import stable_hash
+from ragwortfield.types import InstanceId
+
+#: A member this much slower to the store than the fastest lies further away.
+_NEAR_STORE_MS = 4
+#: Weight of a member far from the store against one that is near.
+_FAR_WEIGHT = 0.1
+_HASH_SPAN = 2**64
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KnownOwner:
+    """Owner of a shard, with the version of the row that says so."""
+
+    record: OwnerRecord
+    version: int
+
+
+@dataclass(kw_only=True, slots=True)
+class Cluster:
+    """
+    View of the deployment, fed by the cluster table.
+
+    :param shards: number of shards; 0 until the layout is known.
+    """
+
+    member_by_id: dict[InstanceId, MemberRecord] = field(default_factory=dict)
+    owner_by_shard: dict[int, KnownOwner] = field(default_factory=dict)
+    shards: int = 0
+
+    def take_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        """
+        Take rows of the cluster table in.
+
+        :param rows: rows, new or changed.
+        """
+        for row in rows:
+            member_id = member_of(row.name)
+            if is_owner_row(row.name):
+                self.take_owner(row)
+            elif is_layout_row(row.name):
+                self._take_layout(row)
+            elif member_id:
+                self._take_member(member_id, row)
+
+    def take_owner(self, row: StoredRow) -> None:
+        """
+        Take the owner's row of a shard in, unless a newer one is known.
+
+        :param row: the row.
+        """
+        shard = int(row.name.part.removeprefix('s'))
+        known = self.owner_by_shard.get(shard)
+        if known is not None and known.version >= row.version:
+            return
+        record = decode_record(row.content or b'', OwnerRecord)
+        if isinstance(record, Malformed):
+            event('row_unreadable', key=row.name.key, reason=record.reason)
+            return
+        self.owner_by_shard[shard] = KnownOwner(
+            record=record,
+            version=row.version,
+        )
+        event(
+            'owner_known',
+            shard=shard,
+            owner=record.instance_id,
+            epoch=record.epoch,
+            version=row.version,
+        )
+
+    def ranked(self, shard: int) -> list[MemberRecord]:
+        """
+        Rank the members as owners of a shard.
+
+        Weighted rendezvous hashing: members with more processor, and those
+        near the store, come first more often.
+
+        :param shard: number of the shard.
+        :returns: members, the preferred one first.
+        """
+        fastest = min(
+            (one.store_ms for one in self.member_by_id.values()),
+            default=0,
+        )
+        return sorted(
+            self.member_by_id.values(),
+            key=lambda one: _score(shard, one, fastest),
+        )
+
+    def rank_of(self, shard: int, instance_id: InstanceId) -> int:
+        """
+        Tell the rank of a member as owner of a shard.
+
+        :param shard: number of the shard.
+        :param instance_id: the member.
+        :returns: 0 for the preferred one; the number of members if unknown.
+        """
+        for rank, member in enumerate(self.ranked(shard)):
+            if member.instance_id == instance_id:
+                return rank
+        return len(self.member_by_id)
+
+    def _take_layout(self, row: StoredRow) -> None:
+        record = decode_record(row.content or b'', LayoutRecord)
+        if isinstance(record, Malformed):
+            event('row_unreadable', key=row.name.key, reason=record.reason)
+            return
+        self.shards = record.shards
+
+    def _take_member(self, member_id: InstanceId, row: StoredRow) -> None:
+        if row.content is None:
+            self.member_by_id.pop(member_id, None)
+            return
+        record = decode_record(row.content, MemberRecord)
+        if isinstance(record, Malformed):
+            event('row_unreadable', key=row.name.key, reason=record.reason)
+            return
+        self.member_by_id[member_id] = record
+
+
+def _score(shard: int, member: MemberRecord, fastest_ms: float) -> float:
+    is_near = member.store_ms - fastest_ms <= _NEAR_STORE_MS
+    weight = member.cores * (1 if is_near else _FAR_WEIGHT)
+    draw = (stable_hash(f'{shard}|{member.instance_id}') + 1) / _HASH_SPAN
+    return -math.log(draw) / max(weight, _FAR_WEIGHT / _HASH_SPAN)
--- /dev/null
+++ b/ragwortfield/engine/job_desk.py
@@ -0,0 +1,471 @@
+"""Callers' requests about jobs, served by any instance."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+
+from ragwortfield.adapters.documents import Malformed
+from ragwortfield.engine.cluster import Cluster
+from ragwortfield.engine.names import (
+    PROGRESS_TABLE,
+    cancel_row,
+    job_row,
+    part_of,
+    progress_row,
+    shard_of,
+)
+from ragwortfield.engine.ownership import Ownership
+from ragwortfield.log import event
+from ragwortfield.peering.calls import CallBody, PeerCalls
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.row_store import (
+    ExpectedVersion,
+    RowName,
+    RowPage,
+    RowStore,
+    RowWrite,
+    Transaction,
+    TransactionDone,
+    TransactionRefused,
+)
+from ragwortfield.scheduling.intake import restore_progress, take_job
+from ragwortfield.scheduling.job import Job
+from ragwortfield.scheduling.records import (
+    CancelRecord,
+    JobRecord,
+    ProgressRecord,
+    decode_record,
+    encode_record,
+)
+from ragwortfield.scheduling.status import JobStatus, status_of
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.types import InstanceId, JobId, Seconds
+
+#: Longest wait for the owner's answer about a job, in seconds.
+_OWNER_TIMEOUT_S: Seconds = 0.4
+#: Longest wait for one answer of the store to a submission, in seconds.
+_COMMIT_TIMEOUT_S: Seconds = 0.8
+#: Pause between tries, in seconds.
+_RETRY_S: Seconds = 0.1
+#: Advice to callers when to come back, in seconds.
+RETRY_AFTER_S = 1
+#: After a failure of the store peers are asked first for this long.
+_STORE_REST_S: Seconds = 1
+#: Peers that are asked to stand in for the store.
+_STAND_INS = 3
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Accepted:
+    """The change is durable."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Rejected:
+    """Nothing was written, and nothing will be."""
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Uncertain:
+    """The change may have been written."""
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Unknown:
+    """There is no such job."""
+
+
+SubmitOutcome = Accepted | Rejected | Uncertain
+CancelOutcome = Accepted | Rejected | Uncertain | Unknown
+StatusOutcome = JobStatus | Unknown | Unavailable
+
+_OUTCOME_BY_NAME = {
+    kind.__name__: kind for kind in (Accepted, Rejected, Uncertain, Unknown)
+}
+
+
+class JobDesk:
+    """
+    Jobs as callers see them.
+
+    :param instance_id: this instance.
+    :param cluster: view of the deployment.
+    :param ownership: shards owned here.
+    :param store: the platform's store.
+    :param peers: calls to peers.
+    :param empty_tables: makes tables to work a job's state out in.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: InstanceId,
+        cluster: Cluster,
+        ownership: Ownership,
+        store: RowStore,
+        peers: PeerCalls,
+        empty_tables: Callable[[], ShardTables],
+    ) -> None:
+        """Create a desk."""
+        self._instance_id = instance_id
+        self._cluster = cluster
+        self._ownership = ownership
+        self._store = store
+        self._peers = peers
+        self._empty_tables = empty_tables
+        self._store_failed_at = -_STORE_REST_S
+
+    def submit(self, job: Job, limit_s: Seconds) -> SubmitOutcome:
+        """
+        Accept a job.
+
+        :param job: the job.
+        :param limit_s: longest time to try, in seconds.
+        :returns: whether it is stored.
+        """
+        record = encode_record(JobRecord(job=job))
+        outcome = self._persist(
+            'submit',
+            {'job_id': job.job_id, 'record': record},
+            lambda: self.store_job(job.job_id, record),
+            limit_s,
+        )
+        event(
+            'job_submitted',
+            job=job.job_id,
+            queue=job.queue,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, 'reason', ''),
+        )
+        return outcome
+
+    def cancel(self, job_id: JobId, limit_s: Seconds) -> CancelOutcome:
+        """
+        Cancel a job.
+
+        :param job_id: the job.
+        :param limit_s: longest time to try, in seconds.
+        :returns: whether the cancellation is stored.
+        """
+        outcome = self._persist(
+            'cancel',
+            {'job_id': job_id},
+            lambda: self.store_cancel(job_id),
+            limit_s,
+        )
+        event(
+            'cancel_requested',
+            job=job_id,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, 'reason', ''),
+        )
+        return outcome
+
+    def status(self, job_id: JobId, limit_s: Seconds) -> StatusOutcome:
+        """
+        Tell the state of a job.
+
+        :param job_id: the job.
+        :param limit_s: longest time to try, in seconds.
+        :returns: its state, or why it cannot be told.
+        """
+        end = time.monotonic() + limit_s
+        while True:
+            found = self._ask_owner(job_id)
+            if isinstance(found, Unavailable):
+                found = self.stored_status(job_id)
+            if isinstance(found, Unavailable):
+                found = self._ask_stand_ins(job_id)
+            if not isinstance(found, Unavailable):
+                return found
+            if time.monotonic() + _RETRY_S > end:
+                return found
+            gevent.sleep(_RETRY_S)
+
+    def waiting(self, queue: str, limit_s: Seconds) -> int | Unavailable:
+        """
+        Count the jobs of a queue of which no task has started.
+
+        :param queue: name of the queue.
+        :param limit_s: longest time to try, in seconds.
+        :returns: the number over all shards.
+        """
+        end = time.monotonic() + limit_s
+        while True:
+            counts = [
+                self._waiting_in(shard, queue)
+                for shard in range(self._cluster.shards)
+            ]
+            failed = [one for one in counts if isinstance(one, Unavailable)]
+            if not failed and counts:
+                return sum(counts)
+            if time.monotonic() + _RETRY_S > end:
+                return failed[0] if failed else Unavailable(reason='no layout')
+            gevent.sleep(_RETRY_S)
+
+    def store_job(self, job_id: JobId, record: bytes) -> SubmitOutcome:
+        """
+        Write the row of a job, unless there is one.
+
+        :param job_id: the job.
+        :param record: its record.
+        :returns: what is certain about the row.
+        """
+        name = job_row(self._shard(job_id), job_id)
+        return self._commit(
+            Transaction(
+                expected=(ExpectedVersion(name=name, version=0),),
+                writes=(RowWrite(name=name, content=record),),
+            ),
+        )
+
+    def store_cancel(self, job_id: JobId) -> CancelOutcome:
+        """
+        Write the row of a cancellation, if the job exists.
+
+        :param job_id: the job.
+        :returns: what is certain about the row.
+        """
+        shard = self._shard(job_id)
+        page = self._read_row(job_row(shard, job_id))
+        if isinstance(page, Unavailable):
+            return Rejected(reason=page.reason)
+        if not page.rows:
+            return Unknown()
+        content = encode_record(CancelRecord(job_id=job_id))
+        outcome = self._commit(
+            Transaction(
+                writes=(
+                    RowWrite(name=cancel_row(shard, job_id), content=content),
+                ),
+            ),
+        )
+        runner = self._ownership.runner(shard)
+        if isinstance(outcome, Accepted) and runner is not None:
+            runner.cancel(job_id)
+        return outcome
+
+    def owned_status(self, job_id: JobId) -> StatusOutcome:
+        """
+        Tell the state of a job whose shard is owned here.
+
+        :param job_id: the job.
+        :returns: its state.
+        """
+        runner = self._ownership.runner(self._shard(job_id))
+        if runner is None:
+            return Unavailable(reason='the shard is not owned here')
+        found = runner.status(job_id)
+        return Unknown() if found is None else found
+
+    def owned_waiting(self, shard: int, queue: str) -> int | Unavailable:
+        """
+        Count waiting jobs of a shard that is owned here.
+
+        :param shard: number of the shard.
+        :param queue: name of the queue.
+        :returns: the number.
+        """
+        runner = self._ownership.runner(shard)
+        if runner is None:
+            return Unavailable(reason='the shard is not owned here')
+        return runner.waiting(queue)
+
+    def stored_status(self, job_id: JobId) -> StatusOutcome:
+        """
+        Work the state of a job out from its rows.
+
+        :param job_id: the job.
+        :returns: its state.
+        """
+        shard = self._shard(job_id)
+        cancelled = self._read_row(cancel_row(shard, job_id))
+        job = self._read_row(job_row(shard, job_id))
+        progress = self._store.read(
+            PROGRESS_TABLE,
+            part_of(shard),
+            first_key=progress_row(shard, job_id, 0).key,
+            end_key=f'{job_id}/\x7f',
+        )
+        for page in (cancelled, job, progress):
+            if isinstance(page, Unavailable):
+                return page
+        if not job.rows:
+            return Unknown()
+        return self._derived_status(job_id, job, progress, cancelled)
+
+    def _derived_status(
+        self,
+        job_id: JobId,
+        job: RowPage,
+        progress: RowPage,
+        cancelled: RowPage,
+    ) -> StatusOutcome:
+        record = decode_record(job.rows[0].content or b'', JobRecord)
+        if isinstance(record, Malformed):
+            return Unavailable(reason=f'row unreadable: {record.reason}')
+        tables = self._empty_tables()
+        row = take_job(tables, record.job, now=0, wall=record.job.accepted_at)
+        for stored in progress.rows:
+            kept = decode_record(stored.content or b'', ProgressRecord)
+            if isinstance(kept, Malformed):
+                return Unavailable(reason=f'row unreadable: {kept.reason}')
+            restore_progress(tables, kept, 0)
+        done = sum(
+            one.is_durably_done for one in row.occurrence_by_number.values()
+        )
+        row.is_durably_done = done == row.occurrences_wanted()
+        row.is_cancelled = bool(cancelled.rows)
+        return status_of(row)
+
+    def _ask_owner(self, job_id: JobId) -> StatusOutcome:
+        shard = self._shard(job_id)
+        if self._ownership.runner(shard) is not None:
+            return self.owned_status(job_id)
+        owner = self._cluster.owner_by_shard.get(shard)
+        if owner is None or not owner.record.address:
+            return Unavailable(reason=f'shard {shard} has no owner')
+        return self._call_status(owner.record.address, 'status', job_id)
+
+    def _call_status(
+        self,
+        address: str,
+        name: str,
+        job_id: JobId,
+    ) -> StatusOutcome:
+        answer = self._peers.call(
+            address,
+            name,
+            {'job_id': job_id},
+            _OWNER_TIMEOUT_S,
+        )
+        if isinstance(answer, Unavailable):
+            return answer
+        if answer['state'] is None:
+            return Unavailable(reason=answer['reason'])
+        if not answer['state']:
+            return Unknown()
+        return JobStatus(answer['state'])
+
+    def _ask_stand_ins(self, job_id: JobId) -> StatusOutcome:
+        found: StatusOutcome = Unavailable(reason='no peer to ask')
+        for address in self._stand_ins(self._shard(job_id)):
+            found = self._call_status(address, 'stored-status', job_id)
+            if not isinstance(found, Unavailable):
+                return found
+        return found
+
+    def _waiting_in(self, shard: int, queue: str) -> int | Unavailable:
+        if self._ownership.runner(shard) is not None:
+            return self.owned_waiting(shard, queue)
+        owner = self._cluster.owner_by_shard.get(shard)
+        if owner is None or not owner.record.address:
+            return Unavailable(reason=f'shard {shard} has no owner')
+        answer = self._peers.call(
+            owner.record.address,
+            'waiting',
+            {'shard': shard, 'queue': queue},
+            _OWNER_TIMEOUT_S,
+        )
+        if isinstance(answer, Unavailable):
+            return answer
+        if answer['count'] is None:
+            return Unavailable(reason=answer['reason'])
+        return int(answer['count'])
+
+    def _persist(
+        self,
+        name: str,
+        body: CallBody,
+        write: Callable[[], CancelOutcome],
+        limit_s: Seconds,
+    ) -> CancelOutcome:
+        """Write here, or through a peer while the store fails us."""
+        end = time.monotonic() + limit_s
+        is_uncertain = False
+        while True:
+            outcome = self._try(name, body, write)
+            if isinstance(outcome, Accepted | Unknown):
+                return outcome
+            is_uncertain = is_uncertain or isinstance(outcome, Uncertain)
+            if time.monotonic() + _RETRY_S > end:
+                break
+            gevent.sleep(_RETRY_S)
+        if is_uncertain:
+            return Uncertain(reason=outcome.reason)
+        return outcome
+
+    def _try(
+        self,
+        name: str,
+        body: CallBody,
+        write: Callable[[], CancelOutcome],
+    ) -> CancelOutcome:
+        is_resting = time.monotonic() - self._store_failed_at < _STORE_REST_S
+        outcome: CancelOutcome = Rejected(reason='the store failed lately')
+        if not is_resting:
+            outcome = write()
+            if isinstance(outcome, Accepted | Unknown):
+                return outcome
+            self._store_failed_at = time.monotonic()
+        is_uncertain = isinstance(outcome, Uncertain)
+        for address in self._stand_ins(self._shard(body['job_id'])):
+            relayed = self._relay(address, name, body)
+            if isinstance(relayed, Accepted | Unknown):
+                return relayed
+            is_uncertain = is_uncertain or isinstance(relayed, Uncertain)
+            outcome = relayed
+        if is_resting and isinstance(outcome, Rejected):
+            outcome = write()
+        if is_uncertain and isinstance(outcome, Rejected):
+            return Uncertain(reason=outcome.reason)
+        return outcome
+
+    def _relay(
+        self,
+        address: str,
+        name: str,
+        body: CallBody,
+    ) -> CancelOutcome:
+        answer = self._peers.call(address, name, body, _COMMIT_TIMEOUT_S)
+        if isinstance(answer, Unavailable):
+            if answer.is_effect_possible:
+                return Uncertain(reason=answer.reason)
+            return Rejected(reason=answer.reason)
+        kind = _OUTCOME_BY_NAME[answer['outcome']]
+        if kind in {Rejected, Uncertain}:
+            return kind(reason=answer['reason'])
+        return kind()
+
+    def _stand_ins(self, shard: int) -> list[str]:
+        return [
+            member.address
+            for member in self._cluster.ranked(shard)
+            if member.instance_id != self._instance_id
+        ][:_STAND_INS]
+
+    def _commit(self, transaction: Transaction) -> SubmitOutcome:
+        outcome = self._store.commit(transaction, _COMMIT_TIMEOUT_S)
+        if isinstance(outcome, TransactionDone | TransactionRefused):
+            # Refused means that the row is there already.
+            return Accepted()
+        if outcome.is_effect_possible:
+            return Uncertain(reason=outcome.reason)
+        return Rejected(reason=outcome.reason)
+
+    def _read_row(self, name: RowName) -> RowPage | Unavailable:
+        return self._store.read(
+            name.table,
+            name.part,
+            first_key=name.key,
+            end_key=f'{name.key}\0',
+        )
+
+    def _shard(self, job_id: JobId) -> int:
+        return shard_of(job_id, max(self._cluster.shards, 1))
--- /dev/null
+++ b/ragwortfield/engine/ownership.py
@@ -0,0 +1,466 @@
+"""Who owns a shard: watching the owner, taking over, handing on.
+
+The owner's row in the store decides. Anybody may replace the owner at any
+moment by a conditional write, because each commit of the old one expects the
+row as it wrote it. What is decided here only avoids needless changes.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+
+from ragwortfield.adapters.documents import Malformed
+from ragwortfield.engine.cluster import Cluster, KnownOwner
+from ragwortfield.engine.names import owner_row, part_of, sequence_row
+from ragwortfield.engine.shard_runner import ShardRunner
+from ragwortfield.log import event
+from ragwortfield.peering.calls import CallBody, PeerCalls
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.row_store import (
+    ExpectedVersion,
+    RowStore,
+    RowWrite,
+    StoredRow,
+    Transaction,
+    TransactionDone,
+)
+from ragwortfield.scheduling.records import (
+    MemberRecord,
+    OwnerRecord,
+    SequenceRecord,
+    decode_record,
+    encode_record,
+)
+from ragwortfield.types import Instant, Seconds
+
+#: Time between looks at the owner by its likely successors, in seconds.
+_WATCH_S: Seconds = 0.3
+#: Time between looks by all others, in seconds.
+_SLOW_WATCH_S: Seconds = 2
+#: Members that watch an owner closely.
+_WATCHERS = 3
+#: Longest wait for the owner's answer, in seconds.
+_PING_TIMEOUT_S: Seconds = 0.4
+#: Silence of the owner after which the first successor acts, in seconds.
+_SILENCE_S: Seconds = 0.7
+#: Further wait of each later successor, in seconds.
+_RANK_STEP_S: Seconds = 0.25
+#: Ranks beyond this wait no longer.
+_LAST_RANK = 8
+#: Further silence before an instance that hears nobody acts, in seconds.
+_ISOLATED_S: Seconds = 2.5
+#: The owner looks for a successor when the store has failed it this long.
+_TROUBLE_S: Seconds = 0.6
+#: A successor whose own read of the store takes longer does not step in,
+#: because the store is then slow for everybody, in seconds.
+_HEALTHY_READ_S: Seconds = 0.15
+_COMMIT_TIMEOUT_S: Seconds = 1.2
+#: Longest wait for a member that is asked to take a shard, in seconds.
+_OFFER_TIMEOUT_S: Seconds = 1.5
+#: Members that are asked whether they hear the owner.
+_WITNESSES = 2
+
+RunnerFactory = Callable[[int, int, int, int], ShardRunner]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Identity:
+    """Name and address of this life of an instance."""
+
+    instance_id: str
+    incarnation: str
+    address: str
+
+
+class Ownership:
+    """
+    Part of one instance in the ownership of all shards.
+
+    :param identity: this instance.
+    :param cluster: view of the deployment.
+    :param store: the platform's store.
+    :param peers: calls to peers.
+    :param make_runner: makes a runner of a shard, an epoch and the versions
+        of the owner's row and of the sequence row.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        cluster: Cluster,
+        store: RowStore,
+        peers: PeerCalls,
+        make_runner: RunnerFactory,
+    ) -> None:
+        """Create; ``watch`` takes part."""
+        self.runner_by_shard: dict[int, ShardRunner] = {}
+        self.is_leaving = False
+        self._identity = identity
+        self._cluster = cluster
+        self._store = store
+        self._peers = peers
+        self._make_runner = make_runner
+        self._silent_since: dict[int, Instant] = {}
+
+    def watch(self, shard: int) -> None:
+        """
+        Watch the owner of a shard for ever.
+
+        :param shard: number of the shard.
+        """
+        while not self.is_leaving:
+            rank = self._rank(shard)
+            self._look(shard, rank)
+            gevent.sleep(_WATCH_S if rank < _WATCHERS else _SLOW_WATCH_S)
+
+    def runner(self, shard: int) -> ShardRunner | None:
+        """
+        Give the runner of a shard that this instance owns.
+
+        :param shard: number of the shard.
+        :returns: the runner, if it runs.
+        """
+        runner = self.runner_by_shard.get(shard)
+        if runner is None or runner.is_stopped:
+            return None
+        return runner
+
+    def note_owner(self, shard: int) -> None:
+        """
+        Compare a changed owner with what runs here.
+
+        :param shard: the shard whose owner changed.
+        """
+        runner = self.runner(shard)
+        owner = self._cluster.owner_by_shard.get(shard)
+        if runner is None or owner is None:
+            return
+        if owner.version > runner.owner_version():
+            runner.stop('the store names another owner')
+        if not owner.record.instance_id and not self.is_leaving:
+            gevent.spawn(self._take_vacancy, shard)
+
+    def note_vacancy(self, shard: int) -> None:
+        """
+        Take a shard that its owner gave up, after those with a better rank.
+
+        :param shard: number of the shard.
+        """
+        owner = self._cluster.owner_by_shard.get(shard)
+        if owner is not None and not owner.record.instance_id:
+            gevent.spawn(self._take_vacancy, shard)
+
+    def answer_ping(self, body: CallBody) -> CallBody:
+        """
+        Tell a peer whether a shard is owned here.
+
+        :param body: the shard.
+        :returns: whether it is, and under which epoch.
+        """
+        runner = self.runner(int(body['shard']))
+        if runner is None:
+            return {'owns': False, 'epoch': 0}
+        return {'owns': True, 'epoch': runner.tables.epoch}
+
+    def answer_hears(self, body: CallBody) -> CallBody:
+        """
+        Tell a peer whether this instance hears the owner of a shard.
+
+        :param body: shard and address of the owner.
+        :returns: whether it answers here.
+        """
+        return {'hears': self._is_heard(int(body['shard']), body['address'])}
+
+    def answer_take(self, body: CallBody) -> CallBody:
+        """
+        Take a shard whose owner cannot reach the store.
+
+        :param body: the shard.
+        :returns: whether it was taken.
+        """
+        shard = int(body['shard'])
+        if self.is_leaving or not self._is_store_healthy(shard):
+            return {'taken': False}
+        return {'taken': self._take(shard, 'asked by its owner')}
+
+    def leave(self, timeout_s: Seconds) -> None:
+        """
+        Hand all shards on, for a planned stop.
+
+        :param timeout_s: longest wait for what is under way, in seconds.
+        """
+        self.is_leaving = True
+        leaving = [
+            gevent.spawn(self._give_up, runner, timeout_s)
+            for runner in self.runner_by_shard.values()
+            if not runner.is_stopped
+        ]
+        gevent.joinall(leaving, timeout=2 * timeout_s)
+
+    def _rank(self, shard: int) -> int:
+        return self._cluster.rank_of(shard, self._identity.instance_id)
+
+    def _look(self, shard: int, rank: int) -> None:
+        owner = self._cluster.owner_by_shard.get(shard)
+        runner = self.runner(shard)
+        if runner is not None:
+            self._silent_since.pop(shard, None)
+            if runner.trouble_s() > _TROUBLE_S:
+                self._offer(shard, runner)
+            return
+        if owner is None or not owner.record.instance_id:
+            self._take_vacancy(shard)
+            return
+        if self._is_own(owner) or self._is_heard(shard, owner.record.address):
+            self._silent_since.pop(shard, None)
+            if self._is_own(owner):
+                self._take(shard, 'named as owner without a runner')
+            return
+        self._consider(shard, owner, rank)
+
+    def _consider(self, shard: int, owner: KnownOwner, rank: int) -> None:
+        now = time.monotonic()
+        since = self._silent_since.setdefault(shard, now)
+        wait_s = _SILENCE_S + min(rank, _LAST_RANK) * _RANK_STEP_S
+        if now - since < wait_s - _PING_TIMEOUT_S:
+            return
+        heard = self._ask_witnesses(shard, owner)
+        if heard is True:
+            self._silent_since.pop(shard, None)
+            return
+        if heard is None and now - since < wait_s + _ISOLATED_S:
+            return
+        self._take(shard, f'owner silent for {now - since:.2f} s')
+        self._silent_since.pop(shard, None)
+
+    def _ask_witnesses(self, shard: int, owner: KnownOwner) -> bool | None:
+        """Ask others whether they hear the owner; None: nobody answers."""
+        others = [
+            member
+            for member in self._cluster.ranked(shard)
+            if member.instance_id
+            not in {self._identity.instance_id, owner.record.instance_id}
+        ]
+        if not others:
+            return False
+        asked = [
+            gevent.spawn(self._ask_witness, member, shard, owner)
+            for member in others[: _WITNESSES * 2]
+        ]
+        gevent.joinall(asked, timeout=2 * _PING_TIMEOUT_S)
+        answers = [one.value for one in asked if one.value is not None]
+        if not answers:
+            return None
+        return any(answers)
+
+    def _ask_witness(
+        self,
+        member: MemberRecord,
+        shard: int,
+        owner: KnownOwner,
+    ) -> bool | None:
+        answer = self._peers.call(
+            member.address,
+            'hears',
+            {'shard': shard, 'address': owner.record.address},
+            2 * _PING_TIMEOUT_S,
+        )
+        if isinstance(answer, Unavailable):
+            return None
+        return bool(answer['hears'])
+
+    def _is_own(self, owner: KnownOwner) -> bool:
+        return owner.record.incarnation == self._identity.incarnation
+
+    def _is_heard(self, shard: int, address: str) -> bool:
+        if address == self._identity.address:
+            return self.runner(shard) is not None
+        answer = self._peers.call(
+            address,
+            'ping',
+            {'shard': shard},
+            _PING_TIMEOUT_S,
+        )
+        return not isinstance(answer, Unavailable) and bool(answer['owns'])
+
+    def _take_vacancy(self, shard: int) -> None:
+        if shard not in self._cluster.owner_by_shard:
+            # The feed tells changes only; the row may be older than it.
+            row = self._read_row(owner_row(shard).table, shard)
+            if isinstance(row, StoredRow):
+                self._cluster.take_owner(row)
+                return
+        # Those with a better rank go first; their write is then known here.
+        known = self._cluster.owner_by_shard.get(shard)
+        rank = min(self._rank(shard), _LAST_RANK)
+        gevent.sleep(rank * _RANK_STEP_S / 2)
+        if self.is_leaving or self.runner(shard) is not None:
+            return
+        if self._cluster.owner_by_shard.get(shard) == known:
+            self._take(shard, 'no owner')
+
+    def _take(self, shard: int, reason: str) -> bool:
+        """Become the owner by a conditional write."""
+        if self.runner(shard) is not None:
+            return True
+        rows = self._read_rows(shard)
+        if rows is None or self.runner(shard) is not None:
+            return False
+        owner, sequence = rows
+        epoch = _epoch_of(owner, sequence) + 1
+        outcome = self._write_owner(shard, owner, sequence, epoch)
+        event(
+            'takeover',
+            shard=shard,
+            epoch=epoch,
+            reason=reason,
+            outcome=type(outcome).__name__,
+        )
+        if not isinstance(outcome, TransactionDone):
+            return False
+        runner = self._make_runner(
+            shard,
+            epoch,
+            outcome.version,
+            outcome.version,
+        )
+        self.runner_by_shard[shard] = runner
+        runner.start()
+        return True
+
+    def _read_rows(
+        self,
+        shard: int,
+    ) -> tuple[StoredRow | None, StoredRow | None] | None:
+        owner = self._read_row(owner_row(shard).table, shard)
+        sequence = self._read_row(sequence_row(shard).table, shard)
+        if isinstance(owner, Unavailable) or isinstance(sequence, Unavailable):
+            return None
+        if owner is not None:
+            self._cluster.take_owner(owner)
+        return owner, sequence
+
+    def _read_row(
+        self,
+        table: str,
+        shard: int,
+    ) -> StoredRow | None | Unavailable:
+        page = self._store.read(table, part_of(shard))
+        if isinstance(page, Unavailable):
+            return page
+        return page.rows[0] if page.rows else None
+
+    def _write_owner(
+        self,
+        shard: int,
+        owner: StoredRow | None,
+        sequence: StoredRow | None,
+        epoch: int,
+    ):
+        record = OwnerRecord(
+            instance_id=self._identity.instance_id,
+            incarnation=self._identity.incarnation,
+            epoch=epoch,
+            address=self._identity.address,
+        )
+        return self._store.commit(
+            _owner_change(
+                shard,
+                record,
+                0 if owner is None else owner.version,
+                0 if sequence is None else sequence.version,
+            ),
+            _COMMIT_TIMEOUT_S,
+        )
+
+    def _offer(self, shard: int, runner: ShardRunner) -> None:
+        for member in self._cluster.ranked(shard):
+            if member.instance_id == self._identity.instance_id:
+                continue
+            answer = self._peers.call(
+                member.address,
+                'take',
+                {'shard': shard},
+                _OFFER_TIMEOUT_S,
+            )
+            if runner.trouble_s() <= _TROUBLE_S or runner.is_stopped:
+                return
+            if not isinstance(answer, Unavailable) and answer['taken']:
+                runner.stop(f'handed to {member.instance_id}')
+                return
+
+    def _is_store_healthy(self, shard: int) -> bool:
+        started_at = time.monotonic()
+        page = self._store.read(owner_row(shard).table, part_of(shard))
+        if isinstance(page, Unavailable):
+            return False
+        return time.monotonic() - started_at <= _HEALTHY_READ_S
+
+    def _give_up(self, runner: ShardRunner, timeout_s: Seconds) -> None:
+        runner.hand_over(timeout_s)
+        if runner.is_stopped:
+            return
+        record = OwnerRecord(
+            instance_id='',
+            incarnation='',
+            epoch=runner.tables.epoch,
+        )
+        transaction = Transaction(
+            expected=(
+                ExpectedVersion(
+                    name=owner_row(runner.shard),
+                    version=runner.owner_version(),
+                ),
+            ),
+            writes=(
+                RowWrite(
+                    name=owner_row(runner.shard),
+                    content=encode_record(record),
+                ),
+            ),
+        )
+        runner.stop('planned stop')
+        outcome = self._store.commit(transaction, _COMMIT_TIMEOUT_S)
+        event(
+            'shard_given_up',
+            shard=runner.shard,
+            outcome=type(outcome).__name__,
+        )
+
+
+def _owner_change(
+    shard: int,
+    record: OwnerRecord,
+    owner_version: int,
+    sequence_version: int,
+) -> Transaction:
+    first = SequenceRecord(epoch=record.epoch, number=0)
+    return Transaction(
+        expected=(
+            ExpectedVersion(name=owner_row(shard), version=owner_version),
+            ExpectedVersion(
+                name=sequence_row(shard),
+                version=sequence_version,
+            ),
+        ),
+        writes=(
+            RowWrite(name=owner_row(shard), content=encode_record(record)),
+            RowWrite(name=sequence_row(shard), content=encode_record(first)),
+        ),
+    )
+
+
+def _epoch_of(owner: StoredRow | None, sequence: StoredRow | None) -> int:
+    epoch = 0
+    if owner is not None:
+        record = decode_record(owner.content or b'', OwnerRecord)
+        if not isinstance(record, Malformed):
+            epoch = record.epoch
+    if sequence is not None:
+        last = decode_record(sequence.content or b'', SequenceRecord)
+        if not isinstance(last, Malformed):
+            epoch = max(epoch, last.epoch)
+    return epoch
--- /dev/null
+++ b/ragwortfield/engine/scheduler_node.py
@@ -0,0 +1,406 @@
+"""One instance of the job scheduler: its loops and its parts."""
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import gevent
+
+from ragwortfield.adapters.documents import Malformed
+from ragwortfield.engine.calendar import Calendar
+from ragwortfield.engine.cluster import Cluster
+from ragwortfield.engine.feeds import Feed
+from ragwortfield.engine.job_desk import JobDesk, Unknown
+from ragwortfield.engine.names import (
+    CLUSTER_TABLE,
+    COMMON_PART,
+    is_owner_row,
+    layout_row,
+    member_row,
+    part_of,
+)
+from ragwortfield.engine.ownership import Identity, Ownership
+from ragwortfield.engine.shard_runner import ShardRunner, WorkerParser
+from ragwortfield.log import event
+from ragwortfield.peering.calls import CallBody, PeerCalls
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.row_store import (
+    ExpectedVersion,
+    RowName,
+    RowStore,
+    RowWrite,
+    StoredRow,
+    Transaction,
+)
+from ragwortfield.ports.task_worker import TaskWorkers
+from ragwortfield.report.scheduler_metrics import SchedulerMetrics
+from ragwortfield.scheduling.bounds import Bounds
+from ragwortfield.scheduling.catalogue import Catalogue
+from ragwortfield.scheduling.records import (
+    LayoutRecord,
+    MemberRecord,
+    encode_record,
+)
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.types import Seconds, WallTime
+
+#: Time in which other instances register before owners are chosen.
+_GATHER_S: Seconds = 1
+#: Pause before a failed call is made again, in seconds.
+_RETRY_S: Seconds = 0.2
+_SECOND_S: Seconds = 1
+_MS_PER_S = 1000
+_COMMIT_TIMEOUT_S: Seconds = 1.2
+#: Workers that one shard is meant for.
+_WORKERS_A_SHARD = 48
+
+CatalogueParser = Callable[[bytes], Catalogue | Malformed]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlatformNames:
+    """
+    Tables of the platform, and how their rows are read.
+
+    :param is_configuration: tells whether a row of the operator's table
+        holds the configuration.
+    """
+
+    operator_table: str
+    worker_table: str
+    is_configuration: Callable[[RowName], bool]
+    parse_catalogue: CatalogueParser
+    parse_worker: WorkerParser
+
+
+class SchedulerNode:
+    """
+    One instance.
+
+    :param identity: name and address of this life of the instance.
+    :param data_centre: where it stands.
+    :param cores: processor that it has.
+    :param store: the platform's store.
+    :param workers: calls to workers.
+    :param names: tables of the platform.
+    :param bounds: durations in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        data_centre: str,
+        cores: float,
+        store: RowStore,
+        workers: TaskWorkers,
+        names: PlatformNames,
+        bounds: Bounds,
+    ) -> None:
+        """Create; ``start`` takes part in the deployment."""
+        self.is_leaving = False
+        self.active = 0
+        self.metrics = SchedulerMetrics()
+        self._identity = identity
+        self._data_centre = data_centre
+        self._cores = cores
+        self._store = store
+        self._workers = workers
+        self._names = names
+        self._bounds = bounds
+        self._calendar = Calendar()
+        self._catalogue: Catalogue | None = None
+        self._cluster = Cluster()
+        self._peers = PeerCalls(monotonic=time.monotonic)
+        self.ownership = Ownership(
+            identity=identity,
+            cluster=self._cluster,
+            store=store,
+            peers=self._peers,
+            make_runner=self._make_runner,
+        )
+        self.desk = JobDesk(
+            instance_id=identity.instance_id,
+            cluster=self._cluster,
+            ownership=self.ownership,
+            store=store,
+            peers=self._peers,
+            empty_tables=lambda: self._tables(0),
+        )
+        self._watched: set[int] = set()
+        self._handler_by_call: dict[str, Callable[[CallBody], CallBody]] = {
+            'ping': self.ownership.answer_ping,
+            'hears': self.ownership.answer_hears,
+            'take': self.ownership.answer_take,
+            'status': self._answer_status,
+            'stored-status': self._answer_stored_status,
+            'waiting': self._answer_waiting,
+            'submit': self._answer_submit,
+            'cancel': self._answer_cancel,
+        }
+
+    def start(self) -> None:
+        """Take part in the deployment, in the background."""
+        self._peers.listen(self._identity.address, self._answer)
+        gevent.spawn(self._keep_calendar)
+        gevent.spawn(self._follow_operator)
+        gevent.spawn(self._join)
+
+    def catalogue(self) -> Catalogue | None:
+        """
+        Give the configuration in force here.
+
+        :returns: the newest one seen; ``None`` before the first.
+        """
+        return self._catalogue
+
+    def wall(self) -> WallTime:
+        """
+        Give the wall time.
+
+        :returns: seconds since the Unix epoch.
+        """
+        return self._calendar.now()
+
+    def is_serving(self) -> bool:
+        """
+        Tell whether callers should be sent here.
+
+        :returns: whether there is a configuration and no planned stop.
+        """
+        return self._catalogue is not None and not self.is_leaving
+
+    def leave(self, timeout_s: Seconds) -> None:
+        """
+        Hand everything on, for a planned stop.
+
+        :param timeout_s: longest wait for what is under way, in seconds.
+        """
+        self.is_leaving = True
+        self.ownership.leave(timeout_s)
+
+    @contextmanager
+    def request(self) -> Iterator[None]:
+        """
+        Count a caller's request as under way.
+
+        :returns: a context in which it is.
+        """
+        self.active += 1
+        try:
+            yield
+        finally:
+            self.active -= 1
+
+    def _keep_calendar(self) -> None:
+        while True:
+            self._calendar.observe()
+            gevent.sleep(_SECOND_S)
+
+    def _follow_operator(self) -> None:
+        Feed(
+            store=self._store,
+            table=self._names.operator_table,
+            parts=lambda: (COMMON_PART,),
+            handler=self._take_operator_rows,
+            on_outcome=_ignore,
+        ).run()
+
+    def _take_operator_rows(
+        self,
+        rows: tuple[StoredRow, ...],
+        _is_whole: bool,
+    ) -> None:
+        for row in rows:
+            if row.content is None or not self._names.is_configuration(
+                row.name,
+            ):
+                continue
+            self._take_catalogue(row.content)
+
+    def _take_catalogue(self, content: bytes) -> None:
+        catalogue = self._names.parse_catalogue(content)
+        if isinstance(catalogue, Malformed):
+            event('configuration_unreadable', reason=catalogue.reason)
+            return
+        known = -1 if self._catalogue is None else self._catalogue.version
+        if catalogue.version <= known:
+            return
+        self._catalogue = catalogue
+        event(
+            'configuration_taken',
+            version=catalogue.version,
+            before=known,
+            queues=len(catalogue.queue_by_name),
+        )
+        for runner in self.ownership.runner_by_shard.values():
+            runner.take_catalogue(catalogue)
+
+    def _join(self) -> None:
+        store_ms = self._measure_store()
+        self._register(store_ms)
+        gevent.spawn(self._follow_cluster)
+        gevent.sleep(_GATHER_S)
+        while not self._cluster.shards:
+            self._lay_out()
+            gevent.sleep(_RETRY_S)
+        for shard in range(self._cluster.shards):
+            gevent.spawn(self.ownership.watch, shard)
+
+    def _measure_store(self) -> float:
+        """Milliseconds of the quickest of a few reads."""
+        quickest = 0.0
+        for _ in range(3):
+            started_at = time.monotonic()
+            name = layout_row()
+            if isinstance(
+                self._store.read(name.table, name.part, first_key=name.key),
+                Unavailable,
+            ):
+                continue
+            spent = (time.monotonic() - started_at) * _MS_PER_S
+            quickest = min(quickest or spent, spent)
+        return quickest
+
+    def _register(self, store_ms: float) -> None:
+        record = MemberRecord(
+            instance_id=self._identity.instance_id,
+            incarnation=self._identity.incarnation,
+            address=self._identity.address,
+            data_centre=self._data_centre,
+            cores=self._cores,
+            store_ms=store_ms,
+        )
+        transaction = Transaction(
+            writes=(
+                RowWrite(
+                    name=member_row(self._identity.instance_id),
+                    content=encode_record(record),
+                ),
+            ),
+        )
+        while True:
+            outcome = self._store.commit(transaction, _COMMIT_TIMEOUT_S)
+            if not isinstance(outcome, Unavailable):
+                event('registered', store_ms=store_ms)
+                return
+            event('registration_failed', reason=outcome.reason)
+            gevent.sleep(_RETRY_S)
+
+    def _lay_out(self) -> None:
+        """Fix the number of shards, unless another instance has."""
+        page = self._store.read(self._names.worker_table, COMMON_PART)
+        if isinstance(page, Unavailable) or not page.rows:
+            return
+        shards = max(round(len(page.rows) / _WORKERS_A_SHARD), 1)
+        name = layout_row()
+        outcome = self._store.commit(
+            Transaction(
+                expected=(ExpectedVersion(name=name, version=0),),
+                writes=(
+                    RowWrite(
+                        name=name,
+                        content=encode_record(LayoutRecord(shards=shards)),
+                    ),
+                ),
+            ),
+            _COMMIT_TIMEOUT_S,
+        )
+        event(
+            'layout_proposed',
+            shards=shards,
+            workers=len(page.rows),
+            outcome=type(outcome).__name__,
+        )
+
+    def _follow_cluster(self) -> None:
+        Feed(
+            store=self._store,
+            table=CLUSTER_TABLE,
+            parts=self._cluster_parts,
+            handler=self._take_cluster_rows,
+            on_outcome=_ignore,
+        ).run()
+
+    def _cluster_parts(self) -> tuple[str, ...]:
+        shards = range(self._cluster.shards)
+        return (COMMON_PART, *(part_of(shard) for shard in shards))
+
+    def _take_cluster_rows(
+        self,
+        rows: tuple[StoredRow, ...],
+        _is_whole: bool,
+    ) -> None:
+        self._cluster.take_rows(rows)
+        for row in rows:
+            if is_owner_row(row.name):
+                shard = int(row.name.part.removeprefix('s'))
+                self.ownership.note_owner(shard)
+
+    def _make_runner(
+        self,
+        shard: int,
+        epoch: int,
+        owner_version: int,
+        sequence_version: int,
+    ) -> ShardRunner:
+        return ShardRunner(
+            shard=shard,
+            tables=self._tables(epoch),
+            owner_version=owner_version,
+            sequence_version=sequence_version,
+            store=self._store,
+            workers=self._workers,
+            worker_table=self._names.worker_table,
+            parse_worker=self._names.parse_worker,
+            calendar=self._calendar,
+        )
+
+    def _tables(self, epoch: int) -> ShardTables:
+        return ShardTables(
+            epoch=epoch,
+            owner_since=time.monotonic(),
+            bounds=self._bounds,
+            catalogue=self._catalogue or Catalogue(version=-1),
+        )
+
+    def _answer(self, name: str, body: CallBody) -> CallBody:
+        return self._handler_by_call[name](body)
+
+    def _answer_status(self, body: CallBody) -> CallBody:
+        return _state(self.desk.owned_status(body['job_id']))
+
+    def _answer_stored_status(self, body: CallBody) -> CallBody:
+        return _state(self.desk.stored_status(body['job_id']))
+
+    def _answer_waiting(self, body: CallBody) -> CallBody:
+        count = self.desk.owned_waiting(body['shard'], body['queue'])
+        if isinstance(count, Unavailable):
+            return {'count': None, 'reason': count.reason}
+        return {'count': count}
+
+    def _answer_submit(self, body: CallBody) -> CallBody:
+        return _tagged(self.desk.store_job(body['job_id'], body['record']))
+
+    def _answer_cancel(self, body: CallBody) -> CallBody:
+        return _tagged(self.desk.store_cancel(body['job_id']))
+
+
+def _state(found: object) -> CallBody:
+    if isinstance(found, Unavailable):
+        return {'state': None, 'reason': found.reason}
+    if isinstance(found, Unknown):
+        return {'state': ''}
+    return {'state': str(found)}
+
+
+def _tagged(outcome: object) -> CallBody:
+    return {
+        'outcome': type(outcome).__name__,
+        'reason': getattr(outcome, 'reason', ''),
+    }
+
+
+def _ignore(_failure: Unavailable | None) -> None:
+    """The feed itself logs what is lost and regained."""
--- /dev/null
+++ b/ragwortfield/engine/shard_runner.py
@@ -0,0 +1,623 @@
+"""The owner of a shard at work: feeds, leases, commits and orders."""
+
+import time
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+
+from ragwortfield.adapters.documents import Malformed
+from ragwortfield.engine.calendar import Calendar
+from ragwortfield.engine.feeds import Feed, read_all
+from ragwortfield.engine.names import (
+    PROGRESS_TABLE,
+    cancelled_job_of,
+    inbox_table,
+    owner_row,
+    part_of,
+    progress_row,
+    job_row,
+    cancel_row,
+    sequence_row,
+)
+from ragwortfield.log import event
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.row_store import (
+    ExpectedVersion,
+    RowStore,
+    RowWrite,
+    StoredRow,
+    Transaction,
+    TransactionDone,
+    TransactionRefused,
+)
+from ragwortfield.ports.task_worker import (
+    LeaseReport,
+    ListedWorker,
+    OrderRefused,
+    PaceRun,
+    Refusal,
+    StartRun,
+    StopRun,
+    TaskWorkers,
+)
+from ragwortfield.scheduling import (
+    commits,
+    dispatch,
+    intake,
+    interference,
+    leases,
+    reports,
+)
+from ragwortfield.scheduling.catalogue import Catalogue
+from ragwortfield.scheduling.commits import Batch
+from ragwortfield.scheduling.job_rows import JobRow
+from ragwortfield.scheduling.records import (
+    JobRecord,
+    ProgressRecord,
+    SequenceRecord,
+    decode_record,
+    encode_record,
+)
+from ragwortfield.scheduling.status import JobStatus, status_of, waiting_count
+from ragwortfield.scheduling.tables import Order, ShardTables
+from ragwortfield.types import Instant, JobId, Seconds, WorkerId
+
+#: Longest time between two rounds of decisions, in seconds.
+_ROUND_S: Seconds = 0.05
+#: Time between rounds of slow-moving decisions, in seconds.
+_SLOW_ROUND_S: Seconds = 0.1
+#: Longest wait for the answer to a commit, in seconds.
+_COMMIT_TIMEOUT_S: Seconds = 1.2
+#: Pause before a failed call is made again, in seconds.
+_RETRY_S: Seconds = 0.1
+#: Longest wait for a commit before ends are looked at again, in seconds.
+_ACKNOWLEDGE_WAIT_S: Seconds = 0.25
+#: A process that stood still for longer checks that it is still the owner.
+_PAUSE_S: Seconds = 0.7
+#: Time between looks for jobs that can be forgotten, in seconds.
+_FORGET_EVERY_S: Seconds = 5
+
+WorkerParser = Callable[[WorkerId, bytes], ListedWorker | Malformed]
+
+
+class ShardRunner:
+    """
+    Owner of one shard.
+
+    :param shard: number of the shard.
+    :param tables: empty tables, with epoch and catalogue.
+    :param owner_version: version of the owner's row that it wrote.
+    :param sequence_version: version of the sequence row that it wrote.
+    :param store: the platform's store.
+    :param workers: calls to workers.
+    :param worker_table: table in which workers register.
+    :param parse_worker: reads a worker's entry.
+    :param calendar: wall time.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: int,
+        tables: ShardTables,
+        owner_version: int,
+        sequence_version: int,
+        store: RowStore,
+        workers: TaskWorkers,
+        worker_table: str,
+        parse_worker: WorkerParser,
+        calendar: Calendar,
+    ) -> None:
+        """Create; ``start`` reads the shard and begins to work."""
+        self.shard = shard
+        self.tables = tables
+        self.is_ready = False
+        self.is_stopped = False
+        self.failing_since: Instant = 0
+        self._owner_version = owner_version
+        self._sequence_version = sequence_version
+        self._sequence = SequenceRecord(epoch=tables.epoch, number=0)
+        self._store = store
+        self._workers = workers
+        self._worker_table = worker_table
+        self._parse_worker = parse_worker
+        self._calendar = calendar
+        self._wake = Event()
+        self._commit_wake = Event()
+        self._committed = Event()
+        self._is_committing = False
+        self._is_handing_over = False
+        self._greenlets: list[gevent.Greenlet] = []
+        self._hold_by_worker: dict[WorkerId, gevent.Greenlet] = {}
+        self._round_at: Instant = 0
+        self._slow_round_at: Instant = 0
+        self._forgot_at: Instant = 0
+        self._boot_offset = _boot_offset()
+
+    def start(self) -> None:
+        """Read the shard and begin to work, in the background."""
+        self._spawn(self._load_and_run)
+
+    def stop(self, reason: str) -> None:
+        """
+        Stop without a word to anybody.
+
+        :param reason: why, for the log.
+        """
+        if self.is_stopped:
+            return
+        self.is_stopped = True
+        self.is_ready = False
+        event(
+            'shard_left',
+            shard=self.shard,
+            epoch=self.tables.epoch,
+            reason=reason,
+        )
+        gevent.killall(
+            [one for one in self._greenlets if one is not gevent.getcurrent()],
+            block=False,
+        )
+        gevent.killall(list(self._hold_by_worker.values()), block=False)
+
+    def hand_over(self, timeout_s: Seconds) -> None:
+        """
+        Bind nothing more and let what is under way become durable.
+
+        :param timeout_s: longest wait, in seconds.
+        """
+        self._is_handing_over = True
+        end = time.monotonic() + timeout_s
+        while time.monotonic() < end and not self.is_stopped:
+            if not self._is_committing and not self.tables.dirty_by_key:
+                return
+            gevent.sleep(0.01)
+
+    def owner_version(self) -> int:
+        """
+        Give the version of the owner's row.
+
+        :returns: the version that commits expect.
+        """
+        return self._owner_version
+
+    def status(self, job_id: JobId) -> JobStatus | None | Unavailable:
+        """
+        Tell the state of a job.
+
+        :param job_id: the job.
+        :returns: its state; ``None`` when there is no such job.
+        """
+        if not self.is_ready:
+            return Unavailable(reason=f'shard {self.shard} is being read')
+        row = self.tables.job_by_id.get(job_id)
+        if row is None:
+            # The feed may be behind; the store knows.
+            row = self._fetch_job(job_id)
+        if row is None or isinstance(row, Unavailable):
+            return row
+        return status_of(row)
+
+    def cancel(self, job_id: JobId) -> None:
+        """
+        Act on a cancellation that is durable.
+
+        :param job_id: the job.
+        """
+        intake.cancel_job(self.tables, job_id, time.monotonic())
+        self._wake.set()
+
+    def take_catalogue(self, catalogue: Catalogue) -> None:
+        """
+        Follow a newer configuration.
+
+        :param catalogue: the newer version.
+        """
+        intake.take_catalogue(self.tables, catalogue)
+        self._wake.set()
+
+    def waiting(self, queue: str) -> int | Unavailable:
+        """
+        Count the jobs of a queue of which no task has started.
+
+        :param queue: name of the queue.
+        :returns: the number.
+        """
+        if not self.is_ready:
+            return Unavailable(reason=f'shard {self.shard} is being read')
+        return waiting_count(self.tables, queue)
+
+    def trouble_s(self) -> Seconds:
+        """
+        Tell for how long no call to the store has succeeded.
+
+        :returns: seconds; 0 when the last one did.
+        """
+        if not self.failing_since:
+            return 0
+        return time.monotonic() - self.failing_since
+
+    def _spawn(self, work: Callable[..., None], *arguments: object) -> None:
+        self._greenlets.append(gevent.spawn(work, *arguments))
+
+    def _load_and_run(self) -> None:
+        started_at = time.monotonic()
+        inbox = self._read(inbox_table(self.shard), part_of(self.shard))
+        progress = self._read(PROGRESS_TABLE, part_of(self.shard))
+        listing = self._read(self._worker_table, '')
+        now = time.monotonic()
+        self._take_workers(listing.rows, True)
+        self._take_inbox(inbox.rows, False)
+        for row in progress.rows:
+            record = decode_record(row.content or b'', ProgressRecord)
+            if isinstance(record, Malformed):
+                event('row_unreadable', key=row.name.key, reason=record.reason)
+                continue
+            intake.restore_progress(self.tables, record, now)
+        self.is_ready = True
+        event(
+            'shard_loaded',
+            shard=self.shard,
+            epoch=self.tables.epoch,
+            jobs=len(self.tables.job_by_id),
+            workers=len(self.tables.worker_by_id),
+            duration_s=now - started_at,
+        )
+        self._spawn(self._commit_loop)
+        self._spawn(self._follow, inbox_table(self.shard), inbox.version)
+        self._spawn(self._follow_workers, listing.version)
+        self._run()
+
+    def _read(self, table: str, part: str):
+        while True:
+            page = read_all(self._store, table, part)
+            if not isinstance(page, Unavailable):
+                self._note_store(None)
+                return page
+            self._note_store(page)
+            gevent.sleep(_RETRY_S)
+
+    def _follow(self, table: str, version: int) -> None:
+        Feed(
+            store=self._store,
+            table=table,
+            parts=lambda: (part_of(self.shard),),
+            handler=self._take_inbox,
+            on_outcome=self._note_store,
+        ).run(version)
+
+    def _follow_workers(self, version: int) -> None:
+        Feed(
+            store=self._store,
+            table=self._worker_table,
+            parts=lambda: ('',),
+            handler=self._take_workers,
+            on_outcome=self._note_store,
+        ).run(version)
+
+    def _take_inbox(
+        self,
+        rows: tuple[StoredRow, ...],
+        _is_whole: bool,
+    ) -> None:
+        now = time.monotonic()
+        for row in rows:
+            if row.content is None:
+                continue
+            cancelled = cancelled_job_of(row.name)
+            if cancelled:
+                intake.cancel_job(self.tables, cancelled, now)
+            else:
+                self._take_job(row)
+        self._wake.set()
+
+    def _take_job(self, row: StoredRow) -> JobRow | None:
+        record = decode_record(row.content or b'', JobRecord)
+        if isinstance(record, Malformed):
+            event('row_unreadable', key=row.name.key, reason=record.reason)
+            return None
+        return intake.take_job(
+            self.tables,
+            record.job,
+            now=time.monotonic(),
+            wall=self._calendar.now(),
+        )
+
+    def _fetch_job(self, job_id: JobId) -> JobRow | None | Unavailable:
+        name = job_row(self.shard, job_id)
+        page = self._store.read(
+            name.table,
+            name.part,
+            first_key=name.key,
+            end_key=f'{name.key}\0',
+        )
+        if isinstance(page, Unavailable):
+            return page
+        if not page.rows:
+            return None
+        self._wake.set()
+        return self._take_job(page.rows[0])
+
+    def _take_workers(
+        self,
+        rows: tuple[StoredRow, ...],
+        is_whole: bool,
+    ) -> None:
+        for row in rows:
+            worker_id = row.name.key
+            if row.content is None:
+                intake.drop_worker(self.tables, worker_id)
+                continue
+            listed = self._parse_worker(worker_id, row.content)
+            if isinstance(listed, Malformed):
+                event(
+                    'entry_unusable',
+                    worker=worker_id,
+                    reason=listed.reason,
+                )
+                continue
+            intake.take_worker(self.tables, listed)
+        if is_whole:
+            present = {row.name.key for row in rows}
+            for worker_id in tuple(self.tables.worker_by_id):
+                if worker_id not in present:
+                    intake.drop_worker(self.tables, worker_id)
+        self._watch_workers()
+
+    def _watch_workers(self) -> None:
+        for worker_id, row in self.tables.worker_by_id.items():
+            known = self._hold_by_worker.get(worker_id)
+            if row.listed.address and (known is None or known.dead):
+                self._hold_by_worker[worker_id] = gevent.spawn(
+                    self._hold_loop,
+                    worker_id,
+                )
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait(_ROUND_S)
+            self._wake.clear()
+            if not self._is_owner_still():
+                return
+            self._round(time.monotonic())
+
+    def _is_owner_still(self) -> bool:
+        now = time.monotonic()
+        passed_s = now - self._round_at if self._round_at else 0
+        suspended_s = _boot_offset() - self._boot_offset
+        self._boot_offset += suspended_s
+        self._round_at = now
+        is_checked = self.tables.is_deposed or (
+            passed_s + suspended_s > _PAUSE_S
+        )
+        if not is_checked:
+            return True
+        event(
+            'ownership_checked',
+            shard=self.shard,
+            paused_s=passed_s + suspended_s,
+            is_fenced=self.tables.is_deposed,
+        )
+        if self.tables.is_deposed:
+            self.stop('a worker has seen a newer owner')
+            return False
+        return self._check_ownership()
+
+    def _check_ownership(self) -> bool:
+        name = owner_row(self.shard)
+        page = self._store.read(name.table, name.part)
+        if isinstance(page, Unavailable):
+            # Without the store nobody else can have become the owner since.
+            self._note_store(page)
+            return True
+        versions = [one.version for one in page.rows if one.name == name]
+        if versions != [self._owner_version]:
+            self.stop('replaced by another owner')
+            return False
+        self._round_at = time.monotonic()
+        return True
+
+    def _round(self, now: Instant) -> None:
+        tables = self.tables
+        if now - self._slow_round_at > _SLOW_ROUND_S:
+            self._slow_round_at = now
+            intake.open_due_occurrences(tables, self._calendar.now())
+            reports.release_lapsed(tables, now)
+            reports.repeat_stops(tables, now)
+            dispatch.repeat_starts(tables, now)
+            interference.adjust_paces(tables, now)
+        if now - self._forgot_at > _FORGET_EVERY_S:
+            self._forgot_at = now
+            commits.forget_finished(tables, now)
+        if not self._is_handing_over:
+            dispatch.dispatch(tables, now)
+        if tables.dirty_by_key or tables.forgotten:
+            self._commit_wake.set()
+        elif not self._is_committing:
+            commits.acknowledge_settled(tables)
+        self._send_orders()
+
+    def _send_orders(self) -> None:
+        orders = self.tables.orders
+        self.tables.orders = []
+        for order in orders:
+            gevent.spawn(self._send, order)
+
+    def _send(self, order: Order) -> None:
+        if self.is_stopped:
+            return
+        if isinstance(order, StartRun):
+            outcome = self._workers.start(order)
+            if not self.is_stopped:
+                reports.take_start_outcome(
+                    self.tables,
+                    order,
+                    outcome,
+                    time.monotonic(),
+                )
+        elif isinstance(order, StopRun):
+            outcome = self._workers.stop(order)
+            reports.take_stop_outcome(self.tables, order, outcome)
+        elif isinstance(order, PaceRun):
+            outcome = self._workers.pace(order)
+            interference.take_pace_outcome(self.tables, order, outcome)
+        self._wake.set()
+
+    def _hold_loop(self, worker_id: WorkerId) -> None:
+        while True:
+            row = self.tables.worker_by_id.get(worker_id)
+            if row is None:
+                return
+            order = leases.lease_order(self.tables, row, time.monotonic())
+            report = self._workers.hold(order)
+            now = time.monotonic()
+            if isinstance(report, LeaseReport):
+                before = row.noted
+                reports.take_report(self.tables, row, report, now)
+                self._wake.set()
+                self._await_acknowledgement(row.noted > before)
+                continue
+            self._note_hold_failure(worker_id, report)
+            gevent.sleep(_RETRY_S)
+
+    def _await_acknowledgement(self, is_new: bool) -> None:
+        if not is_new:
+            return
+        # Ends are listed again until they are acknowledged, so the next
+        # look waits for the commit that makes their effect durable.
+        self._committed.clear()
+        self._committed.wait(_ACKNOWLEDGE_WAIT_S)
+
+    def _note_hold_failure(
+        self,
+        worker_id: WorkerId,
+        failure: OrderRefused | Unavailable,
+    ) -> None:
+        if isinstance(failure, Unavailable):
+            return
+        event('hold_refused', worker=worker_id, reason=failure.refusal.value)
+        if failure.refusal == Refusal.FENCED:
+            self.tables.is_deposed = True
+            self._wake.set()
+
+    def _commit_loop(self) -> None:
+        while True:
+            self._commit_wake.wait()
+            self._commit_wake.clear()
+            while True:
+                number = self._sequence.number + 1
+                batch = commits.take_batch(self.tables, number)
+                if batch is None:
+                    break
+                self._is_committing = True
+                if not self._commit(batch):
+                    return
+                self._is_committing = False
+                self._committed.set()
+                self._wake.set()
+
+    def _commit(self, batch: Batch) -> bool:
+        transaction = self._transaction(batch)
+        while True:
+            started_at = time.monotonic()
+            outcome = self._store.commit(transaction, _COMMIT_TIMEOUT_S)
+            if isinstance(outcome, Unavailable):
+                self._note_store(outcome)
+                gevent.sleep(_RETRY_S)
+                continue
+            self._note_store(None)
+            if isinstance(outcome, TransactionDone):
+                self._sequence_version = outcome.version
+                break
+            verdict = self._settle(batch, outcome)
+            if verdict is None:
+                return False
+            if verdict:
+                break
+            transaction = self._transaction(batch)
+        self._sequence = batch.sequence
+        now = time.monotonic()
+        event(
+            'committed',
+            shard=self.shard,
+            number=batch.sequence.number,
+            records=len(batch.record_by_key),
+            starts=len(batch.starts),
+            duration_s=now - started_at,
+        )
+        commits.confirm(self.tables, batch, now)
+        self._send_orders()
+        return True
+
+    def _settle(
+        self,
+        batch: Batch,
+        refused: TransactionRefused,
+    ) -> bool | None:
+        """Tell whether a refused commit was made before; None: deposed."""
+        row_by_name = {row.name: row for row in refused.rows}
+        owner = row_by_name.get(owner_row(self.shard))
+        if owner is None or owner.version != self._owner_version:
+            self.stop('replaced by another owner')
+            return None
+        last = row_by_name.get(sequence_row(self.shard))
+        record = decode_record(
+            b'' if last is None else last.content or b'',
+            SequenceRecord,
+        )
+        if last is None or isinstance(record, Malformed):
+            self.stop('the sequence row cannot be read')
+            return None
+        self._sequence_version = last.version
+        return record == batch.sequence
+
+    def _transaction(self, batch: Batch) -> Transaction:
+        sequence = sequence_row(self.shard)
+        writes = [
+            RowWrite(name=sequence, content=encode_record(batch.sequence)),
+        ]
+        writes.extend(
+            RowWrite(
+                name=progress_row(self.shard, job_id, number),
+                content=content,
+            )
+            for (job_id, number), content in batch.record_by_key.items()
+        )
+        for job in batch.removed:
+            writes.extend(self._removals(job))
+        return Transaction(
+            expected=(
+                ExpectedVersion(
+                    name=owner_row(self.shard),
+                    version=self._owner_version,
+                ),
+                ExpectedVersion(name=sequence, version=self._sequence_version),
+            ),
+            writes=tuple(writes),
+        )
+
+    def _removals(self, job: JobRow) -> list[RowWrite]:
+        job_id = job.job.job_id
+        names = [job_row(self.shard, job_id)]
+        if job.is_cancelled:
+            names.append(cancel_row(self.shard, job_id))
+        names.extend(
+            progress_row(self.shard, job_id, number)
+            for number in job.occurrence_by_number
+        )
+        return [RowWrite(name=name, content=None) for name in names]
+
+    def _note_store(self, failure: Unavailable | None) -> None:
+        if failure is None:
+            if self.failing_since:
+                event('store_regained', shard=self.shard)
+            self.failing_since = 0
+        elif not self.failing_since:
+            self.failing_since = time.monotonic()
+            event('store_lost', shard=self.shard, reason=failure.reason)
+
+
+def _boot_offset() -> Seconds:
+    """Time for which the machine was suspended since its start."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- /dev/null
+++ b/ragwortfield/front/health.py
@@ -0,0 +1,57 @@
+"""Health checks of the balancer, and metrics."""
+
+from collections.abc import Iterable
+from http import HTTPStatus
+from typing import Any
+
+from ragwortfield.core.outcomes import HeaderFields
+from ragwortfield.engine.scheduler_node import SchedulerNode
+from ragwortfield.front.http import Response, StartResponse, raw_path, send
+
+_TEXT: HeaderFields = (('content-type', 'text/plain'),)
+_METRICS_PATH = '/metrics'
+
+
+class HealthFront:
+    """
+    WSGI application for the balancer and for scrapes.
+
+    :param node: the instance.
+    """
+
+    def __init__(self, *, node: SchedulerNode) -> None:
+        """Create the application."""
+        self._node = node
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """
+        Answer one request.
+
+        :param environ: WSGI environment.
+        :param start_response: the server's function.
+        :returns: the body.
+        """
+        if raw_path(environ) == _METRICS_PATH:
+            return send(self._metrics(), start_response)
+        if self._node.is_serving():
+            return send(_answer(HTTPStatus.OK, b'ready\n'), start_response)
+        return send(
+            _answer(HTTPStatus.SERVICE_UNAVAILABLE, b'not ready\n'),
+            start_response,
+        )
+
+    def _metrics(self) -> Response:
+        body, fields = self._node.metrics.render()
+        return Response(
+            status=HTTPStatus.OK,
+            fields=tuple(fields.items()),
+            body=body,
+        )
+
+
+def _answer(status: int, body: bytes) -> Response:
+    return Response(status=status, fields=_TEXT, body=body)
--- /dev/null
+++ b/ragwortfield/peering/calls.py
@@ -0,0 +1,213 @@
+"""Calls between entry instances, over websockets with CBOR frames."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import cbor2
+import gevent
+from gevent.event import AsyncResult
+from gevent.lock import BoundedSemaphore
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import connect
+from websockets.sync.connection import Connection
+from websockets.sync.server import ServerConnection, serve
+
+from ragwortfield.adapters.http_client import set_socket_options
+from ragwortfield.log import event
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.settings.instance import split_address
+from ragwortfield.types import Instant, Seconds
+
+#: Longest wait for a connection and its handshake, in seconds.
+_OPEN_TIMEOUT_S: Seconds = 0.8
+#: Largest frame, in bytes; a job with its specification fits several times.
+_MAX_FRAME_BYTES = 2**18
+#: A failed address is not dialled again for this long, in seconds.
+_REDIAL_S: Seconds = 0.2
+#: Keys of a frame.
+_NUMBER = 'number'
+_NAME = 'name'
+_BODY = 'body'
+
+CallBody = dict[str, Any]
+CallHandler = Callable[[str, CallBody], CallBody]
+
+
+@dataclass(kw_only=True, slots=True)
+class _Link:
+    connection: Connection
+    answer_by_number: dict[int, AsyncResult] = field(default_factory=dict)
+    heard_at: Instant = 0
+
+
+class PeerCalls:
+    """
+    Calls to peers, and the server that answers theirs.
+
+    A connection on which a call timed out and nothing else was heard is
+    closed, so that the next call does not meet the same dead connection.
+
+    :param monotonic: clock.
+    """
+
+    def __init__(self, *, monotonic: Callable[[], Instant]) -> None:
+        """Create without connections; ``listen`` opens the server."""
+        self._monotonic = monotonic
+        self._link_by_address: dict[str, _Link] = {}
+        self._lock_by_address: dict[str, BoundedSemaphore] = {}
+        self._failed_at: dict[str, Instant] = {}
+        self._number = 0
+
+    def listen(self, address: str, handler: CallHandler) -> Callable[[], None]:
+        """
+        Answer the calls of peers.
+
+        :param address: host and port.
+        :param handler: gives the body of the answer to a named call.
+        :returns: stops accepting.
+        """
+        host, port = split_address(address) or ('', 0)
+        server = serve(
+            lambda connection: _answer_calls(connection, handler),
+            host,
+            port,
+            max_size=_MAX_FRAME_BYTES,
+            compression=None,
+            ping_interval=None,
+            server_header=None,
+        )
+        gevent.spawn(server.serve_forever)
+        return server.shutdown
+
+    def call(
+        self,
+        address: str,
+        name: str,
+        body: CallBody,
+        timeout_s: Seconds,
+    ) -> CallBody | Unavailable:
+        """
+        Call a peer.
+
+        :param address: host and port.
+        :param name: what is called.
+        :param body: CBOR-compatible values.
+        :param timeout_s: longest wait, in seconds.
+        :returns: the answer's body, or why there is none.
+        """
+        link = self._link(address)
+        if isinstance(link, Unavailable):
+            return link
+        self._number += 1
+        number = self._number
+        waiting: AsyncResult = AsyncResult()
+        link.answer_by_number[number] = waiting
+        called_at = self._monotonic()
+        frame = cbor2.dumps({_NUMBER: number, _NAME: name, _BODY: body})
+        try:
+            link.connection.send(frame)
+            return waiting.get(timeout=timeout_s)
+        except gevent.Timeout:
+            if link.heard_at < called_at:
+                self._drop(address, link)
+            return Unavailable(
+                reason=f'{address} gave no answer for {timeout_s:.2f} s',
+                is_effect_possible=True,
+            )
+        except (OSError, WebSocketException) as error:
+            self._drop(address, link)
+            return Unavailable(
+                reason=f'link to {address} broke: {error}',
+                is_effect_possible=True,
+            )
+        finally:
+            link.answer_by_number.pop(number, None)
+
+    def _link(self, address: str) -> _Link | Unavailable:
+        lock = self._lock_by_address.setdefault(address, BoundedSemaphore())
+        with lock:
+            known = self._link_by_address.get(address)
+            if known is not None:
+                return known
+            failed_at = self._failed_at.get(address)
+            if failed_at and self._monotonic() - failed_at < _REDIAL_S:
+                return Unavailable(reason=f'{address} could not be reached')
+            return self._dial(address)
+
+    def _dial(self, address: str) -> _Link | Unavailable:
+        try:
+            connection = connect(
+                f'ws://{address}/',
+                open_timeout=_OPEN_TIMEOUT_S,
+                close_timeout=_OPEN_TIMEOUT_S,
+                max_size=_MAX_FRAME_BYTES,
+                compression=None,
+                ping_interval=None,
+                proxy=None,
+                user_agent_header=None,
+            )
+        except (OSError, WebSocketException) as error:
+            self._failed_at[address] = self._monotonic()
+            return Unavailable(reason=f'no link to {address}: {error}')
+        set_socket_options(connection.socket)
+        link = _Link(connection=connection)
+        self._link_by_address[address] = link
+        gevent.spawn(self._read, address, link)
+        return link
+
+    def _read(self, address: str, link: _Link) -> None:
+        try:
+            for frame in link.connection:
+                link.heard_at = self._monotonic()
+                answer = cbor2.loads(frame)
+                waiting = link.answer_by_number.get(answer[_NUMBER])
+                if waiting is not None:
+                    waiting.set(answer[_BODY])
+        except (OSError, WebSocketException, cbor2.CBORDecodeError) as error:
+            event('peer_link_broken', address=address, reason=error)
+        self._drop(address, link)
+
+    def _drop(self, address: str, link: _Link) -> None:
+        if self._link_by_address.get(address) is link:
+            del self._link_by_address[address]
+        for waiting in tuple(link.answer_by_number.values()):
+            waiting.set(
+                Unavailable(
+                    reason=f'link to {address} was lost',
+                    is_effect_possible=True,
+                ),
+            )
+        link.answer_by_number.clear()
+        gevent.spawn(_close, link.connection)
+
+
+def _close(connection: Connection) -> None:
+    try:
+        connection.close_socket()
+    except (OSError, WebSocketException) as error:
+        event('peer_link_close_failed', reason=error)
+
+
+def _answer_calls(connection: ServerConnection, handler: CallHandler) -> None:
+    try:
+        set_socket_options(connection.socket)
+        for frame in connection:
+            gevent.spawn(_answer, connection, handler, frame)
+    except (OSError, WebSocketException) as error:
+        event('peer_link_closed', reason=error)
+
+
+def _answer(
+    connection: ServerConnection,
+    handler: CallHandler,
+    frame: str | bytes,
+) -> None:
+    try:
+        call = cbor2.loads(frame)
+        body = handler(call[_NAME], call[_BODY])
+        connection.send(cbor2.dumps({_NUMBER: call[_NUMBER], _BODY: body}))
+    except (cbor2.CBORDecodeError, KeyError, TypeError) as error:
+        event('peer_call_malformed', reason=repr(error))
+    except (OSError, WebSocketException) as error:
+        event('peer_answer_lost', reason=error)
--- /dev/null
+++ b/ragwortfield/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and no decisions."""
--- /dev/null
+++ b/ragwortfield/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs, their tasks and the workers they run on, decided without network."""
--- /dev/null
+++ b/ragwortfield/scheduling/commits.py
@@ -0,0 +1,184 @@
+"""What is written durably together, and what may follow a commit."""
+
+from dataclasses import dataclass, field
+
+from ragwortfield.scheduling.dispatch import order_start
+from ragwortfield.scheduling.job_rows import JobRow, RunStage, TaskRow
+from ragwortfield.scheduling.progress import request_stop
+from ragwortfield.scheduling.records import (
+    SequenceRecord,
+    encode_record,
+)
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.types import Instant, JobId
+
+#: Occurrences written together; the store takes 100 entries a transaction.
+_RECORDS_A_COMMIT = 90
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Batch:
+    """
+    Changes that become durable together.
+
+    :param sequence: record that tells this commit from others.
+    :param record_by_key: record of each changed occurrence.
+    :param starts: bindings that the batch makes durable, with their runs.
+    :param noted_by_worker: ends whose effect the batch makes durable.
+    :param failed: jobs whose failure it makes durable.
+    :param finished: occurrences that it shows as done.
+    :param removed: jobs whose rows it removes.
+    """
+
+    sequence: SequenceRecord
+    record_by_key: dict[tuple[JobId, int], bytes]
+    starts: tuple[tuple[TaskRow, int], ...]
+    noted_by_worker: dict[str, tuple[int, int]]
+    failed: tuple[JobRow, ...] = ()
+    finished: tuple[tuple[JobId, int], ...] = ()
+    removed: tuple[JobRow, ...] = field(default=())
+
+
+def take_batch(tables: ShardTables, number: int) -> Batch | None:
+    """
+    Collect what should be written now.
+
+    :param tables: tables of the shard.
+    :param number: number of the commit.
+    :returns: the batch; ``None`` when nothing has changed.
+    """
+    keys = tuple(tables.dirty_by_key)[:_RECORDS_A_COMMIT]
+    if not keys and not tables.forgotten:
+        return None
+    rows = [tables.dirty_by_key.pop(key) for key in keys]
+    is_whole = not tables.dirty_by_key
+    written = set(keys)
+    for row in rows:
+        row.is_dirty = False
+    starts = [
+        one
+        for one in tables.uncommitted
+        if (one[0].key.job_id, one[0].key.occurrence) in written
+    ]
+    tables.uncommitted = [
+        one
+        for one in tables.uncommitted
+        if (one[0].key.job_id, one[0].key.occurrence) not in written
+    ]
+    removed = tuple(tables.forgotten[:_RECORDS_A_COMMIT])
+    del tables.forgotten[:_RECORDS_A_COMMIT]
+    return Batch(
+        sequence=SequenceRecord(epoch=tables.epoch, number=number),
+        record_by_key={
+            key: encode_record(row.record())
+            for key, row in zip(keys, rows, strict=True)
+        },
+        starts=tuple(starts),
+        noted_by_worker=_noted(tables) if is_whole else {},
+        failed=tuple(
+            tables.job_by_id[key[0]]
+            for key in keys
+            if tables.job_by_id[key[0]].is_failed
+        ),
+        finished=tuple(
+            key for key, row in zip(keys, rows, strict=True) if row.is_done()
+        ),
+        removed=removed,
+    )
+
+
+def put_back(tables: ShardTables, batch: Batch) -> None:
+    """
+    Take a batch back whose commit is not known to have been made.
+
+    Its changes are part of the next batch, which says the same or more.
+
+    :param tables: tables of the shard.
+    :param batch: the batch.
+    """
+    for job_id, number in batch.record_by_key:
+        job = tables.job_by_id.get(job_id)
+        if job is not None and number in job.occurrence_by_number:
+            tables.mark_dirty(job.occurrence_by_number[number])
+    tables.uncommitted.extend(batch.starts)
+    tables.forgotten.extend(batch.removed)
+
+
+def confirm(tables: ShardTables, batch: Batch, now: Instant) -> None:
+    """
+    Act on what has become durable.
+
+    :param tables: tables of the shard.
+    :param batch: a batch that was committed.
+    :param now: reading of the monotonic clock.
+    """
+    for worker_id, (born_ms, noted) in batch.noted_by_worker.items():
+        worker = tables.worker_by_id.get(worker_id)
+        if worker is not None and worker.born_ms == born_ms:
+            worker.acknowledged = max(worker.acknowledged, noted)
+    for job in batch.failed:
+        job.is_durably_failed = True
+        job.finished_at = job.finished_at or now
+    for job_id, number in batch.finished:
+        _finish(tables, job_id, number, now)
+    for task, run in batch.starts:
+        if task.stage != RunStage.UNCOMMITTED or task.run != run:
+            continue
+        if tables.job_by_id[task.key.job_id].is_closed():
+            request_stop(tables, task, now)
+        else:
+            order_start(tables, task, now)
+
+
+def acknowledge_settled(tables: ShardTables) -> None:
+    """
+    Acknowledge ends that left nothing to write.
+
+    :param tables: tables of the shard; no commit may be under way.
+    """
+    if tables.dirty_by_key:
+        return
+    for worker in tables.worker_by_id.values():
+        worker.acknowledged = max(worker.acknowledged, worker.noted)
+
+
+def forget_finished(tables: ShardTables, now: Instant) -> None:
+    """
+    Drop jobs that have been finished for as long as they stay known.
+
+    :param tables: tables of the shard.
+    :param now: reading of the monotonic clock.
+    """
+    limit_s = tables.bounds.status_s * 2
+    for job_id, job in tuple(tables.job_by_id.items()):
+        if not job.finished_at or now - job.finished_at <= limit_s:
+            continue
+        if any(row.is_dirty for row in job.occurrence_by_number.values()):
+            continue
+        del tables.job_by_id[job_id]
+        tables.cancelled_ids.discard(job_id)
+        tables.forgotten.append(job)
+
+
+def _noted(tables: ShardTables) -> dict[str, tuple[int, int]]:
+    return {
+        worker.worker_id: (worker.born_ms, worker.noted)
+        for worker in tables.worker_by_id.values()
+        if worker.noted > worker.acknowledged
+    }
+
+
+def _finish(
+    tables: ShardTables,
+    job_id: JobId,
+    number: int,
+    now: Instant,
+) -> None:
+    job = tables.job_by_id.get(job_id)
+    if job is None or number not in job.occurrence_by_number:
+        return
+    job.occurrence_by_number[number].is_durably_done = True
+    done = sum(row.is_durably_done for row in job.occurrence_by_number.values())
+    if done == job.occurrences_wanted() and not job.is_closed():
+        job.is_durably_done = True
+        job.finished_at = now
--- /dev/null
+++ b/ragwortfield/scheduling/dispatch.py
@@ -0,0 +1,131 @@
+"""Binding waiting tasks to workers, and ordering their starts."""
+
+from ragwortfield.ports.task_worker import StartRun
+from ragwortfield.scheduling.bounds import MS_PER_S
+from ragwortfield.scheduling.job_rows import JobRow, RunStage, StepRow, TaskRow
+from ragwortfield.scheduling.ordering import by_urgency
+from ragwortfield.scheduling.progress import (
+    bind,
+    open_ready_steps,
+    request_stop,
+)
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.scheduling.worker_choice import Chooser
+from ragwortfield.types import Instant, Seconds
+
+#: Pause before an unanswered start order is sent again, in seconds.
+_START_RETRY_S: Seconds = 0.4
+#: Time without an answer to start orders after which a run is given up.
+_START_LIMIT_S: Seconds = 2.5
+
+
+def dispatch(tables: ShardTables, now: Instant) -> int:
+    """
+    Bind waiting tasks, the most urgent steps first.
+
+    :param tables: tables of the shard.
+    :param now: reading of the monotonic clock.
+    :returns: number of tasks bound.
+    """
+    if not tables.open_step_by_key:
+        return 0
+    chooser = Chooser(tables=tables, now=now)
+    bound = 0
+    for step in by_urgency(tables, now):
+        job = tables.job_by_id[step.job_id]
+        if step.step.is_gang:
+            bound += _bind_gang(tables, chooser, job, step, now)
+        else:
+            bound += _bind_tasks(tables, chooser, job, step, now)
+        occurrence = job.occurrence_by_number[step.occurrence]
+        open_ready_steps(tables, job, occurrence)
+    return bound
+
+
+def order_start(tables: ShardTables, task: TaskRow, now: Instant) -> None:
+    """
+    Order the start of a run whose binding is durable.
+
+    :param tables: tables of the shard.
+    :param task: the task.
+    :param now: reading of the monotonic clock.
+    """
+    worker = tables.worker_by_id.get(task.worker_id)
+    if worker is None:
+        return
+    window_ms = tables.bounds.start_window_s * MS_PER_S
+    deadline_ms = worker.clock.earliest_ms(now) + window_ms
+    task.stage = RunStage.ORDERED
+    task.order_deadline_ms = max(task.order_deadline_ms, deadline_ms)
+    task.calls += 1
+    worker.lease_end_ms = max(worker.lease_end_ms, deadline_ms)
+    tables.orders.append(
+        StartRun(
+            worker_id=worker.worker_id,
+            address=worker.listed.address,
+            key=task.key,
+            run=task.run,
+            spec=tables.job_by_id[task.key.job_id].job.spec,
+            checkpoint=task.checkpoint,
+            deadline_ms=int(deadline_ms),
+            fencing_token=tables.epoch,
+            ticket=task.ticket,
+        ),
+    )
+
+
+def repeat_starts(tables: ShardTables, now: Instant) -> None:
+    """
+    Send start orders again that were not answered.
+
+    :param tables: tables of the shard.
+    :param now: reading of the monotonic clock.
+    """
+    for worker in tables.worker_by_id.values():
+        if not worker.is_in_contact(tables.bounds, now):
+            continue
+        for task in tuple(worker.run_by_key.values()):
+            is_open = task.stage == RunStage.ORDERED and not task.calls
+            if not is_open or not task.order_deadline_ms:
+                continue
+            waited_s = now - task.ordered_at
+            if waited_s > _START_LIMIT_S:
+                request_stop(tables, task, now)
+            elif waited_s > _START_RETRY_S:
+                order_start(tables, task, now)
+
+
+def _bind_tasks(
+    tables: ShardTables,
+    chooser: Chooser,
+    job: JobRow,
+    step: StepRow,
+    now: Instant,
+) -> int:
+    bound = 0
+    for index in tuple(step.waiting):
+        task = step.tasks[index]
+        worker = chooser.choose(job, step, task)
+        if worker is None:
+            break
+        bind(tables, task, worker, run=task.run + 1, now=now)
+        bound += 1
+    return bound
+
+
+def _bind_gang(
+    tables: ShardTables,
+    chooser: Chooser,
+    job: JobRow,
+    step: StepRow,
+    now: Instant,
+) -> int:
+    if len(step.waiting) < step.step.count:
+        return 0
+    chosen = chooser.choose_gang(job, step)
+    if chosen is None:
+        return 0
+    run = max(task.run for task in step.tasks) + 1
+    for task, worker in zip(step.tasks, chosen, strict=True):
+        bind(tables, task, worker, run=run, now=now)
+    return len(chosen)
--- /dev/null
+++ b/ragwortfield/scheduling/intake.py
@@ -0,0 +1,221 @@
+"""Taking in jobs, cancellations, workers and configurations."""
+
+from ragwortfield.log import event
+from ragwortfield.ports.task_worker import ListedWorker
+from ragwortfield.scheduling.catalogue import Catalogue, Queue
+from ragwortfield.scheduling.job import Job
+from ragwortfield.scheduling.job_rows import (
+    JobRow,
+    new_job_row,
+    new_occurrence,
+)
+from ragwortfield.scheduling.progress import close_job, open_ready_steps
+from ragwortfield.scheduling.records import ProgressRecord, TaskPhase
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.types import Instant, JobId, Seconds, WallTime, WorkerId
+
+#: Longest time before now that an acceptance by another clock may lie.
+_LONGEST_AGE_S: Seconds = 120
+#: Occurrences of one job that may be open at once.
+_OPEN_OCCURRENCES = 16
+
+
+def take_job(
+    tables: ShardTables,
+    job: Job,
+    *,
+    now: Instant,
+    wall: WallTime,
+) -> JobRow:
+    """
+    Take an accepted job in; one that is known already stays as it is.
+
+    :param tables: tables of the shard.
+    :param job: the job.
+    :param now: reading of the monotonic clock.
+    :param wall: reading of the wall clock.
+    :returns: its row.
+    """
+    known = tables.job_by_id.get(job.job_id)
+    if known is not None:
+        return known
+    age_s = min(max(wall - job.accepted_at, 0), _LONGEST_AGE_S)
+    queue = tables.catalogue.queue_by_name.get(job.queue)
+    if queue is None:
+        # The queue was dropped, or is not known here yet.
+        queue = Queue(name=job.queue, host='', path_prefix='', pool='')
+    row = new_job_row(job, queue, now - age_s)
+    tables.job_by_id[job.job_id] = row
+    if job.job_id in tables.cancelled_ids:
+        row.is_cancelled = True
+        row.finished_at = now
+        return row
+    if job.repeat_count:
+        tables.timed_ids.add(job.job_id)
+    else:
+        _open_occurrence(tables, row, 0, None)
+    event(
+        'job_taken',
+        job=job.job_id,
+        queue=job.queue,
+        age_s=age_s,
+        tasks=sum(step.count for step in job.steps),
+    )
+    return row
+
+
+def restore_progress(
+    tables: ShardTables,
+    record: ProgressRecord,
+    now: Instant,
+) -> None:
+    """
+    Take the durable state of an occurrence in, after a change of owner.
+
+    :param tables: tables of the shard, with the job in them.
+    :param record: the durable state.
+    :param now: reading of the monotonic clock.
+    """
+    row = tables.job_by_id.get(record.job_id)
+    if row is None:
+        event('progress_without_job', job=record.job_id)
+        return
+    occurrence = new_occurrence(row.job, record.occurrence, record)
+    row.occurrence_by_number[record.occurrence] = occurrence
+    row.opened = max(row.opened, record.occurrence + 1)
+    row.has_run = row.has_run or occurrence.has_run
+    for step in occurrence.steps:
+        for task in step.tasks:
+            if task.phase == TaskPhase.FAILED:
+                row.is_failed = True
+                row.is_durably_failed = True
+            elif task.phase == TaskPhase.BOUND:
+                _restore_binding(tables, task.worker_id)
+                tables.worker_by_id[task.worker_id].add(task)
+    open_ready_steps(tables, row, occurrence)
+    if row.is_closed():
+        close_job(tables, row, now)
+
+
+def cancel_job(tables: ShardTables, job_id: JobId, now: Instant) -> None:
+    """
+    Take a durable cancellation in.
+
+    :param tables: tables of the shard.
+    :param job_id: the job; it may not have been read yet.
+    :param now: reading of the monotonic clock.
+    """
+    tables.cancelled_ids.add(job_id)
+    row = tables.job_by_id.get(job_id)
+    if row is None or row.is_closed():
+        return
+    row.is_cancelled = True
+    row.finished_at = now
+    tables.timed_ids.discard(job_id)
+    event('job_cancelled', job=job_id)
+    close_job(tables, row, now)
+
+
+def open_due_occurrences(tables: ShardTables, wall: WallTime) -> None:
+    """
+    Open the occurrences of timed jobs that are due.
+
+    :param tables: tables of the shard.
+    :param wall: wall clock, not ahead of the true time.
+    """
+    for job_id in tuple(tables.timed_ids):
+        row = tables.job_by_id[job_id]
+        if row.is_closed() or row.opened >= row.job.repeat_count:
+            tables.timed_ids.discard(job_id)
+            continue
+        is_room = len(row.occurrence_by_number) < _OPEN_OCCURRENCES
+        if is_room and row.job.due_at(row.opened) <= wall:
+            _open_occurrence(tables, row, row.opened, None)
+
+
+def take_catalogue(tables: ShardTables, catalogue: Catalogue) -> None:
+    """
+    Follow a newer configuration.
+
+    :param tables: tables of the shard.
+    :param catalogue: queues and pools of the new version.
+    """
+    if catalogue.version <= tables.catalogue.version:
+        return
+    tables.catalogue = catalogue
+    for row in tables.job_by_id.values():
+        row.queue = catalogue.queue_by_name.get(row.job.queue, row.queue)
+
+
+def take_worker(tables: ShardTables, listed: ListedWorker) -> None:
+    """
+    Take a worker's own entry in.
+
+    :param tables: tables of the shard.
+    :param listed: the entry.
+    """
+    row = tables.worker_by_id.get(listed.worker_id)
+    if row is None:
+        tables.worker_by_id[listed.worker_id] = WorkerRow(
+            worker_id=listed.worker_id,
+            listed=listed,
+        )
+        event(
+            'worker_listed',
+            worker=listed.worker_id,
+            address=listed.address,
+            cores=listed.room.cpu,
+            data_centre=listed.data_centre,
+        )
+        return
+    if listed.is_draining and not row.listed.is_draining:
+        event(
+            'worker_draining',
+            worker=listed.worker_id,
+            remaining_ms=listed.remaining_ms,
+            tasks=len(row.run_by_key),
+        )
+    row.listed = listed
+    row.is_listed = True
+
+
+def drop_worker(tables: ShardTables, worker_id: WorkerId) -> None:
+    """
+    Note that a worker's entry is gone.
+
+    :param tables: tables of the shard.
+    :param worker_id: the worker.
+    """
+    row = tables.worker_by_id.get(worker_id)
+    if row is None or not row.is_listed:
+        return
+    row.is_listed = False
+    event(
+        'worker_unlisted',
+        worker=worker_id,
+        tasks=len(row.run_by_key),
+    )
+
+
+def _restore_binding(tables: ShardTables, worker_id: WorkerId) -> None:
+    if worker_id in tables.worker_by_id:
+        return
+    # The worker is not listed; its tasks wait until its lease is over.
+    tables.worker_by_id[worker_id] = WorkerRow(
+        worker_id=worker_id,
+        listed=ListedWorker(worker_id=worker_id),
+        is_listed=False,
+    )
+
+
+def _open_occurrence(
+    tables: ShardTables,
+    row: JobRow,
+    number: int,
+    record: ProgressRecord | None,
+) -> None:
+    occurrence = new_occurrence(row.job, number, record)
+    row.occurrence_by_number[number] = occurrence
+    row.opened = max(row.opened, number + 1)
+    open_ready_steps(tables, row, occurrence)
--- /dev/null
+++ b/ragwortfield/scheduling/job_rows.py
@@ -0,0 +1,288 @@
+"""Jobs of a shard: occurrences, steps and tasks with their latest run."""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from ragwortfield.scheduling.catalogue import Queue
+from ragwortfield.scheduling.job import Job, Step, TaskKey, longest_chain_s
+from ragwortfield.scheduling.records import (
+    ProgressRecord,
+    TaskPhase,
+    TaskRecord,
+)
+from ragwortfield.types import Instant, JobId, Seconds, WorkerId
+
+#: Up to this multiple of its objective a late job still earns something.
+LATE_FACTOR = 3
+
+
+class RunStage(IntEnum):
+    """Where the latest run of a bound task is."""
+
+    NONE = 0
+    UNCOMMITTED = 1
+    ORDERED = 2
+    RUNNING = 3
+    STOPPING = 4
+
+
+@dataclass(kw_only=True, slots=True)
+class TaskRow:
+    """
+    Task with its latest run.
+
+    :param run: number of the latest run.
+    :param failures: runs that ended as failed.
+    :param order_deadline_ms: latest time, by the worker's clock, at which
+        an order for this run can still be carried out.
+    :param calls: start calls for this run that have not come back.
+    :param seen_clock_ms: worker's clock when the run was last known there.
+    :param is_stop_wanted: whether the run is to be stopped.
+    :param avoided: workers on which the task failed or stood still.
+    """
+
+    key: TaskKey
+    step: Step
+    phase: TaskPhase = TaskPhase.WAITING
+    run: int = 0
+    worker_id: WorkerId = ''
+    failures: int = 0
+    checkpoint: str = ''
+    stage: RunStage = RunStage.NONE
+    order_deadline_ms: float = 0
+    calls: int = 0
+    seen_clock_ms: float = 0
+    ordered_at: Instant = 0
+    started_at: Instant = 0
+    percent: float = 0
+    percent_changed_at: Instant = 0
+    reading: float | None = None
+    pace: int = 100
+    is_pacing: bool = False
+    is_stop_wanted: bool = False
+    stop_sent_at: Instant = 0
+    ticket: str = ''
+    is_uncertain: bool = False
+    avoided: set[WorkerId] = field(default_factory=set)
+    waiting_since: Instant = 0
+
+    def record(self) -> TaskRecord:
+        """
+        Give the durable part.
+
+        :returns: the record.
+        """
+        return TaskRecord(
+            phase=self.phase,
+            run=self.run,
+            worker_id=self.worker_id,
+            failures=self.failures,
+            checkpoint=self.checkpoint,
+        )
+
+
+@dataclass(kw_only=True, slots=True)
+class StepRow:
+    """
+    Step of one occurrence.
+
+    :param waiting: indexes of tasks that wait for a worker, in order.
+    :param count_by_worker: tasks bound to each worker.
+    """
+
+    job_id: JobId
+    occurrence: int
+    number: int
+    step: Step
+    tasks: list[TaskRow]
+    waiting: dict[int, None] = field(default_factory=dict)
+    done: int = 0
+    count_by_worker: dict[WorkerId, int] = field(default_factory=dict)
+
+    def is_done(self) -> bool:
+        """
+        Tell whether all tasks have ended as done.
+
+        :returns: whether later steps may start.
+        """
+        return self.done == self.step.count
+
+
+@dataclass(kw_only=True, slots=True)
+class OccurrenceRow:
+    """
+    Occurrence of a job.
+
+    :param is_dirty: whether its durable state lags behind.
+    :param is_durably_done: whether the store knows that all is done.
+    """
+
+    job_id: JobId
+    number: int
+    steps: list[StepRow]
+    is_dirty: bool = False
+    is_durably_done: bool = False
+    has_run: bool = False
+
+    def is_done(self) -> bool:
+        """
+        Tell whether all steps are done.
+
+        :returns: whether nothing is left to run.
+        """
+        return all(step.is_done() for step in self.steps)
+
+    def record(self) -> ProgressRecord:
+        """
+        Give the durable part.
+
+        :returns: the record.
+        """
+        return ProgressRecord(
+            job_id=self.job_id,
+            occurrence=self.number,
+            steps=tuple(
+                tuple(task.record() for task in step.tasks)
+                for step in self.steps
+            ),
+        )
+
+
+@dataclass(kw_only=True, slots=True)
+class JobRow:
+    """
+    Job of a shard.
+
+    :param queue: its queue as last known.
+    :param learned_at: acceptance, by the owner's monotonic clock.
+    :param occurrence_by_number: those that are due or under way.
+    :param opened: occurrences created so far.
+    :param finished_at: when it reached its final state; 0 before.
+    """
+
+    job: Job
+    queue: Queue
+    learned_at: Instant
+    occurrence_by_number: dict[int, OccurrenceRow] = field(
+        default_factory=dict,
+    )
+    opened: int = 0
+    has_run: bool = False
+    is_cancelled: bool = False
+    is_failed: bool = False
+    is_durably_failed: bool = False
+    is_durably_done: bool = False
+    finished_at: Instant = 0
+    chain_s: Seconds = 0
+
+    def occurrences_wanted(self) -> int:
+        """
+        Count the occurrences of the job.
+
+        :returns: one for a plain job.
+        """
+        return max(self.job.repeat_count, 1)
+
+    def is_closed(self) -> bool:
+        """
+        Tell whether nothing of the job may start any more.
+
+        :returns: whether it was cancelled, failed or is done.
+        """
+        return self.is_cancelled or self.is_failed or self.finished_at > 0
+
+    def objective_s(self) -> Seconds:
+        """
+        Give the time in which the job should be done.
+
+        :returns: seconds from its acceptance.
+        """
+        return self.queue.stretch * self.chain_s + self.queue.slack_s
+
+
+def new_job_row(job: Job, queue: Queue, learned_at: Instant) -> JobRow:
+    """
+    Make the row of an accepted job.
+
+    :param job: the job.
+    :param queue: its queue.
+    :param learned_at: acceptance, by the monotonic clock.
+    :returns: the row, without occurrences.
+    """
+    return JobRow(
+        job=job,
+        queue=queue,
+        learned_at=learned_at,
+        chain_s=longest_chain_s(job.steps),
+    )
+
+
+def new_occurrence(
+    job: Job,
+    number: int,
+    record: ProgressRecord | None = None,
+) -> OccurrenceRow:
+    """
+    Make an occurrence, from its record if there is one.
+
+    :param job: the job.
+    :param number: number of the occurrence.
+    :param record: its durable state.
+    :returns: the row; tasks without a record wait.
+    """
+    steps = []
+    for step_number, step in enumerate(job.steps):
+        tasks = [
+            _task(job, number, step_number, index, record)
+            for index in range(step.count)
+        ]
+        row = StepRow(
+            job_id=job.job_id,
+            occurrence=number,
+            number=step_number,
+            step=step,
+            tasks=tasks,
+        )
+        _count(row)
+        steps.append(row)
+    occurrence = OccurrenceRow(
+        job_id=job.job_id,
+        number=number,
+        steps=steps,
+    )
+    occurrence.has_run = any(task.run for row in steps for task in row.tasks)
+    occurrence.is_durably_done = record is not None and occurrence.is_done()
+    return occurrence
+
+
+def _task(
+    job: Job,
+    occurrence: int,
+    step: int,
+    index: int,
+    record: ProgressRecord | None,
+) -> TaskRow:
+    key = TaskKey(job.job_id, occurrence, step, index)
+    row = TaskRow(key=key, step=job.steps[step])
+    if record is None:
+        return row
+    kept = record.steps[step][index]
+    row.phase = kept.phase
+    row.run = kept.run
+    row.worker_id = kept.worker_id
+    row.failures = kept.failures
+    row.checkpoint = kept.checkpoint
+    if kept.phase == TaskPhase.BOUND:
+        row.stage = RunStage.ORDERED
+    return row
+
+
+def _count(row: StepRow) -> None:
+    for index, task in enumerate(row.tasks):
+        if task.phase == TaskPhase.WAITING:
+            row.waiting[index] = None
+        elif task.phase == TaskPhase.DONE:
+            row.done += 1
+        elif task.phase == TaskPhase.BOUND:
+            count = row.count_by_worker.get(task.worker_id, 0)
+            row.count_by_worker[task.worker_id] = count + 1
--- /dev/null
+++ b/ragwortfield/scheduling/ordering.py
@@ -0,0 +1,69 @@
+"""Which waiting step comes next.
+
+Pattern: more work waits than fits. Priority comes first, so that an urgent
+job is never behind a less urgent one. Within a priority the jobs that can
+still meet their objective come first, by the time that they have left; then
+those that can still earn as late ones; then the rest, oldest first.
+"""
+
+from ragwortfield.scheduling.job_rows import LATE_FACTOR, JobRow, StepRow
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.types import Instant, Seconds
+
+#: Order of jobs that can be on time, late, or neither.
+_ON_TIME = 0
+_LATE = 1
+_MISSED = 2
+
+Urgency = tuple[int, int, float]
+
+
+def by_urgency(tables: ShardTables, now: Instant) -> list[StepRow]:
+    """
+    Order the steps that may start.
+
+    :param tables: tables of the shard.
+    :param now: reading of the monotonic clock.
+    :returns: steps with waiting tasks, most urgent first.
+    """
+    return sorted(
+        tables.open_step_by_key.values(),
+        key=lambda step: urgency(tables.job_by_id[step.job_id], step, now),
+    )
+
+
+def urgency(job: JobRow, step: StepRow, now: Instant) -> Urgency:
+    """
+    Rank a step.
+
+    :param job: its job.
+    :param step: the step.
+    :param now: reading of the monotonic clock.
+    :returns: sort key; smaller comes first.
+    """
+    objective_s = job.objective_s()
+    age_s = now - job.learned_at
+    left_s = _remaining_s(job, step)
+    if age_s + left_s <= objective_s:
+        slack_s = objective_s - age_s - left_s
+        return job.queue.priority, _ON_TIME, slack_s
+    if age_s + left_s <= LATE_FACTOR * objective_s:
+        return job.queue.priority, _LATE, -age_s
+    return job.queue.priority, _MISSED, -age_s
+
+
+def _remaining_s(job: JobRow, step: StepRow) -> Seconds:
+    """Sum the estimates from this step on, along the longest path."""
+    steps = job.job.steps
+    left_by_step: dict[int, Seconds] = {}
+    for number in range(len(steps) - 1, step.number - 1, -1):
+        after = max(
+            (
+                left_by_step.get(later, 0)
+                for later in range(number + 1, len(steps))
+                if number in steps[later].after
+            ),
+            default=0,
+        )
+        left_by_step[number] = steps[number].estimate_s + after
+    return left_by_step[step.number]
--- /dev/null
+++ b/ragwortfield/scheduling/progress.py
@@ -0,0 +1,263 @@
+"""How tasks move between waiting, bound and ended."""
+
+from ragwortfield.log import event
+from ragwortfield.ports.task_worker import EndKind, StopRun
+from ragwortfield.scheduling.job_rows import (
+    JobRow,
+    OccurrenceRow,
+    RunStage,
+    StepRow,
+    TaskRow,
+)
+from ragwortfield.scheduling.records import TaskPhase
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.types import Instant, Seconds
+
+#: Pause before a stop order without an answer is sent again, in seconds.
+_STOP_RETRY_S: Seconds = 0.5
+
+
+def bind(
+    tables: ShardTables,
+    task: TaskRow,
+    worker: WorkerRow,
+    *,
+    run: int,
+    now: Instant,
+) -> None:
+    """
+    Give a waiting task to a worker; the start waits for the commit.
+
+    :param tables: tables of the shard.
+    :param task: a waiting task.
+    :param worker: the worker.
+    :param run: number of the new run.
+    :param now: reading of the monotonic clock.
+    """
+    step = _step_of(tables, task)
+    step.waiting.pop(task.key.index, None)
+    step.count_by_worker[worker.worker_id] = (
+        step.count_by_worker.get(worker.worker_id, 0) + 1
+    )
+    task.phase = TaskPhase.BOUND
+    task.stage = RunStage.UNCOMMITTED
+    task.run = run
+    task.worker_id = worker.worker_id
+    task.ordered_at = now
+    task.order_deadline_ms = 0
+    task.seen_clock_ms = 0
+    task.started_at = 0
+    task.percent = 0
+    task.percent_changed_at = now
+    task.reading = None
+    task.pace = 100
+    task.is_pacing = False
+    task.is_stop_wanted = False
+    task.stop_sent_at = 0
+    task.is_uncertain = False
+    task.calls = 0
+    worker.add(task)
+    tables.uncommitted.append((task, run))
+    tables.mark_dirty(tables.occurrence_of(task))
+
+
+def release(tables: ShardTables, task: TaskRow, reason: str) -> None:
+    """
+    Take a task off its worker, its run being certainly over.
+
+    :param tables: tables of the shard.
+    :param task: a bound task.
+    :param reason: why the run is over, for the log.
+    """
+    event(
+        'run_released',
+        task=task_name(task),
+        run=task.run,
+        worker=task.worker_id,
+        reason=reason,
+    )
+    _unbind(tables, task)
+    task.phase = TaskPhase.WAITING
+    step = _step_of(tables, task)
+    step.waiting[task.key.index] = None
+    job = tables.job_by_id[task.key.job_id]
+    tables.mark_dirty(tables.occurrence_of(task))
+    open_ready_steps(tables, job, tables.occurrence_of(task))
+
+
+def end_run(
+    tables: ShardTables,
+    task: TaskRow,
+    kind: EndKind,
+    checkpoint: str,
+    now: Instant,
+) -> None:
+    """
+    Record how the latest run of a task ended.
+
+    :param tables: tables of the shard.
+    :param task: the task.
+    :param kind: how its run ended.
+    :param checkpoint: checkpoint that the worker gave with it.
+    :param now: reading of the monotonic clock.
+    """
+    if checkpoint:
+        _keep_checkpoint(tables, task, checkpoint)
+    if kind == EndKind.DONE and not task.step.is_long_lived:
+        _finish(tables, task)
+        return
+    if kind == EndKind.FAILED:
+        task.avoided.add(task.worker_id)
+    if task.phase == TaskPhase.BOUND:
+        release(tables, task, f'ended {kind.value}')
+    if kind == EndKind.FAILED and not task.step.is_long_lived:
+        _count_failure(tables, task, now)
+
+
+def open_ready_steps(
+    tables: ShardTables,
+    job: JobRow,
+    occurrence: OccurrenceRow,
+) -> None:
+    """
+    Offer the steps of an occurrence that may start to the dispatcher.
+
+    :param tables: tables of the shard.
+    :param job: the job.
+    :param occurrence: one of its occurrences.
+    """
+    for step in occurrence.steps:
+        key = (job.job.job_id, occurrence.number, step.number)
+        is_open = (
+            bool(step.waiting)
+            and not job.is_closed()
+            and all(occurrence.steps[one].is_done() for one in step.step.after)
+        )
+        if is_open:
+            tables.open_step_by_key[key] = step
+        else:
+            tables.open_step_by_key.pop(key, None)
+
+
+def close_job(tables: ShardTables, job: JobRow, now: Instant) -> None:
+    """
+    Stop everything of a job that was cancelled or failed.
+
+    :param tables: tables of the shard.
+    :param job: the job.
+    :param now: reading of the monotonic clock.
+    """
+    for occurrence in job.occurrence_by_number.values():
+        open_ready_steps(tables, job, occurrence)
+        for step in occurrence.steps:
+            for task in step.tasks:
+                if task.phase == TaskPhase.BOUND:
+                    request_stop(tables, task, now)
+
+
+def request_stop(tables: ShardTables, task: TaskRow, now: Instant) -> None:
+    """
+    Ask for the end of a run; repeated until the worker shows it.
+
+    :param tables: tables of the shard.
+    :param task: a bound task.
+    :param now: reading of the monotonic clock.
+    """
+    task.is_stop_wanted = True
+    if task.stage == RunStage.UNCOMMITTED:
+        # No order was sent, so the binding can simply be taken back.
+        release(tables, task, 'stopped before its start')
+        return
+    if now - task.stop_sent_at < _STOP_RETRY_S:
+        return
+    worker = tables.worker_by_id.get(task.worker_id)
+    if worker is None or not worker.listed.address:
+        return
+    task.stop_sent_at = now
+    tables.orders.append(
+        StopRun(
+            worker_id=worker.worker_id,
+            address=worker.listed.address,
+            key=task.key,
+            run=task.run,
+            fencing_token=tables.epoch,
+        ),
+    )
+
+
+def task_name(task: TaskRow) -> str:
+    """
+    Name a task in the log.
+
+    :param task: the task.
+    :returns: job, occurrence, step and index, joined by dots.
+    """
+    return '.'.join(str(part) for part in task.key)
+
+
+def _finish(tables: ShardTables, task: TaskRow) -> None:
+    step = _step_of(tables, task)
+    members = step.tasks if task.step.is_gang else [task]
+    for member in members:
+        if member.phase == TaskPhase.DONE:
+            continue
+        if member.phase == TaskPhase.BOUND:
+            _unbind(tables, member)
+        step.waiting.pop(member.key.index, None)
+        member.phase = TaskPhase.DONE
+        step.done += 1
+    occurrence = tables.occurrence_of(task)
+    tables.mark_dirty(occurrence)
+    open_ready_steps(tables, tables.job_by_id[task.key.job_id], occurrence)
+
+
+def _count_failure(tables: ShardTables, task: TaskRow, now: Instant) -> None:
+    # A gang fails as a whole, so its first member counts for all.
+    step = _step_of(tables, task)
+    counted = step.tasks[0] if task.step.is_gang else task
+    counted.failures += 1
+    job = tables.job_by_id[task.key.job_id]
+    if counted.failures >= job.queue.attempts and not job.is_closed():
+        job.is_failed = True
+        task.phase = TaskPhase.FAILED
+        step.waiting.pop(task.key.index, None)
+        close_job(tables, job, now)
+        event(
+            'job_failed',
+            job=job.job.job_id,
+            task=task_name(task),
+            failures=counted.failures,
+            attempts=job.queue.attempts,
+        )
+
+
+def _keep_checkpoint(
+    tables: ShardTables,
+    task: TaskRow,
+    checkpoint: str,
+) -> None:
+    if not task.step.is_gang:
+        task.checkpoint = checkpoint
+        return
+    for member in _step_of(tables, task).tasks:
+        member.checkpoint = checkpoint
+
+
+def _unbind(tables: ShardTables, task: TaskRow) -> None:
+    worker = tables.worker_by_id.get(task.worker_id)
+    if worker is not None:
+        worker.remove(task)
+    step = _step_of(tables, task)
+    count = step.count_by_worker.get(task.worker_id, 0) - 1
+    if count > 0:
+        step.count_by_worker[task.worker_id] = count
+    else:
+        step.count_by_worker.pop(task.worker_id, None)
+    task.stage = RunStage.NONE
+    task.worker_id = ''
+    task.is_stop_wanted = False
+
+
+def _step_of(tables: ShardTables, task: TaskRow) -> StepRow:
+    return tables.occurrence_of(task).steps[task.key.step]
--- /dev/null
+++ b/ragwortfield/scheduling/records.py
@@ -0,0 +1,141 @@
+"""Rows in which jobs and their progress outlive every instance."""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import TypeVar
+
+import msgspec
+
+from ragwortfield.adapters.documents import Malformed
+from ragwortfield.scheduling.job import Job
+from ragwortfield.types import InstanceId, WorkerId
+
+_Kind = TypeVar('_Kind')
+
+
+class TaskPhase(IntEnum):
+    """Durable phase of a task."""
+
+    WAITING = 0
+    BOUND = 1
+    DONE = 2
+    FAILED = 3
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TaskRecord:
+    """
+    Durable state of one task.
+
+    :param run: number of its latest run; 0 before the first.
+    :param worker_id: worker of the run while ``BOUND``.
+    :param failures: runs that ended as failed.
+    :param checkpoint: latest checkpoint; empty for none.
+    """
+
+    phase: TaskPhase = TaskPhase.WAITING
+    run: int = 0
+    worker_id: WorkerId = ''
+    failures: int = 0
+    checkpoint: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProgressRecord:
+    """
+    Durable state of one occurrence of a job.
+
+    :param steps: tasks by step and index.
+    """
+
+    job_id: str
+    occurrence: int
+    steps: tuple[tuple[TaskRecord, ...], ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobRecord:
+    """Accepted job."""
+
+    job: Job
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CancelRecord:
+    """Cancellation of a job."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OwnerRecord:
+    """
+    Owner of a shard.
+
+    :param instance_id: the owner; empty when it left as planned.
+    :param incarnation: distinguishes the lives of its process.
+    :param epoch: fencing token; grows with every change of owner.
+    :param address: where peers reach the owner.
+    """
+
+    instance_id: InstanceId
+    incarnation: str
+    epoch: int
+    address: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SequenceRecord:
+    """Last commit of a shard; it tells whether an unanswered one was made."""
+
+    epoch: int
+    number: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MemberRecord:
+    """
+    Entry instance of the deployment.
+
+    :param address: where peers reach it.
+    :param cores: processor that it has, in cores.
+    :param store_ms: time of a read of the store as it measured it.
+    """
+
+    instance_id: InstanceId
+    incarnation: str
+    address: str
+    data_centre: str
+    cores: float = 0
+    store_ms: float = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LayoutRecord:
+    """Number of shards, fixed when the deployment first starts."""
+
+    shards: int = field(default=1)
+
+
+def encode_record(record: object) -> bytes:
+    """
+    Encode a record for the store.
+
+    :param record: one of the data classes of this module.
+    :returns: MessagePack bytes.
+    """
+    return msgspec.msgpack.encode(record)
+
+
+def decode_record(content: bytes, kind: type[_Kind]) -> _Kind | Malformed:
+    """
+    Decode a record of the store.
+
+    :param content: MessagePack bytes.
+    :param kind: the expected data class.
+    :returns: the record, or why the bytes do not fit.
+    """
+    try:
+        return msgspec.msgpack.decode(content, type=kind)
+    except msgspec.DecodeError as error:
+        return Malformed(reason=str(error))
--- /dev/null
+++ b/ragwortfield/scheduling/reports.py
@@ -0,0 +1,364 @@
+"""What workers report, and what follows for the runs on them."""
+
+from ragwortfield.log import event
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.task_worker import (
+    LeaseReport,
+    ListedEnd,
+    ListedRun,
+    OrderDone,
+    OrderOutcome,
+    OrderRefused,
+    Refusal,
+    StartRun,
+    StopRun,
+)
+from ragwortfield.scheduling.bounds import MS_PER_S
+from ragwortfield.scheduling.job_rows import RunStage, TaskRow
+from ragwortfield.scheduling.progress import (
+    end_run,
+    release,
+    request_stop,
+    task_name,
+)
+from ragwortfield.scheduling.records import TaskPhase
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.scheduling.worker_health import note_end_at
+from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.types import Instant, Seconds
+
+#: Ends that a worker lists at once; more may be left out (users' pages).
+_ENDS_LISTED = 500
+#: Pause after a refusal for room, in seconds.
+_FULL_REST_S: Seconds = 0.3
+#: Pause after a worker called itself unhealthy, in seconds.
+_UNHEALTHY_REST_S: Seconds = 1
+
+
+def take_report(
+    tables: ShardTables,
+    worker: WorkerRow,
+    report: LeaseReport,
+    now: Instant,
+) -> None:
+    """
+    Take in what a worker runs and what has ended there.
+
+    :param tables: tables of the shard.
+    :param worker: the worker.
+    :param report: its report.
+    :param now: reading of the monotonic clock.
+    """
+    if _is_reborn(worker, report):
+        _restart(worker, report)
+    worker.clock.observe(report.clock_ms, now)
+    if not worker.known_at:
+        worker.known_at = now
+        worker.lease_end_ms = max(
+            worker.lease_end_ms,
+            report.clock_ms + tables.bounds.longest_lease_s * MS_PER_S,
+        )
+    worker.reported_at = now
+    for end in report.ends:
+        _take_end(tables, worker, end, now)
+    is_newest = report.clock_ms >= worker.report_clock_ms
+    worker.report_clock_ms = max(worker.report_clock_ms, report.clock_ms)
+    if not is_newest:
+        return
+    listed = {run.key: run for run in report.runs}
+    for run in report.runs:
+        _take_run(tables, worker, run, report.clock_ms, now)
+    if len(report.ends) < _ENDS_LISTED:
+        _release_unlisted(tables, worker, listed, report.clock_ms)
+
+
+def take_start_outcome(
+    tables: ShardTables,
+    order: StartRun,
+    outcome: OrderOutcome,
+    now: Instant,
+) -> None:
+    """
+    Take in what came of a start order.
+
+    :param tables: tables of the shard.
+    :param order: the order.
+    :param outcome: answer of the worker, or what is known without one.
+    :param now: reading of the monotonic clock.
+    """
+    task = tables.find_task(order.key)
+    if task is None:
+        return
+    worker = tables.worker_by_id.get(order.worker_id)
+    if not _is_current(task, order) or worker is None:
+        return
+    task.calls = max(task.calls - 1, 0)
+    if isinstance(outcome, OrderDone):
+        worker.clock.observe(outcome.clock_ms, now)
+        _confirm(tables, task, outcome.clock_ms, now)
+    elif isinstance(outcome, OrderRefused):
+        worker.clock.observe(outcome.clock_ms, now)
+        _take_refusal(tables, worker, task, outcome, now)
+    elif not _may_be_there(task, outcome):
+        worker.full_until = now + _FULL_REST_S
+        release(tables, task, outcome.reason)
+
+
+def take_stop_outcome(
+    tables: ShardTables,
+    order: StopRun,
+    outcome: OrderOutcome,
+) -> None:
+    """
+    Take in what came of a stop order.
+
+    :param tables: tables of the shard.
+    :param order: the order.
+    :param outcome: answer of the worker, or what is known without one.
+    """
+    task = tables.find_task(order.key)
+    if task is None or task.run != order.run:
+        return
+    if isinstance(outcome, OrderRefused) and outcome.refusal == Refusal.FENCED:
+        tables.is_deposed = True
+    if isinstance(outcome, OrderDone) and task.phase == TaskPhase.BOUND:
+        # From here on the worker refuses this run if it is not there yet.
+        task.stage = RunStage.STOPPING
+        task.seen_clock_ms = max(task.seen_clock_ms, outcome.clock_ms)
+
+
+def release_lapsed(tables: ShardTables, now: Instant) -> None:
+    """
+    Release the runs of workers whose lease has certainly ended.
+
+    :param tables: tables of the shard.
+    :param now: reading of the monotonic clock.
+    """
+    for worker in tuple(tables.worker_by_id.values()):
+        if not worker.is_listed and not worker.run_by_key:
+            del tables.worker_by_id[worker.worker_id]
+            continue
+        if not worker.run_by_key or worker.is_in_contact(tables.bounds, now):
+            continue
+        if worker.is_lease_over(tables.bounds, now, tables.owner_since):
+            _release_all(tables, worker)
+
+
+def repeat_stops(tables: ShardTables, now: Instant) -> None:
+    """
+    Send stop orders again that have had no effect yet.
+
+    :param tables: tables of the shard.
+    :param now: reading of the monotonic clock.
+    """
+    for worker in tables.worker_by_id.values():
+        for task in tuple(worker.run_by_key.values()):
+            if task.is_stop_wanted:
+                request_stop(tables, task, now)
+
+
+def _is_reborn(worker: WorkerRow, report: LeaseReport) -> bool:
+    return bool(worker.born_ms) and report.born_ms != worker.born_ms
+
+
+def _restart(worker: WorkerRow, report: LeaseReport) -> None:
+    event(
+        'worker_reborn',
+        worker=worker.worker_id,
+        born_ms=report.born_ms,
+        tasks=len(worker.run_by_key),
+    )
+    worker.clock.reading_ms = 0
+    worker.clock.read_at = worker.reported_at
+    worker.lease_end_ms = 0
+    worker.known_at = 0
+    worker.noted = 0
+    worker.acknowledged = 0
+    worker.report_clock_ms = 0
+    for task in worker.run_by_key.values():
+        # The life that these clock readings speak of has ended.
+        task.seen_clock_ms = min(task.seen_clock_ms, 0)
+        task.order_deadline_ms = 0
+
+
+def _take_end(
+    tables: ShardTables,
+    worker: WorkerRow,
+    end: ListedEnd,
+    now: Instant,
+) -> None:
+    if end.number <= worker.noted:
+        return
+    worker.noted = end.number
+    task = tables.find_task(end.key)
+    is_latest = task is not None and task.run == end.run
+    event(
+        'run_ended',
+        task='.'.join(str(part) for part in end.key),
+        run=end.run,
+        worker=worker.worker_id,
+        kind=end.kind.value,
+        is_latest=is_latest,
+    )
+    if task is None or task.run != end.run:
+        return
+    is_open = task.phase == TaskPhase.WAITING
+    is_here = task.worker_id == worker.worker_id
+    if not is_open and not (task.phase == TaskPhase.BOUND and is_here):
+        return
+    note_end_at(worker, task, end.kind, now)
+    end_run(tables, task, end.kind, end.checkpoint, now)
+
+
+def _take_run(
+    tables: ShardTables,
+    worker: WorkerRow,
+    run: ListedRun,
+    clock_ms: int,
+    now: Instant,
+) -> None:
+    task = tables.find_task(run.key)
+    is_bound = (
+        task is not None
+        and task.phase == TaskPhase.BOUND
+        and task.run == run.run
+        and task.worker_id == worker.worker_id
+    )
+    if task is None or not is_bound:
+        _stop_stray(tables, worker, run)
+        return
+    if task.stage != RunStage.STOPPING:
+        _confirm(tables, task, clock_ms, now)
+    task.seen_clock_ms = max(task.seen_clock_ms, clock_ms)
+    if run.checkpoint:
+        task.checkpoint = run.checkpoint
+    if run.percent != task.percent:
+        task.percent = run.percent
+        task.percent_changed_at = now
+    task.reading = run.reading
+
+
+def _stop_stray(
+    tables: ShardTables,
+    worker: WorkerRow,
+    run: ListedRun,
+) -> None:
+    event(
+        'stray_run',
+        task='.'.join(str(part) for part in run.key),
+        run=run.run,
+        worker=worker.worker_id,
+    )
+    tables.orders.append(
+        StopRun(
+            worker_id=worker.worker_id,
+            address=worker.listed.address,
+            key=run.key,
+            run=run.run,
+            fencing_token=tables.epoch,
+        ),
+    )
+
+
+def _release_unlisted(
+    tables: ShardTables,
+    worker: WorkerRow,
+    listed: dict,
+    clock_ms: int,
+) -> None:
+    for task in tuple(worker.run_by_key.values()):
+        if task.key in listed or task.calls:
+            continue
+        if task.stage == RunStage.UNCOMMITTED:
+            continue
+        last_chance_ms = max(task.seen_clock_ms, task.order_deadline_ms)
+        if task.stage in {RunStage.RUNNING, RunStage.STOPPING}:
+            last_chance_ms = task.seen_clock_ms
+        if clock_ms > last_chance_ms:
+            release(tables, task, 'not listed by its worker')
+
+
+def _release_all(tables: ShardTables, worker: WorkerRow) -> None:
+    event(
+        'lease_lapsed',
+        worker=worker.worker_id,
+        tasks=len(worker.run_by_key),
+        lease_end_ms=worker.lease_end_ms,
+    )
+    for task in tuple(worker.run_by_key.values()):
+        if task.stage != RunStage.UNCOMMITTED:
+            release(tables, task, 'lease lapsed')
+
+
+def _is_current(task: TaskRow, order: StartRun) -> bool:
+    return (
+        task.phase == TaskPhase.BOUND
+        and task.run == order.run
+        and task.worker_id == order.worker_id
+    )
+
+
+def _confirm(
+    tables: ShardTables,
+    task: TaskRow,
+    clock_ms: int,
+    now: Instant,
+) -> None:
+    task.seen_clock_ms = max(task.seen_clock_ms, clock_ms)
+    if task.stage == RunStage.RUNNING:
+        return
+    if task.stage == RunStage.ORDERED:
+        task.stage = RunStage.RUNNING
+        task.started_at = now
+        task.percent_changed_at = now
+    job = tables.job_by_id[task.key.job_id]
+    job.has_run = True
+    event(
+        'run_started',
+        task=task_name(task),
+        run=task.run,
+        worker=task.worker_id,
+        waited_s=now - task.ordered_at,
+    )
+    if job.is_closed():
+        request_stop(tables, task, now)
+
+
+def _take_refusal(
+    tables: ShardTables,
+    worker: WorkerRow,
+    task: TaskRow,
+    outcome: OrderRefused,
+    now: Instant,
+) -> None:
+    event(
+        'start_refused',
+        task=task_name(task),
+        run=task.run,
+        worker=worker.worker_id,
+        reason=outcome.refusal.value,
+    )
+    if outcome.refusal == Refusal.FENCED:
+        tables.is_deposed = True
+        return
+    if outcome.refusal == Refusal.FULL:
+        worker.full_until = now + _FULL_REST_S
+    elif outcome.refusal == Refusal.UNHEALTHY:
+        worker.full_until = now + _UNHEALTHY_REST_S
+    task.ticket = ''
+    if outcome.refusal == Refusal.SUPERSEDED:
+        # Its end is listed there; the next report tells how it ended.
+        task.seen_clock_ms = max(task.seen_clock_ms, outcome.clock_ms)
+        task.stage = RunStage.STOPPING
+        return
+    if task.is_uncertain and task.order_deadline_ms > outcome.clock_ms:
+        # An earlier order for this run may still be carried out.
+        return
+    release(tables, task, f'refused: {outcome.refusal.value}')
+
+
+def _may_be_there(task: TaskRow, outcome: Unavailable) -> bool:
+    if not outcome.is_effect_possible:
+        return task.is_uncertain
+    task.is_uncertain = True
+    return True
--- /dev/null
+++ b/ragwortfield/scheduling/tables.py
@@ -0,0 +1,98 @@
+"""Tables of one shard, held by its owner."""
+
+from dataclasses import dataclass, field
+
+from ragwortfield.ports.task_worker import PaceRun, StartRun, StopRun
+from ragwortfield.scheduling.bounds import Bounds
+from ragwortfield.scheduling.catalogue import Catalogue
+from ragwortfield.scheduling.job import TaskKey
+from ragwortfield.scheduling.job_rows import (
+    JobRow,
+    OccurrenceRow,
+    StepRow,
+    TaskRow,
+)
+from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.types import Instant, JobId, WorkerId
+
+Order = StartRun | StopRun | PaceRun
+StepKey = tuple[JobId, int, int]
+
+
+@dataclass(kw_only=True, slots=True)
+class ShardTables:
+    """
+    State of a shard under one owner.
+
+    :param epoch: fencing token of the owner.
+    :param owner_since: when it took the shard, by the monotonic clock.
+    :param open_step_by_key: steps that may start and have waiting tasks.
+    :param dirty_by_key: occurrences whose record lags behind.
+    :param orders: orders that are due; the owner's runner sends them.
+    :param uncommitted: bindings that are not durable yet, with their runs.
+    :param cancelled_ids: cancellations, also of jobs not read yet.
+    :param is_deposed: whether a worker has seen a newer owner.
+    """
+
+    epoch: int
+    owner_since: Instant
+    bounds: Bounds
+    catalogue: Catalogue
+    job_by_id: dict[JobId, JobRow] = field(default_factory=dict)
+    worker_by_id: dict[WorkerId, WorkerRow] = field(default_factory=dict)
+    open_step_by_key: dict[StepKey, StepRow] = field(default_factory=dict)
+    dirty_by_key: dict[tuple[JobId, int], OccurrenceRow] = field(
+        default_factory=dict,
+    )
+    orders: list[Order] = field(default_factory=list)
+    uncommitted: list[tuple[TaskRow, int]] = field(default_factory=list)
+    timed_ids: set[JobId] = field(default_factory=set)
+    cancelled_ids: set[JobId] = field(default_factory=set)
+    forgotten: list[JobRow] = field(default_factory=list)
+    is_deposed: bool = False
+
+    def find_task(self, key: TaskKey) -> TaskRow | None:
+        """
+        Look a task up.
+
+        :param key: its identity.
+        :returns: its row, if the job and the occurrence are known.
+        """
+        step = self.find_step((key.job_id, key.occurrence, key.step))
+        if step is None or key.index >= len(step.tasks):
+            return None
+        return step.tasks[key.index]
+
+    def find_step(self, key: StepKey) -> StepRow | None:
+        """
+        Look a step up.
+
+        :param key: job, occurrence and number of the step.
+        :returns: its row, if the job and the occurrence are known.
+        """
+        job = self.job_by_id.get(key[0])
+        if job is None:
+            return None
+        occurrence = job.occurrence_by_number.get(key[1])
+        if occurrence is None or key[2] >= len(occurrence.steps):
+            return None
+        return occurrence.steps[key[2]]
+
+    def occurrence_of(self, task: TaskRow) -> OccurrenceRow:
+        """
+        Give the occurrence that a task belongs to.
+
+        :param task: a task of these tables.
+        :returns: its occurrence.
+        """
+        job = self.job_by_id[task.key.job_id]
+        return job.occurrence_by_number[task.key.occurrence]
+
+    def mark_dirty(self, occurrence: OccurrenceRow) -> None:
+        """
+        Note that the record of an occurrence must be written.
+
+        :param occurrence: the occurrence.
+        """
+        occurrence.is_dirty = True
+        self.dirty_by_key[occurrence.job_id, occurrence.number] = occurrence
--- /dev/null
+++ b/ragwortfield/scheduling/worker_health.py
@@ -0,0 +1,65 @@
+"""Telling sick workers from tasks that cannot be done.
+
+Pattern: a worker fails, or lets stand still, whatever it starts while its
+health check is good. Each start there costs a task one of its few attempts,
+so the worker rests after its second failure of different tasks without a
+success between them. The rest grows with each repetition, and one task at a
+time is let through after it.
+"""
+
+from ragwortfield.log import event
+from ragwortfield.ports.task_worker import EndKind
+from ragwortfield.scheduling.job_rows import TaskRow
+from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.types import Instant, Seconds
+
+#: Failures of different tasks in a row that make a worker rest.
+_FAILURES_TO_REST = 2
+#: First rest, in seconds; it doubles each time up to the longest.
+_FIRST_REST_S: Seconds = 3
+_LONGEST_REST_S: Seconds = 12
+
+
+def note_end_at(
+    worker: WorkerRow,
+    task: TaskRow,
+    kind: EndKind,
+    now: Instant,
+) -> None:
+    """
+    Count the end of a run for or against its worker.
+
+    :param worker: where it ran.
+    :param task: the task.
+    :param kind: how the run ended.
+    :param now: reading of the monotonic clock.
+    """
+    if kind == EndKind.DONE:
+        worker.failed_keys.clear()
+        worker.rest_count = 0
+    elif kind == EndKind.FAILED:
+        worker.failed_keys.add(task.key)
+        if len(worker.failed_keys) >= _FAILURES_TO_REST:
+            rest(worker, now, 'failures')
+
+
+def rest(worker: WorkerRow, now: Instant, reason: str) -> None:
+    """
+    Give a worker no new tasks for a while.
+
+    :param worker: the worker.
+    :param now: reading of the monotonic clock.
+    :param reason: why, for the log.
+    """
+    if now < worker.resting_until:
+        return
+    length_s = min(_FIRST_REST_S * 2**worker.rest_count, _LONGEST_REST_S)
+    worker.rest_count += 1
+    worker.resting_until = now + length_s
+    event(
+        'worker_resting',
+        worker=worker.worker_id,
+        reason=reason,
+        failures=len(worker.failed_keys),
+        rest_s=length_s,
+    )
--- /dev/null
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -0,0 +1,171 @@
+"""Workers of a shard, with their leases and what is placed on them."""
+
+from dataclasses import dataclass, field
+
+from ragwortfield.ports.task_worker import ListedWorker
+from ragwortfield.scheduling.bounds import CLOCK_DRIFT, MS_PER_S, Bounds
+from ragwortfield.scheduling.job import TaskKey
+from ragwortfield.scheduling.job_rows import TaskRow
+from ragwortfield.types import Instant, WorkerId
+
+
+@dataclass(kw_only=True, slots=True)
+class WorkerClock:
+    """
+    Lower bound of a worker's clock.
+
+    :param reading_ms: a reading that the worker sent.
+    :param read_at: when it arrived, by the own clock.
+    """
+
+    reading_ms: float = 0
+    read_at: Instant = 0
+
+    def observe(self, reading_ms: float, now: Instant) -> None:
+        """
+        Take a reading in.
+
+        :param reading_ms: the worker's clock.
+        :param now: reading of the own monotonic clock.
+        """
+        if reading_ms >= self.earliest_ms(now):
+            self.reading_ms = reading_ms
+            self.read_at = now
+
+    def earliest_ms(self, now: Instant) -> float:
+        """
+        Tell what the worker's clock shows at least.
+
+        :param now: reading of the own monotonic clock.
+        :returns: milliseconds of the worker's clock.
+        """
+        passed_ms = (now - self.read_at) * MS_PER_S
+        return self.reading_ms + passed_ms * (1 - CLOCK_DRIFT)
+
+
+@dataclass(kw_only=True, slots=True)
+class WorkerRow:
+    """
+    Worker as the owner of its shard knows it.
+
+    :param listed: its latest own entry.
+    :param is_listed: whether the entry still stands.
+    :param lease_end_ms: latest end of its lease, by its own clock.
+    :param known_at: first report under the present owner; 0 before it.
+    :param reported_at: latest report.
+    :param noted: last end that was taken into the tables.
+    :param acknowledged: last end whose effect is durable.
+    :param run_by_key: tasks bound to it.
+    :param used_cpu: processor promised to tasks that are no fillers.
+    :param filler_cpu: processor asked for by fillers.
+    :param full_until: no starts before this, after a refusal for room.
+    :param resting_until: no starts before this, for its failures.
+    :param failed_keys: tasks that failed here since the last success.
+    :param is_leased: whether an order may have started or kept anything.
+    """
+
+    worker_id: WorkerId
+    listed: ListedWorker
+    is_listed: bool = True
+    clock: WorkerClock = field(default_factory=WorkerClock)
+    born_ms: int = 0
+    lease_end_ms: float = 0
+    known_at: Instant = 0
+    reported_at: Instant = 0
+    report_clock_ms: float = 0
+    noted: int = 0
+    acknowledged: int = 0
+    run_by_key: dict[TaskKey, TaskRow] = field(default_factory=dict)
+    used_cpu: float = 0
+    used_memory_mb: float = 0
+    used_accelerators: float = 0
+    filler_cpu: float = 0
+    full_until: Instant = 0
+    resting_until: Instant = 0
+    failed_keys: set[TaskKey] = field(default_factory=set)
+    rest_count: int = 0
+    pace: int = 100
+    paced_at: Instant = 0
+
+    def is_in_contact(self, bounds: Bounds, now: Instant) -> bool:
+        """
+        Tell whether the worker answered lately.
+
+        :param bounds: durations in force.
+        :param now: reading of the monotonic clock.
+        :returns: whether it may get new runs as far as contact goes.
+        """
+        return self.known_at > 0 and now - self.reported_at <= bounds.contact_s
+
+    def is_lease_over(
+        self,
+        bounds: Bounds,
+        now: Instant,
+        owner_since: Instant,
+    ) -> bool:
+        """
+        Tell whether everything on the worker has certainly ended.
+
+        :param bounds: durations in force.
+        :param now: reading of the monotonic clock.
+        :param owner_since: when the present owner took the shard.
+        :returns: whether no order of anybody can have kept a lease alive.
+        """
+        if self.known_at:
+            return self.clock.earliest_ms(now) > self.lease_end_ms
+        # Before the first report the lease may stem from the owner before.
+        longest_s = bounds.longest_lease_s / (1 - CLOCK_DRIFT)
+        return now - owner_since > bounds.unaware_s + longest_s
+
+    def add(self, task: TaskRow) -> None:
+        """
+        Count a task as placed here.
+
+        :param task: the task.
+        """
+        if task.key in self.run_by_key:
+            return
+        self.run_by_key[task.key] = task
+        self._count(task, 1)
+
+    def remove(self, task: TaskRow) -> None:
+        """
+        Count a task as gone.
+
+        :param task: the task.
+        """
+        if self.run_by_key.pop(task.key, None) is not None:
+            self._count(task, -1)
+
+    def free_cpu(self) -> float:
+        """
+        Tell how much processor is not promised.
+
+        :returns: cores.
+        """
+        return self.listed.room.cpu - self.used_cpu
+
+    def free_memory_mb(self) -> float:
+        """
+        Tell how much memory is not promised.
+
+        :returns: MiB.
+        """
+        return self.listed.room.memory_mb - self.used_memory_mb
+
+    def free_accelerators(self) -> float:
+        """
+        Tell how many accelerators are not promised.
+
+        :returns: whole accelerators.
+        """
+        return self.listed.room.accelerators - self.used_accelerators
+
+    def _count(self, task: TaskRow, sign: int) -> None:
+        need = task.step.need
+        if task.step.is_filler:
+            self.filler_cpu += sign * need.cpu
+        else:
+            self.used_cpu += sign * need.cpu
+        self.used_memory_mb += sign * need.memory_mb
+        self.used_accelerators += sign * need.accelerators
--- /dev/null
+++ b/ragwortfield/settings/scheduler.py
@@ -0,0 +1,126 @@
+"""Settings of the job scheduler's daemon."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ragwortfield.scheduling.bounds import Bounds
+from ragwortfield.settings.checking import SettingsError, parse_toml
+from ragwortfield.settings.instance import split_address
+from ragwortfield.types import Seconds
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstancePlace:
+    """
+    Name and place of the instance.
+
+    :param cores: processor that it has, in cores.
+    """
+
+    id: str
+    data_centre: str
+    region: str
+    host: str
+    cores: float = 1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Listening:
+    """
+    Addresses on which the daemon serves.
+
+    :param callers: for callers.
+    :param health: for the balancer's checks and for metrics.
+    :param peer_port: port of the instance's host for peers.
+    """
+
+    callers: str
+    health: str
+    peer_port: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Dependencies:
+    """
+    Addresses of what the scheduler stands on.
+
+    :param store: the platform's store.
+    :param machines: service that lists and moves machines; empty for none.
+    :param advice: service that approves workers; empty for none.
+    """
+
+    store: str
+    machines: str = ''
+    advice: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Stopping:
+    """
+    Planned stop.
+
+    :param grace_s: time until the process is killed, in seconds.
+    """
+
+    grace_s: Seconds = 6
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SchedulerSettings:
+    """Settings of one instance."""
+
+    instance: InstancePlace
+    listen: Listening
+    dependencies: Dependencies
+    bounds: Bounds = field(default_factory=Bounds)
+    stopping: Stopping = field(default_factory=Stopping)
+
+
+def load_scheduler_settings(path: str) -> SchedulerSettings | SettingsError:
+    """
+    Read and check a settings file.
+
+    :param path: path of the TOML file.
+    :returns: the settings, or everything that is wrong with them.
+    """
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return SettingsError(source=path, problems=(f'not readable: {error}',))
+    settings = parse_toml(text, SchedulerSettings, path)
+    if isinstance(settings, SettingsError):
+        return settings
+    problems = _problems(settings)
+    if problems:
+        return SettingsError(source=path, problems=tuple(problems))
+    return settings
+
+
+def _problems(settings: SchedulerSettings) -> list[str]:
+    address_by_key = {
+        'listen.callers': settings.listen.callers,
+        'listen.health': settings.listen.health,
+        'dependencies.store': settings.dependencies.store,
+    }
+    optional = {
+        'dependencies.machines': settings.dependencies.machines,
+        'dependencies.advice': settings.dependencies.advice,
+    }
+    address_by_key.update({key: text for key, text in optional.items() if text})
+    problems = [
+        f'key {key!r} is {address!r}, expected HOST:PORT'
+        for key, address in address_by_key.items()
+        if split_address(address) is None
+    ]
+    bounds = settings.bounds
+    if not 0 < bounds.lease_s <= bounds.longest_lease_s:
+        problems.append(
+            f"key 'bounds.lease_s' is {bounds.lease_s}, expected above 0 "
+            f'and at most longest_lease_s, {bounds.longest_lease_s}',
+        )
+    if settings.instance.cores <= 0:
+        problems.append(
+            f"key 'instance.cores' is {settings.instance.cores}, "
+            'expected above 0',
+        )
+    return problems
