Fillers go where they disturb least, paced by learned weights

Readings of runs without pacing show that disturbance belongs to pairs of images: one serving image is moved by one filler image only, others by five.

Conclusion: weights by pair.

--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -61,6 +61,7 @@
 )
 from ragwortfield.scheduling.status import JobStatus, status_of, waiting_count
 from ragwortfield.scheduling.tables import Order, ShardTables
+from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, JobId, Seconds, WorkerId
 
 #: Longest time between two rounds of decisions, in seconds.
@@ -436,6 +437,7 @@
             self._commit_wake.set()
         elif not self._is_committing:
             commits.acknowledge_settled(tables)
+            self._committed.set()
         self._send_orders()
 
     def _send_orders(self) -> None:
@@ -473,21 +475,23 @@
             report = self._workers.hold(order)
             now = time.monotonic()
             if isinstance(report, LeaseReport):
-                before = row.noted
                 reports.take_report(self.tables, row, report, now)
+                interference.take_readings(self.tables, row)
                 self._wake.set()
-                self._await_acknowledgement(row.noted > before)
+                self._await_acknowledgement(row)
                 continue
             self._note_hold_failure(worker_id, report)
             gevent.sleep(_RETRY_S)
 
-    def _await_acknowledgement(self, is_new: bool) -> None:
-        if not is_new:
-            return
+    def _await_acknowledgement(self, row: WorkerRow) -> None:
         # Ends are listed again until they are acknowledged, so the next
         # look waits for the commit that makes their effect durable.
-        self._committed.clear()
-        self._committed.wait(_ACKNOWLEDGE_WAIT_S)
+        end = time.monotonic() + _ACKNOWLEDGE_WAIT_S
+        left_s = _ACKNOWLEDGE_WAIT_S
+        while row.noted > row.acknowledged and left_s > 0:
+            self._committed.clear()
+            self._committed.wait(left_s)
+            left_s = end - time.monotonic()
 
     def _note_hold_failure(
         self,
--- a/ragwortfield/platform/worker_calls.py
+++ b/ragwortfield/platform/worker_calls.py
@@ -28,6 +28,8 @@
 #: Longest wait for the answer to an order, in seconds.
 _ORDER_TIMEOUT_S: Seconds = 1
 _MS_PER_S = 1000
+#: Place of the reading in a row of ``running``.
+_READING = 4
 _JSON = ('content-type', 'application/json')
 _INCARNATION_FIELD = 'x-ragwortfield-expected-instance'
 #: Orders under way to one worker; it admits 64 connections in all.
@@ -273,7 +275,7 @@
 
 
 def _run(row: list[Any]) -> ListedRun:
-    reading = float(row[4]) if len(row) > 4 else None
+    reading = float(row[_READING]) if len(row) > _READING else None
     return ListedRun(
         key=_key(row[0]),
         run=int(row[1]),
--- a/ragwortfield/scheduling/interference.py
+++ b/ragwortfield/scheduling/interference.py
@@ -1,32 +1,69 @@
 """Protecting tasks that serve users from the fillers beside them.
 
 Pattern: fillers disturb the tasks that serve on the same worker, by amounts
-that differ by image and change within seconds, and readings lag by half a
-second. The pace of all fillers of a worker falls quickly when a reading nears
-its target and rises slowly when there is room again.
+that differ by pair of images, while the load of those tasks swings within
+seconds. A task that serves loses nothing as long as it stays within its
+target, so each has a headroom up to the target that the fillers beside it may
+use. Fillers go where they disturb least; where they do disturb, the most
+urgent ones share the headroom.
 """
 
+import math
+
+from ragwortfield.log import event
 from ragwortfield.ports.task_worker import OrderDone, OrderOutcome, PaceRun
 from ragwortfield.scheduling.job_rows import RunStage, TaskRow
+from ragwortfield.scheduling.ordering import urgency
+from ragwortfield.scheduling.pressure import Base
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, Seconds
 
-#: Share of its target above which a reading slows the fillers down.
-_HIGH = 0.85
-#: Share of its target below which the fillers may speed up.
-_LOW = 0.6
-#: Share of its target above which the fillers stand still at once.
-_FAR_OVER = 1.6
-#: Part of its pace that a filler keeps in one step down.
-_STEP_DOWN = 0.5
-#: Percent that a filler gains in one step up.
-_STEP_UP = 20
-#: Pace below which a filler stands still, in percent.
-_LEAST_PACE = 10
+#: Share of its target that a tail latency is steered to: the readings are
+#: rough, and the load rises by about this much within their lag.
+_AIM = 0.8
+#: Share of its target above which what disturbs it stands still at once.
+_LIMIT = 1.15
+#: Weight from which on a pair of images counts as one that does not get on.
+_NOTABLE_WEIGHT = 1.0
+#: Changes of pace below this are not worth a call, in percent.
+_SMALL_CHANGE = 10
+#: Paces are set in steps of this, in percent.
+_STEP = 5
 _FULL_PACE = 100
 #: Time between two changes on one worker: the readings cover half a second.
-_SETTLE_S: Seconds = 0.6
+_SETTLE_S: Seconds = 0.3
+#: Readings closer together speak of the same half second.
+_READING_STEP_MS = 240
+#: Share of its full speed that a filler must find to be started.
+_LEAST_SPEED = 0.5
+
+#: What is left of the headroom, by image of the serving tasks.
+Headroom = dict[str, float]
+
+
+def take_readings(tables: ShardTables, worker: WorkerRow) -> None:
+    """
+    Learn from the readings of a worker's report.
+
+    :param tables: tables of the shard.
+    :param worker: the worker, with the report taken in.
+    """
+    if worker.report_clock_ms - worker.read_clock_ms < _READING_STEP_MS:
+        return
+    worker.read_clock_ms = worker.report_clock_ms
+    shares = _used_shares(worker)
+    worker.pressure_by_image = {}
+    for task in worker.run_by_key.values():
+        if not task.step.latency_target_ms or not task.reading:
+            continue
+        reading = task.reading / task.step.latency_target_ms
+        if task.base is None:
+            task.base = Base()
+        image = task.step.image
+        tables.pressure.learn(image, task.base, shares, reading)
+        before = worker.pressure_by_image.get(image, 0)
+        worker.pressure_by_image[image] = max(before, reading)
 
 
 def adjust_paces(tables: ShardTables, now: Instant) -> None:
@@ -37,17 +74,20 @@
     :param now: reading of the monotonic clock.
     """
     for worker in tables.worker_by_id.values():
-        if now - worker.paced_at < _SETTLE_S:
+        if not worker.filler_cpu or now - worker.paced_at < _SETTLE_S:
             continue
-        pressure = _pressure(worker)
-        if pressure is None:
-            wanted = _FULL_PACE
-        else:
-            wanted = _wanted_pace(worker.pace, pressure)
-        if wanted != worker.pace:
-            worker.pace = wanted
+        wanted = _wanted_paces(tables, worker, now)
+        changed = [(task, pace) for task, pace in wanted if _is_due(task, pace)]
+        for task, pace in changed:
+            _order_pace(tables, worker, task, pace)
+        if changed:
             worker.paced_at = now
-        _order_paces(tables, worker)
+            event(
+                'paces_set',
+                worker=worker.worker_id,
+                pressure=max(worker.pressure_by_image.values(), default=0),
+                paces=','.join(str(pace) for _, pace in wanted),
+            )
 
 
 def take_pace_outcome(
@@ -70,48 +110,182 @@
     task.is_pacing = False
 
 
-def _pressure(worker: WorkerRow) -> float | None:
-    """Worst reading as a share of its target; None without any reading."""
-    shares = [
-        task.reading / task.step.latency_target_ms
+def headroom(worker: WorkerRow) -> Headroom:
+    """
+    Tell how much disturbance the serving tasks of a worker bear.
+
+    :param worker: the worker.
+    :returns: by image, the growth of the logarithm of the tail latency that
+        brings the worst task to its aim.
+    """
+    left: Headroom = {}
+    aim = math.log(_AIM)
+    for task in worker.run_by_key.values():
+        if not task.step.latency_target_ms:
+            continue
+        base = Base() if task.base is None else task.base
+        room = max(aim - base.amount, 0)
+        left[task.step.image] = min(left.get(task.step.image, room), room)
+    return left
+
+
+def spare_headroom(tables: ShardTables, worker: WorkerRow) -> Headroom:
+    """
+    Tell how much disturbance is borne beyond the present fillers' full pace.
+
+    :param tables: tables of the shard.
+    :param worker: the worker.
+    :returns: by image of the serving tasks; may be negative.
+    """
+    left = headroom(worker)
+    for task in worker.run_by_key.values():
+        if not task.step.is_filler:
+            continue
+        for serving in left:
+            left[serving] -= _demand(tables, worker, serving, task)
+    return left
+
+
+def speed_and_cost(
+    tables: ShardTables,
+    worker: WorkerRow,
+    spare: Headroom,
+    image: str,
+    cpu: float,
+) -> tuple[float, float]:
+    """
+    Judge a worker for one more filler.
+
+    :param tables: tables of the shard.
+    :param worker: the worker.
+    :param spare: its spare headroom.
+    :param image: image of the filler.
+    :param cpu: processor that it asks for, in cores.
+    :returns: share of its full speed that it would find, and how much it
+        would disturb.
+    """
+    share = cpu / worker.listed.room.cpu
+    speed = 1.0
+    cost = 0.0
+    for serving, left in spare.items():
+        demand = tables.pressure.weight(serving, image) * share
+        if demand > 0:
+            speed = min(speed, max(left, 0) / demand)
+        cost = max(cost, demand)
+    return speed, cost
+
+
+def is_fast_enough(speed: float) -> bool:
+    """
+    Tell whether a filler should be started at a speed.
+
+    :param speed: share of its full speed.
+    :returns: whether it is worth its place.
+    """
+    return speed >= _LEAST_SPEED
+
+
+def _demand(
+    tables: ShardTables,
+    worker: WorkerRow,
+    serving: str,
+    task: TaskRow,
+) -> float:
+    weight = tables.pressure.weight(serving, task.step.image)
+    return weight * task.step.need.cpu / worker.listed.room.cpu
+
+
+def _used_shares(worker: WorkerRow) -> dict[str, float]:
+    share_by_image: dict[str, float] = {}
+    for task in worker.run_by_key.values():
+        if not task.step.is_filler or task.stage != RunStage.RUNNING:
+            continue
+        used = task.reading
+        if used is None:
+            used = task.step.need.cpu * task.pace / _FULL_PACE
+        share = used / worker.listed.room.cpu
+        image = task.step.image
+        share_by_image[image] = share_by_image.get(image, 0) + share
+    return share_by_image
+
+
+def _wanted_paces(
+    tables: ShardTables,
+    worker: WorkerRow,
+    now: Instant,
+) -> list[tuple[TaskRow, int]]:
+    fillers = [
+        task
         for task in worker.run_by_key.values()
-        if task.step.latency_target_ms and task.reading is not None
+        if task.step.is_filler and task.stage == RunStage.RUNNING
     ]
-    return max(shares, default=None)
+    left = headroom(worker)
+    for serving, pressure in worker.pressure_by_image.items():
+        if pressure > _LIMIT and serving in left:
+            left[serving] = 0
+    wanted = []
+    for task in sorted(fillers, key=lambda one: _rank(tables, one, now)):
+        share = _take_share(tables, worker, left, task)
+        wanted.append((task, round(share * _FULL_PACE / _STEP) * _STEP))
+    return wanted
+
+
+def _take_share(
+    tables: ShardTables,
+    worker: WorkerRow,
+    left: Headroom,
+    task: TaskRow,
+) -> float:
+    """Give a filler what is left for it, and take that off the rest."""
+    demand_by_serving = {
+        serving: _demand(tables, worker, serving, task)
+        for serving in left
+        if tables.pressure.weight(serving, task.step.image) > _NOTABLE_WEIGHT
+    }
+    share = min(
+        (
+            left[serving] / demand
+            for serving, demand in demand_by_serving.items()
+        ),
+        default=1.0,
+    )
+    share = min(share, 1.0)
+    for serving, demand in demand_by_serving.items():
+        left[serving] = max(left[serving] - share * demand, 0)
+    return share
 
 
-def _wanted_pace(pace: int, pressure: float) -> int:
-    if pressure > _FAR_OVER:
-        return 0
-    if pressure > _HIGH:
-        lower = int(pace * _STEP_DOWN)
-        return lower if lower >= _LEAST_PACE else 0
-    if pressure < _LOW:
-        return min(pace + _STEP_UP, _FULL_PACE)
-    return pace
+def _rank(
+    tables: ShardTables,
+    task: TaskRow,
+    now: Instant,
+) -> tuple[int, int, float]:
+    job = tables.job_by_id[task.key.job_id]
+    step = job.occurrence_by_number[task.key.occurrence].steps[task.key.step]
+    return urgency(job, step, now)
 
 
-def _order_paces(tables: ShardTables, worker: WorkerRow) -> None:
-    for task in worker.run_by_key.values():
-        if _is_pace_due(worker, task):
-            task.is_pacing = True
-            tables.orders.append(
-                PaceRun(
-                    worker_id=worker.worker_id,
-                    address=worker.listed.address,
-                    key=task.key,
-                    run=task.run,
-                    percent=worker.pace,
-                    fencing_token=tables.epoch,
-                ),
-            )
+def _is_due(task: TaskRow, pace: int) -> bool:
+    if task.is_pacing or task.is_stop_wanted or pace == task.pace:
+        return False
+    is_extreme = pace in {0, _FULL_PACE}
+    return is_extreme or abs(pace - task.pace) >= _SMALL_CHANGE
 
 
-def _is_pace_due(worker: WorkerRow, task: TaskRow) -> bool:
-    return (
-        task.step.is_filler
-        and task.stage == RunStage.RUNNING
-        and task.pace != worker.pace
-        and not task.is_pacing
-        and not task.is_stop_wanted
+def _order_pace(
+    tables: ShardTables,
+    worker: WorkerRow,
+    task: TaskRow,
+    pace: int,
+) -> None:
+    task.is_pacing = True
+    tables.orders.append(
+        PaceRun(
+            worker_id=worker.worker_id,
+            address=worker.listed.address,
+            key=task.key,
+            run=task.run,
+            percent=pace,
+            fencing_token=tables.epoch,
+        ),
     )
--- a/ragwortfield/scheduling/job_rows.py
+++ b/ragwortfield/scheduling/job_rows.py
@@ -5,6 +5,7 @@
 
 from ragwortfield.scheduling.catalogue import Queue
 from ragwortfield.scheduling.job import Job, Step, TaskKey, longest_chain_s
+from ragwortfield.scheduling.pressure import Base
 from ragwortfield.scheduling.records import (
     ProgressRecord,
     TaskPhase,
@@ -57,6 +58,7 @@
     percent: float = 0
     percent_changed_at: Instant = 0
     reading: float | None = None
+    base: Base | None = None
     pace: int = 100
     is_pacing: bool = False
     is_stop_wanted: bool = False
--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -29,6 +29,8 @@
 
 #: Ends that a worker lists at once; more may be left out (users' pages).
 _ENDS_LISTED = 500
+#: Processor use is reported in thousandths of a core.
+_MILLICORES = 1000
 #: Pause after a refusal for room, in seconds.
 _FULL_REST_S: Seconds = 0.3
 #: Pause after a worker called itself unhealthy, in seconds.
@@ -236,6 +238,8 @@
         task.percent = run.percent
         task.percent_changed_at = now
     task.reading = run.reading
+    if run.reading is not None and not task.step.latency_target_ms:
+        task.reading = run.reading / _MILLICORES
 
 
 def _stop_stray(
--- a/ragwortfield/scheduling/tables.py
+++ b/ragwortfield/scheduling/tables.py
@@ -12,6 +12,7 @@
     StepRow,
     TaskRow,
 )
+from ragwortfield.scheduling.pressure import PressureModel
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, JobId, WorkerId
 
@@ -50,6 +51,7 @@
     cancelled_ids: set[JobId] = field(default_factory=set)
     forgotten: list[JobRow] = field(default_factory=list)
     is_deposed: bool = False
+    pressure: PressureModel = field(default_factory=PressureModel)
 
     def find_task(self, key: TaskKey) -> TaskRow | None:
         """
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -5,15 +5,21 @@
 most is left for each of them.
 """
 
+from ragwortfield.scheduling.interference import (
+    Headroom,
+    is_fast_enough,
+    spare_headroom,
+    speed_and_cost,
+)
 from ragwortfield.scheduling.job_rows import JobRow, StepRow, TaskRow
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.worker_rows import WorkerRow
-from ragwortfield.types import Instant
+from ragwortfield.types import Instant, WorkerId
 
 #: Tolerance for sums of floating-point amounts of processor, in cores.
 _CPU_TOLERANCE = 1e-6
-#: Part of its processor that must be left over for a filler to start.
-_FILLER_SHARE = 0.6
+#: Part of their processor that tasks with users of their own leave unused.
+_IDLE_SHARE = 0.5
 
 
 class Chooser:
@@ -28,12 +34,13 @@
         """Collect the workers that may get tasks in this round."""
         self._tables = tables
         self._now = now
+        self._spare_by_worker: dict[WorkerId, Headroom] = {}
         self._candidates_by_pool: dict[str, list[WorkerRow]] = {}
         for worker in tables.worker_by_id.values():
             if self._is_usable(worker):
                 pool = worker.listed.pool
                 self._candidates_by_pool.setdefault(pool, []).append(worker)
-        self._unfit: set[tuple[str, float, float, float, str, bool]] = set()
+        self._unfit: set[tuple[str, float, float, float, str, str]] = set()
 
     def choose(
         self,
@@ -111,14 +118,49 @@
         rack = step.step.data_rack
         near = [one for one in workers if not rack or one.listed.rack == rack]
         if step.step.is_filler:
-            return max(near or workers, key=_left_for_fillers)
+            return self._best_for_filler(near or workers, step)
+        if step.step.latency_target_ms:
+            return min(
+                near or workers,
+                key=lambda one: _rank_for_serving(one, step.step.image),
+            )
         return min(near or workers, key=_unused)
 
+    def _best_for_filler(
+        self,
+        workers: list[WorkerRow],
+        step: StepRow,
+    ) -> WorkerRow | None:
+        best: WorkerRow | None = None
+        best_rank = (0.0, 0.0)
+        for worker in workers:
+            speed, cost = speed_and_cost(
+                self._tables,
+                worker,
+                self._spare(worker),
+                step.step.image,
+                step.step.need.cpu,
+            )
+            rank = (-round(cost, 1), left_for_fillers(worker))
+            if is_fast_enough(speed) and (best is None or rank > best_rank):
+                best = worker
+                best_rank = rank
+        if best is not None:
+            self._spare_by_worker.pop(best.worker_id, None)
+        return best
+
+    def _spare(self, worker: WorkerRow) -> Headroom:
+        known = self._spare_by_worker.get(worker.worker_id)
+        if known is None:
+            known = spare_headroom(self._tables, worker)
+            self._spare_by_worker[worker.worker_id] = known
+        return known
+
     def _shape(
         self,
         job: JobRow,
         step: StepRow,
-    ) -> tuple[str, float, float, float, str, bool]:
+    ) -> tuple[str, float, float, float, str, str]:
         need = step.step.need
         return (
             job.queue.pool,
@@ -126,7 +168,7 @@
             need.memory_mb,
             need.accelerators,
             step.step.required_label,
-            step.step.is_filler,
+            step.step.image if step.step.is_filler else '',
         )
 
 
@@ -144,8 +186,7 @@
     if need.accelerators > worker.free_accelerators():
         return False
     if step.step.is_filler:
-        left = worker.free_cpu() - worker.filler_cpu
-        return left >= need.cpu * _FILLER_SHARE
+        return left_for_fillers(worker) >= need.cpu
     return need.cpu <= worker.free_cpu() + _CPU_TOLERANCE
 
 
@@ -164,12 +205,27 @@
     return not limit or step.count_by_worker.get(worker.worker_id, 0) < limit
 
 
+def _rank_for_serving(worker: WorkerRow, image: str) -> tuple[int, float]:
+    """Serving tasks of one image together leave most room for fillers."""
+    others = len(worker.serving_by_image)
+    if image in worker.serving_by_image:
+        return others - 1, worker.free_cpu()
+    return others * 2, worker.free_cpu()
+
+
 def _unused(worker: WorkerRow) -> float:
     return worker.free_cpu()
 
 
-def _left_for_fillers(worker: WorkerRow) -> float:
-    return worker.free_cpu() - worker.filler_cpu
+def left_for_fillers(worker: WorkerRow) -> float:
+    """
+    Estimate the processor that a further filler would find unused.
+
+    :param worker: the worker.
+    :returns: cores.
+    """
+    idle = worker.serving_cpu * _IDLE_SHARE
+    return worker.free_cpu() + idle - worker.filler_cpu
 
 
 def _spread(
--- a/ragwortfield/scheduling/worker_rows.py
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -57,11 +57,14 @@
     :param acknowledged: last end whose effect is durable.
     :param run_by_key: tasks bound to it.
     :param used_cpu: processor promised to tasks that are no fillers.
+    :param serving_cpu: part of it that is promised to tasks with users.
+    :param serving_by_image: number of its tasks with users, by image.
     :param filler_cpu: processor asked for by fillers.
     :param full_until: no starts before this, after a refusal for room.
     :param resting_until: no starts before this, for its failures.
     :param failed_keys: tasks that failed here since the last success.
-    :param is_leased: whether an order may have started or kept anything.
+    :param pressure_by_image: latest worst tail latency, as a share of its
+        target, by image of the serving tasks.
     """
 
     worker_id: WorkerId
@@ -79,12 +82,15 @@
     used_cpu: float = 0
     used_memory_mb: float = 0
     used_accelerators: float = 0
+    serving_cpu: float = 0
     filler_cpu: float = 0
+    serving_by_image: dict[str, int] = field(default_factory=dict)
     full_until: Instant = 0
     resting_until: Instant = 0
     failed_keys: set[TaskKey] = field(default_factory=set)
     rest_count: int = 0
-    pace: int = 100
+    pressure_by_image: dict[str, float] = field(default_factory=dict)
+    read_clock_ms: float = 0
     paced_at: Instant = 0
 
     def is_in_contact(self, bounds: Bounds, now: Instant) -> bool:
@@ -167,5 +173,13 @@
             self.filler_cpu += sign * need.cpu
         else:
             self.used_cpu += sign * need.cpu
+        if task.step.latency_target_ms:
+            self.serving_cpu += sign * need.cpu
+            image = task.step.image
+            count = self.serving_by_image.get(image, 0) + sign
+            if count:
+                self.serving_by_image[image] = count
+            else:
+                self.serving_by_image.pop(image, None)
         self.used_memory_mb += sign * need.memory_mb
         self.used_accelerators += sign * need.accelerators
