--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -47,6 +47,7 @@
     intake,
     interference,
     leases,
+    relocation,
     reports,
 )
 from ragwortfield.scheduling.catalogue import Catalogue
@@ -59,7 +60,12 @@
     decode_record,
     encode_record,
 )
-from ragwortfield.scheduling.status import JobStatus, status_of, waiting_count
+from ragwortfield.scheduling.status import (
+    JobStatus,
+    status_of,
+    summary,
+    waiting_count,
+)
 from ragwortfield.scheduling.tables import Order, ShardTables
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, JobId, Seconds, WorkerId
@@ -79,6 +85,9 @@
 #: Time between looks for jobs that can be forgotten, in seconds.
 _FORGET_EVERY_S: Seconds = 5
 
+#: Time between two lines of the log on the state of the shard, in seconds.
+_TELL_EVERY_S: Seconds = 2
+
 WorkerParser = Callable[[WorkerId, bytes], ListedWorker | Malformed]
 
 
@@ -134,6 +143,7 @@
         self._round_at: Instant = 0
         self._slow_round_at: Instant = 0
         self._forgot_at: Instant = 0
+        self._told_at: Instant = 0
         self._boot_offset = _boot_offset()
 
     def start(self) -> None:
@@ -428,6 +438,10 @@
             reports.repeat_stops(tables, now)
             dispatch.repeat_starts(tables, now)
             interference.adjust_paces(tables, now)
+            relocation.relocate(tables, now)
+        if now - self._told_at > _TELL_EVERY_S:
+            self._told_at = now
+            event('shard_state', shard=self.shard, **summary(tables))
         if now - self._forgot_at > _FORGET_EVERY_S:
             self._forgot_at = now
             commits.forget_finished(tables, now)
@@ -463,7 +477,12 @@
             reports.take_stop_outcome(self.tables, order, outcome)
         elif isinstance(order, PaceRun):
             outcome = self._workers.pace(order)
-            interference.take_pace_outcome(self.tables, order, outcome)
+            interference.take_pace_outcome(
+                self.tables,
+                order,
+                outcome,
+                time.monotonic(),
+            )
         self._wake.set()
 
     def _hold_loop(self, worker_id: WorkerId) -> None:
--- a/ragwortfield/scheduling/interference.py
+++ b/ragwortfield/scheduling/interference.py
@@ -94,6 +94,7 @@
     tables: ShardTables,
     order: PaceRun,
     outcome: OrderOutcome,
+    now: Instant,
 ) -> None:
     """
     Take in what came of a change of pace.
@@ -101,11 +102,14 @@
     :param tables: tables of the shard.
     :param order: the order.
     :param outcome: answer of the worker.
+    :param now: reading of the monotonic clock.
     """
     task = tables.find_task(order.key)
     if task is None or task.run != order.run:
         return
     if isinstance(outcome, OrderDone):
+        if order.percent < task.pace:
+            task.slowed_at = now
         task.pace = order.percent
     task.is_pacing = False
 
@@ -168,13 +172,33 @@
     speed = 1.0
     cost = 0.0
     for serving, left in spare.items():
-        demand = tables.pressure.weight(serving, image) * share
+        demand = _notable_weight(tables, serving, image) * share
         if demand > 0:
             speed = min(speed, max(left, 0) / demand)
         cost = max(cost, demand)
     return speed, cost
 
 
+def intolerance(tables: ShardTables, worker: WorkerRow) -> float:
+    """
+    Tell how badly a worker's serving tasks get on with fillers in general.
+
+    A filler that disturbs nobody goes to such a worker, so that the tolerant
+    ones stay free for fillers that disturb most others.
+
+    :param tables: tables of the shard.
+    :param worker: the worker.
+    :returns: mean weight of its worst serving image; 0 where nothing serves.
+    """
+    return max(
+        (
+            round(tables.pressure.mean_weight(serving), 1)
+            for serving in worker.serving_by_image
+        ),
+        default=0.0,
+    )
+
+
 def is_fast_enough(speed: float) -> bool:
     """
     Tell whether a filler should be started at a speed.
@@ -191,10 +215,16 @@
     serving: str,
     task: TaskRow,
 ) -> float:
-    weight = tables.pressure.weight(serving, task.step.image)
+    weight = _notable_weight(tables, serving, task.step.image)
     return weight * task.step.need.cpu / worker.listed.room.cpu
 
 
+def _notable_weight(tables: ShardTables, serving: str, image: str) -> float:
+    # Small weights are noise of the readings.
+    weight = tables.pressure.weight(serving, image)
+    return weight if weight > _NOTABLE_WEIGHT else 0
+
+
 def _used_shares(worker: WorkerRow) -> dict[str, float]:
     share_by_image: dict[str, float] = {}
     for task in worker.run_by_key.values():
@@ -238,14 +268,13 @@
 ) -> float:
     """Give a filler what is left for it, and take that off the rest."""
     demand_by_serving = {
-        serving: _demand(tables, worker, serving, task)
-        for serving in left
-        if tables.pressure.weight(serving, task.step.image) > _NOTABLE_WEIGHT
+        serving: _demand(tables, worker, serving, task) for serving in left
     }
     share = min(
         (
             left[serving] / demand
             for serving, demand in demand_by_serving.items()
+            if demand > 0
         ),
         default=1.0,
     )
--- a/ragwortfield/scheduling/job_rows.py
+++ b/ragwortfield/scheduling/job_rows.py
@@ -61,6 +61,7 @@
     base: Base | None = None
     pace: int = 100
     is_pacing: bool = False
+    slowed_at: Instant = 0
     is_stop_wanted: bool = False
     stop_sent_at: Instant = 0
     ticket: str = ''
--- a/ragwortfield/scheduling/pressure.py
+++ b/ragwortfield/scheduling/pressure.py
@@ -68,6 +68,20 @@
         known = self.weight_by_pair.get((serving, filler))
         return _FIRST_WEIGHT if known is None else known.amount
 
+    def mean_weight(self, serving: str) -> float:
+        """
+        Give the mean weight of the known pairs of a serving image.
+
+        :param serving: image of the serving task.
+        :returns: the mean; the first guess when no pair is known.
+        """
+        known = [
+            weight.amount
+            for pair, weight in self.weight_by_pair.items()
+            if pair[0] == serving
+        ]
+        return sum(known) / len(known) if known else _FIRST_WEIGHT
+
     def disturbance(
         self,
         serving: str,
--- a/ragwortfield/scheduling/status.py
+++ b/ragwortfield/scheduling/status.py
@@ -6,6 +6,10 @@
 from ragwortfield.scheduling.tables import ShardTables
 
 
+#: Pace of a filler that is not slowed down, in percent.
+_FULL_PACE = 100
+
+
 class JobStatus(StrEnum):
     """State of a job as its caller sees it."""
 
@@ -45,3 +49,39 @@
         for job in tables.job_by_id.values()
         if job.job.queue == queue
     )
+
+
+def summary(tables: ShardTables) -> dict[str, int]:
+    """
+    Count what a shard holds, for the log and for operators.
+
+    :param tables: tables of the shard.
+    :returns: amounts by name.
+    """
+    tasks = [
+        task
+        for worker in tables.worker_by_id.values()
+        for task in worker.run_by_key.values()
+    ]
+    serving = [task for task in tasks if task.step.latency_target_ms]
+    fillers = [task for task in tasks if task.step.is_filler]
+    return {
+        'jobs': sum(not job.finished_at for job in tables.job_by_id.values()),
+        'workers': len(tables.worker_by_id),
+        'waiting': sum(
+            len(step.waiting) for step in tables.open_step_by_key.values()
+        ),
+        'serving': len(serving),
+        'over_target': sum(
+            (task.reading or 0) > task.step.latency_target_ms
+            for task in serving
+        ),
+        'fillers': len(fillers),
+        'slowed': sum(task.pace < _FULL_PACE for task in fillers),
+        'still': sum(task.pace == 0 for task in fillers),
+        'others': len(tasks) - len(serving) - len(fillers),
+        'unacknowledged': sum(
+            worker.noted - worker.acknowledged
+            for worker in tables.worker_by_id.values()
+        ),
+    }
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -7,6 +7,7 @@
 
 from ragwortfield.scheduling.interference import (
     Headroom,
+    intolerance,
     is_fast_enough,
     spare_headroom,
     speed_and_cost,
@@ -18,6 +19,7 @@
 
 #: Tolerance for sums of floating-point amounts of processor, in cores.
 _CPU_TOLERANCE = 1e-6
+_FULL_PACE = 100
 #: Part of their processor that tasks with users of their own leave unused.
 _IDLE_SHARE = 0.5
 
@@ -61,7 +63,7 @@
             return None
         fitting = [
             worker
-            for worker in self._candidates_by_pool.get(job.queue.pool, ())
+            for worker in self.candidates(job)
             if fits(worker, step)
         ]
         if not fitting:
@@ -73,6 +75,15 @@
         ]
         return self._best(preferred or allowed, step)
 
+    def candidates(self, job: JobRow) -> list[WorkerRow]:
+        """
+        List the workers of a job's pool that may get tasks.
+
+        :param job: the job.
+        :returns: the workers, whether a task fits there or not.
+        """
+        return self._candidates_by_pool.get(job.queue.pool, [])
+
     def choose_gang(
         self,
         job: JobRow,
@@ -87,7 +98,7 @@
         """
         candidates = [
             worker
-            for worker in self._candidates_by_pool.get(job.queue.pool, ())
+            for worker in self.candidates(job)
             if is_allowed(worker, step) and fits(worker, step)
         ]
         if step.step.is_same_rack:
@@ -132,7 +143,7 @@
         step: StepRow,
     ) -> WorkerRow | None:
         best: WorkerRow | None = None
-        best_rank = (0.0, 0.0)
+        best_rank = (0.0, 0.0, 0.0)
         for worker in workers:
             speed, cost = speed_and_cost(
                 self._tables,
@@ -141,7 +152,11 @@
                 step.step.image,
                 step.step.need.cpu,
             )
-            rank = (-round(cost, 1), left_for_fillers(worker))
+            rank = (
+                -round(cost, 1),
+                intolerance(self._tables, worker),
+                left_for_fillers(worker),
+            )
             if is_fast_enough(speed) and (best is None or rank > best_rank):
                 best = worker
                 best_rank = rank
@@ -225,7 +240,12 @@
     :returns: cores.
     """
     idle = worker.serving_cpu * _IDLE_SHARE
-    return worker.free_cpu() + idle - worker.filler_cpu
+    used = sum(
+        task.step.need.cpu * task.pace / _FULL_PACE
+        for task in worker.run_by_key.values()
+        if task.step.is_filler
+    )
+    return worker.free_cpu() + idle - used
 
 
 def _spread(
