Disturbance as added use; loads followed with their trend

Cause: undisturbed readings of 5 to 11 ms at a target of 18 ms fit idle / (1 - use) with a use that all tasks of a step share, so the weights mixed loads with disturbance. Now each step has one load with its trend, and weights add use.

--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -495,7 +495,7 @@
             now = time.monotonic()
             if isinstance(report, LeaseReport):
                 reports.take_report(self.tables, row, report, now)
-                interference.take_readings(self.tables, row)
+                interference.take_readings(self.tables, row, now)
                 self._wake.set()
                 self._await_acknowledgement(row)
                 continue
--- a/ragwortfield/scheduling/interference.py
+++ b/ragwortfield/scheduling/interference.py
@@ -8,24 +8,23 @@
 urgent ones share the headroom.
 """
 
-import math
-
 from ragwortfield.log import event
 from ragwortfield.ports.task_worker import OrderDone, OrderOutcome, PaceRun
 from ragwortfield.scheduling.job_rows import RunStage, TaskRow
 from ragwortfield.scheduling.ordering import urgency
-from ragwortfield.scheduling.pressure import Base
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, Seconds
 
-#: Share of its target that a tail latency is steered to: the readings are
-#: rough, and the load rises by about this much within their lag.
-_AIM = 0.8
+#: Share of its target that a tail latency is steered to.
+_AIM = 0.9
 #: Share of its target above which what disturbs it stands still at once.
-_LIMIT = 1.15
+_LIMIT = 1.3
+#: How far ahead loads are predicted: the readings cover half a second, and a
+#: new pace takes effect after the next report.
+_AHEAD_S: Seconds = 0.6
 #: Weight from which on a pair of images counts as one that does not get on.
-_NOTABLE_WEIGHT = 1.0
+_NOTABLE_WEIGHT = 0.5
 #: Changes of pace below this are not worth a call, in percent.
 _SMALL_CHANGE = 10
 #: Paces are set in steps of this, in percent.
@@ -42,28 +41,39 @@
 Headroom = dict[str, float]
 
 
-def take_readings(tables: ShardTables, worker: WorkerRow) -> None:
+def take_readings(
+    tables: ShardTables,
+    worker: WorkerRow,
+    now: Instant,
+) -> None:
     """
     Learn from the readings of a worker's report.
 
     :param tables: tables of the shard.
     :param worker: the worker, with the report taken in.
+    :param now: reading of the monotonic clock.
     """
     if worker.report_clock_ms - worker.read_clock_ms < _READING_STEP_MS:
         return
     worker.read_clock_ms = worker.report_clock_ms
     shares = _used_shares(worker)
-    worker.pressure_by_image = {}
+    worker.over_by_image = {}
     for task in worker.run_by_key.values():
-        if not task.step.latency_target_ms or not task.reading:
+        if not _is_read(task) or task.reading is None:
             continue
-        reading = task.reading / task.step.latency_target_ms
-        if task.base is None:
-            task.base = Base()
+        target_ms = task.step.latency_target_ms
+        step = tables.step_of(task)
+        step.load.follow(now)
         image = task.step.image
-        tables.pressure.learn(image, task.base, shares, reading)
-        before = worker.pressure_by_image.get(image, 0)
-        worker.pressure_by_image[image] = max(before, reading)
+        tables.pressure.learn(
+            image,
+            step.load,
+            shares,
+            tail_ms=task.reading,
+            target_ms=target_ms,
+        )
+        before = worker.over_by_image.get(image, 0)
+        worker.over_by_image[image] = max(before, task.reading / target_ms)
 
 
 def adjust_paces(tables: ShardTables, now: Instant) -> None:
@@ -85,7 +95,7 @@
             event(
                 'paces_set',
                 worker=worker.worker_id,
-                pressure=max(worker.pressure_by_image.values(), default=0),
+                worst=max(worker.over_by_image.values(), default=0),
                 paces=','.join(str(pace) for _, pace in wanted),
             )
 
@@ -114,22 +124,33 @@
     task.is_pacing = False
 
 
-def headroom(worker: WorkerRow) -> Headroom:
+def headroom(
+    tables: ShardTables,
+    worker: WorkerRow,
+    *,
+    is_lasting: bool,
+) -> Headroom:
     """
     Tell how much disturbance the serving tasks of a worker bear.
 
+    :param tables: tables of the shard.
     :param worker: the worker.
-    :returns: by image, the growth of the logarithm of the tail latency that
-        brings the worst task to its aim.
+    :param is_lasting: whether it should last for longer than a moment.
+    :returns: by image, the use that brings the worst task to its aim.
     """
     left: Headroom = {}
-    aim = math.log(_AIM)
     for task in worker.run_by_key.values():
-        if not task.step.latency_target_ms:
+        target_ms = task.step.latency_target_ms
+        if not target_ms:
             continue
-        base = Base() if task.base is None else task.base
-        room = max(aim - base.amount, 0)
-        left[task.step.image] = min(left.get(task.step.image, room), room)
+        image = task.step.image
+        load = tables.step_of(task).load
+        expected = load.at(_AHEAD_S)
+        if is_lasting:
+            expected = max(expected, load.usual)
+        aim = tables.pressure.use_at(image, _AIM * target_ms, target_ms)
+        room = max(aim - expected, 0)
+        left[image] = min(left.get(image, room), room)
     return left
 
 
@@ -141,7 +162,7 @@
     :param worker: the worker.
     :returns: by image of the serving tasks; may be negative.
     """
-    left = headroom(worker)
+    left = headroom(tables, worker, is_lasting=True)
     for task in worker.run_by_key.values():
         if not task.step.is_filler:
             continue
@@ -209,6 +230,11 @@
     return speed >= _LEAST_SPEED
 
 
+def _is_read(task: TaskRow) -> bool:
+    is_started = task.percent >= _FULL_PACE
+    return bool(task.step.latency_target_ms and task.reading and is_started)
+
+
 def _demand(
     tables: ShardTables,
     worker: WorkerRow,
@@ -249,9 +275,9 @@
         for task in worker.run_by_key.values()
         if task.step.is_filler and task.stage == RunStage.RUNNING
     ]
-    left = headroom(worker)
-    for serving, pressure in worker.pressure_by_image.items():
-        if pressure > _LIMIT and serving in left:
+    left = headroom(tables, worker, is_lasting=False)
+    for serving, over in worker.over_by_image.items():
+        if over > _LIMIT and serving in left:
             left[serving] = 0
     wanted = []
     for task in sorted(fillers, key=lambda one: _rank(tables, one, now)):
@@ -290,8 +316,7 @@
     now: Instant,
 ) -> tuple[int, int, float]:
     job = tables.job_by_id[task.key.job_id]
-    step = job.occurrence_by_number[task.key.occurrence].steps[task.key.step]
-    return urgency(job, step, now)
+    return urgency(job, tables.step_of(task), now)
 
 
 def _is_due(task: TaskRow, pace: int) -> bool:
--- a/ragwortfield/scheduling/job_rows.py
+++ b/ragwortfield/scheduling/job_rows.py
@@ -5,7 +5,7 @@
 
 from ragwortfield.scheduling.catalogue import Queue
 from ragwortfield.scheduling.job import Job, Step, TaskKey, longest_chain_s
-from ragwortfield.scheduling.pressure import Base
+from ragwortfield.scheduling.pressure import Load
 from ragwortfield.scheduling.records import (
     ProgressRecord,
     TaskPhase,
@@ -58,7 +58,6 @@
     percent: float = 0
     percent_changed_at: Instant = 0
     reading: float | None = None
-    base: Base | None = None
     pace: int = 100
     is_pacing: bool = False
     slowed_at: Instant = 0
@@ -91,6 +90,7 @@
 
     :param waiting: indexes of tasks that wait for a worker, in order.
     :param count_by_worker: tasks bound to each worker.
+    :param load: load of its users, where its tasks serve any.
     """
 
     job_id: JobId
@@ -101,6 +101,7 @@
     waiting: dict[int, None] = field(default_factory=dict)
     done: int = 0
     count_by_worker: dict[WorkerId, int] = field(default_factory=dict)
+    load: Load = field(default_factory=Load)
 
     def is_done(self) -> bool:
         """
--- a/ragwortfield/scheduling/pressure.py
+++ b/ragwortfield/scheduling/pressure.py
@@ -1,47 +1,113 @@
 """How much fillers disturb the tasks that serve beside them.
 
-The logarithm of a tail latency, as a share of its target, is taken as a base
-that each serving task has for the moment plus, for each image of fillers, a
-weight times the share of the worker's processor that these use. A weight
-belongs to a pair of images, the serving one and the filler's; most pairs get
-on well and some do not. Weights are learned over all workers of a shard, the
-base for each task alone. Each estimate has a variance; a reading moves it by
-its part of the total variance, as in a Kalman filter with a diagonal
-covariance.
+A serving task is taken as a queue: its tail latency is ``idle / (1 - use)``.
+Its use is the load of its own users, which all tasks of its step share, plus
+what the fillers on its worker add: for each image of fillers a weight times
+the share of the worker's processor that these use. A weight belongs to a pair
+of images, the serving one and the filler's; some pairs get on well and some
+do not. Loads swing within seconds, so they are followed with their trend.
+Each estimate has a variance, and a reading moves it by its part of the total
+variance, as in a Kalman filter.
 """
 
-import math
 from dataclasses import dataclass, field
 
+from ragwortfield.types import Instant, Seconds
+
 #: Weight of a pair before anything is known, and its variance.
-_FIRST_WEIGHT = 2.5
-_FIRST_VARIANCE = 6.0
+_FIRST_WEIGHT = 1.5
+_FIRST_VARIANCE = 2.0
 #: Smallest variance of a weight; images do not change for good.
-_LEAST_VARIANCE = 0.05
-#: What the variance of a base gains between readings: the load of a serving
-#: task swings by about half within five seconds.
-_BASE_DRIFT = 0.01
-#: Variance of one reading, which is a rough figure.
-_READING_VARIANCE = 0.02
+_LEAST_VARIANCE = 0.02
 #: Largest weight; an image cannot help the tasks beside it either.
-_LARGEST_WEIGHT = 20.0
+_LARGEST_WEIGHT = 8.0
+#: Load before the first reading, and its variance.
+_FIRST_LOAD = 0.45
+_FIRST_LOAD_VARIANCE = 0.04
+#: What the variance of a load's trend gains in a second: loads swing by
+#: about half of their mean within five seconds.
+_TREND_DRIFT = 0.006
+#: Part of a trend that is left after a second without readings.
+_TREND_MEMORY = 0.8
+#: Readings are whole milliseconds.
+_ROUNDING_MS = 0.5
+#: Variance of a reading beyond its rounding.
+_READING_VARIANCE = 0.0004
+#: Use from which on a reading says only that the worker is overloaded.
+_SATURATED = 0.93
+#: Lightest load of a service at its quietest, as a share of its idle time.
+_IDLE_SHARE = 0.8
+#: Idle tail latency as a share of the target before the first reading.
+_FIRST_IDLE = 0.25
+#: Weight of a reading in the usual load.
+_USUAL_STEP = 0.02
 
 #: Image of a serving task, image of a filler.
 Pair = tuple[str, str]
+#: Processor used by fillers as a share of their worker's, by image.
+Shares = dict[str, float]
 
 
 @dataclass(kw_only=True, slots=True)
-class Base:
+class Load:
     """
-    Undisturbed tail latency of a serving task.
+    Load of the users of a step, followed with its trend.
 
-    :param amount: logarithm of its share of the target; a guess before the
-        first reading.
-    :param variance: how uncertain it is.
+    :param level: use without any filler, 0 to 1.
+    :param trend: change of the level in a second.
+    :param usual: slow mean of the level.
     """
 
-    amount: float = -0.7
-    variance: float = 0.5
+    level: float = _FIRST_LOAD
+    trend: float = 0
+    usual: float = _FIRST_LOAD
+    level_variance: float = _FIRST_LOAD_VARIANCE
+    trend_variance: float = _TREND_DRIFT
+    covariance: float = 0
+    followed_at: Instant = 0
+
+    def at(self, ahead_s: Seconds) -> float:
+        """
+        Predict the load.
+
+        :param ahead_s: how far ahead of the last reading, in seconds.
+        :returns: use without any filler.
+        """
+        return min(max(self.level + self.trend * ahead_s, 0), 1)
+
+    def follow(self, now: Instant) -> None:
+        """
+        Carry the estimate on to a moment.
+
+        :param now: reading of the monotonic clock.
+        """
+        passed_s = min(now - self.followed_at, 1) if self.followed_at else 0
+        self.followed_at = now
+        if passed_s <= 0:
+            return
+        self.level += self.trend * passed_s
+        self.trend *= 1 - (1 - _TREND_MEMORY) * passed_s
+        self.level_variance += passed_s * (
+            2 * self.covariance + passed_s * self.trend_variance
+        )
+        self.covariance += passed_s * self.trend_variance
+        self.trend_variance += _TREND_DRIFT * passed_s
+
+    def correct(self, error: float, total: float) -> None:
+        """
+        Move the estimate by its part of an error.
+
+        :param error: use that was read less the use that was expected.
+        :param total: variance of the expectation and of the reading.
+        """
+        level_gain = self.level_variance / total
+        trend_gain = self.covariance / total
+        self.level = min(max(self.level + level_gain * error, 0), 1)
+        self.trend += trend_gain * error
+        self.trend_variance -= trend_gain * self.covariance
+        self.covariance *= 1 - level_gain
+        self.level_variance *= 1 - level_gain
+        self.usual += _USUAL_STEP * (self.level - self.usual)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -52,9 +118,15 @@
 
 @dataclass(kw_only=True, slots=True)
 class PressureModel:
-    """Weights of pairs of images."""
+    """
+    Weights of pairs of images.
+
+    :param least_by_image: smallest reading of each serving image, in
+        milliseconds.
+    """
 
     weight_by_pair: dict[Pair, _Weight] = field(default_factory=dict)
+    least_by_image: dict[str, float] = field(default_factory=dict)
 
     def weight(self, serving: str, filler: str) -> float:
         """
@@ -62,8 +134,7 @@
 
         :param serving: image of the serving task.
         :param filler: image of the filler.
-        :returns: growth of the logarithm of the tail latency for a whole
-            worker of processor use.
+        :returns: use added by fillers on a whole worker's processor.
         """
         known = self.weight_by_pair.get((serving, filler))
         return _FIRST_WEIGHT if known is None else known.amount
@@ -82,57 +153,77 @@
         ]
         return sum(known) / len(known) if known else _FIRST_WEIGHT
 
-    def disturbance(
-        self,
-        serving: str,
-        share_by_image: dict[str, float],
-    ) -> float:
+    def use_at(self, serving: str, tail_ms: float, target_ms: float) -> float:
         """
-        Predict what fillers add to the logarithm of a tail latency.
+        Convert a tail latency into use.
 
         :param serving: image of the serving task.
-        :param share_by_image: processor used, as a share of the worker's.
-        :returns: the sum over all images.
+        :param tail_ms: tail latency, in milliseconds.
+        :param target_ms: its target, in milliseconds.
+        :returns: use, 0 to 1.
         """
-        return sum(
-            self.weight(serving, image) * share
-            for image, share in share_by_image.items()
-        )
+        idle_ms = self._idle_ms(serving, target_ms)
+        return 1 - idle_ms / max(tail_ms, idle_ms)
 
     def learn(
         self,
         serving: str,
-        base: Base,
-        share_by_image: dict[str, float],
-        reading: float,
+        load: Load,
+        shares: Shares,
+        *,
+        tail_ms: float,
+        target_ms: float,
     ) -> None:
         """
         Learn from a reading.
 
         :param serving: image of the serving task.
-        :param base: base of the task, which is changed.
-        :param share_by_image: processor used, as a share of the worker's.
-        :param reading: tail latency as a share of its target.
+        :param load: load of its step, which is corrected.
+        :param shares: what the fillers beside it use.
+        :param tail_ms: tail latency that was read, in milliseconds.
+        :param target_ms: its target, in milliseconds.
         """
-        expected = base.amount + self.disturbance(serving, share_by_image)
-        error = math.log(reading) - expected
-        base.variance += _BASE_DRIFT
+        least_ms = self.least_by_image.get(serving, tail_ms)
+        self.least_by_image[serving] = min(least_ms, tail_ms)
+        use = min(self.use_at(serving, tail_ms, target_ms), _SATURATED)
+        error = use - load.level - self._added(serving, shares)
+        if use == _SATURATED and error < 0:
+            return
+        idle_ms = self._idle_ms(serving, target_ms)
+        noise = _ROUNDING_MS * idle_ms / max(tail_ms, idle_ms) ** 2
         weights = {
             image: self.weight_by_pair.setdefault((serving, image), _Weight())
-            for image in share_by_image
+            for image in shares
         }
-        total = base.variance + _READING_VARIANCE
+        total = load.level_variance + _READING_VARIANCE + noise**2
         total += sum(
-            one.variance * share_by_image[image] ** 2
-            for image, one in weights.items()
+            one.variance * shares[image] ** 2 for image, one in weights.items()
         )
         for image, one in weights.items():
-            share = share_by_image[image]
-            gain = one.variance * share / total
-            changed = one.amount + gain * error
-            one.amount = min(max(changed, 0), _LARGEST_WEIGHT)
-            left = one.variance * (1 - gain * share)
-            one.variance = max(left, _LEAST_VARIANCE)
-        base_gain = base.variance / total
-        base.amount += base_gain * error
-        base.variance *= 1 - base_gain
+            _correct(one, shares[image], error, total)
+        load.correct(error, total)
+
+    def _added(self, serving: str, shares: Shares) -> float:
+        return sum(
+            self.weight(serving, image) * share
+            for image, share in shares.items()
+        )
+
+    def _idle_ms(self, serving: str, target_ms: float) -> float:
+        least_ms = self.least_by_image.get(serving)
+        if least_ms is None:
+            return target_ms * _FIRST_IDLE
+        return min(least_ms, target_ms) * _IDLE_SHARE
+
+
+def _correct(
+    weight: _Weight,
+    share: float,
+    error: float,
+    total: float,
+) -> None:
+    gain = weight.variance * share / total
+    changed = weight.amount + gain * error
+    weight.amount = min(max(changed, 0), _LARGEST_WEIGHT)
+    left = weight.variance * (1 - gain * share)
+    weight.variance = max(left, _LEAST_VARIANCE)
--- a/ragwortfield/scheduling/progress.py
+++ b/ragwortfield/scheduling/progress.py
@@ -6,7 +6,6 @@
     JobRow,
     OccurrenceRow,
     RunStage,
-    StepRow,
     TaskRow,
 )
 from ragwortfield.scheduling.records import TaskPhase
@@ -35,7 +34,7 @@
     :param run: number of the new run.
     :param now: reading of the monotonic clock.
     """
-    step = _step_of(tables, task)
+    step = tables.step_of(task)
     step.waiting.pop(task.key.index, None)
     step.count_by_worker[worker.worker_id] = (
         step.count_by_worker.get(worker.worker_id, 0) + 1
@@ -51,7 +50,6 @@
     task.percent = 0
     task.percent_changed_at = now
     task.reading = None
-    task.base = None
     task.pace = 100
     task.is_pacing = False
     task.is_stop_wanted = False
@@ -80,7 +78,7 @@
     )
     _unbind(tables, task)
     task.phase = TaskPhase.WAITING
-    step = _step_of(tables, task)
+    step = tables.step_of(task)
     step.waiting[task.key.index] = None
     job = tables.job_by_id[task.key.job_id]
     tables.mark_dirty(tables.occurrence_of(task))
@@ -198,7 +196,7 @@
 
 
 def _finish(tables: ShardTables, task: TaskRow) -> None:
-    step = _step_of(tables, task)
+    step = tables.step_of(task)
     members = step.tasks if task.step.is_gang else [task]
     for member in members:
         if member.phase == TaskPhase.DONE:
@@ -215,7 +213,7 @@
 
 def _count_failure(tables: ShardTables, task: TaskRow, now: Instant) -> None:
     # A gang fails as a whole, so its first member counts for all.
-    step = _step_of(tables, task)
+    step = tables.step_of(task)
     counted = step.tasks[0] if task.step.is_gang else task
     counted.failures += 1
     job = tables.job_by_id[task.key.job_id]
@@ -241,7 +239,7 @@
     if not task.step.is_gang:
         task.checkpoint = checkpoint
         return
-    for member in _step_of(tables, task).tasks:
+    for member in tables.step_of(task).tasks:
         member.checkpoint = checkpoint
 
 
@@ -249,7 +247,7 @@
     worker = tables.worker_by_id.get(task.worker_id)
     if worker is not None:
         worker.remove(task)
-    step = _step_of(tables, task)
+    step = tables.step_of(task)
     count = step.count_by_worker.get(task.worker_id, 0) - 1
     if count > 0:
         step.count_by_worker[task.worker_id] = count
@@ -258,7 +256,3 @@
     task.stage = RunStage.NONE
     task.worker_id = ''
     task.is_stop_wanted = False
-
-
-def _step_of(tables: ShardTables, task: TaskRow) -> StepRow:
-    return tables.occurrence_of(task).steps[task.key.step]
--- a/ragwortfield/scheduling/relocation.py
+++ b/ragwortfield/scheduling/relocation.py
@@ -87,7 +87,7 @@
     taken: set[WorkerId],
 ) -> WorkerRow | None:
     job = tables.job_by_id[task.key.job_id]
-    step = job.occurrence_by_number[task.key.occurrence].steps[task.key.step]
+    step = tables.step_of(task)
     for worker in chooser.candidates(job):
         if worker.worker_id in taken or worker.worker_id == task.worker_id:
             continue
--- a/ragwortfield/scheduling/tables.py
+++ b/ragwortfield/scheduling/tables.py
@@ -90,6 +90,15 @@
         job = self.job_by_id[task.key.job_id]
         return job.occurrence_by_number[task.key.occurrence]
 
+    def step_of(self, task: TaskRow) -> StepRow:
+        """
+        Give the step that a task belongs to.
+
+        :param task: a task of these tables.
+        :returns: its step.
+        """
+        return self.occurrence_of(task).steps[task.key.step]
+
     def mark_dirty(self, occurrence: OccurrenceRow) -> None:
         """
         Note that the record of an occurrence must be written.
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -62,9 +62,7 @@
         if shape in self._unfit:
             return None
         fitting = [
-            worker
-            for worker in self.candidates(job)
-            if fits(worker, step)
+            worker for worker in self.candidates(job) if fits(worker, step)
         ]
         if not fitting:
             self._unfit.add(shape)
--- a/ragwortfield/scheduling/worker_rows.py
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -63,7 +63,7 @@
     :param full_until: no starts before this, after a refusal for room.
     :param resting_until: no starts before this, for its failures.
     :param failed_keys: tasks that failed here since the last success.
-    :param pressure_by_image: latest worst tail latency, as a share of its
+    :param over_by_image: latest worst tail latency, as a share of its
         target, by image of the serving tasks.
     """
 
@@ -89,7 +89,7 @@
     resting_until: Instant = 0
     failed_keys: set[TaskKey] = field(default_factory=set)
     rest_count: int = 0
-    pressure_by_image: dict[str, float] = field(default_factory=dict)
+    over_by_image: dict[str, float] = field(default_factory=dict)
     read_clock_ms: float = 0
     paced_at: Instant = 0
 
--- /dev/null
+++ b/ragwortfield/testing/task_workers.py
@@ -0,0 +1,330 @@
+"""Stand-ins of workers that run tasks, in memory."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ragwortfield.core.resources import Resources
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.task_worker import (
+    EndKind,
+    LeaseOrder,
+    LeaseReport,
+    ListedEnd,
+    ListedRun,
+    ListedWorker,
+    OrderDone,
+    OrderOutcome,
+    OrderRefused,
+    PaceRun,
+    Refusal,
+    StartRun,
+    StopRun,
+)
+from ragwortfield.scheduling.job import TaskKey
+from ragwortfield.types import Instant, WorkerId
+
+_MS_PER_S = 1000
+_Order = StartRun | StopRun | LeaseOrder | PaceRun
+
+
+@dataclass(kw_only=True, slots=True)
+class _Run:
+    run: int
+    checkpoint: str
+    started_at: Instant
+    percent: float = 0
+    pace: int = 100
+
+
+@dataclass(kw_only=True, slots=True)
+class FakeWorker:
+    """
+    One worker, with its clock, its fence, its lease and its lists.
+
+    :param clock: the world's time, in seconds.
+    :param rate: rate of its own clock.
+    :param is_guarded: whether it refuses what does not fit.
+    :param history: every start and end, for checks.
+    """
+
+    worker_id: WorkerId
+    clock: Callable[[], Instant]
+    room: Resources = field(default_factory=Resources)
+    pool: str = 'pool'
+    rate: float = 1
+    longest_lease_s: float = 10
+    is_guarded: bool = True
+    is_reachable: bool = True
+    born_at: Instant = 0
+    fence: int = 0
+    lease_end_ms: float = 0
+    run_by_key: dict[TaskKey, _Run] = field(default_factory=dict)
+    need_by_key: dict[TaskKey, Resources] = field(default_factory=dict)
+    ends: list[ListedEnd] = field(default_factory=list)
+    highest_by_key: dict[TaskKey, int] = field(default_factory=dict)
+    last_end: int = 0
+    history: list[tuple[str, Instant, TaskKey, int, str]] = field(
+        default_factory=list,
+    )
+
+    def now_ms(self) -> float:
+        """
+        Read the worker's own clock.
+
+        :returns: milliseconds since its start.
+        """
+        return (self.clock() - self.born_at) * self.rate * _MS_PER_S
+
+    def listing(self) -> ListedWorker:
+        """
+        Give the worker's own entry.
+
+        :returns: the entry.
+        """
+        return ListedWorker(
+            worker_id=self.worker_id,
+            pool=self.pool,
+            address=f'{self.worker_id}:1',
+            data_centre='dc',
+            room=self.room,
+            labels=('kind', 'rack-1'),
+            rack='rack-1',
+            clock_ms=int(self.now_ms()),
+            born_ms=int(self.born_at * _MS_PER_S),
+        )
+
+    def restart(self) -> None:
+        """Crash and start again under the same name, knowing nothing."""
+        for key, run in tuple(self.run_by_key.items()):
+            self._log('lost', key, run.run, '')
+        self.born_at = self.clock()
+        self.fence = 0
+        self.lease_end_ms = 0
+        self.run_by_key.clear()
+        self.ends.clear()
+        self.highest_by_key.clear()
+        self.last_end = 0
+
+    def lapse(self) -> None:
+        """End everything if the lease is over."""
+        if self.run_by_key and self.now_ms() > self.lease_end_ms:
+            for key in tuple(self.run_by_key):
+                self.end(key, EndKind.LAPSED)
+
+    def end(self, key: TaskKey, kind: EndKind, checkpoint: str = '') -> None:
+        """
+        End a run.
+
+        :param key: its task.
+        :param kind: how it ends.
+        :param checkpoint: checkpoint that is listed with the end.
+        """
+        run = self.run_by_key.pop(key)
+        self.last_end += 1
+        self.ends.append(
+            ListedEnd(
+                number=self.last_end,
+                key=key,
+                run=run.run,
+                kind=kind,
+                checkpoint=checkpoint,
+            ),
+        )
+        self._log('end', key, run.run, kind.value)
+
+    def hold(self, order: LeaseOrder) -> LeaseReport | OrderRefused:
+        """
+        Extend the lease and list.
+
+        :param order: the order.
+        :returns: the lists.
+        """
+        self.lapse()
+        if not self._admit(order.fencing_token):
+            return self._refuse(Refusal.FENCED)
+        if order.deadline_ms is not None:
+            self._extend(order.deadline_ms)
+        for end in self.ends:
+            if end.number <= order.acknowledged:
+                self._log('noted', end.key, end.run, end.kind.value)
+        self.ends = [
+            end for end in self.ends if end.number > order.acknowledged
+        ]
+        return LeaseReport(
+            clock_ms=int(self.now_ms()),
+            born_ms=int(self.born_at * _MS_PER_S),
+            runs=tuple(
+                ListedRun(
+                    key=key,
+                    run=run.run,
+                    checkpoint=run.checkpoint,
+                    percent=run.percent,
+                )
+                for key, run in self.run_by_key.items()
+            ),
+            ends=tuple(self.ends),
+        )
+
+    def start(self, order: StartRun) -> OrderOutcome:
+        """
+        Start a run.
+
+        :param order: the order.
+        :returns: whether it runs.
+        """
+        self.lapse()
+        if not self._admit(order.fencing_token):
+            return self._refuse(Refusal.FENCED)
+        known = self.run_by_key.get(order.key)
+        if known is not None and known.run == order.run:
+            return OrderDone(clock_ms=int(self.now_ms()))
+        if order.deadline_ms < self.now_ms():
+            return self._refuse(Refusal.LATE)
+        self._extend(order.deadline_ms)
+        if order.run <= self.highest_by_key.get(order.key, 0):
+            return self._refuse(Refusal.SUPERSEDED)
+        self.run_by_key[order.key] = _Run(
+            run=order.run,
+            checkpoint=order.checkpoint,
+            started_at=self.clock(),
+        )
+        self.highest_by_key[order.key] = order.run
+        self._log('start', order.key, order.run, order.checkpoint)
+        return OrderDone(clock_ms=int(self.now_ms()))
+
+    def stop(self, order: StopRun) -> OrderOutcome:
+        """
+        Stop a run.
+
+        :param order: the order.
+        :returns: whether it was carried out.
+        """
+        self.lapse()
+        if not self._admit(order.fencing_token):
+            return self._refuse(Refusal.FENCED)
+        highest = self.highest_by_key.get(order.key, 0)
+        self.highest_by_key[order.key] = max(highest, order.run)
+        known = self.run_by_key.get(order.key)
+        if known is not None and known.run <= order.run:
+            self.end(order.key, EndKind.STOPPED, f'saved-{known.run}')
+        return OrderDone(clock_ms=int(self.now_ms()))
+
+    def pace(self, order: PaceRun) -> OrderOutcome:
+        """
+        Set the speed of a run.
+
+        :param order: the order.
+        :returns: whether it was carried out.
+        """
+        if not self._admit(order.fencing_token):
+            return self._refuse(Refusal.FENCED)
+        known = self.run_by_key.get(order.key)
+        if known is not None:
+            known.pace = order.percent
+        return OrderDone(clock_ms=int(self.now_ms()))
+
+    def _admit(self, fencing_token: int) -> bool:
+        if fencing_token < self.fence:
+            return False
+        self.fence = fencing_token
+        return True
+
+    def _extend(self, deadline_ms: float) -> None:
+        longest = self.now_ms() + self.longest_lease_s * _MS_PER_S
+        wanted = min(deadline_ms, longest)
+        self.lease_end_ms = max(self.lease_end_ms, wanted)
+
+    def _refuse(self, refusal: Refusal) -> OrderRefused:
+        return OrderRefused(refusal=refusal, clock_ms=int(self.now_ms()))
+
+    def _log(self, what: str, key: TaskKey, run: int, detail: str) -> None:
+        self.history.append((what, self.clock(), key, run, detail))
+
+
+@dataclass(kw_only=True, slots=True)
+class FakeWorkers:
+    """
+    Port to a set of stand-ins.
+
+    :param lose_order: asked at each order; true loses its answer.
+    :param delay_order: asked at each order; true keeps the order back until
+        ``apply_late`` and gives no answer.
+    """
+
+    worker_by_id: dict[WorkerId, FakeWorker] = field(default_factory=dict)
+    lose_order: Callable[[], bool] = field(default=lambda: False)
+    delay_order: Callable[[], bool] = field(default=lambda: False)
+    late: list[_Order] = field(default_factory=list)
+
+    def hold(
+        self,
+        order: LeaseOrder,
+    ) -> LeaseReport | OrderRefused | Unavailable:
+        """
+        Extend a lease.
+
+        :param order: the order.
+        :returns: the report.
+        """
+        return self._carry_out(order, 'hold')
+
+    def start(self, order: StartRun) -> OrderOutcome:
+        """
+        Start a run.
+
+        :param order: the order.
+        :returns: the outcome.
+        """
+        return self._carry_out(order, 'start')
+
+    def stop(self, order: StopRun) -> OrderOutcome:
+        """
+        Stop a run.
+
+        :param order: the order.
+        :returns: the outcome.
+        """
+        return self._carry_out(order, 'stop')
+
+    def pace(self, order: PaceRun) -> OrderOutcome:
+        """
+        Set the speed of a run.
+
+        :param order: the order.
+        :returns: the outcome.
+        """
+        return self._carry_out(order, 'pace')
+
+    def apply_late(self) -> None:
+        """Carry out the orders that were kept back."""
+        late = self.late
+        self.late = []
+        for order in late:
+            worker = self.worker_by_id.get(order.worker_id)
+            if worker is not None:
+                _apply(worker, order)
+
+    def _carry_out(self, order, name: str):
+        worker = self.worker_by_id.get(order.worker_id)
+        if worker is None or not worker.is_reachable:
+            return Unavailable(
+                reason=f'no answer to {name}',
+                is_effect_possible=True,
+            )
+        if self.delay_order():
+            self.late.append(order)
+            return Unavailable(reason='late', is_effect_possible=True)
+        outcome = _apply(worker, order)
+        if self.lose_order():
+            return Unavailable(reason='lost', is_effect_possible=True)
+        return outcome
+
+
+def _apply(worker: FakeWorker, order: _Order):
+    if isinstance(order, StartRun):
+        return worker.start(order)
+    if isinstance(order, StopRun):
+        return worker.stop(order)
+    if isinstance(order, PaceRun):
+        return worker.pace(order)
+    return worker.hold(order)
