Fillers start only where they run at full speed

Headroom now follows each serving task's own reading as well as the load of its step, and a filler is not started where it would be slowed at once.

--- a/ragwortfield/scheduling/interference.py
+++ b/ragwortfield/scheduling/interference.py
@@ -17,14 +17,14 @@
 from ragwortfield.types import Instant, Seconds
 
 #: Share of its target that a tail latency is steered to.
-_AIM = 0.9
+_AIM = 0.85
 #: Share of its target above which what disturbs it stands still at once.
 _LIMIT = 1.3
 #: How far ahead loads are predicted: the readings cover half a second, and a
 #: new pace takes effect after the next report.
 _AHEAD_S: Seconds = 0.6
 #: Weight from which on a pair of images counts as one that does not get on.
-_NOTABLE_WEIGHT = 0.5
+_NOTABLE_WEIGHT = 0.15
 #: Changes of pace below this are not worth a call, in percent.
 _SMALL_CHANGE = 10
 #: Paces are set in steps of this, in percent.
@@ -35,7 +35,7 @@
 #: Readings closer together speak of the same half second.
 _READING_STEP_MS = 240
 #: Share of its full speed that a filler must find to be started.
-_LEAST_SPEED = 0.5
+_LEAST_SPEED = 0.9
 
 #: What is left of the headroom, by image of the serving tasks.
 Headroom = dict[str, float]
@@ -65,13 +65,15 @@
         step = tables.step_of(task)
         step.load.follow(now)
         image = task.step.image
-        tables.pressure.learn(
+        own_use = tables.pressure.learn(
             image,
             step.load,
             shares,
             tail_ms=task.reading,
             target_ms=target_ms,
         )
+        # The load may weigh more on one worker than the step's mean tells.
+        task.own_use = own_use + max(step.load.trend, 0) * _AHEAD_S
         before = worker.over_by_image.get(image, 0)
         worker.over_by_image[image] = max(before, task.reading / target_ms)
 
@@ -84,7 +86,7 @@
     :param now: reading of the monotonic clock.
     """
     for worker in tables.worker_by_id.values():
-        if not worker.filler_cpu or now - worker.paced_at < _SETTLE_S:
+        if not worker.filler_cpu or not _is_adjustable(worker, now):
             continue
         wanted = _wanted_paces(tables, worker, now)
         changed = [(task, pace) for task, pace in wanted if _is_due(task, pace)]
@@ -145,7 +147,7 @@
             continue
         image = task.step.image
         load = tables.step_of(task).load
-        expected = load.at(_AHEAD_S)
+        expected = max(load.at(_AHEAD_S), task.own_use)
         if is_lasting:
             expected = max(expected, load.usual)
         aim = tables.pressure.use_at(image, _AIM * target_ms, target_ms)
@@ -230,6 +232,16 @@
     return speed >= _LEAST_SPEED
 
 
+def _is_adjustable(worker: WorkerRow, now: Instant) -> bool:
+    if now - worker.paced_at >= _SETTLE_S:
+        return True
+    # A filler starts at full pace, so its first pace must not wait.
+    return any(
+        task.step.is_filler and task.started_at > worker.paced_at
+        for task in worker.run_by_key.values()
+    )
+
+
 def _is_read(task: TaskRow) -> bool:
     is_started = task.percent >= _FULL_PACE
     return bool(task.step.latency_target_ms and task.reading and is_started)
--- a/ragwortfield/scheduling/job_rows.py
+++ b/ragwortfield/scheduling/job_rows.py
@@ -38,6 +38,8 @@
         an order for this run can still be carried out.
     :param calls: start calls for this run that have not come back.
     :param seen_clock_ms: worker's clock when the run was last known there.
+    :param own_use: use that its latest reading shows beyond what fillers
+        add, for a task that serves users.
     :param is_stop_wanted: whether the run is to be stopped.
     :param avoided: workers on which the task failed or stood still.
     """
@@ -58,6 +60,7 @@
     percent: float = 0
     percent_changed_at: Instant = 0
     reading: float | None = None
+    own_use: float = 0
     pace: int = 100
     is_pacing: bool = False
     slowed_at: Instant = 0
--- a/ragwortfield/scheduling/pressure.py
+++ b/ragwortfield/scheduling/pressure.py
@@ -173,7 +173,7 @@
         *,
         tail_ms: float,
         target_ms: float,
-    ) -> None:
+    ) -> float:
         """
         Learn from a reading.
 
@@ -182,13 +182,15 @@
         :param shares: what the fillers beside it use.
         :param tail_ms: tail latency that was read, in milliseconds.
         :param target_ms: its target, in milliseconds.
+        :returns: use that the reading shows beyond what the fillers add.
         """
         least_ms = self.least_by_image.get(serving, tail_ms)
         self.least_by_image[serving] = min(least_ms, tail_ms)
         use = min(self.use_at(serving, tail_ms, target_ms), _SATURATED)
-        error = use - load.level - self._added(serving, shares)
+        own_use = use - self._added(serving, shares)
+        error = own_use - load.level
         if use == _SATURATED and error < 0:
-            return
+            return own_use
         idle_ms = self._idle_ms(serving, target_ms)
         noise = _ROUNDING_MS * idle_ms / max(tail_ms, idle_ms) ** 2
         weights = {
@@ -202,6 +204,7 @@
         for image, one in weights.items():
             _correct(one, shares[image], error, total)
         load.correct(error, total)
+        return own_use
 
     def _added(self, serving: str, shares: Shares) -> float:
         return sum(
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -21,7 +21,7 @@
 _CPU_TOLERANCE = 1e-6
 _FULL_PACE = 100
 #: Part of their processor that tasks with users of their own leave unused.
-_IDLE_SHARE = 0.5
+_IDLE_SHARE = 0.58
 
 
 class Chooser:
