Randomised runs of a shard; worker clocks and rebirths mended; room for short tasks

Cause: a randomised machine over racing owners, a faulty store and faulty workers found two faults in its first minutes. A worker's clock started from a guess that no reading could correct, so leases counted as over at once or never. A worker that started again under its name was not noticed, because the time of its birth was never kept.

Change: the first reading of a clock is always taken; births are kept; a run with an unanswered order is stopped at the reborn worker before it goes elsewhere. Two checks of the machine were wrong and are replaced: the order of steps asks for ends, not for noted ends, and an end does not count as noted when the lease lapsed before (both as the users' rules say). Orders that a worker holds back end with its life.

Also: long-lived tasks leave room for the short tasks seen lately, and commits and rows of a shard are modules of their own.

--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -21,7 +21,8 @@
     part_of,
 )
 from ragwortfield.engine.ownership import Identity, Ownership
-from ragwortfield.engine.shard_runner import ShardRunner, WorkerParser
+from ragwortfield.engine.shard_rows import WorkerParser
+from ragwortfield.engine.shard_runner import ShardRunner
 from ragwortfield.log import event
 from ragwortfield.peering.calls import CallBody, PeerCalls
 from ragwortfield.ports.platform import Unavailable
--- /dev/null
+++ b/ragwortfield/engine/shard_commits.py
@@ -0,0 +1,149 @@
+"""Commits of a shard's owner, each of them made once."""
+
+from enum import Enum
+
+from ragwortfield.adapters.documents import Malformed
+from ragwortfield.engine.names import (
+    cancel_row,
+    job_row,
+    owner_row,
+    progress_row,
+    sequence_row,
+)
+from ragwortfield.log import event
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.row_store import (
+    ExpectedVersion,
+    RowStore,
+    RowWrite,
+    Transaction,
+    TransactionDone,
+    TransactionRefused,
+)
+from ragwortfield.scheduling.commits import Batch
+from ragwortfield.scheduling.job_rows import JobRow
+from ragwortfield.scheduling.records import (
+    SequenceRecord,
+    decode_record,
+    encode_record,
+)
+from ragwortfield.types import Seconds
+
+#: Longest wait for the answer to a commit, in seconds.
+COMMIT_TIMEOUT_S: Seconds = 1.2
+
+
+class Verdict(Enum):
+    """What is known after one try of a commit."""
+
+    DONE = 'done'
+    AGAIN = 'again'
+    DEPOSED = 'deposed'
+
+
+class ShardCommits:
+    """
+    Commits of one owner.
+
+    Each expects the owner's row and the row of the last commit as this owner
+    wrote them. So a replaced owner writes nothing, and a commit whose answer
+    was lost is found in the row of the last commit and not made again.
+
+    :param shard: number of the shard.
+    :param store: the platform's store.
+    :param owner_version: version of the owner's row that it wrote.
+    :param sequence_version: version of the sequence row that it wrote.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: int,
+        store: RowStore,
+        owner_version: int,
+        sequence_version: int,
+    ) -> None:
+        """Create; the first commit follows the take-over."""
+        self.owner_version = owner_version
+        self.number = 0
+        self.failure: Unavailable | None = None
+        self._shard = shard
+        self._store = store
+        self._sequence_version = sequence_version
+
+    def attempt(self, batch: Batch) -> Verdict:
+        """
+        Try to commit a batch.
+
+        :param batch: the batch; the same one until it is done.
+        :returns: whether it is done, must be tried again, or never will be.
+        """
+        outcome = self._store.commit(
+            self._transaction(batch),
+            COMMIT_TIMEOUT_S,
+        )
+        self.failure = outcome if isinstance(outcome, Unavailable) else None
+        if isinstance(outcome, Unavailable):
+            return Verdict.AGAIN
+        if isinstance(outcome, TransactionRefused):
+            return self._settle(batch, outcome)
+        return self._record(batch, outcome)
+
+    def _record(self, batch: Batch, outcome: TransactionDone) -> Verdict:
+        self._sequence_version = outcome.version
+        self.number = batch.sequence.number
+        return Verdict.DONE
+
+    def _settle(self, batch: Batch, refused: TransactionRefused) -> Verdict:
+        row_by_name = {row.name: row for row in refused.rows}
+        owner = row_by_name.get(owner_row(self._shard))
+        last = row_by_name.get(sequence_row(self._shard))
+        if owner is None or owner.version != self.owner_version:
+            return Verdict.DEPOSED
+        if last is None:
+            return Verdict.DEPOSED
+        record = decode_record(last.content or b'', SequenceRecord)
+        if isinstance(record, Malformed):
+            event('row_unreadable', key=last.name.key, reason=record.reason)
+            return Verdict.DEPOSED
+        self._sequence_version = last.version
+        if record != batch.sequence:
+            return Verdict.AGAIN
+        self.number = batch.sequence.number
+        return Verdict.DONE
+
+    def _transaction(self, batch: Batch) -> Transaction:
+        sequence = sequence_row(self._shard)
+        writes = [
+            RowWrite(name=sequence, content=encode_record(batch.sequence)),
+        ]
+        writes.extend(
+            RowWrite(
+                name=progress_row(self._shard, job_id, number),
+                content=content,
+            )
+            for (job_id, number), content in batch.record_by_key.items()
+        )
+        for job in batch.removed:
+            writes.extend(self._removals(job))
+        return Transaction(
+            expected=(
+                ExpectedVersion(
+                    name=owner_row(self._shard),
+                    version=self.owner_version,
+                ),
+                ExpectedVersion(name=sequence, version=self._sequence_version),
+            ),
+            writes=tuple(writes),
+        )
+
+    def _removals(self, job: JobRow) -> list[RowWrite]:
+        job_id = job.job.job_id
+        names = [job_row(self._shard, job_id)]
+        if job.is_cancelled:
+            names.append(cancel_row(self._shard, job_id))
+        names.extend(
+            progress_row(self._shard, job_id, number)
+            for number in job.occurrence_by_number
+        )
+        return [RowWrite(name=name, content=None) for name in names]
--- /dev/null
+++ b/ragwortfield/engine/shard_rows.py
@@ -0,0 +1,121 @@
+"""Rows of the store that an owner takes into its tables."""
+
+from collections.abc import Callable
+
+from ragwortfield.adapters.documents import Malformed
+from ragwortfield.engine.names import cancelled_job_of
+from ragwortfield.log import event
+from ragwortfield.ports.row_store import StoredRow
+from ragwortfield.ports.task_worker import ListedWorker
+from ragwortfield.scheduling import intake
+from ragwortfield.scheduling.job_rows import JobRow
+from ragwortfield.scheduling.records import (
+    JobRecord,
+    ProgressRecord,
+    decode_record,
+)
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.types import Instant, WallTime, WorkerId
+
+WorkerParser = Callable[[WorkerId, bytes], ListedWorker | Malformed]
+
+
+def take_inbox_rows(
+    tables: ShardTables,
+    rows: tuple[StoredRow, ...],
+    *,
+    now: Instant,
+    wall: WallTime,
+) -> None:
+    """
+    Take accepted jobs and cancellations in.
+
+    :param tables: tables of the shard.
+    :param rows: rows of the shard's inbox.
+    :param now: reading of the monotonic clock.
+    :param wall: reading of the wall clock.
+    """
+    for row in rows:
+        if row.content is None:
+            continue
+        cancelled = cancelled_job_of(row.name)
+        if cancelled:
+            intake.cancel_job(tables, cancelled, now)
+        else:
+            take_job_row(tables, row, now=now, wall=wall)
+
+
+def take_job_row(
+    tables: ShardTables,
+    row: StoredRow,
+    *,
+    now: Instant,
+    wall: WallTime,
+) -> JobRow | None:
+    """
+    Take an accepted job in.
+
+    :param tables: tables of the shard.
+    :param row: its row.
+    :param now: reading of the monotonic clock.
+    :param wall: reading of the wall clock.
+    :returns: the job; ``None`` when the row cannot be read.
+    """
+    record = decode_record(row.content or b'', JobRecord)
+    if isinstance(record, Malformed):
+        event('row_unreadable', key=row.name.key, reason=record.reason)
+        return None
+    return intake.take_job(tables, record.job, now=now, wall=wall)
+
+
+def take_progress_rows(
+    tables: ShardTables,
+    rows: tuple[StoredRow, ...],
+    now: Instant,
+) -> None:
+    """
+    Take the progress that a former owner wrote in.
+
+    :param tables: tables of the shard, with its jobs.
+    :param rows: progress rows of the shard.
+    :param now: reading of the monotonic clock.
+    """
+    for row in rows:
+        record = decode_record(row.content or b'', ProgressRecord)
+        if isinstance(record, Malformed):
+            event('row_unreadable', key=row.name.key, reason=record.reason)
+            continue
+        intake.restore_progress(tables, record, now)
+
+
+def take_worker_rows(
+    tables: ShardTables,
+    rows: tuple[StoredRow, ...],
+    *,
+    is_whole: bool,
+    parse_worker: WorkerParser,
+) -> None:
+    """
+    Take the workers' own entries in.
+
+    :param tables: tables of the shard.
+    :param rows: entries, new or changed.
+    :param is_whole: whether they are all entries that there are.
+    :param parse_worker: reads an entry.
+    """
+    for row in rows:
+        worker_id = row.name.key
+        if row.content is None:
+            intake.drop_worker(tables, worker_id)
+            continue
+        listed = parse_worker(worker_id, row.content)
+        if isinstance(listed, Malformed):
+            event('entry_unusable', worker=worker_id, reason=listed.reason)
+        else:
+            intake.take_worker(tables, listed)
+    if not is_whole:
+        return
+    present = {row.name.key for row in rows}
+    for worker_id in tuple(tables.worker_by_id):
+        if worker_id not in present:
+            intake.drop_worker(tables, worker_id)
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -6,34 +6,31 @@
 import gevent
 from gevent.event import Event
 
-from ragwortfield.adapters.documents import Malformed
 from ragwortfield.engine.calendar import Calendar
 from ragwortfield.engine.feeds import Feed, read_all
 from ragwortfield.engine.names import (
     PROGRESS_TABLE,
-    cancelled_job_of,
     inbox_table,
     owner_row,
     part_of,
-    progress_row,
     job_row,
-    cancel_row,
-    sequence_row,
+)
+from ragwortfield.engine.shard_commits import ShardCommits, Verdict
+from ragwortfield.engine.shard_rows import (
+    WorkerParser,
+    take_inbox_rows,
+    take_job_row,
+    take_progress_rows,
+    take_worker_rows,
 )
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
-    ExpectedVersion,
     RowStore,
-    RowWrite,
     StoredRow,
-    Transaction,
-    TransactionDone,
-    TransactionRefused,
 )
 from ragwortfield.ports.task_worker import (
     LeaseReport,
-    ListedWorker,
     OrderRefused,
     PaceRun,
     Refusal,
@@ -49,17 +46,11 @@
     leases,
     relocation,
     reports,
+    reserve,
 )
 from ragwortfield.scheduling.catalogue import Catalogue
 from ragwortfield.scheduling.commits import Batch
 from ragwortfield.scheduling.job_rows import JobRow
-from ragwortfield.scheduling.records import (
-    JobRecord,
-    ProgressRecord,
-    SequenceRecord,
-    decode_record,
-    encode_record,
-)
 from ragwortfield.scheduling.status import (
     JobStatus,
     status_of,
@@ -74,8 +65,6 @@
 _ROUND_S: Seconds = 0.05
 #: Time between rounds of slow-moving decisions, in seconds.
 _SLOW_ROUND_S: Seconds = 0.1
-#: Longest wait for the answer to a commit, in seconds.
-_COMMIT_TIMEOUT_S: Seconds = 1.2
 #: Pause before a failed call is made again, in seconds.
 _RETRY_S: Seconds = 0.1
 #: Longest wait for a commit before ends are looked at again, in seconds.
@@ -88,8 +77,6 @@
 #: Time between two lines of the log on the state of the shard, in seconds.
 _TELL_EVERY_S: Seconds = 2
 
-WorkerParser = Callable[[WorkerId, bytes], ListedWorker | Malformed]
-
 
 class ShardRunner:
     """
@@ -125,9 +112,12 @@
         self.is_ready = False
         self.is_stopped = False
         self.failing_since: Instant = 0
-        self._owner_version = owner_version
-        self._sequence_version = sequence_version
-        self._sequence = SequenceRecord(epoch=tables.epoch, number=0)
+        self._commits = ShardCommits(
+            shard=shard,
+            store=store,
+            owner_version=owner_version,
+            sequence_version=sequence_version,
+        )
         self._store = store
         self._workers = workers
         self._worker_table = worker_table
@@ -191,7 +181,7 @@
 
         :returns: the version that commits expect.
         """
-        return self._owner_version
+        return self._commits.owner_version
 
     def status(self, job_id: JobId) -> JobStatus | None | Unavailable:
         """
@@ -260,12 +250,7 @@
         now = time.monotonic()
         self._take_workers(listing.rows, True)
         self._take_inbox(inbox.rows, False)
-        for row in progress.rows:
-            record = decode_record(row.content or b'', ProgressRecord)
-            if isinstance(record, Malformed):
-                event('row_unreadable', key=row.name.key, reason=record.reason)
-                continue
-            intake.restore_progress(self.tables, record, now)
+        take_progress_rows(self.tables, progress.rows, now)
         self.is_ready = True
         event(
             'shard_loaded',
@@ -312,28 +297,13 @@
         rows: tuple[StoredRow, ...],
         _is_whole: bool,
     ) -> None:
-        now = time.monotonic()
-        for row in rows:
-            if row.content is None:
-                continue
-            cancelled = cancelled_job_of(row.name)
-            if cancelled:
-                intake.cancel_job(self.tables, cancelled, now)
-            else:
-                self._take_job(row)
-        self._wake.set()
-
-    def _take_job(self, row: StoredRow) -> JobRow | None:
-        record = decode_record(row.content or b'', JobRecord)
-        if isinstance(record, Malformed):
-            event('row_unreadable', key=row.name.key, reason=record.reason)
-            return None
-        return intake.take_job(
+        take_inbox_rows(
             self.tables,
-            record.job,
+            rows,
             now=time.monotonic(),
             wall=self._calendar.now(),
         )
+        self._wake.set()
 
     def _fetch_job(self, job_id: JobId) -> JobRow | None | Unavailable:
         name = job_row(self.shard, job_id)
@@ -348,32 +318,24 @@
         if not page.rows:
             return None
         self._wake.set()
-        return self._take_job(page.rows[0])
+        return take_job_row(
+            self.tables,
+            page.rows[0],
+            now=time.monotonic(),
+            wall=self._calendar.now(),
+        )
 
     def _take_workers(
         self,
         rows: tuple[StoredRow, ...],
         is_whole: bool,
     ) -> None:
-        for row in rows:
-            worker_id = row.name.key
-            if row.content is None:
-                intake.drop_worker(self.tables, worker_id)
-                continue
-            listed = self._parse_worker(worker_id, row.content)
-            if isinstance(listed, Malformed):
-                event(
-                    'entry_unusable',
-                    worker=worker_id,
-                    reason=listed.reason,
-                )
-                continue
-            intake.take_worker(self.tables, listed)
-        if is_whole:
-            present = {row.name.key for row in rows}
-            for worker_id in tuple(self.tables.worker_by_id):
-                if worker_id not in present:
-                    intake.drop_worker(self.tables, worker_id)
+        take_worker_rows(
+            self.tables,
+            rows,
+            is_whole=is_whole,
+            parse_worker=self._parse_worker,
+        )
         self._watch_workers()
 
     def _watch_workers(self) -> None:
@@ -423,7 +385,7 @@
             self._note_store(page)
             return True
         versions = [one.version for one in page.rows if one.name == name]
-        if versions != [self._owner_version]:
+        if versions != [self._commits.owner_version]:
             self.stop('replaced by another owner')
             return False
         self._round_at = time.monotonic()
@@ -437,6 +399,7 @@
             reports.release_lapsed(tables, now)
             reports.repeat_stops(tables, now)
             dispatch.repeat_starts(tables, now)
+            reserve.observe_need(tables, now)
             interference.adjust_paces(tables, now)
             relocation.relocate(tables, now)
         if now - self._told_at > _TELL_EVERY_S:
@@ -529,7 +492,7 @@
             self._commit_wake.wait()
             self._commit_wake.clear()
             while True:
-                number = self._sequence.number + 1
+                number = self._commits.number + 1
                 batch = commits.take_batch(self.tables, number)
                 if batch is None:
                     break
@@ -541,25 +504,16 @@
                 self._wake.set()
 
     def _commit(self, batch: Batch) -> bool:
-        transaction = self._transaction(batch)
-        while True:
-            started_at = time.monotonic()
-            outcome = self._store.commit(transaction, _COMMIT_TIMEOUT_S)
-            if isinstance(outcome, Unavailable):
-                self._note_store(outcome)
-                gevent.sleep(_RETRY_S)
-                continue
-            self._note_store(None)
-            if isinstance(outcome, TransactionDone):
-                self._sequence_version = outcome.version
-                break
-            verdict = self._settle(batch, outcome)
-            if verdict is None:
-                return False
-            if verdict:
-                break
-            transaction = self._transaction(batch)
-        self._sequence = batch.sequence
+        started_at = time.monotonic()
+        verdict = self._commits.attempt(batch)
+        while verdict == Verdict.AGAIN:
+            self._note_store(self._commits.failure)
+            gevent.sleep(_RETRY_S)
+            verdict = self._commits.attempt(batch)
+        self._note_store(None)
+        if verdict == Verdict.DEPOSED:
+            self.stop('replaced by another owner')
+            return False
         now = time.monotonic()
         event(
             'committed',
@@ -573,64 +527,6 @@
         self._send_orders()
         return True
 
-    def _settle(
-        self,
-        batch: Batch,
-        refused: TransactionRefused,
-    ) -> bool | None:
-        """Tell whether a refused commit was made before; None: deposed."""
-        row_by_name = {row.name: row for row in refused.rows}
-        owner = row_by_name.get(owner_row(self.shard))
-        if owner is None or owner.version != self._owner_version:
-            self.stop('replaced by another owner')
-            return None
-        last = row_by_name.get(sequence_row(self.shard))
-        record = decode_record(
-            b'' if last is None else last.content or b'',
-            SequenceRecord,
-        )
-        if last is None or isinstance(record, Malformed):
-            self.stop('the sequence row cannot be read')
-            return None
-        self._sequence_version = last.version
-        return record == batch.sequence
-
-    def _transaction(self, batch: Batch) -> Transaction:
-        sequence = sequence_row(self.shard)
-        writes = [
-            RowWrite(name=sequence, content=encode_record(batch.sequence)),
-        ]
-        writes.extend(
-            RowWrite(
-                name=progress_row(self.shard, job_id, number),
-                content=content,
-            )
-            for (job_id, number), content in batch.record_by_key.items()
-        )
-        for job in batch.removed:
-            writes.extend(self._removals(job))
-        return Transaction(
-            expected=(
-                ExpectedVersion(
-                    name=owner_row(self.shard),
-                    version=self._owner_version,
-                ),
-                ExpectedVersion(name=sequence, version=self._sequence_version),
-            ),
-            writes=tuple(writes),
-        )
-
-    def _removals(self, job: JobRow) -> list[RowWrite]:
-        job_id = job.job.job_id
-        names = [job_row(self.shard, job_id)]
-        if job.is_cancelled:
-            names.append(cancel_row(self.shard, job_id))
-        names.extend(
-            progress_row(self.shard, job_id, number)
-            for number in job.occurrence_by_number
-        )
-        return [RowWrite(name=name, content=None) for name in names]
-
     def _note_store(self, failure: Unavailable | None) -> None:
         if failure is None:
             if self.failing_since:
--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -1,5 +1,7 @@
 """What workers report, and what follows for the runs on them."""
 
+import math
+
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
@@ -24,7 +26,7 @@
 from ragwortfield.scheduling.records import TaskPhase
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.worker_health import note_end_at
-from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.scheduling.worker_rows import WorkerClock, WorkerRow
 from ragwortfield.types import Instant, Seconds
 
 #: Ends that a worker lists at once; more may be left out (users' pages).
@@ -53,6 +55,7 @@
     """
     if _is_reborn(worker, report):
         _restart(worker, report)
+    worker.born_ms = report.born_ms
     worker.clock.observe(report.clock_ms, now)
     if not worker.known_at:
         worker.known_at = now
@@ -170,8 +173,7 @@
         born_ms=report.born_ms,
         tasks=len(worker.run_by_key),
     )
-    worker.clock.reading_ms = 0
-    worker.clock.read_at = worker.reported_at
+    worker.clock = WorkerClock()
     worker.lease_end_ms = 0
     worker.known_at = 0
     worker.noted = 0
@@ -179,8 +181,14 @@
     worker.report_clock_ms = 0
     for task in worker.run_by_key.values():
         # The life that these clock readings speak of has ended.
-        task.seen_clock_ms = min(task.seen_clock_ms, 0)
+        task.seen_clock_ms = 0
         task.order_deadline_ms = 0
+        if task.is_uncertain or task.calls:
+            # An order may be carried out late, and the new clock does not
+            # tell that it is. A stop makes the worker refuse the run.
+            task.is_stop_wanted = True
+            task.order_deadline_ms = math.inf
+            task.stage = RunStage.ORDERED
 
 
 def _take_end(
--- a/ragwortfield/scheduling/worker_rows.py
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -15,11 +15,12 @@
     Lower bound of a worker's clock.
 
     :param reading_ms: a reading that the worker sent.
-    :param read_at: when it arrived, by the own clock.
+    :param read_at: when it arrived, by the own clock; ``None`` before the
+        first one.
     """
 
     reading_ms: float = 0
-    read_at: Instant = 0
+    read_at: Instant | None = None
 
     def observe(self, reading_ms: float, now: Instant) -> None:
         """
@@ -28,7 +29,7 @@
         :param reading_ms: the worker's clock.
         :param now: reading of the own monotonic clock.
         """
-        if reading_ms >= self.earliest_ms(now):
+        if self.read_at is None or reading_ms >= self.earliest_ms(now):
             self.reading_ms = reading_ms
             self.read_at = now
 
@@ -39,6 +40,8 @@
         :param now: reading of the own monotonic clock.
         :returns: milliseconds of the worker's clock.
         """
+        if self.read_at is None:
+            return 0
         passed_ms = (now - self.read_at) * MS_PER_S
         return self.reading_ms + passed_ms * (1 - CLOCK_DRIFT)
 
--- a/ragwortfield/testing/task_workers.py
+++ b/ragwortfield/testing/task_workers.py
@@ -44,6 +44,7 @@
     :param clock: the world's time, in seconds.
     :param rate: rate of its own clock.
     :param is_guarded: whether it refuses what does not fit.
+    :param lapses: for each lapse of the lease, the last end before it.
     :param history: every start and end, for checks.
     """
 
@@ -63,6 +64,8 @@
     ends: list[ListedEnd] = field(default_factory=list)
     highest_by_key: dict[TaskKey, int] = field(default_factory=dict)
     last_end: int = 0
+    is_lapsed: bool = True
+    lapses: list[int] = field(default_factory=list)
     history: list[tuple[str, Instant, TaskKey, int, str]] = field(
         default_factory=list,
     )
@@ -104,10 +107,16 @@
         self.ends.clear()
         self.highest_by_key.clear()
         self.last_end = 0
+        self.is_lapsed = True
+        self.lapses.clear()
 
     def lapse(self) -> None:
         """End everything if the lease is over."""
-        if self.run_by_key and self.now_ms() > self.lease_end_ms:
+        if self.now_ms() <= self.lease_end_ms or self.is_lapsed:
+            return
+        self.is_lapsed = True
+        self.lapses.append(self.last_end)
+        if self.run_by_key:
             for key in tuple(self.run_by_key):
                 self.end(key, EndKind.LAPSED)
 
@@ -146,7 +155,7 @@
             self._extend(order.deadline_ms)
         for end in self.ends:
             if end.number <= order.acknowledged:
-                self._log('noted', end.key, end.run, end.kind.value)
+                self._note(end)
         self.ends = [
             end for end in self.ends if end.number > order.acknowledged
         ]
@@ -223,6 +232,12 @@
             known.pace = order.percent
         return OrderDone(clock_ms=int(self.now_ms()))
 
+    def _note(self, end: ListedEnd) -> None:
+        # An end whose worker lapsed before it was noted does not count.
+        is_lapsed = any(last >= end.number for last in self.lapses)
+        what = 'noted-late' if is_lapsed else 'noted'
+        self._log(what, end.key, end.run, end.kind.value)
+
     def _admit(self, fencing_token: int) -> bool:
         if fencing_token < self.fence:
             return False
@@ -233,6 +248,7 @@
         longest = self.now_ms() + self.longest_lease_s * _MS_PER_S
         wanted = min(deadline_ms, longest)
         self.lease_end_ms = max(self.lease_end_ms, wanted)
+        self.is_lapsed = self.now_ms() > self.lease_end_ms
 
     def _refuse(self, refusal: Refusal) -> OrderRefused:
         return OrderRefused(refusal=refusal, clock_ms=int(self.now_ms()))
@@ -254,7 +270,7 @@
     worker_by_id: dict[WorkerId, FakeWorker] = field(default_factory=dict)
     lose_order: Callable[[], bool] = field(default=lambda: False)
     delay_order: Callable[[], bool] = field(default=lambda: False)
-    late: list[_Order] = field(default_factory=list)
+    late: list[tuple[_Order, Instant]] = field(default_factory=list)
 
     def hold(
         self,
@@ -299,9 +315,10 @@
         """Carry out the orders that were kept back."""
         late = self.late
         self.late = []
-        for order in late:
+        for order, born_at in late:
             worker = self.worker_by_id.get(order.worker_id)
-            if worker is not None:
+            # An order that a worker holds back ends with its life.
+            if worker is not None and worker.born_at == born_at:
                 _apply(worker, order)
 
     def _carry_out(self, order, name: str):
@@ -312,7 +329,7 @@
                 is_effect_possible=True,
             )
         if self.delay_order():
-            self.late.append(order)
+            self.late.append((order, worker.born_at))
             return Unavailable(reason='late', is_effect_possible=True)
         outcome = _apply(worker, order)
         if self.lose_order():
--- /dev/null
+++ b/ragwortfield/tests/shard_world.py
@@ -0,0 +1,444 @@
+"""A shard with racing owners, a faulty store and faulty workers."""
+
+import random
+
+from ragwortfield.core.resources import Resources
+from ragwortfield.engine.names import (
+    PROGRESS_TABLE,
+    cancel_row,
+    inbox_table,
+    job_row,
+    owner_row,
+    part_of,
+    sequence_row,
+)
+from ragwortfield.engine.shard_commits import ShardCommits, Verdict
+from ragwortfield.engine.shard_rows import (
+    take_inbox_rows,
+    take_progress_rows,
+)
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.row_store import (
+    ExpectedVersion,
+    RowWrite,
+    Transaction,
+    TransactionDone,
+)
+from ragwortfield.ports.task_worker import (
+    EndKind,
+    LeaseReport,
+    OrderRefused,
+    PaceRun,
+    StartRun,
+)
+from ragwortfield.scheduling import (
+    commits,
+    dispatch,
+    intake,
+    interference,
+    leases,
+    reports,
+)
+from ragwortfield.scheduling.bounds import Bounds
+from ragwortfield.scheduling.catalogue import Catalogue, Pool, Queue
+from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.records import (
+    CancelRecord,
+    JobRecord,
+    OwnerRecord,
+    SequenceRecord,
+    decode_record,
+    encode_record,
+)
+from ragwortfield.scheduling.status import JobStatus, status_of
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.testing.row_store import MemoryRowStore
+from ragwortfield.testing.task_workers import FakeWorker, FakeWorkers
+
+SHARD = 0
+ATTEMPTS = 2
+#: The world's time at its start, in seconds.
+_START = 100.0
+_CATALOGUE = Catalogue(
+    version=1,
+    queue_by_name={
+        'queue': Queue(
+            name='queue',
+            host='host',
+            path_prefix='/q/',
+            pool='pool',
+            attempts=ATTEMPTS,
+            stretch=2,
+            slack_s=1,
+        ),
+    },
+    pool_by_name={'pool': Pool(name='pool', is_guarded=True)},
+)
+
+
+class Owner:
+    """One instance that believes to own the shard."""
+
+    def __init__(self, *, world: 'ShardWorld', epoch: int, version: int):
+        self.world = world
+        self.tables = ShardTables(
+            epoch=epoch,
+            owner_since=world.now,
+            bounds=Bounds(unaware_s=world.unaware_s),
+            catalogue=_CATALOGUE,
+        )
+        self.commits = ShardCommits(
+            shard=SHARD,
+            store=world.store,
+            owner_version=version,
+            sequence_version=version,
+        )
+        self.batch = None
+        self.is_loaded = False
+        self.is_deposed = False
+        self.feed_version = 0
+
+    def load(self):
+        """Read the shard; false when the store does not answer."""
+        inbox = self.world.store.read(inbox_table(SHARD), part_of(SHARD))
+        progress = self.world.store.read(PROGRESS_TABLE, part_of(SHARD))
+        if isinstance(inbox, Unavailable) or isinstance(progress, Unavailable):
+            return
+        self._list_workers()
+        self._take_inbox(inbox.rows)
+        take_progress_rows(self.tables, progress.rows, self.world.now)
+        self.feed_version = inbox.version
+        self.is_loaded = True
+
+    def act(self, holds=True):
+        """One round: feed, reports, decisions, commit, orders."""
+        if self.is_deposed:
+            return
+        if not self.is_loaded:
+            self.load()
+            return
+        self._follow()
+        if holds:
+            self._hold_all()
+        now = self.world.now
+        reports.release_lapsed(self.tables, now)
+        reports.repeat_stops(self.tables, now)
+        dispatch.repeat_starts(self.tables, now)
+        dispatch.dispatch(self.tables, now)
+        self._commit()
+        self._send()
+        self.is_deposed = self.is_deposed or self.tables.is_deposed
+
+    def _follow(self):
+        page = self.world.store.follow(
+            inbox_table(SHARD),
+            self.feed_version,
+            0,
+        )
+        if isinstance(page, Unavailable):
+            return
+        self.feed_version = page.version
+        self._take_inbox(page.rows)
+        self._list_workers()
+
+    def _take_inbox(self, rows):
+        take_inbox_rows(
+            self.tables,
+            rows,
+            now=self.world.now,
+            wall=self.world.now,
+        )
+
+    def _list_workers(self):
+        for worker in self.world.workers.worker_by_id.values():
+            intake.take_worker(self.tables, worker.listing())
+
+    def _hold_all(self):
+        for row in tuple(self.tables.worker_by_id.values()):
+            order = leases.lease_order(self.tables, row, self.world.now)
+            report = self.world.workers.hold(order)
+            if isinstance(report, LeaseReport):
+                reports.take_report(self.tables, row, report, self.world.now)
+                interference.take_readings(self.tables, row, self.world.now)
+            elif isinstance(report, OrderRefused):
+                self.tables.is_deposed = True
+
+    def _commit(self):
+        if self.batch is None:
+            number = self.commits.number + 1
+            self.batch = commits.take_batch(self.tables, number)
+        if self.batch is None:
+            commits.acknowledge_settled(self.tables)
+            return
+        verdict = self.commits.attempt(self.batch)
+        if verdict == Verdict.DEPOSED:
+            self.is_deposed = True
+        if verdict == Verdict.DONE:
+            batch = self.batch
+            self.batch = None
+            commits.confirm(self.tables, batch, self.world.now)
+
+    def _send(self):
+        orders = self.tables.orders
+        self.tables.orders = []
+        for order in orders:
+            if isinstance(order, StartRun):
+                outcome = self.world.workers.start(order)
+                reports.take_start_outcome(
+                    self.tables,
+                    order,
+                    outcome,
+                    self.world.now,
+                )
+            elif not isinstance(order, PaceRun):
+                outcome = self.world.workers.stop(order)
+                reports.take_stop_outcome(self.tables, order, outcome)
+
+
+class ShardWorld:
+    """Store, workers, owners and clients, with one clock."""
+
+    def __init__(self, *, workers=3, seed=0):
+        self.now = _START
+        self.random = random.Random(seed)
+        self.unaware_s = 5
+        self.store = MemoryRowStore(
+            lose_answer=lambda: self.is_by_chance(self.store_loss),
+            delay_commit=lambda: self.is_by_chance(self.store_delay),
+        )
+        self.workers = FakeWorkers(
+            lose_order=lambda: self.is_by_chance(self.order_loss),
+            delay_order=lambda: self.is_by_chance(self.order_delay),
+        )
+        self.store_loss = 0.0
+        self.store_delay = 0.0
+        self.order_loss = 0.0
+        self.order_delay = 0.0
+        self.owners = []
+        self.accepted = {}
+        self.cancelled = set()
+        self.refused = set()
+        for number in range(workers):
+            self.add_worker(number)
+
+    def is_by_chance(self, share):
+        return share > 0 and self.random.random() < share
+
+    def add_worker(self, number):
+        worker_id = f'w{number}'
+        self.workers.worker_by_id[worker_id] = FakeWorker(
+            worker_id=worker_id,
+            clock=lambda: self.now,
+            room=Resources(cpu=4, memory_mb=100, accelerators=0),
+            rate=self.random.choice((0.98, 0.99, 1.0)),
+            born_at=self.now - 1,
+        )
+
+    def submit(self, steps):
+        """Hand a job in; the caller learns what is certain."""
+        job_id = f'{len(self.accepted) + len(self.refused):016x}'
+        job = Job(
+            job_id=job_id,
+            queue='queue',
+            spec='spec',
+            steps=steps,
+            accepted_at=self.now,
+        )
+        name = job_row(SHARD, job_id)
+        outcome = self.store.commit(
+            Transaction(
+                expected=(ExpectedVersion(name=name, version=0),),
+                writes=(
+                    RowWrite(
+                        name=name,
+                        content=encode_record(JobRecord(job=job)),
+                    ),
+                ),
+            ),
+            1,
+        )
+        is_refused = isinstance(outcome, Unavailable) and not (
+            outcome.is_effect_possible
+        )
+        if is_refused:
+            self.refused.add(job_id)
+        else:
+            self.accepted[job_id] = job
+        return job_id
+
+    def cancel(self, job_id):
+        """Cancel a job whose row is there."""
+        name = cancel_row(SHARD, job_id)
+        content = encode_record(CancelRecord(job_id=job_id))
+        outcome = self.store.commit(
+            Transaction(writes=(RowWrite(name=name, content=content),)),
+            1,
+        )
+        if isinstance(outcome, TransactionDone):
+            self.cancelled.add(job_id)
+
+    def take_over(self):
+        """Let a new owner try to replace the present one."""
+        owner = self.store.row_by_name.get(owner_row(SHARD))
+        last = self.store.row_by_name.get(sequence_row(SHARD))
+        epoch = 1
+        if owner is not None:
+            epoch = decode_record(owner.content, OwnerRecord).epoch + 1
+        outcome = self.store.commit(
+            Transaction(
+                expected=(
+                    ExpectedVersion(
+                        name=owner_row(SHARD),
+                        version=0 if owner is None else owner.version,
+                    ),
+                    ExpectedVersion(
+                        name=sequence_row(SHARD),
+                        version=0 if last is None else last.version,
+                    ),
+                ),
+                writes=(
+                    RowWrite(
+                        name=owner_row(SHARD),
+                        content=encode_record(
+                            OwnerRecord(
+                                instance_id=f'i{epoch}',
+                                incarnation=str(epoch),
+                                epoch=epoch,
+                            ),
+                        ),
+                    ),
+                    RowWrite(
+                        name=sequence_row(SHARD),
+                        content=encode_record(
+                            SequenceRecord(epoch=epoch, number=0),
+                        ),
+                    ),
+                ),
+            ),
+            1,
+        )
+        if isinstance(outcome, TransactionDone):
+            self.owners.append(
+                Owner(world=self, epoch=epoch, version=outcome.version),
+            )
+
+    def advance(self, seconds):
+        """Let time pass; leases may lapse."""
+        self.now += seconds
+        for worker in self.workers.worker_by_id.values():
+            worker.lapse()
+
+    def end_some(self, kind, count=1):
+        """End tasks that run."""
+        for worker in self.workers.worker_by_id.values():
+            for key in tuple(worker.run_by_key)[:count]:
+                worker.end(key, kind)
+
+    def settle(self, rounds=60):
+        """Heal everything and let the newest owner finish all work."""
+        self.heal()
+        if not self.owners or self.owners[-1].is_deposed:
+            self.take_over()
+        for _ in range(rounds):
+            for owner in self.owners:
+                owner.act()
+            self.advance(0.5)
+            self.end_some(EndKind.DONE, count=9)
+            self.check()
+
+    def heal(self):
+        self.store.is_down = False
+        self.store_loss = 0.0
+        self.store_delay = 0.0
+        self.order_loss = 0.0
+        self.order_delay = 0.0
+        self.store.apply_late()
+        for worker in self.workers.worker_by_id.values():
+            worker.is_reachable = True
+
+    def status(self, job_id):
+        row = self.owners[-1].tables.job_by_id.get(job_id)
+        return None if row is None else status_of(row)
+
+    def check(self):
+        """The promises, as workers have seen them."""
+        history = sorted(
+            (
+                entry
+                for worker in self.workers.worker_by_id.values()
+                for entry in _spans(worker, self.now)
+            ),
+            key=lambda span: span[1],
+        )
+        last_by_key = {}
+        failed_by_key = {}
+        done_at = {}
+        # The order of steps asks for ends, the single run for noted ones: an
+        # end that nobody noted may be lost with its worker.
+        ended_at = {}
+        for key, _, end, kind, _ in history:
+            if kind == 'done':
+                ended_at[key] = min(ended_at.get(key, end), end)
+        for key, start, end, kind, is_noted in history:
+            assert key.job_id not in self.refused, f'{key} ran, refused'
+            before = last_by_key.get(key)
+            assert before is None or before[1] <= start, (
+                f'{key} runs twice: {before} and {start}'
+            )
+            assert key not in done_at, f'{key} started after it was done'
+            failed = failed_by_key.get(key, 0)
+            assert failed < ATTEMPTS, f'{key} started after {failed} failures'
+            self._check_order(key, start, ended_at)
+            last_by_key[key] = (start, end)
+            if kind == 'done' and is_noted:
+                done_at[key] = end
+            if kind == 'failed' and is_noted:
+                failed_by_key[key] = failed + 1
+
+    def _check_order(self, key, start, ended_at):
+        job = self.accepted[key.job_id]
+        for earlier in job.steps[key.step].after:
+            for index in range(job.steps[earlier].count):
+                other = key._replace(step=earlier, index=index)
+                assert other in ended_at, f'{key} started before {other}'
+                assert ended_at[other] <= start
+
+
+def one_step(count=1, cpu=1.0, **terms):
+    """Steps of a simple job."""
+    need = Resources(cpu=cpu, memory_mb=1, accelerators=0)
+    return (Step(count=count, need=need, estimate_s=1, **terms),)
+
+
+def chain(first=2, second=2):
+    """Steps of a job whose second step waits for the first."""
+    need = Resources(cpu=1, memory_mb=1, accelerators=0)
+    return (
+        Step(count=first, need=need, estimate_s=1),
+        Step(count=second, need=need, estimate_s=1, after=(0,)),
+    )
+
+
+def is_finished(status):
+    return status in {JobStatus.COMPLETE, JobStatus.FAILED}
+
+
+def _spans(worker, now):
+    """Runs on one worker: key, start, end, kind of end, whether noted."""
+    open_by_key = {}
+    spans = []
+    noted = {
+        (key, run) for what, _, key, run, _ in worker.history if what == 'noted'
+    }
+    for what, at, key, run, detail in worker.history:
+        if what == 'start':
+            open_by_key[key, run] = at
+        elif what in {'end', 'lost'}:
+            start = open_by_key.pop((key, run))
+            is_noted = (key, run) in noted
+            spans.append((key, start, at, detail or 'lost', is_noted))
+    spans.extend(
+        (key, start, now + 1, 'open', False)
+        for (key, _), start in open_by_key.items()
+    )
+    return spans
--- /dev/null
+++ b/ragwortfield/tests/test_shard_machine.py
@@ -0,0 +1,116 @@
+"""Randomised runs: one run a task, in order, whoever owns the shard."""
+
+from hypothesis import strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from ragwortfield.ports.task_worker import EndKind
+from ragwortfield.testing.randomised import run_machine
+from ragwortfield.tests.shard_world import ShardWorld, chain, one_step
+
+_MAX_JOBS = 8
+_SHARES = strategies.sampled_from((0.0, 0.0, 0.2, 0.5))
+
+
+class ShardMachine(RuleBasedStateMachine):
+    """Owners that race, under a store and workers that fail."""
+
+    @initialize(seed=strategies.integers(0, 2**16))
+    def start(self, seed):
+        self.world = ShardWorld(workers=3, seed=seed)
+        self.world.take_over()
+        self.world.submit(chain())
+        self.world.submit(one_step(count=3))
+
+    @precondition(lambda self: len(self.world.accepted) < _MAX_JOBS)
+    @rule(first=strategies.integers(1, 3), second=strategies.integers(1, 3))
+    def submit_chain(self, first, second):
+        self.world.submit(chain(first, second))
+
+    @precondition(lambda self: len(self.world.accepted) < _MAX_JOBS)
+    @rule(count=strategies.integers(1, 4), cpu=strategies.sampled_from((1, 3)))
+    def submit(self, count, cpu):
+        self.world.submit(one_step(count=count, cpu=cpu))
+
+    @rule(data=strategies.data())
+    def cancel(self, data):
+        job_id = data.draw(strategies.sampled_from(sorted(self.world.accepted)))
+        self.world.cancel(job_id)
+
+    @rule(
+        times=strategies.integers(1, 4),
+        data=strategies.data(),
+        holds=strategies.booleans(),
+    )
+    def act(self, times, data, holds):
+        owner = data.draw(strategies.sampled_from(self.world.owners))
+        for _ in range(times):
+            owner.act(holds)
+            self.world.advance(0.1)
+        self.world.check()
+
+    @rule(times=strategies.integers(1, 6))
+    def all_act(self, times):
+        for _ in range(times):
+            for owner in self.world.owners:
+                owner.act()
+            self.world.advance(0.2)
+        self.world.check()
+
+    @precondition(lambda self: len(self.world.owners) < 5)
+    @rule()
+    def take_over(self):
+        self.world.take_over()
+
+    @rule(seconds=strategies.sampled_from((0.5, 2.0, 6.0)))
+    def let_time_pass(self, seconds):
+        self.world.advance(seconds)
+        self.world.check()
+
+    @rule(
+        kind=strategies.sampled_from(
+            (EndKind.DONE, EndKind.DONE, EndKind.FAILED),
+        ),
+        count=strategies.integers(1, 3),
+    )
+    def end_tasks(self, kind, count):
+        self.world.end_some(kind, count)
+
+    @rule(loss=_SHARES, delay=_SHARES, is_down=strategies.booleans())
+    def disturb_store(self, loss, delay, is_down):
+        self.world.store_loss = loss
+        self.world.store_delay = delay
+        self.world.store.is_down = is_down and loss > 0
+
+    @rule(loss=_SHARES, delay=_SHARES)
+    def disturb_orders(self, loss, delay):
+        self.world.order_loss = loss
+        self.world.order_delay = delay
+
+    @rule()
+    def carry_out_late(self):
+        self.world.store.apply_late()
+        self.world.workers.apply_late()
+        self.world.check()
+
+    @rule(number=strategies.integers(0, 2), is_reachable=strategies.booleans())
+    def cut_worker(self, number, is_reachable):
+        worker = self.world.workers.worker_by_id[f'w{number}']
+        worker.is_reachable = is_reachable
+
+    @rule(number=strategies.integers(0, 2))
+    def restart_worker(self, number):
+        self.world.workers.worker_by_id[f'w{number}'].restart()
+        self.world.check()
+
+    def teardown(self):
+        if hasattr(self, 'world'):
+            self.world.check()
+
+
+def test_no_task_runs_twice_whoever_owns_the_shard():
+    run_machine(ShardMachine, steps=40)
