--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -46,7 +46,6 @@
     leases,
     relocation,
     reports,
-    reserve,
 )
 from ragwortfield.scheduling.catalogue import Catalogue
 from ragwortfield.scheduling.commits import Batch
@@ -399,7 +398,6 @@
             reports.release_lapsed(tables, now)
             reports.repeat_stops(tables, now)
             dispatch.repeat_starts(tables, now)
-            reserve.observe_need(tables, now)
             interference.adjust_paces(tables, now)
             relocation.relocate(tables, now)
         if now - self._told_at > _TELL_EVERY_S:
--- a/ragwortfield/scheduling/bounds.py
+++ b/ragwortfield/scheduling/bounds.py
@@ -32,10 +32,10 @@
     :param notice_s: time after which a missing task counts as unavailable.
     """
 
-    lease_s: Seconds = 5
+    lease_s: Seconds = 4
     longest_lease_s: Seconds = 10
     start_window_s: Seconds = 2
-    contact_s: Seconds = 1.5
+    contact_s: Seconds = 1.2
     stop_s: Seconds = 0.2
     gang_s: Seconds = 3
     status_s: Seconds = 120
--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -85,8 +85,7 @@
         if not worker.is_in_contact(tables.bounds, now):
             continue
         for task in tuple(worker.run_by_key.values()):
-            is_open = task.stage == RunStage.ORDERED and not task.calls
-            if not is_open or not task.order_deadline_ms:
+            if not _is_unanswered(task):
                 continue
             waited_s = now - task.ordered_at
             if waited_s > _START_LIMIT_S:
@@ -95,6 +94,15 @@
                 order_start(tables, task, now)
 
 
+def _is_unanswered(task: TaskRow) -> bool:
+    return (
+        task.stage == RunStage.ORDERED
+        and not task.calls
+        and task.order_deadline_ms > 0
+        and not task.is_stop_wanted
+    )
+
+
 def _bind_tasks(
     tables: ShardTables,
     chooser: Chooser,
--- a/ragwortfield/scheduling/leases.py
+++ b/ragwortfield/scheduling/leases.py
@@ -25,7 +25,9 @@
     :returns: the order; the first one of an owner only looks.
     """
     deadline_ms: int | None = None
-    if worker.known_at:
+    # A silent worker's lease is left to lapse: each extension that may have
+    # arrived would put off the moment from which its tasks can run elsewhere.
+    if worker.is_in_contact(tables.bounds, now):
         lease_ms = tables.bounds.lease_s * MS_PER_S
         deadline_ms = int(worker.clock.earliest_ms(now) + lease_ms)
         worker.lease_end_ms = max(worker.lease_end_ms, deadline_ms)
--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -59,10 +59,7 @@
     worker.clock.observe(report.clock_ms, now)
     if not worker.known_at:
         worker.known_at = now
-        worker.lease_end_ms = max(
-            worker.lease_end_ms,
-            report.clock_ms + tables.bounds.longest_lease_s * MS_PER_S,
-        )
+        worker.lease_end_ms = _inherited_lease_end_ms(tables, report)
     worker.reported_at = now
     for end in report.ends:
         _take_end(tables, worker, end, now)
@@ -162,6 +159,16 @@
                 request_stop(tables, task, now)
 
 
+def _inherited_lease_end_ms(
+    tables: ShardTables,
+    report: LeaseReport,
+) -> float:
+    if tables.epoch == 1:
+        return 0
+    # The owner before may have extended the lease up to this moment.
+    return report.clock_ms + tables.bounds.longest_lease_s * MS_PER_S
+
+
 def _is_reborn(worker: WorkerRow, report: LeaseReport) -> bool:
     return bool(worker.born_ms) and report.born_ms != worker.born_ms
 
--- a/ragwortfield/scheduling/tables.py
+++ b/ragwortfield/scheduling/tables.py
@@ -32,7 +32,6 @@
     :param orders: orders that are due; the owner's runner sends them.
     :param uncommitted: bindings that are not durable yet, with their runs.
     :param cancelled_ids: cancellations, also of jobs not read yet.
-    :param short_need: processor that short tasks needed at once lately.
     :param is_deposed: whether a worker has seen a newer owner.
     """
 
@@ -52,8 +51,6 @@
     cancelled_ids: set[JobId] = field(default_factory=set)
     forgotten: list[JobRow] = field(default_factory=list)
     is_deposed: bool = False
-    short_need: float = 0
-    need_seen_at: Instant = 0
     pressure: PressureModel = field(default_factory=PressureModel)
 
     def find_task(self, key: TaskKey) -> TaskRow | None:
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -13,7 +13,6 @@
     speed_and_cost,
 )
 from ragwortfield.scheduling.job_rows import JobRow, StepRow, TaskRow
-from ragwortfield.scheduling.reserve import room_for_long_lived
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, WorkerId
@@ -68,20 +67,12 @@
         if not fitting:
             self._unfit.add(shape)
             return None
-        if self._is_kept_back(job, step):
-            return None
         allowed = [one for one in fitting if is_allowed(one, step)]
         preferred = [
             one for one in allowed if one.worker_id not in task.avoided
         ]
         return self._best(preferred or allowed, step)
 
-    def _is_kept_back(self, job: JobRow, step: StepRow) -> bool:
-        if not step.step.is_long_lived or step.step.is_filler:
-            return False
-        room = room_for_long_lived(self._tables, self.candidates(job))
-        return room < step.step.need.cpu
-
     def candidates(self, job: JobRow) -> list[WorkerRow]:
         """
         List the workers of a job's pool that may get tasks.
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -427,16 +427,18 @@
     """Runs on one worker: key, start, end, kind of end, whether noted."""
     open_by_key = {}
     spans = []
-    noted = {
-        (key, run) for what, _, key, run, _ in worker.history if what == 'noted'
-    }
+    place_by_run = {}
     for what, at, key, run, detail in worker.history:
         if what == 'start':
             open_by_key[key, run] = at
         elif what in {'end', 'lost'}:
             start = open_by_key.pop((key, run))
-            is_noted = (key, run) in noted
-            spans.append((key, start, at, detail or 'lost', is_noted))
+            place_by_run[key, run] = len(spans)
+            spans.append((key, start, at, detail or 'lost', False))
+        elif what == 'noted':
+            # A run number may end in two lives; the later one was noted.
+            place = place_by_run[key, run]
+            spans[place] = (*spans[place][:-1], True)
     spans.extend(
         (key, start, now + 1, 'open', False)
         for (key, _), start in open_by_key.items()
--- /dev/null
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -0,0 +1,106 @@
+"""Leases: a silent worker's tasks run again soon, and never twice."""
+
+import unittest
+
+from ragwortfield.ports.task_worker import EndKind, OrderDone, StopRun
+from ragwortfield.scheduling.status import JobStatus
+from ragwortfield.scheduling.worker_rows import WorkerClock
+from ragwortfield.tests.shard_world import ShardWorld, one_step
+
+#: Longest time from a worker's loss to the next run of its tasks: the users
+#: ask for a lasting task to run again within six seconds.
+_AGAIN_S = 6
+
+
+class LeaseTest(unittest.TestCase):
+    def setUp(self):
+        self.world = ShardWorld(workers=2)
+        self.world.take_over()
+        self.job_id = self.world.submit(one_step(is_long_lived=True))
+        self.act(1)
+
+    def act(self, seconds):
+        for _ in range(int(seconds / 0.1)):
+            self.world.owners[-1].act()
+            self.world.advance(0.1)
+        self.world.check()
+
+    def running(self):
+        return [
+            worker
+            for worker in self.world.workers.worker_by_id.values()
+            if worker.run_by_key
+        ]
+
+    def test_tasks_of_a_silent_worker_run_elsewhere_within_the_bound(self):
+        lost = self.running()[0]
+        lost.is_reachable = False
+        self.act(_AGAIN_S)
+        others = [one for one in self.running() if one is not lost]
+        self.assertEqual(len(others), 1)
+
+    def test_tasks_wait_while_the_lease_may_still_run(self):
+        lost = self.running()[0]
+        lost.is_reachable = False
+        self.act(2)
+        self.assertEqual(self.running(), [lost])
+
+    def test_reborn_worker_gets_its_tasks_anew(self):
+        lost = self.running()[0]
+        lost.restart()
+        self.act(1)
+        row = self.world.owners[-1].tables.job_by_id[self.job_id]
+        task = row.occurrence_by_number[0].steps[0].tasks[0]
+        self.assertEqual(task.run, 2)
+        self.assertEqual(self.world.status(self.job_id), JobStatus.ACTIVE)
+
+    def test_unanswered_start_is_stopped_at_a_reborn_worker(self):
+        owner = self.world.owners[-1]
+        self.world.order_delay = 1.0
+        job_id = self.world.submit(one_step())
+        owner.act(holds=False)
+        task = owner.tables.job_by_id[job_id].occurrence_by_number[0]
+        task = task.steps[0].tasks[0]
+        worker = self.world.workers.worker_by_id[task.worker_id]
+        self.world.order_delay = 0.0
+        worker.restart()
+        owner._hold_all()
+        owner.act(holds=False)
+        stopped = worker.highest_by_key.get(task.key, 0)
+        self.assertGreaterEqual(stopped, 1)
+
+    def test_end_is_not_acknowledged_before_it_is_durable(self):
+        worker = self.running()[0]
+        key = next(iter(worker.run_by_key))
+        self.world.store.is_down = True
+        worker.end(key, EndKind.FAILED)
+        self.act(1)
+        self.assertEqual(len(worker.ends), 1)
+        self.world.store.is_down = False
+        self.act(1)
+        self.assertEqual(worker.ends, [])
+
+    def test_fake_worker_refuses_a_stopped_run(self):
+        worker = self.running()[0]
+        key = next(iter(worker.run_by_key))
+        order = StopRun(
+            worker_id=worker.worker_id,
+            address='',
+            key=key,
+            run=1,
+            fencing_token=1,
+        )
+        self.assertIsInstance(worker.stop(order), OrderDone)
+        self.assertEqual(worker.highest_by_key[key], 1)
+
+
+class WorkerClockTest(unittest.TestCase):
+    def test_first_reading_is_taken_however_small(self):
+        clock = WorkerClock()
+        clock.observe(1000, 5000.0)
+        self.assertAlmostEqual(clock.earliest_ms(5000.0), 1000)
+
+    def test_worker_clock_may_be_slow_by_two_percent(self):
+        clock = WorkerClock()
+        clock.observe(1000, 50.0)
+        self.assertAlmostEqual(clock.earliest_ms(60.0), 10800)
