Refuse at once while the store is away; one takeover a loss

Change: all loops tell whether the store answers; while it does not, a peer writes in this instance's stead or the caller is refused at once. A takeover names the version of the owner's row that it judged. A process that disowns a shard is replaced without the wait for silence.

--- a/ragwortfield/engine/job_desk.py
+++ b/ragwortfield/engine/job_desk.py
@@ -17,6 +17,7 @@
     shard_of,
 )
 from ragwortfield.engine.ownership import Ownership
+from ragwortfield.engine.store_health import StoreHealth
 from ragwortfield.log import event
 from ragwortfield.peering.calls import CallBody, PeerCalls
 from ragwortfield.ports.platform import Unavailable
@@ -45,16 +46,17 @@
 
 #: Longest wait for the owner's answer about a job, in seconds.
 _OWNER_TIMEOUT_S: Seconds = 0.4
-#: Longest wait for one answer of the store to a submission, in seconds.
-_COMMIT_TIMEOUT_S: Seconds = 0.8
+#: Longest wait for one answer of the store, in seconds; a store that is
+#: sixty times slower than usual still answers within it.
+_COMMIT_TIMEOUT_S: Seconds = 1.2
 #: Pause between tries, in seconds.
 _RETRY_S: Seconds = 0.1
 #: Advice to callers when to come back, in seconds.
 RETRY_AFTER_S = 1
-#: After a failure of the store peers are asked first for this long.
-_STORE_REST_S: Seconds = 1
+#: Longest wait for a peer that writes in this instance's stead, in seconds.
+_RELAY_TIMEOUT_S: Seconds = 0.6
 #: Peers that are asked to stand in for the store.
-_STAND_INS = 3
+_STAND_INS = 2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -98,6 +100,7 @@
     :param cluster: view of the deployment.
     :param ownership: shards owned here.
     :param store: the platform's store.
+    :param health: whether the store answers this instance.
     :param peers: calls to peers.
     :param empty_tables: makes tables to work a job's state out in.
     """
@@ -109,6 +112,7 @@
         cluster: Cluster,
         ownership: Ownership,
         store: RowStore,
+        health: StoreHealth,
         peers: PeerCalls,
         empty_tables: Callable[[], ShardTables],
     ) -> None:
@@ -117,16 +121,15 @@
         self._cluster = cluster
         self._ownership = ownership
         self._store = store
+        self._health = health
         self._peers = peers
         self._empty_tables = empty_tables
-        self._store_failed_at = -_STORE_REST_S
 
-    def submit(self, job: Job, limit_s: Seconds) -> SubmitOutcome:
+    def submit(self, job: Job) -> SubmitOutcome:
         """
         Accept a job.
 
         :param job: the job.
-        :param limit_s: longest time to try, in seconds.
         :returns: whether it is stored.
         """
         record = encode_record(JobRecord(job=job))
@@ -134,7 +137,6 @@
             'submit',
             {'job_id': job.job_id, 'record': record},
             lambda: self.store_job(job.job_id, record),
-            limit_s,
         )
         event(
             'job_submitted',
@@ -145,19 +147,17 @@
         )
         return outcome
 
-    def cancel(self, job_id: JobId, limit_s: Seconds) -> CancelOutcome:
+    def cancel(self, job_id: JobId) -> CancelOutcome:
         """
         Cancel a job.
 
         :param job_id: the job.
-        :param limit_s: longest time to try, in seconds.
         :returns: whether the cancellation is stored.
         """
         outcome = self._persist(
             'cancel',
             {'job_id': job_id},
             lambda: self.store_cancel(job_id),
-            limit_s,
         )
         event(
             'cancel_requested',
@@ -209,6 +209,20 @@
                 return failed[0] if failed else Unavailable(reason='no layout')
             gevent.sleep(_RETRY_S)
 
+    def store_for_peer(
+        self,
+        write: Callable[[], CancelOutcome],
+    ) -> CancelOutcome:
+        """
+        Write in a peer's stead, if the store answers this instance.
+
+        :param write: the write.
+        :returns: what is certain about it.
+        """
+        if self._health.is_away():
+            return Rejected(reason='the store is away from the peer too')
+        return write()
+
     def store_job(self, job_id: JobId, record: bytes) -> SubmitOutcome:
         """
         Write the row of a job, unless there is one.
@@ -384,48 +398,39 @@
         name: str,
         body: CallBody,
         write: Callable[[], CancelOutcome],
-        limit_s: Seconds,
     ) -> CancelOutcome:
-        """Write here, or through a peer while the store fails us."""
-        end = time.monotonic() + limit_s
-        is_uncertain = False
-        while True:
-            outcome = self._try(name, body, write)
-            if isinstance(outcome, Accepted | Unknown):
-                return outcome
-            is_uncertain = is_uncertain or isinstance(outcome, Uncertain)
-            if time.monotonic() + _RETRY_S > end:
-                break
-            gevent.sleep(_RETRY_S)
-        if is_uncertain:
-            return Uncertain(reason=outcome.reason)
-        return outcome
+        """
+        Write here, or through a peer while the store fails us.
 
-    def _try(
-        self,
-        name: str,
-        body: CallBody,
-        write: Callable[[], CancelOutcome],
-    ) -> CancelOutcome:
-        is_resting = time.monotonic() - self._store_failed_at < _STORE_REST_S
-        outcome: CancelOutcome = Rejected(reason='the store failed lately')
-        if not is_resting:
-            outcome = write()
-            if isinstance(outcome, Accepted | Unknown):
-                return outcome
-            self._store_failed_at = time.monotonic()
-        is_uncertain = isinstance(outcome, Uncertain)
-        for address in self._stand_ins(self._shard(body['job_id'])):
-            relayed = self._relay(address, name, body)
-            if isinstance(relayed, Accepted | Unknown):
-                return relayed
-            is_uncertain = is_uncertain or isinstance(relayed, Uncertain)
-            outcome = relayed
-        if is_resting and isinstance(outcome, Rejected):
-            outcome = write()
-        if is_uncertain and isinstance(outcome, Rejected):
-            return Uncertain(reason=outcome.reason)
-        return outcome
+        Waiting for a store that is away helps no caller, so what cannot be
+        written now is given up at once.
+        """
+        outcomes: list[CancelOutcome] = []
+        if not self._health.is_away():
+            outcomes.append(write())
+        if not _is_settled(outcomes):
+            outcomes.extend(self._ask_peers(name, body))
+        if not _is_settled(outcomes) and self._health.is_away():
+            # The store may be back although nobody has seen it yet.
+            return _summed_up(outcomes)
+        if not _is_settled(outcomes):
+            gevent.sleep(_RETRY_S)
+            outcomes.append(write())
+        return _summed_up(outcomes)
+
+    def _ask_peers(self, name: str, body: CallBody) -> list[CancelOutcome]:
+        addresses = self._stand_ins(self._shard(body['job_id']))
+        asked = [
+            gevent.spawn(self._relay, address, name, body)
+            for address in addresses
+        ]
+        gevent.joinall(asked, timeout=_RELAY_TIMEOUT_S + _RETRY_S)
+        return [
+            Uncertain(reason='a peer gave no answer')
+            if one.value is None
+            else one.value
+            for one in asked
+        ]
 
     def _relay(
         self,
@@ -433,7 +438,7 @@
         name: str,
         body: CallBody,
     ) -> CancelOutcome:
-        answer = self._peers.call(address, name, body, _COMMIT_TIMEOUT_S)
+        answer = self._peers.call(address, name, body, _RELAY_TIMEOUT_S)
         if isinstance(answer, Unavailable):
             if answer.is_effect_possible:
                 return Uncertain(reason=answer.reason)
@@ -452,6 +457,8 @@
 
     def _commit(self, transaction: Transaction) -> SubmitOutcome:
         outcome = self._store.commit(transaction, _COMMIT_TIMEOUT_S)
+        failure = outcome if isinstance(outcome, Unavailable) else None
+        self._health.note(failure)
         if isinstance(outcome, TransactionDone | TransactionRefused):
             # Refused means that the row is there already.
             return Accepted()
@@ -469,3 +476,19 @@
 
     def _shard(self, job_id: JobId) -> int:
         return shard_of(job_id, max(self._cluster.shards, 1))
+
+
+def _is_settled(outcomes: list[CancelOutcome]) -> bool:
+    return any(isinstance(one, Accepted | Unknown) for one in outcomes)
+
+
+def _summed_up(outcomes: list[CancelOutcome]) -> CancelOutcome:
+    for one in outcomes:
+        if isinstance(one, Accepted | Unknown):
+            return one
+    for one in outcomes:
+        if isinstance(one, Uncertain):
+            return one
+    if outcomes:
+        return outcomes[-1]
+    return Rejected(reason='the store is away, and there is no peer to ask')
--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 import gevent
 
@@ -74,6 +75,14 @@
     address: str
 
 
+class _Word(Enum):
+    """What the named owner of a shard says."""
+
+    OWNS = 'owns'
+    DISOWNS = 'disowns'
+    SILENT = 'silent'
+
+
 class Ownership:
     """
     Part of one instance in the ownership of all shards.
@@ -172,7 +181,8 @@
         :param body: shard and address of the owner.
         :returns: whether it answers here.
         """
-        return {'hears': self._is_heard(int(body['shard']), body['address'])}
+        word = self._ask_owner(int(body['shard']), body['address'])
+        return {'hears': word == _Word.OWNS}
 
     def answer_take(self, body: CallBody) -> CallBody:
         """
@@ -184,7 +194,12 @@
         shard = int(body['shard'])
         if self.is_leaving or not self._is_store_healthy(shard):
             return {'taken': False}
-        return {'taken': self._take(shard, 'asked by its owner')}
+        taken = self._take(
+            shard,
+            'asked by its owner',
+            known_version=int(body['version']),
+        )
+        return {'taken': taken}
 
     def leave(self, timeout_s: Seconds) -> None:
         """
@@ -214,26 +229,46 @@
         if owner is None or not owner.record.instance_id:
             self._take_vacancy(shard)
             return
-        if self._is_own(owner) or self._is_heard(shard, owner.record.address):
-            self._silent_since.pop(shard, None)
-            if self._is_own(owner):
-                self._take(shard, 'named as owner without a runner')
+        if self._is_own(owner):
+            self._take(
+                shard,
+                'named as owner without a runner',
+                known_version=owner.version,
+            )
             return
-        self._consider(shard, owner, rank)
+        word = self._ask_owner(shard, owner.record.address)
+        if word == _Word.OWNS:
+            self._silent_since.pop(shard, None)
+        else:
+            self._consider(shard, owner, rank, word)
 
-    def _consider(self, shard: int, owner: KnownOwner, rank: int) -> None:
+    def _consider(
+        self,
+        shard: int,
+        owner: KnownOwner,
+        rank: int,
+        word: _Word,
+    ) -> None:
         now = time.monotonic()
         since = self._silent_since.setdefault(shard, now)
-        wait_s = _SILENCE_S + min(rank, _LAST_RANK) * _RANK_STEP_S
+        wait_s = min(rank, _LAST_RANK) * _RANK_STEP_S
+        if word == _Word.SILENT:
+            wait_s += _SILENCE_S
         if now - since < wait_s - _PING_TIMEOUT_S:
             return
-        heard = self._ask_witnesses(shard, owner)
+        heard: bool | None = False
+        if word == _Word.SILENT:
+            heard = self._ask_witnesses(shard, owner)
         if heard is True:
             self._silent_since.pop(shard, None)
             return
         if heard is None and now - since < wait_s + _ISOLATED_S:
             return
-        self._take(shard, f'owner silent for {now - since:.2f} s')
+        self._take(
+            shard,
+            f'owner silent for {now - since:.2f} s',
+            known_version=owner.version,
+        )
         self._silent_since.pop(shard, None)
 
     def _ask_witnesses(self, shard: int, owner: KnownOwner) -> bool | None:
@@ -275,16 +310,19 @@
     def _is_own(self, owner: KnownOwner) -> bool:
         return owner.record.incarnation == self._identity.incarnation
 
-    def _is_heard(self, shard: int, address: str) -> bool:
+    def _ask_owner(self, shard: int, address: str) -> _Word:
         if address == self._identity.address:
-            return self.runner(shard) is not None
+            owns = self.runner(shard) is not None
+            return _Word.OWNS if owns else _Word.DISOWNS
         answer = self._peers.call(
             address,
             'ping',
             {'shard': shard},
             _PING_TIMEOUT_S,
         )
-        return not isinstance(answer, Unavailable) and bool(answer['owns'])
+        if isinstance(answer, Unavailable):
+            return _Word.SILENT
+        return _Word.OWNS if answer['owns'] else _Word.DISOWNS
 
     def _take_vacancy(self, shard: int) -> None:
         if shard not in self._cluster.owner_by_shard:
@@ -300,16 +338,27 @@
         if self.is_leaving or self.runner(shard) is not None:
             return
         if self._cluster.owner_by_shard.get(shard) == known:
-            self._take(shard, 'no owner')
+            version = 0 if known is None else known.version
+            self._take(shard, 'no owner', known_version=version)
 
-    def _take(self, shard: int, reason: str) -> bool:
-        """Become the owner by a conditional write."""
+    def _take(self, shard: int, reason: str, *, known_version: int) -> bool:
+        """Become the owner, if it is still the one that was judged."""
         if self.runner(shard) is not None:
             return True
         rows = self._read_rows(shard)
         if rows is None or self.runner(shard) is not None:
             return False
         owner, sequence = rows
+        found_version = 0 if owner is None else owner.version
+        if found_version != known_version:
+            event(
+                'takeover_dropped',
+                shard=shard,
+                reason='another owner came first',
+                known=known_version,
+                found=found_version,
+            )
+            return False
         epoch = _epoch_of(owner, sequence) + 1
         outcome = self._write_owner(shard, owner, sequence, epoch)
         event(
@@ -383,7 +432,7 @@
             answer = self._peers.call(
                 member.address,
                 'take',
-                {'shard': shard},
+                {'shard': shard, 'version': runner.owner_version()},
                 _OFFER_TIMEOUT_S,
             )
             if runner.trouble_s() <= _TROUBLE_S or runner.is_stopped:
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -23,6 +23,7 @@
 from ragwortfield.engine.ownership import Identity, Ownership
 from ragwortfield.engine.shard_rows import WorkerParser
 from ragwortfield.engine.shard_runner import ShardRunner
+from ragwortfield.engine.store_health import StoreHealth
 from ragwortfield.log import event
 from ragwortfield.peering.calls import CallBody, PeerCalls
 from ragwortfield.ports.platform import Unavailable
@@ -48,6 +49,11 @@
 
 #: Time in which other instances register before owners are chosen.
 _GATHER_S: Seconds = 1
+#: Time between looks for a change, in seconds.
+_POLL_S: Seconds = 0.05
+#: An instance that the store does not answer for longer leaves new callers
+#: to others, in seconds.
+_AWAY_LIMIT_S: Seconds = 1
 #: Pause before a failed call is made again, in seconds.
 _RETRY_S: Seconds = 0.2
 _SECOND_S: Seconds = 1
@@ -113,6 +119,7 @@
         self._calendar = Calendar()
         self._catalogue: Catalogue | None = None
         self._cluster = Cluster()
+        self._health = StoreHealth()
         self._peers = PeerCalls(monotonic=time.monotonic)
         self.ownership = Ownership(
             identity=identity,
@@ -126,6 +133,7 @@
             cluster=self._cluster,
             ownership=self.ownership,
             store=store,
+            health=self._health,
             peers=self._peers,
             empty_tables=lambda: self._tables(0),
         )
@@ -168,9 +176,12 @@
         """
         Tell whether callers should be sent here.
 
-        :returns: whether there is a configuration and no planned stop.
+        :returns: whether there is a configuration, no planned stop, and a
+            store that answers.
         """
-        return self._catalogue is not None and not self.is_leaving
+        if self._catalogue is None or self.is_leaving:
+            return False
+        return self._health.away_s() <= _AWAY_LIMIT_S
 
     def leave(self, timeout_s: Seconds) -> None:
         """
@@ -205,7 +216,7 @@
             table=self._names.operator_table,
             parts=lambda: (COMMON_PART,),
             handler=self._take_operator_rows,
-            on_outcome=_ignore,
+            on_outcome=self._health.note,
         ).run()
 
     def _take_operator_rows(
@@ -242,10 +253,13 @@
         store_ms = self._measure_store()
         self._register(store_ms)
         gevent.spawn(self._follow_cluster)
-        gevent.sleep(_GATHER_S)
+        # Where the layout is fixed already, nobody needs to be waited for.
+        started_at = time.monotonic()
         while not self._cluster.shards:
-            self._lay_out()
-            gevent.sleep(_RETRY_S)
+            gevent.sleep(_POLL_S)
+            if time.monotonic() - started_at > _GATHER_S:
+                self._lay_out()
+                gevent.sleep(_RETRY_S)
         for shard in range(self._cluster.shards):
             gevent.spawn(self.ownership.watch, shard)
 
@@ -321,7 +335,7 @@
             table=CLUSTER_TABLE,
             parts=self._cluster_parts,
             handler=self._take_cluster_rows,
-            on_outcome=_ignore,
+            on_outcome=self._health.note,
         ).run()
 
     def _cluster_parts(self) -> tuple[str, ...]:
@@ -382,10 +396,18 @@
         return {'count': count}
 
     def _answer_submit(self, body: CallBody) -> CallBody:
-        return _tagged(self.desk.store_job(body['job_id'], body['record']))
+        return _tagged(
+            self.desk.store_for_peer(
+                lambda: self.desk.store_job(body['job_id'], body['record']),
+            ),
+        )
 
     def _answer_cancel(self, body: CallBody) -> CallBody:
-        return _tagged(self.desk.store_cancel(body['job_id']))
+        return _tagged(
+            self.desk.store_for_peer(
+                lambda: self.desk.store_cancel(body['job_id']),
+            ),
+        )
 
 
 def _state(found: object) -> CallBody:
@@ -401,7 +423,3 @@
         'outcome': type(outcome).__name__,
         'reason': getattr(outcome, 'reason', ''),
     }
-
-
-def _ignore(_failure: Unavailable | None) -> None:
-    """The feed itself logs what is lost and regained."""
--- a/ragwortfield/platform/front.py
+++ b/ragwortfield/platform/front.py
@@ -121,7 +121,7 @@
         if method == 'GET':
             return self._status(target, environ)
         if method == 'DELETE':
-            return self._cancel(target, environ)
+            return self._cancel(target)
         return _failure(
             HTTPStatus.METHOD_NOT_ALLOWED,
             f'method {method}, expected POST, GET or DELETE',
@@ -139,7 +139,7 @@
         )
         if isinstance(job, Malformed):
             return _failure(HTTPStatus.BAD_REQUEST, job.reason)
-        outcome = self._node.desk.submit(job, _limit_s(environ))
+        outcome = self._node.desk.submit(job)
         if isinstance(outcome, Accepted):
             return _success({})
         return _refusal(outcome)
@@ -152,8 +152,8 @@
             return _failure(HTTPStatus.GONE, 'no such job')
         return _success({'state': found.value})
 
-    def _cancel(self, target: _Target, environ: dict[str, Any]) -> Response:
-        outcome = self._node.desk.cancel(target.job_id, _limit_s(environ))
+    def _cancel(self, target: _Target) -> Response:
+        outcome = self._node.desk.cancel(target.job_id)
         if isinstance(outcome, Accepted):
             return _success({})
         if isinstance(outcome, Unknown):
