--- a/ragwortfield/engine/cluster.py
+++ b/ragwortfield/engine/cluster.py
@@ -24,7 +24,8 @@
 _NEAR_STORE_MS = 4
 #: Weight of a member far from the store against one that is near.
 _FAR_WEIGHT = 0.1
-_HASH_SPAN = 2**64
+_HASH_BITS = 64
+_HASH_SPAN = 2**_HASH_BITS
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -140,6 +141,8 @@
 
 def _score(shard: int, member: MemberRecord, fastest_ms: float) -> float:
     is_near = member.store_ms - fastest_ms <= _NEAR_STORE_MS
-    weight = member.cores * (1 if is_near else _FAR_WEIGHT)
+    weight = member.cores
+    if not is_near:
+        weight *= _FAR_WEIGHT
     draw = (stable_hash(f'{shard}|{member.instance_id}') + 1) / _HASH_SPAN
     return -math.log(draw) / max(weight, _FAR_WEIGHT / _HASH_SPAN)
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -21,7 +21,8 @@
     part_of,
 )
 from ragwortfield.engine.ownership import Identity, Ownership
-from ragwortfield.engine.shard_rows import WorkerParser
+from ragwortfield.engine.shard_commits import ShardCommits
+from ragwortfield.engine.shard_rows import WorkerEntries, WorkerParser
 from ragwortfield.engine.shard_runner import ShardRunner
 from ragwortfield.engine.store_health import StoreHealth
 from ragwortfield.log import event
@@ -265,7 +266,7 @@
 
     def _measure_store(self) -> float:
         """Milliseconds of the quickest of a few reads."""
-        quickest = 0.0
+        quickest: float = 0
         for _ in range(3):
             started_at = time.monotonic()
             name = layout_row()
@@ -363,12 +364,18 @@
         return ShardRunner(
             shard=shard,
             tables=self._tables(epoch),
-            owner_version=owner_version,
-            sequence_version=sequence_version,
+            commits=ShardCommits(
+                shard=shard,
+                store=self._store,
+                owner_version=owner_version,
+                sequence_version=sequence_version,
+            ),
             store=self._store,
             workers=self._workers,
-            worker_table=self._names.worker_table,
-            parse_worker=self._names.parse_worker,
+            entries=WorkerEntries(
+                table=self._names.worker_table,
+                parse=self._names.parse_worker,
+            ),
             calendar=self._calendar,
         )
 
--- a/ragwortfield/engine/shard_rows.py
+++ b/ragwortfield/engine/shard_rows.py
@@ -1,6 +1,7 @@
 """Rows of the store that an owner takes into its tables."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from ragwortfield.adapters.documents import Malformed
 from ragwortfield.engine.names import cancelled_job_of
@@ -20,6 +21,19 @@
 WorkerParser = Callable[[WorkerId, bytes], ListedWorker | Malformed]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerEntries:
+    """
+    Where workers register.
+
+    :param table: table of their entries.
+    :param parse: reads an entry.
+    """
+
+    table: str
+    parse: WorkerParser
+
+
 def take_inbox_rows(
     tables: ShardTables,
     rows: tuple[StoredRow, ...],
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -17,12 +17,13 @@
 )
 from ragwortfield.engine.shard_commits import ShardCommits, Verdict
 from ragwortfield.engine.shard_rows import (
-    WorkerParser,
+    WorkerEntries,
     take_inbox_rows,
     take_job_row,
     take_progress_rows,
     take_worker_rows,
 )
+from ragwortfield.engine.worker_loops import WorkerLoops
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
@@ -30,12 +31,6 @@
     StoredRow,
 )
 from ragwortfield.ports.task_worker import (
-    LeaseReport,
-    OrderRefused,
-    PaceRun,
-    Refusal,
-    StartRun,
-    StopRun,
     TaskWorkers,
 )
 from ragwortfield.scheduling import (
@@ -43,7 +38,6 @@
     dispatch,
     intake,
     interference,
-    leases,
     relocation,
     reports,
 )
@@ -56,18 +50,17 @@
     summary,
     waiting_count,
 )
-from ragwortfield.scheduling.tables import Order, ShardTables
-from ragwortfield.scheduling.worker_rows import WorkerRow
-from ragwortfield.types import Instant, JobId, Seconds, WorkerId
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.types import Instant, JobId, Seconds
 
 #: Longest time between two rounds of decisions, in seconds.
 _ROUND_S: Seconds = 0.05
+#: Time between looks at commits under way, in seconds.
+_POLL_S: Seconds = 0.01
 #: Time between rounds of slow-moving decisions, in seconds.
 _SLOW_ROUND_S: Seconds = 0.1
 #: Pause before a failed call is made again, in seconds.
 _RETRY_S: Seconds = 0.1
-#: Longest wait for a commit before ends are looked at again, in seconds.
-_ACKNOWLEDGE_WAIT_S: Seconds = 0.25
 #: A process that stood still for longer checks that it is still the owner.
 _PAUSE_S: Seconds = 0.7
 #: Time between looks for jobs that can be forgotten, in seconds.
@@ -83,12 +76,10 @@
 
     :param shard: number of the shard.
     :param tables: empty tables, with epoch and catalogue.
-    :param owner_version: version of the owner's row that it wrote.
-    :param sequence_version: version of the sequence row that it wrote.
+    :param commits: commits of this owner.
     :param store: the platform's store.
     :param workers: calls to workers.
-    :param worker_table: table in which workers register.
-    :param parse_worker: reads a worker's entry.
+    :param entries: where workers register, and how that is read.
     :param calendar: wall time.
     """
 
@@ -97,12 +88,10 @@
         *,
         shard: int,
         tables: ShardTables,
-        owner_version: int,
-        sequence_version: int,
+        commits: ShardCommits,
         store: RowStore,
         workers: TaskWorkers,
-        worker_table: str,
-        parse_worker: WorkerParser,
+        entries: WorkerEntries,
         calendar: Calendar,
     ) -> None:
         """Create; ``start`` reads the shard and begins to work."""
@@ -111,24 +100,20 @@
         self.is_ready = False
         self.is_stopped = False
         self.failing_since: Instant = 0
-        self._commits = ShardCommits(
-            shard=shard,
-            store=store,
-            owner_version=owner_version,
-            sequence_version=sequence_version,
-        )
+        self._commits = commits
         self._store = store
-        self._workers = workers
-        self._worker_table = worker_table
-        self._parse_worker = parse_worker
+        self._entries = entries
         self._calendar = calendar
         self._wake = Event()
         self._commit_wake = Event()
-        self._committed = Event()
         self._is_committing = False
         self._is_handing_over = False
         self._greenlets: list[gevent.Greenlet] = []
-        self._hold_by_worker: dict[WorkerId, gevent.Greenlet] = {}
+        self._loops = WorkerLoops(
+            tables=tables,
+            workers=workers,
+            on_news=self._wake.set,
+        )
         self._round_at: Instant = 0
         self._slow_round_at: Instant = 0
         self._forgot_at: Instant = 0
@@ -159,7 +144,7 @@
             [one for one in self._greenlets if one is not gevent.getcurrent()],
             block=False,
         )
-        gevent.killall(list(self._hold_by_worker.values()), block=False)
+        self._loops.stop()
 
     def hand_over(self, timeout_s: Seconds) -> None:
         """
@@ -172,7 +157,7 @@
         while time.monotonic() < end and not self.is_stopped:
             if not self._is_committing and not self.tables.dirty_by_key:
                 return
-            gevent.sleep(0.01)
+            gevent.sleep(_POLL_S)
 
     def owner_version(self) -> int:
         """
@@ -245,7 +230,7 @@
         started_at = time.monotonic()
         inbox = self._read(inbox_table(self.shard), part_of(self.shard))
         progress = self._read(PROGRESS_TABLE, part_of(self.shard))
-        listing = self._read(self._worker_table, '')
+        listing = self._read(self._entries.table, '')
         now = time.monotonic()
         self._take_workers(listing.rows, True)
         self._take_inbox(inbox.rows, False)
@@ -285,7 +270,7 @@
     def _follow_workers(self, version: int) -> None:
         Feed(
             store=self._store,
-            table=self._worker_table,
+            table=self._entries.table,
             parts=lambda: ('',),
             handler=self._take_workers,
             on_outcome=self._note_store,
@@ -333,18 +318,9 @@
             self.tables,
             rows,
             is_whole=is_whole,
-            parse_worker=self._parse_worker,
+            parse_worker=self._entries.parse,
         )
-        self._watch_workers()
-
-    def _watch_workers(self) -> None:
-        for worker_id, row in self.tables.worker_by_id.items():
-            known = self._hold_by_worker.get(worker_id)
-            if row.listed.address and (known is None or known.dead):
-                self._hold_by_worker[worker_id] = gevent.spawn(
-                    self._hold_loop,
-                    worker_id,
-                )
+        self._loops.watch()
 
     def _run(self) -> None:
         while True:
@@ -412,78 +388,8 @@
             self._commit_wake.set()
         elif not self._is_committing:
             commits.acknowledge_settled(tables)
-            self._committed.set()
-        self._send_orders()
-
-    def _send_orders(self) -> None:
-        orders = self.tables.orders
-        self.tables.orders = []
-        for order in orders:
-            gevent.spawn(self._send, order)
-
-    def _send(self, order: Order) -> None:
-        if self.is_stopped:
-            return
-        if isinstance(order, StartRun):
-            outcome = self._workers.start(order)
-            if not self.is_stopped:
-                reports.take_start_outcome(
-                    self.tables,
-                    order,
-                    outcome,
-                    time.monotonic(),
-                )
-        elif isinstance(order, StopRun):
-            outcome = self._workers.stop(order)
-            reports.take_stop_outcome(self.tables, order, outcome)
-        elif isinstance(order, PaceRun):
-            outcome = self._workers.pace(order)
-            interference.take_pace_outcome(
-                self.tables,
-                order,
-                outcome,
-                time.monotonic(),
-            )
-        self._wake.set()
-
-    def _hold_loop(self, worker_id: WorkerId) -> None:
-        while True:
-            row = self.tables.worker_by_id.get(worker_id)
-            if row is None:
-                return
-            order = leases.lease_order(self.tables, row, time.monotonic())
-            report = self._workers.hold(order)
-            now = time.monotonic()
-            if isinstance(report, LeaseReport):
-                reports.take_report(self.tables, row, report, now)
-                interference.take_readings(self.tables, row, now)
-                self._wake.set()
-                self._await_acknowledgement(row)
-                continue
-            self._note_hold_failure(worker_id, report)
-            gevent.sleep(_RETRY_S)
-
-    def _await_acknowledgement(self, row: WorkerRow) -> None:
-        # Ends are listed again until they are acknowledged, so the next
-        # look waits for the commit that makes their effect durable.
-        end = time.monotonic() + _ACKNOWLEDGE_WAIT_S
-        left_s = _ACKNOWLEDGE_WAIT_S
-        while row.noted > row.acknowledged and left_s > 0:
-            self._committed.clear()
-            self._committed.wait(left_s)
-            left_s = end - time.monotonic()
-
-    def _note_hold_failure(
-        self,
-        worker_id: WorkerId,
-        failure: OrderRefused | Unavailable,
-    ) -> None:
-        if isinstance(failure, Unavailable):
-            return
-        event('hold_refused', worker=worker_id, reason=failure.refusal.value)
-        if failure.refusal == Refusal.FENCED:
-            self.tables.is_deposed = True
-            self._wake.set()
+            self._loops.committed.set()
+        self._loops.send_orders()
 
     def _commit_loop(self) -> None:
         while True:
@@ -498,7 +404,7 @@
                 if not self._commit(batch):
                     return
                 self._is_committing = False
-                self._committed.set()
+                self._loops.committed.set()
                 self._wake.set()
 
     def _commit(self, batch: Batch) -> bool:
@@ -522,7 +428,7 @@
             duration_s=now - started_at,
         )
         commits.confirm(self.tables, batch, now)
-        self._send_orders()
+        self._loops.send_orders()
         return True
 
     def _note_store(self, failure: Unavailable | None) -> None:
--- /dev/null
+++ b/ragwortfield/engine/worker_loops.py
@@ -0,0 +1,133 @@
+"""Leases and orders of a shard's owner on their way to workers."""
+
+import time
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+
+from ragwortfield.log import event
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.task_worker import (
+    LeaseReport,
+    OrderRefused,
+    Refusal,
+    StartRun,
+    StopRun,
+    TaskWorkers,
+)
+from ragwortfield.scheduling import interference, leases, reports
+from ragwortfield.scheduling.tables import Order, ShardTables
+from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.types import Seconds, WorkerId
+
+#: Pause before a failed look at a worker is repeated, in seconds.
+_RETRY_S: Seconds = 0.1
+#: Longest wait for a commit before ends are looked at again, in seconds.
+_ACKNOWLEDGE_WAIT_S: Seconds = 0.25
+
+
+class WorkerLoops:
+    """
+    One loop a worker, and the sending of orders.
+
+    :param tables: tables of the shard.
+    :param workers: calls to workers.
+    :param on_news: called when something was learned.
+    """
+
+    def __init__(
+        self,
+        *,
+        tables: ShardTables,
+        workers: TaskWorkers,
+        on_news: Callable[[], None],
+    ) -> None:
+        """Create; ``watch`` starts the loops."""
+        self.committed = Event()
+        self._tables = tables
+        self._workers = workers
+        self._on_news = on_news
+        self._is_stopped = False
+        self._loop_by_worker: dict[WorkerId, gevent.Greenlet] = {}
+
+    def watch(self) -> None:
+        """Start a loop for each worker that has none."""
+        for worker_id, row in self._tables.worker_by_id.items():
+            known = self._loop_by_worker.get(worker_id)
+            if row.listed.address and (known is None or known.dead):
+                self._loop_by_worker[worker_id] = gevent.spawn(
+                    self._hold,
+                    worker_id,
+                )
+
+    def send_orders(self) -> None:
+        """Send the orders that are due, in the background."""
+        orders = self._tables.orders
+        self._tables.orders = []
+        for order in orders:
+            gevent.spawn(self._send, order)
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._is_stopped = True
+        gevent.killall(list(self._loop_by_worker.values()), block=False)
+
+    def _send(self, order: Order) -> None:
+        if self._is_stopped:
+            return
+        if isinstance(order, StartRun):
+            outcome = self._workers.start(order)
+        elif isinstance(order, StopRun):
+            outcome = self._workers.stop(order)
+        else:
+            outcome = self._workers.pace(order)
+        if self._is_stopped:
+            return
+        now = time.monotonic()
+        if isinstance(order, StartRun):
+            reports.take_start_outcome(self._tables, order, outcome, now)
+        elif isinstance(order, StopRun):
+            reports.take_stop_outcome(self._tables, order, outcome)
+        else:
+            interference.take_pace_outcome(self._tables, order, outcome, now)
+        self._on_news()
+
+    def _hold(self, worker_id: WorkerId) -> None:
+        while True:
+            row = self._tables.worker_by_id.get(worker_id)
+            if row is None:
+                return
+            order = leases.lease_order(self._tables, row, time.monotonic())
+            report = self._workers.hold(order)
+            now = time.monotonic()
+            if isinstance(report, LeaseReport):
+                reports.take_report(self._tables, row, report, now)
+                interference.take_readings(self._tables, row, now)
+                self._on_news()
+                self._await_acknowledgement(row)
+                continue
+            self._note_failure(worker_id, report)
+            gevent.sleep(_RETRY_S)
+
+    def _await_acknowledgement(self, row: WorkerRow) -> None:
+        # Ends are listed again until they are acknowledged, so the next
+        # look waits for the commit that makes their effect durable.
+        end = time.monotonic() + _ACKNOWLEDGE_WAIT_S
+        left_s = _ACKNOWLEDGE_WAIT_S
+        while row.noted > row.acknowledged and left_s > 0:
+            self.committed.clear()
+            self.committed.wait(left_s)
+            left_s = end - time.monotonic()
+
+    def _note_failure(
+        self,
+        worker_id: WorkerId,
+        failure: OrderRefused | Unavailable,
+    ) -> None:
+        if isinstance(failure, Unavailable):
+            return
+        event('hold_refused', worker=worker_id, reason=failure.refusal.value)
+        if failure.refusal == Refusal.FENCED:
+            self._tables.is_deposed = True
+            self._on_news()
--- a/ragwortfield/peering/calls.py
+++ b/ragwortfield/peering/calls.py
@@ -22,7 +22,7 @@
 #: Longest wait for a connection and its handshake, in seconds.
 _OPEN_TIMEOUT_S: Seconds = 0.8
 #: Largest frame, in bytes; a job with its specification fits several times.
-_MAX_FRAME_BYTES = 2**18
+_MAX_FRAME_BYTES = 262144
 #: A failed address is not dialled again for this long, in seconds.
 _REDIAL_S: Seconds = 0.2
 #: Keys of a frame.
--- a/ragwortfield/platform/front.py
+++ b/ragwortfield/platform/front.py
@@ -40,7 +40,7 @@
 _DEFAULT_DEADLINE_S: Seconds = 3
 #: Part of the client's deadline that is used for tries.
 _TRY_SHARE = 0.5
-_MAX_BODY_BYTES = 2**18
+_MAX_BODY_BYTES = 262144
 _MS_PER_S = 1000
 
 
--- a/ragwortfield/platform/worker_calls.py
+++ b/ragwortfield/platform/worker_calls.py
@@ -270,7 +270,7 @@
             runs=tuple(_run(row) for row in body.running),
             ends=tuple(_end(row) for row in body.ended),
         )
-    except (msgspec.DecodeError, ValueError, IndexError, TypeError):
+    except (msgspec.DecodeError, ValueError, LookupError):
         return _unreadable(answer)
 
 
--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -81,17 +81,19 @@
     :param tables: tables of the shard.
     :param now: reading of the monotonic clock.
     """
-    for worker in tables.worker_by_id.values():
-        if not worker.is_in_contact(tables.bounds, now):
-            continue
-        for task in tuple(worker.run_by_key.values()):
-            if not _is_unanswered(task):
-                continue
-            waited_s = now - task.ordered_at
-            if waited_s > _START_LIMIT_S:
-                request_stop(tables, task, now)
-            elif waited_s > _START_RETRY_S:
-                order_start(tables, task, now)
+    unanswered = [
+        task
+        for worker in tables.worker_by_id.values()
+        if worker.is_in_contact(tables.bounds, now)
+        for task in worker.run_by_key.values()
+        if _is_unanswered(task)
+    ]
+    for task in unanswered:
+        waited_s = now - task.ordered_at
+        if waited_s > _START_LIMIT_S:
+            request_stop(tables, task, now)
+        elif waited_s > _START_RETRY_S:
+            order_start(tables, task, now)
 
 
 def _is_unanswered(task: TaskRow) -> bool:
--- a/ragwortfield/scheduling/interference.py
+++ b/ragwortfield/scheduling/interference.py
@@ -8,6 +8,8 @@
 urgent ones share the headroom.
 """
 
+from functools import partial
+
 from ragwortfield.log import event
 from ragwortfield.ports.task_worker import OrderDone, OrderOutcome, PaceRun
 from ragwortfield.scheduling.job_rows import RunStage, TaskRow
@@ -193,7 +195,7 @@
     """
     share = cpu / worker.listed.room.cpu
     speed = 1.0
-    cost = 0.0
+    cost: float = 0
     for serving, left in spare.items():
         demand = _notable_weight(tables, serving, image) * share
         if demand > 0:
@@ -218,7 +220,7 @@
             round(tables.pressure.mean_weight(serving), 1)
             for serving in worker.serving_by_image
         ),
-        default=0.0,
+        default=0,
     )
 
 
@@ -292,7 +294,8 @@
         if over > _LIMIT and serving in left:
             left[serving] = 0
     wanted = []
-    for task in sorted(fillers, key=lambda one: _rank(tables, one, now)):
+    fillers.sort(key=partial(_rank, tables, now))
+    for task in fillers:
         share = _take_share(tables, worker, left, task)
         wanted.append((task, round(share * _FULL_PACE / _STEP) * _STEP))
     return wanted
@@ -324,8 +327,8 @@
 
 def _rank(
     tables: ShardTables,
-    task: TaskRow,
     now: Instant,
+    task: TaskRow,
 ) -> tuple[int, int, float]:
     job = tables.job_by_id[task.key.job_id]
     return urgency(job, tables.step_of(task), now)
--- a/ragwortfield/scheduling/relocation.py
+++ b/ragwortfield/scheduling/relocation.py
@@ -69,15 +69,10 @@
 
 
 def _is_stuck(task: TaskRow, now: Instant) -> bool:
-    return (
-        task.step.is_filler
-        and task.step.is_checkpointed
-        and not task.step.is_gang
-        and task.stage == RunStage.RUNNING
-        and task.pace <= _STILL_PACE
-        and now - task.slowed_at > _PATIENCE_S
-        and not task.is_stop_wanted
-    )
+    can_move = task.step.is_checkpointed and not task.step.is_gang
+    is_running = task.stage == RunStage.RUNNING and not task.is_stop_wanted
+    is_still = task.pace <= _STILL_PACE and now - task.slowed_at > _PATIENCE_S
+    return task.step.is_filler and can_move and is_running and is_still
 
 
 def _better_place(
@@ -88,9 +83,12 @@
 ) -> WorkerRow | None:
     job = tables.job_by_id[task.key.job_id]
     step = tables.step_of(task)
-    for worker in chooser.candidates(job):
-        if worker.worker_id in taken or worker.worker_id == task.worker_id:
-            continue
+    others = [
+        worker
+        for worker in chooser.candidates(job)
+        if worker.worker_id not in {*taken, task.worker_id}
+    ]
+    for worker in others:
         if not fits(worker, step) or not is_allowed(worker, step):
             continue
         spare: Headroom = spare_headroom(tables, worker)
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -5,6 +5,8 @@
 most is left for each of them.
 """
 
+from itertools import repeat
+
 from ragwortfield.scheduling.interference import (
     Headroom,
     intolerance,
@@ -20,6 +22,10 @@
 #: Tolerance for sums of floating-point amounts of processor, in cores.
 _CPU_TOLERANCE = 1e-6
 _FULL_PACE = 100
+
+#: What decides whether any worker has room: pool, need, label and image.
+_Shape = tuple[str, tuple[float, float, float], str, str]
+
 #: Part of their processor that tasks with users of their own leave unused.
 _IDLE_SHARE = 0.58
 
@@ -42,7 +48,7 @@
             if self._is_usable(worker):
                 pool = worker.listed.pool
                 self._candidates_by_pool.setdefault(pool, []).append(worker)
-        self._unfit: set[tuple[str, float, float, float, str, str]] = set()
+        self._unfit: set[_Shape] = set()
 
     def choose(
         self,
@@ -113,8 +119,7 @@
             worker.is_listed
             and not worker.listed.is_draining
             and worker.is_in_contact(self._tables.bounds, self._now)
-            and self._now >= worker.full_until
-            and self._now >= worker.resting_until
+            and self._now >= max(worker.full_until, worker.resting_until)
         )
 
     def _best(
@@ -141,7 +146,7 @@
         step: StepRow,
     ) -> WorkerRow | None:
         best: WorkerRow | None = None
-        best_rank = (0.0, 0.0, 0.0)
+        best_rank: tuple[float, float, float] | None = None
         for worker in workers:
             speed, cost = speed_and_cost(
                 self._tables,
@@ -155,7 +160,8 @@
                 intolerance(self._tables, worker),
                 left_for_fillers(worker),
             )
-            if is_fast_enough(speed) and (best is None or rank > best_rank):
+            is_better = best_rank is None or rank > best_rank
+            if is_fast_enough(speed) and is_better:
                 best = worker
                 best_rank = rank
         if best is not None:
@@ -173,13 +179,11 @@
         self,
         job: JobRow,
         step: StepRow,
-    ) -> tuple[str, float, float, float, str, str]:
+    ) -> _Shape:
         need = step.step.need
         return (
             job.queue.pool,
-            need.cpu,
-            need.memory_mb,
-            need.accelerators,
+            (need.cpu, need.memory_mb, need.accelerators),
             step.step.required_label,
             step.step.image if step.step.is_filler else '',
         )
@@ -262,7 +266,7 @@
             amounts.append(int(worker.free_memory_mb() / need.memory_mb))
         if need.accelerators:
             amounts.append(int(worker.free_accelerators() / need.accelerators))
-        chosen.extend([worker] * max(min(amounts), 0))
+        chosen.extend(repeat(worker, max(min(amounts), 0)))
         if len(chosen) == step.step.count:
             return chosen
     return None
--- a/ragwortfield/testing/row_store.py
+++ b/ragwortfield/testing/row_store.py
@@ -35,8 +35,8 @@
     row_by_name: dict[RowName, StoredRow] = field(default_factory=dict)
     version: int = 0
     is_down: bool = False
-    lose_answer: Callable[[], bool] = field(default=lambda: False)
-    delay_commit: Callable[[], bool] = field(default=lambda: False)
+    lose_answer: Callable[[], bool] = field(default=bool)
+    delay_commit: Callable[[], bool] = field(default=bool)
     kept_from: int = 0
     late: list[Transaction] = field(default_factory=list)
     commits: int = 0
--- a/ragwortfield/testing/task_workers.py
+++ b/ragwortfield/testing/task_workers.py
@@ -268,8 +268,8 @@
     """
 
     worker_by_id: dict[WorkerId, FakeWorker] = field(default_factory=dict)
-    lose_order: Callable[[], bool] = field(default=lambda: False)
-    delay_order: Callable[[], bool] = field(default=lambda: False)
+    lose_order: Callable[[], bool] = field(default=bool)
+    delay_order: Callable[[], bool] = field(default=bool)
     late: list[tuple[_Order, Instant]] = field(default_factory=list)
 
     def hold(
