--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -53,13 +53,18 @@
     :param report: its report.
     :param now: reading of the monotonic clock.
     """
-    if _is_reborn(worker, report):
+    is_reborn = _is_reborn(worker, report)
+    if is_reborn:
         _restart(worker, report)
     worker.born_ms = report.born_ms
     worker.clock.observe(report.clock_ms, now)
     if not worker.known_at:
         worker.known_at = now
-        worker.lease_end_ms = _inherited_lease_end_ms(tables, report)
+        worker.lease_end_ms = _inherited_lease_end_ms(
+            tables,
+            report,
+            is_reborn=is_reborn,
+        )
     worker.reported_at = now
     for end in report.ends:
         _take_end(tables, worker, end, now)
@@ -162,11 +167,18 @@
 def _inherited_lease_end_ms(
     tables: ShardTables,
     report: LeaseReport,
+    *,
+    is_reborn: bool,
 ) -> float:
-    if tables.epoch == 1:
+    longest_s = tables.bounds.longest_lease_s
+    if is_reborn:
+        # Orders on their way speak of the clock of the life before, on which
+        # their deadlines lie far ahead.
+        longest_s += tables.bounds.start_window_s
+    elif tables.epoch == 1:
         return 0
     # The owner before may have extended the lease up to this moment.
-    return report.clock_ms + tables.bounds.longest_lease_s * MS_PER_S
+    return report.clock_ms + longest_s * MS_PER_S
 
 
 def _is_reborn(worker: WorkerRow, report: LeaseReport) -> bool:
--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -104,3 +104,23 @@
         clock = WorkerClock()
         clock.observe(1000, 50.0)
         self.assertAlmostEqual(clock.earliest_ms(60.0), 10800)
+
+
+class RebornLeaseTest(unittest.TestCase):
+    """Seed 19 of the shard machine: a deadline of the life before."""
+
+    def test_lease_given_before_the_rebirth_was_noticed_is_waited_for(self):
+        world = ShardWorld(workers=1)
+        world.take_over()
+        owner = world.owners[-1]
+        world.submit(one_step())
+        for _ in range(100):
+            owner.act()
+            world.advance(0.1)
+        worker = world.workers.worker_by_id['w0']
+        worker.restart()
+        owner.act()
+        row = owner.tables.worker_by_id['w0']
+        lease_s = (worker.lease_end_ms - worker.now_ms()) / 1000
+        known_s = (row.lease_end_ms - worker.now_ms()) / 1000
+        self.assertGreaterEqual(known_s, lease_s)
