--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -102,7 +102,13 @@
             report = self._workers.hold(order)
             now = time.monotonic()
             if isinstance(report, LeaseReport):
-                reports.take_report(self._tables, row, report, now)
+                reports.take_report(
+                    self._tables,
+                    row,
+                    report,
+                    now,
+                    told=order.acknowledged,
+                )
                 interference.take_readings(self._tables, row, now)
                 self._on_news()
                 self._await_acknowledgement(row)
--- a/ragwortfield/scheduling/leases.py
+++ b/ragwortfield/scheduling/leases.py
@@ -36,7 +36,15 @@
         worker_id=worker.worker_id,
         address=worker.listed.address,
         fencing_token=tables.epoch,
-        acknowledged=worker.acknowledged,
+        acknowledged=_acknowledgement(worker),
         deadline_ms=deadline_ms,
         wait_ms=0 if has_unacknowledged or not worker.known_at else _WAIT_MS,
     )
+
+
+def _acknowledgement(worker: WorkerRow) -> int:
+    # Repeating an old number would acknowledge unseen ends of a worker that
+    # has started again and counts anew.
+    if worker.acknowledged > worker.told:
+        return worker.acknowledged
+    return 0
--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -44,6 +44,8 @@
     worker: WorkerRow,
     report: LeaseReport,
     now: Instant,
+    *,
+    told: int = 0,
 ) -> None:
     """
     Take in what a worker runs and what has ended there.
@@ -51,11 +53,14 @@
     :param tables: tables of the shard.
     :param worker: the worker.
     :param report: its report.
+    :param told: end up to which the order acknowledged.
     :param now: reading of the monotonic clock.
     """
     is_reborn = _is_reborn(worker, report)
     if is_reborn:
         _restart(worker, report)
+    else:
+        worker.told = max(worker.told, told)
     worker.born_ms = report.born_ms
     worker.clock.observe(report.clock_ms, now)
     if not worker.known_at:
@@ -197,6 +202,7 @@
     worker.known_at = 0
     worker.noted = 0
     worker.acknowledged = 0
+    worker.told = 0
     worker.report_clock_ms = 0
     for task in worker.run_by_key.values():
         # The life that these clock readings speak of has ended.
--- a/ragwortfield/scheduling/worker_rows.py
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -58,6 +58,7 @@
     :param reported_at: latest report.
     :param noted: last end that was taken into the tables.
     :param acknowledged: last end whose effect is durable.
+    :param told: last end of which the worker knows that.
     :param run_by_key: tasks bound to it.
     :param used_cpu: processor promised to tasks that are no fillers.
     :param serving_cpu: part of it that is promised to tasks with users.
@@ -81,6 +82,7 @@
     report_clock_ms: float = 0
     noted: int = 0
     acknowledged: int = 0
+    told: int = 0
     run_by_key: dict[TaskKey, TaskRow] = field(default_factory=dict)
     used_cpu: float = 0
     used_memory_mb: float = 0
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -158,7 +158,13 @@
             order = leases.lease_order(self.tables, row, self.world.now)
             report = self.world.workers.hold(order)
             if isinstance(report, LeaseReport):
-                reports.take_report(self.tables, row, report, self.world.now)
+                reports.take_report(
+                    self.tables,
+                    row,
+                    report,
+                    self.world.now,
+                    told=order.acknowledged,
+                )
                 interference.take_readings(self.tables, row, self.world.now)
             elif isinstance(report, OrderRefused):
                 self.tables.is_deposed = True
--- /dev/null
+++ b/ragwortfield/tests/test_scheduler_processes.py
@@ -0,0 +1,145 @@
+"""The job scheduler as processes, on the stand-in of the platform."""
+
+import time
+import unittest
+
+import gevent
+import msgspec
+
+from ragwortfield.platform.stand_in import job_document
+from ragwortfield.testing.job_deployment import PREFIX, JobDeployment
+
+#: Longest wait for a job that takes a second or two.
+_LIMIT_S = 40
+
+
+class SchedulerProcessTest(unittest.TestCase):
+    def setUp(self):
+        self.deployment = JobDeployment()
+        self.addCleanup(self.deployment.stop)
+        self.deployment.start(instances=3, workers=3)
+        self.instances = list(self.deployment.instance_by_name.values())
+
+    def submit(self, instance, job_id, body):
+        path = f'{PREFIX}{job_id}'
+        return self.deployment.call(instance, 'POST', path, body)
+
+    def state(self, instance, job_id):
+        answer = self.deployment.call(instance, 'GET', f'{PREFIX}{job_id}')
+        if answer is None or answer.status != 200:
+            return None if answer is None else answer.status
+        return msgspec.json.decode(answer.body)['state']
+
+    def await_state(self, instance, job_id, wanted):
+        end = time.monotonic() + _LIMIT_S
+        state = None
+        while time.monotonic() < end:
+            state = self.state(instance, job_id)
+            if state == wanted:
+                return
+            gevent.sleep(0.05)
+        self.fail(f'job {job_id} is {state!r}, expected {wanted!r}')
+
+    def done_runs(self, job_id):
+        return [
+            entry[2]
+            for worker in self.deployment.worker_by_id.values()
+            for entry in worker.history
+            if entry[0] == 'end'
+            and entry[4] == 'done'
+            and entry[2].job_id == job_id
+        ]
+
+    def test_job_is_accepted_anywhere_and_shown_complete(self):
+        job_id = '00000000000000a1'
+        body = job_document('sleep 0.1', (3, 2))
+        self.assertEqual(
+            self.submit(self.instances[0], job_id, body).status, 200
+        )
+        self.assertEqual(
+            self.submit(self.instances[1], job_id, body).status, 200
+        )
+        self.await_state(self.instances[2], job_id, 'complete')
+        self.assertEqual(len(self.done_runs(job_id)), 5)
+        self.assertEqual(len(set(self.done_runs(job_id))), 5)
+
+    def test_bad_input_gets_a_clear_answer(self):
+        first = self.instances[0]
+        cases = (
+            ('00000000000000b1', b'{"spec":1}', 400),
+            ('00000000000000b2', b'{"spec":"x","steps":[]}', 400),
+            ('short', job_document('sleep 1', (1,)), 400),
+        )
+        for job_id, body, status in cases:
+            self.assertEqual(self.submit(first, job_id, body).status, status)
+        self.assertEqual(self.state(first, '00000000000000b3'), 410)
+        answer = self.deployment.call(first, 'GET', '/elsewhere/')
+        self.assertEqual(answer.status, 404)
+
+    def test_failing_job_is_shown_as_failed_after_its_attempts(self):
+        job_id = '00000000000000c1'
+        self.submit(self.instances[0], job_id, job_document('fail', (1,)))
+        self.await_state(self.instances[1], job_id, 'failed')
+
+    def test_cancelled_job_stops(self):
+        job_id = '00000000000000d1'
+        self.submit(self.instances[0], job_id, job_document('sleep 60', (2,)))
+        self.await_state(self.instances[0], job_id, 'active')
+        path = f'{PREFIX}{job_id}'
+        answer = self.deployment.call(self.instances[1], 'DELETE', path)
+        self.assertEqual(answer.status, 200)
+        self.await_state(self.instances[2], job_id, 'cancelled')
+        end = time.monotonic() + _LIMIT_S
+        while time.monotonic() < end and self.running(job_id):
+            gevent.sleep(0.05)
+        self.assertEqual(self.running(job_id), [])
+
+    def running(self, job_id):
+        return [
+            key
+            for worker in self.deployment.worker_by_id.values()
+            for key in worker.run_by_key
+            if key.job_id == job_id
+        ]
+
+    def test_work_goes_on_when_the_owner_is_killed(self):
+        job_id = '00000000000000e1'
+        body = job_document('sleep 1', (4, 2))
+        self.submit(self.instances[0], job_id, body)
+        self.await_state(self.instances[0], job_id, 'active')
+        owner = self.deployment.owner()
+        owner.process.kill()
+        owner.process.wait()
+        left = [one for one in self.instances if one is not owner]
+        self.await_state(left[0], job_id, 'complete')
+        done = self.done_runs(job_id)
+        self.assertEqual(len(done), 6)
+        self.assertEqual(len(set(done)), 6)
+
+    def test_store_away_is_told_at_once_and_work_goes_on(self):
+        job_id = '00000000000000f1'
+        body = job_document('sleep 1', (2,))
+        self.submit(self.instances[0], job_id, body)
+        self.await_state(self.instances[0], job_id, 'active')
+        self.deployment.store.is_down = True
+        gevent.sleep(1)
+        other = '00000000000000f2'
+        answer = self.submit(self.instances[0], other, body)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.field_value('retry-after'), '1')
+        self.assertEqual(self.state(self.instances[1], job_id), 'active')
+        self.deployment.store.is_down = False
+        self.await_state(self.instances[1], job_id, 'complete')
+        self.assertEqual(self.state(self.instances[1], other), 410)
+        self.assertEqual(self.running(other), [])
+
+    def test_planned_stop_hands_the_shard_on(self):
+        job_id = '00000000000000ab'
+        self.submit(self.instances[0], job_id, job_document('sleep 2', (2, 1)))
+        self.await_state(self.instances[0], job_id, 'active')
+        owner = self.deployment.owner()
+        owner.process.terminate()
+        self.assertEqual(owner.process.wait(timeout=_LIMIT_S), 0)
+        left = [one for one in self.instances if one is not owner]
+        self.await_state(left[0], job_id, 'complete')
+        self.assertEqual(len(self.done_runs(job_id)), 3)
--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -124,3 +124,28 @@
         lease_s = (worker.lease_end_ms - worker.now_ms()) / 1000
         known_s = (row.lease_end_ms - worker.now_ms()) / 1000
         self.assertGreaterEqual(known_s, lease_s)
+
+    def test_old_acknowledgement_forgets_no_end_of_a_new_life(self):
+        """Seed 30 of the shard machine: ends are counted anew."""
+        world = ShardWorld(workers=1)
+        world.take_over()
+        owner = world.owners[-1]
+        for _ in range(3):
+            world.submit(one_step())
+            for _ in range(5):
+                owner.act()
+                world.advance(0.1)
+            world.end_some(EndKind.DONE)
+        for _ in range(5):
+            owner.act()
+            world.advance(0.1)
+        worker = world.workers.worker_by_id['w0']
+        worker.restart()
+        job_id = world.submit(one_step())
+        owner.act(holds=False)
+        world.end_some(EndKind.DONE)
+        for _ in range(5):
+            owner.act()
+            world.advance(0.1)
+        world.check()
+        self.assertEqual(world.status(job_id), JobStatus.COMPLETE)
