Gentle fillers first in the headroom; tests of desk, interference and documents

Cause: found by the new test of a rising load: the most urgent filler took the whole headroom, and one that hardly disturbs stood still beside it.

--- a/ragwortfield/scheduling/interference.py
+++ b/ragwortfield/scheduling/interference.py
@@ -13,7 +13,7 @@
 from ragwortfield.log import event
 from ragwortfield.ports.task_worker import OrderDone, OrderOutcome, PaceRun
 from ragwortfield.scheduling.job_rows import RunStage, TaskRow
-from ragwortfield.scheduling.ordering import urgency
+from ragwortfield.scheduling.ordering import Urgency, urgency
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, Seconds
@@ -27,6 +27,8 @@
 _AHEAD_S: Seconds = 0.6
 #: Weight from which on a pair of images counts as one that does not get on.
 _NOTABLE_WEIGHT = 0.15
+#: Weight from which on a pair of images counts as harsh.
+_HARSH_WEIGHT = 1.0
 #: Changes of pace below this are not worth a call, in percent.
 _SMALL_CHANGE = 10
 #: Paces are set in steps of this, in percent.
@@ -294,7 +296,7 @@
         if over > _LIMIT and serving in left:
             left[serving] = 0
     wanted = []
-    fillers.sort(key=partial(_rank, tables, now))
+    fillers.sort(key=partial(_rank, tables, worker, now))
     for task in fillers:
         share = _take_share(tables, worker, left, task)
         wanted.append((task, round(share * _FULL_PACE / _STEP) * _STEP))
@@ -327,11 +329,17 @@
 
 def _rank(
     tables: ShardTables,
+    worker: WorkerRow,
     now: Instant,
     task: TaskRow,
-) -> tuple[int, int, float]:
+) -> tuple[bool, Urgency]:
+    """Gentle fillers first, since they get most out of the headroom."""
+    is_harsh = any(
+        tables.pressure.weight(serving, task.step.image) > _HARSH_WEIGHT
+        for serving in worker.serving_by_image
+    )
     job = tables.job_by_id[task.key.job_id]
-    return urgency(job, tables.step_of(task), now)
+    return is_harsh, urgency(job, tables.step_of(task), now)
 
 
 def _is_due(task: TaskRow, pace: int) -> bool:
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -216,10 +216,10 @@
             lose_order=lambda: self.is_by_chance(self.order_loss),
             delay_order=lambda: self.is_by_chance(self.order_delay),
         )
-        self.store_loss = 0.0
-        self.store_delay = 0.0
-        self.order_loss = 0.0
-        self.order_delay = 0.0
+        self.store_loss = 0
+        self.store_delay = 0
+        self.order_loss = 0
+        self.order_delay = 0
         self.owners = []
         self.accepted = {}
         self.cancelled = set()
@@ -354,10 +354,10 @@
 
     def heal(self):
         self.store.is_down = False
-        self.store_loss = 0.0
-        self.store_delay = 0.0
-        self.order_loss = 0.0
-        self.order_delay = 0.0
+        self.store_loss = 0
+        self.store_delay = 0
+        self.order_loss = 0
+        self.order_delay = 0
         self.store.apply_late()
         for worker in self.workers.worker_by_id.values():
             worker.is_reachable = True
--- /dev/null
+++ b/ragwortfield/tests/test_interference.py
@@ -0,0 +1,200 @@
+"""Fillers beside tasks that serve users: learning, placing, pacing."""
+
+import math
+import unittest
+
+from ragwortfield.core.resources import Resources
+from ragwortfield.scheduling import dispatch, intake, interference, relocation
+from ragwortfield.scheduling.bounds import Bounds
+from ragwortfield.scheduling.catalogue import Catalogue, Pool, Queue
+from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.job_rows import RunStage
+from ragwortfield.scheduling.pressure import Load, PressureModel
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.testing.task_workers import FakeWorker
+
+#: Tail latency of the users' serving tasks when idle, and their target.
+_IDLE_MS = 4
+_TARGET_MS = 18
+#: Weights of the pairs in these tests.
+_GENTLE = 0.2
+_HARSH = 2.0
+_NOW = 1000.0
+
+
+def _tail_ms(load, shares, weights):
+    use = load + sum(weights[image] * share for image, share in shares.items())
+    return _IDLE_MS / (1 - min(use, 0.99))
+
+
+class PressureTest(unittest.TestCase):
+    """Loads swing by half of their mean with a period of ten seconds."""
+
+    def learn(self, weights):
+        model = PressureModel()
+        load = Load()
+        for step in range(400):
+            now = step / 2
+            true_load = 0.42 * (1 + math.sin(now * math.tau / 10) / 2)
+            image = ('gentle', 'harsh')[step // 7 % 2]
+            shares = {} if step % 3 else {image: 0.1}
+            load.follow(now + 1)
+            model.learn(
+                'serving',
+                load,
+                shares,
+                tail_ms=round(_tail_ms(true_load, shares, weights)),
+                target_ms=_TARGET_MS,
+            )
+        return model
+
+    def test_gentle_and_harsh_pairs_are_told_apart(self):
+        model = self.learn({'gentle': _GENTLE, 'harsh': _HARSH})
+        gentle = model.weight('serving', 'gentle')
+        harsh = model.weight('serving', 'harsh')
+        self.assertLess(gentle, _HARSH / 2)
+        self.assertGreater(harsh, _HARSH / 2)
+        self.assertGreater(harsh, 2 * gentle)
+
+    def test_weights_stay_within_their_range(self):
+        model = self.learn({'gentle': 0, 'harsh': 0})
+        for image in ('gentle', 'harsh'):
+            self.assertGreaterEqual(model.weight('serving', image), 0)
+            self.assertLess(model.weight('serving', image), 1)
+
+
+class FillerTest(unittest.TestCase):
+    def setUp(self):
+        self.tables = ShardTables(
+            epoch=1,
+            owner_since=0,
+            bounds=Bounds(),
+            catalogue=Catalogue(
+                version=1,
+                queue_by_name={
+                    'queue': Queue(
+                        name='queue',
+                        host='',
+                        path_prefix='',
+                        pool='pool',
+                        attempts=2,
+                    ),
+                },
+                pool_by_name={'pool': Pool(name='pool')},
+            ),
+        )
+        for number in range(2):
+            self.add_worker(f'w{number}')
+        weights = self.tables.pressure.weight_by_pair
+        model = PressureModel()
+        model.learn('a', Load(), {'f': 0.1, 'g': 0.1}, tail_ms=5, target_ms=18)
+        model.learn('b', Load(), {'f': 0.1, 'g': 0.1}, tail_ms=5, target_ms=18)
+        weights.update(model.weight_by_pair)
+        weights['a', 'f'].amount = _HARSH
+        weights['b', 'f'].amount = _GENTLE
+        weights['a', 'g'].amount = _GENTLE
+        weights['b', 'g'].amount = _GENTLE
+
+    def add_worker(self, worker_id):
+        fake = FakeWorker(
+            worker_id=worker_id,
+            clock=lambda: _NOW,
+            room=Resources(cpu=32, memory_mb=1000, accelerators=0),
+        )
+        intake.take_worker(self.tables, fake.listing())
+        row = self.tables.worker_by_id[worker_id]
+        row.known_at = _NOW
+        row.reported_at = _NOW
+
+    def add_job(self, job_id, **terms):
+        step = Step(
+            count=terms.pop('count', 1),
+            need=Resources(cpu=terms.pop('cpu', 4), memory_mb=1),
+            estimate_s=1,
+            **terms,
+        )
+        job = Job(
+            job_id=job_id,
+            queue='queue',
+            spec='',
+            steps=(step,),
+            accepted_at=0,
+        )
+        intake.take_job(self.tables, job, now=_NOW, wall=0)
+        dispatch.dispatch(self.tables, _NOW)
+        row = self.tables.job_by_id[job_id].occurrence_by_number[0]
+        for task in row.steps[0].tasks:
+            if task.stage == RunStage.UNCOMMITTED:
+                task.stage = RunStage.RUNNING
+        return row.steps[0].tasks
+
+    def serve(self, load):
+        """One serving task of image a, another of image b, elsewhere."""
+        for image in ('a', 'b'):
+            task = self.add_job(
+                image,
+                cpu=20,
+                image=image,
+                latency_target_ms=_TARGET_MS,
+                is_long_lived=True,
+            )[0]
+            step = self.tables.step_of(task)
+            step.load.level = load
+            step.load.usual = load
+        return [self.serve_place(image) for image in ('a', 'b')]
+
+    def test_serving_images_are_kept_apart(self):
+        first, second = self.serve(0.4)
+        self.assertNotEqual(first, second)
+
+    def test_harsh_filler_goes_where_it_disturbs_nobody(self):
+        _, place_of_b = self.serve(0.4)
+        task = self.add_job('filler', image='f', is_filler=True)[0]
+        self.assertEqual(task.worker_id, place_of_b)
+
+    def test_gentle_filler_leaves_the_tolerant_worker_to_others(self):
+        place_of_a, _ = self.serve(0.4)
+        task = self.add_job('filler', image='g', is_filler=True)[0]
+        self.assertEqual(task.worker_id, place_of_a)
+
+    def test_filler_waits_where_it_would_stand_still(self):
+        self.serve(0.8)
+        del self.tables.worker_by_id[self.serve_place('b')]
+        task = self.add_job('filler', image='f', is_filler=True)[0]
+        self.assertEqual(task.worker_id, '')
+
+    def serve_place(self, image):
+        step = self.tables.find_step((image, 0, 0))
+        return step.tasks[0].worker_id
+
+    def test_rising_load_slows_only_what_disturbs(self):
+        self.serve(0.4)
+        gentle = self.add_job('gentle', image='g', is_filler=True)[0]
+        harsh = self.add_job('harsh', image='f', is_filler=True)[0]
+        worker = self.tables.worker_by_id[self.serve_place('a')]
+        worker.add(harsh)
+        load = self.tables.find_step(('a', 0, 0)).load
+        load.level = 0.65
+        interference.adjust_paces(self.tables, _NOW + 1)
+        percent_by_key = {
+            order.key: order.percent for order in self.tables.orders
+        }
+        self.assertLess(percent_by_key[harsh.key], 50)
+        self.assertGreaterEqual(percent_by_key.get(gentle.key, 100), 50)
+
+    def test_filler_that_stands_still_moves_if_it_can_resume(self):
+        self.serve(0.4)
+        task = self.add_job(
+            'filler',
+            image='f',
+            is_filler=True,
+            is_checkpointed=True,
+        )[0]
+        worker_by_id = self.tables.worker_by_id
+        worker_by_id[task.worker_id].remove(task)
+        task.worker_id = self.serve_place('a')
+        worker_by_id[task.worker_id].add(task)
+        task.pace = 0
+        task.slowed_at = _NOW - 5
+        relocation.relocate(self.tables, _NOW)
+        self.assertTrue(task.is_stop_wanted)
--- /dev/null
+++ b/ragwortfield/tests/test_job_desk.py
@@ -0,0 +1,149 @@
+"""What a caller is told about a submission is true."""
+
+import unittest
+
+from ragwortfield.engine.cluster import Cluster
+from ragwortfield.engine.job_desk import (
+    Accepted,
+    JobDesk,
+    Rejected,
+    Uncertain,
+    Unknown,
+)
+from ragwortfield.engine.names import job_row
+from ragwortfield.engine.store_health import StoreHealth
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.scheduling.bounds import Bounds
+from ragwortfield.scheduling.catalogue import Catalogue
+from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.records import MemberRecord
+from ragwortfield.scheduling.status import JobStatus
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.testing.row_store import MemoryRowStore
+
+_JOB_ID = '00000000000000aa'
+
+
+class _NoOwnership:
+    """This instance owns nothing."""
+
+    runner_by_shard = {}
+
+    def runner(self, shard):
+        return self.runner_by_shard.get(shard)
+
+
+class _Peers:
+    """Peers that give a fixed answer."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.calls = []
+
+    def call(self, address, name, body, timeout_s):
+        self.calls.append(name)
+        return self.answer
+
+
+_SILENT = Unavailable(reason='no answer', is_effect_possible=True)
+_UNREACHED = Unavailable(reason='refused')
+
+
+def _tables():
+    return ShardTables(
+        epoch=0,
+        owner_since=0,
+        bounds=Bounds(),
+        catalogue=Catalogue(version=1),
+    )
+
+
+class JobDeskTest(unittest.TestCase):
+    def setUp(self):
+        self.store = MemoryRowStore()
+        self.health = StoreHealth()
+        self.peers = _Peers(_UNREACHED)
+        self.cluster = Cluster(shards=1)
+        self.cluster.member_by_id['other'] = MemberRecord(
+            instance_id='other',
+            incarnation='1',
+            address='other:1',
+            data_centre='dc',
+            cores=1,
+        )
+        self.desk = JobDesk(
+            instance_id='own',
+            cluster=self.cluster,
+            ownership=_NoOwnership(),
+            store=self.store,
+            health=self.health,
+            peers=self.peers,
+            empty_tables=_tables,
+        )
+        self.job = Job(
+            job_id=_JOB_ID,
+            queue='queue',
+            spec='spec',
+            steps=(Step(count=1),),
+            accepted_at=0,
+        )
+
+    def has_row(self):
+        return job_row(0, _JOB_ID) in self.store.row_by_name
+
+    def test_accepted_means_stored(self):
+        self.assertIsInstance(self.desk.submit(self.job), Accepted)
+        self.assertTrue(self.has_row())
+
+    def test_repeat_is_the_same_job(self):
+        self.desk.submit(self.job)
+        version = self.store.version
+        self.assertIsInstance(self.desk.submit(self.job), Accepted)
+        self.assertEqual(self.store.version, version)
+
+    def test_refusal_means_that_no_row_can_appear(self):
+        self.store.is_down = True
+        self.assertIsInstance(self.desk.submit(self.job), Rejected)
+        self.store.is_down = False
+        self.store.apply_late()
+        self.assertFalse(self.has_row())
+
+    def test_lost_answer_is_never_a_refusal(self):
+        self.store.delay_commit = lambda: True
+        self.assertIsInstance(self.desk.submit(self.job), Uncertain)
+        self.store.apply_late()
+        self.assertTrue(self.has_row())
+
+    def test_silent_peer_makes_a_refusal_uncertain(self):
+        self.store.is_down = True
+        self.peers.answer = _SILENT
+        self.assertIsInstance(self.desk.submit(self.job), Uncertain)
+
+    def test_peer_writes_while_the_store_turns_this_instance_away(self):
+        self.store.is_down = True
+        self.peers.answer = {'outcome': 'Accepted', 'reason': ''}
+        self.assertIsInstance(self.desk.submit(self.job), Accepted)
+        self.assertIn('submit', self.peers.calls)
+
+    def test_store_known_to_be_away_is_not_waited_for(self):
+        self.health.note(_UNREACHED)
+        self.health.note(_UNREACHED)
+        commits = self.store.commits
+        self.assertIsInstance(self.desk.submit(self.job), Rejected)
+        self.assertEqual(self.store.commits, commits)
+
+    def test_cancel_of_an_unknown_job_writes_nothing(self):
+        self.assertIsInstance(self.desk.cancel(_JOB_ID), Unknown)
+        self.assertEqual(self.store.commits, 0)
+
+    def test_state_is_worked_out_from_rows_without_an_owner(self):
+        self.desk.submit(self.job)
+        self.assertEqual(self.desk.status(_JOB_ID, 1), JobStatus.PENDING)
+        self.desk.cancel(_JOB_ID)
+        self.assertEqual(self.desk.status(_JOB_ID, 1), JobStatus.CANCELLED)
+
+    def test_unknown_job_is_only_told_by_the_store(self):
+        self.assertIsInstance(self.desk.status(_JOB_ID, 1), Unknown)
+        self.store.is_down = True
+        found = self.desk.status(_JOB_ID, 0)
+        self.assertIsInstance(found, Unavailable)
--- /dev/null
+++ b/ragwortfield/tests/test_platform_documents.py
@@ -0,0 +1,103 @@
+"""Bodies of the platform: decoded once, bad ones named and never fatal."""
+
+import unittest
+
+import msgspec
+
+from ragwortfield.adapters.documents import Malformed
+from ragwortfield.platform.documents import (
+    is_job_id,
+    parse_catalogue,
+    parse_job,
+    parse_worker,
+)
+from ragwortfield.platform.worker_calls import parse_task_name
+from ragwortfield.scheduling.job import TaskKey
+
+_ENTRY = {
+    'service': 'pool',
+    'address': '10.0.0.1:80',
+    'zone': 'bergamo',
+    'state': 'ready',
+    'room': {'cpu': 16000, 'mem_mb': 10, 'gpu': 1},
+    'labels': ['a', 'r1-2'],
+}
+
+
+def _job(**changes):
+    document = {'spec': 'x', 'steps': [{'count': 1}], **changes}
+    return parse_job(
+        msgspec.json.encode(document),
+        job_id='0' * 16,
+        queue='queue',
+        accepted_at=1,
+    )
+
+
+class DocumentTest(unittest.TestCase):
+    def test_worker_entry(self):
+        worker = parse_worker('i-1', msgspec.json.encode(_ENTRY))
+        self.assertEqual(worker.room.cpu, 16)
+        self.assertEqual(worker.rack, 'r1-2')
+        self.assertFalse(worker.is_draining)
+
+    def test_foreign_entries_name_no_worker(self):
+        bad = (
+            b'\xff\xfe',
+            b'[]',
+            msgspec.json.encode({**_ENTRY, 'state': 'asleep'}),
+            msgspec.json.encode({**_ENTRY, 'room': 'large'}),
+            msgspec.json.encode({**_ENTRY, 'address': 'nowhere'}),
+            msgspec.json.encode({'service': 'pool'}),
+        )
+        for content in bad:
+            self.assertIsInstance(parse_worker('i-1', content), Malformed)
+
+    def test_job_with_all_terms(self):
+        job = _job(
+            steps=[
+                {'count': 4, 'cpu': 500, 'est_ms': 900, 'data_rack': 'r1'},
+                {'count': 2, 'after': [0], 'saves_progress': True},
+            ],
+        )
+        self.assertEqual(job.steps[0].need.cpu, 0.5)
+        self.assertEqual(job.steps[1].after, (0,))
+        self.assertTrue(job.steps[1].is_checkpointed)
+
+    def test_malformed_jobs_are_named(self):
+        bad = (
+            _job(spec=1),
+            _job(spec='x' * 4001),
+            _job(steps=[]),
+            _job(steps=[{'count': 0}]),
+            _job(steps=[{'count': 1, 'after': [0]}]),
+            _job(steps=[{'count': 5000}]),
+        )
+        for outcome in bad:
+            self.assertIsInstance(outcome, Malformed)
+            self.assertTrue(outcome.reason)
+
+    def test_configuration(self):
+        content = msgspec.json.encode(
+            {
+                'version': 7,
+                'routes': [
+                    {'name': 'r', 'host': 'h', 'path_prefix': '/a/'},
+                    {'name': 's', 'host': 'h', 'path_prefix': '/a/b/'},
+                ],
+                'services': [{'name': 'pool', 'enforces_capacity': True}],
+            },
+        )
+        catalogue = parse_catalogue(content)
+        self.assertEqual(catalogue.find_queue('h', '/a/b/1').name, 's')
+        self.assertEqual(catalogue.find_queue('h', '/a/1').name, 'r')
+        self.assertIsNone(catalogue.find_queue('x', '/a/1'))
+        self.assertIsInstance(parse_catalogue(b'{"version":"x"}'), Malformed)
+
+    def test_names(self):
+        self.assertTrue(is_job_id('5c0e7a21d94b36f8'))
+        self.assertFalse(is_job_id('5c0e7a21d94b36f'))
+        key = parse_task_name('5c0e7a21d94b36f8.0.1.17')
+        self.assertEqual(key, TaskKey('5c0e7a21d94b36f8', 0, 1, 17))
+        self.assertIsNone(parse_task_name('5c0e7a21d94b36f8.0.1'))
+        self.assertIsNone(parse_task_name('5c0e7a21d94b36f8.0.x.1'))
--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -32,6 +32,11 @@
             if worker.run_by_key
         ]
 
+    def first_task(self, job_id):
+        tables = self.world.owners[-1].tables
+        step = tables.find_step((job_id, 0, 0))
+        return step.tasks[0]
+
     def test_tasks_of_a_silent_worker_run_elsewhere_within_the_bound(self):
         lost = self.running()[0]
         lost.is_reachable = False
@@ -49,9 +54,7 @@
         lost = self.running()[0]
         lost.restart()
         self.act(1)
-        row = self.world.owners[-1].tables.job_by_id[self.job_id]
-        task = row.occurrence_by_number[0].steps[0].tasks[0]
-        self.assertEqual(task.run, 2)
+        self.assertEqual(self.first_task(self.job_id).run, 2)
         self.assertEqual(self.world.status(self.job_id), JobStatus.ACTIVE)
 
     def test_unanswered_start_is_stopped_at_a_reborn_worker(self):
@@ -59,10 +62,9 @@
         self.world.order_delay = 1.0
         job_id = self.world.submit(one_step())
         owner.act(holds=False)
-        task = owner.tables.job_by_id[job_id].occurrence_by_number[0]
-        task = task.steps[0].tasks[0]
+        task = self.first_task(job_id)
         worker = self.world.workers.worker_by_id[task.worker_id]
-        self.world.order_delay = 0.0
+        self.world.order_delay = 0
         worker.restart()
         owner._hold_all()
         owner.act(holds=False)
--- a/ragwortfield/tests/test_shard_machine.py
+++ b/ragwortfield/tests/test_shard_machine.py
@@ -13,7 +13,7 @@
 from ragwortfield.tests.shard_world import ShardWorld, chain, one_step
 
 _MAX_JOBS = 8
-_SHARES = strategies.sampled_from((0.0, 0.0, 0.2, 0.5))
+_SHARES = strategies.sampled_from((0, 0, 0.2, 0.5))
 
 
 class ShardMachine(RuleBasedStateMachine):
