Jobs finished before a change of owner are shown complete; demonstration of jobs

Cause: found by the new demonstration (15 of 24 jobs not complete after a kill and a planned stop): a new owner restored finished occurrences and did not finish their jobs, so callers were told 'active' for good. Test red without the change.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 
 demo: setup
 	$(BIN)/ragwortfield-demo
+	$(BIN)/ragwortfield-job-demo
 
 test: setup
 	$(BIN)/python -m ragwortfield.testing.run_tests
--- a/ragwortfield/engine/job_desk.py
+++ b/ragwortfield/engine/job_desk.py
@@ -331,10 +331,6 @@
             if isinstance(kept, Malformed):
                 return Unavailable(reason=f'row unreadable: {kept.reason}')
             restore_progress(tables, kept, 0)
-        done = sum(
-            one.is_durably_done for one in row.occurrence_by_number.values()
-        )
-        row.is_durably_done = done == row.occurrences_wanted()
         row.is_cancelled = bool(cancelled.rows)
         return status_of(row)
 
--- a/ragwortfield/scheduling/commits.py
+++ b/ragwortfield/scheduling/commits.py
@@ -4,7 +4,10 @@
 
 from ragwortfield.scheduling.dispatch import order_start
 from ragwortfield.scheduling.job_rows import JobRow, RunStage, TaskRow
-from ragwortfield.scheduling.progress import request_stop
+from ragwortfield.scheduling.progress import (
+    note_durably_done,
+    request_stop,
+)
 from ragwortfield.scheduling.records import (
     SequenceRecord,
     encode_record,
@@ -178,7 +181,4 @@
     if job is None or number not in job.occurrence_by_number:
         return
     job.occurrence_by_number[number].is_durably_done = True
-    done = sum(row.is_durably_done for row in job.occurrence_by_number.values())
-    if done == job.occurrences_wanted() and not job.is_closed():
-        job.is_durably_done = True
-        job.finished_at = now
+    note_durably_done(job, now)
--- a/ragwortfield/scheduling/intake.py
+++ b/ragwortfield/scheduling/intake.py
@@ -9,7 +9,11 @@
     new_job_row,
     new_occurrence,
 )
-from ragwortfield.scheduling.progress import close_job, open_ready_steps
+from ragwortfield.scheduling.progress import (
+    close_job,
+    note_durably_done,
+    open_ready_steps,
+)
 from ragwortfield.scheduling.records import ProgressRecord, TaskPhase
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.worker_rows import WorkerRow
@@ -94,6 +98,7 @@
                 _restore_binding(tables, task.worker_id)
                 tables.worker_by_id[task.worker_id].add(task)
     open_ready_steps(tables, row, occurrence)
+    note_durably_done(row, now)
     if row.is_closed():
         close_job(tables, row, now)
 
--- a/ragwortfield/scheduling/progress.py
+++ b/ragwortfield/scheduling/progress.py
@@ -156,6 +156,22 @@
                     request_stop(tables, task, now)
 
 
+def note_durably_done(job: JobRow, now: Instant) -> None:
+    """
+    Finish a job if the store knows that all its occurrences are done.
+
+    :param job: the job.
+    :param now: reading of the monotonic clock.
+    """
+    done = sum(
+        occurrence.is_durably_done
+        for occurrence in job.occurrence_by_number.values()
+    )
+    if done == job.occurrences_wanted() and not job.is_closed():
+        job.is_durably_done = True
+        job.finished_at = now
+
+
 def request_stop(tables: ShardTables, task: TaskRow, now: Instant) -> None:
     """
     Ask for the end of a run; repeated until the worker shows it.
--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -350,13 +350,22 @@
         task.percent_changed_at = now
     job = tables.job_by_id[task.key.job_id]
     job.has_run = True
-    event(
-        'run_started',
-        task=task_name(task),
-        run=task.run,
-        worker=task.worker_id,
-        waited_s=now - task.ordered_at,
-    )
+    if task.ordered_at:
+        event(
+            'run_started',
+            task=task_name(task),
+            run=task.run,
+            worker=task.worker_id,
+            waited_s=now - task.ordered_at,
+        )
+    else:
+        # Ordered by the owner before.
+        event(
+            'run_adopted',
+            task=task_name(task),
+            run=task.run,
+            worker=task.worker_id,
+        )
     if job.is_closed():
         request_stop(tables, task, now)
 
--- /dev/null
+++ b/ragwortfield/tests/test_shard_takeover.py
@@ -0,0 +1,80 @@
+"""What a new owner finds in the rows of the one before."""
+
+import unittest
+
+from ragwortfield.ports.task_worker import EndKind
+from ragwortfield.scheduling.status import JobStatus
+from ragwortfield.tests.shard_world import (
+    ATTEMPTS,
+    ShardWorld,
+    chain,
+    one_step,
+)
+
+
+class TakeoverTest(unittest.TestCase):
+    def setUp(self):
+        self.world = ShardWorld(workers=2)
+        self.world.take_over()
+
+    def act(self, rounds=5):
+        for _ in range(rounds):
+            self.world.owners[-1].act()
+            self.world.advance(0.1)
+        self.world.check()
+
+    def finish(self, kind=EndKind.DONE, rounds=4):
+        for _ in range(rounds):
+            self.act()
+            self.world.end_some(kind, count=9)
+        self.act()
+
+    def replace_owner(self):
+        self.world.take_over()
+        self.act()
+
+    def test_finished_job_is_still_complete(self):
+        job_id = self.world.submit(chain())
+        self.finish()
+        self.assertEqual(self.world.status(job_id), JobStatus.COMPLETE)
+        self.replace_owner()
+        self.assertEqual(self.world.status(job_id), JobStatus.COMPLETE)
+
+    def test_failed_job_is_still_failed(self):
+        job_id = self.world.submit(one_step())
+        self.finish(EndKind.FAILED, rounds=ATTEMPTS)
+        self.assertEqual(self.world.status(job_id), JobStatus.FAILED)
+        self.replace_owner()
+        self.assertEqual(self.world.status(job_id), JobStatus.FAILED)
+
+    def test_cancelled_job_is_still_cancelled_and_does_not_run(self):
+        job_id = self.world.submit(one_step())
+        self.act()
+        self.world.cancel(job_id)
+        self.replace_owner()
+        self.act()
+        self.assertEqual(self.world.status(job_id), JobStatus.CANCELLED)
+        for worker in self.world.workers.worker_by_id.values():
+            self.assertEqual(worker.run_by_key, {})
+
+    def test_running_task_is_adopted(self):
+        job_id = self.world.submit(one_step())
+        self.act()
+        self.replace_owner()
+        runs = [
+            run.run
+            for worker in self.world.workers.worker_by_id.values()
+            for run in worker.run_by_key.values()
+        ]
+        self.assertEqual(runs, [1])
+        self.finish()
+        self.assertEqual(self.world.status(job_id), JobStatus.COMPLETE)
+
+    def test_half_done_job_goes_on_with_its_next_step(self):
+        job_id = self.world.submit(chain(first=2, second=2))
+        self.act()
+        self.world.end_some(EndKind.DONE, count=9)
+        self.act()
+        self.replace_owner()
+        self.finish()
+        self.assertEqual(self.world.status(job_id), JobStatus.COMPLETE)
