--- a/ragwortfield/testing/job_deployment.py
+++ b/ragwortfield/testing/job_deployment.py
@@ -205,9 +205,9 @@
 
     def owner(self) -> Instance | None:
         """
-        Find the process that has ordered a start last, by its log.
+        Find a running process that has owned the shard, by its log.
 
-        :returns: the process; ``None`` before the first start.
+        :returns: the process; ``None`` before the first owner.
         """
         for instance in self.instance_by_name.values():
             log = self.log_of(instance)
