A failure is counted once across owners

An owner was lost after the failure of a run was durable and before it was acknowledged; the worker listed the end again, and the new owner, which had read the task as waiting with the same run number, counted it a second time.

Change: for a waiting task only an end as done says something new. Test red without the change.

--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -5,6 +5,7 @@
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
+    EndKind,
     LeaseReport,
     ListedEnd,
     ListedRun,
@@ -237,7 +238,9 @@
     )
     if task is None or task.run != end.run:
         return
-    is_open = task.phase == TaskPhase.WAITING
+    # A waiting task's failure was counted when it was released; only an end
+    # as done says something new, after a lease that lapsed.
+    is_open = task.phase == TaskPhase.WAITING and end.kind == EndKind.DONE
     is_here = task.worker_id == worker.worker_id
     if not is_open and not (task.phase == TaskPhase.BOUND and is_here):
         return
--- a/ragwortfield/tests/test_shard_takeover.py
+++ b/ragwortfield/tests/test_shard_takeover.py
@@ -47,6 +47,23 @@
         self.replace_owner()
         self.assertEqual(self.world.status(job_id), JobStatus.FAILED)
 
+    def test_failure_is_counted_once_across_owners(self):
+        """Seen on a hunted day: shown as failed after one failure of two."""
+        job_id = self.world.submit(one_step())
+        self.act()
+        self.world.end_some(EndKind.FAILED)
+        # The failure becomes durable; neither its acknowledgement nor a new
+        # run follows, as when the owner is lost right after.
+        owner = self.world.owners[-1]
+        owner._hold_all()
+        owner._commit()
+        self.world.take_over()
+        self.world.owners[-1].act()
+        self.world.owners[-1].act()
+        self.assertNotEqual(self.world.status(job_id), JobStatus.FAILED)
+        task = self.world.owners[-1].tables.find_step((job_id, 0, 0)).tasks[0]
+        self.assertEqual(task.failures, 1)
+
     def test_cancelled_job_is_still_cancelled_and_does_not_run(self):
         job_id = self.world.submit(one_step())
         self.act()
