--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -26,6 +26,7 @@
     StoredRow,
     Transaction,
     TransactionDone,
+    TransactionRefused,
 )
 from ragwortfield.scheduling.records import (
     MemberRecord,
@@ -408,7 +409,7 @@
         owner: StoredRow | None,
         sequence: StoredRow | None,
         epoch: int,
-    ):
+    ) -> TransactionDone | TransactionRefused | Unavailable:
         record = OwnerRecord(
             instance_id=self._identity.instance_id,
             incarnation=self._identity.incarnation,
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -45,6 +45,7 @@
     MemberRecord,
     encode_record,
 )
+from ragwortfield.scheduling.status import summary
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.types import Seconds, WallTime
 
@@ -193,6 +194,24 @@
         self.is_leaving = True
         self.ownership.leave(timeout_s)
 
+    def refresh_metrics(self) -> None:
+        """Set the states that a scrape shows."""
+        catalogue = self._catalogue
+        version = -1 if catalogue is None else catalogue.version
+        self.metrics.state('configuration_version', version)
+        self.metrics.state('store_away_s', self._health.away_s())
+        self.metrics.state('members', len(self._cluster.member_by_id))
+        self.metrics.state('requests_active', self.active)
+        owned = [
+            runner
+            for runner in self.ownership.runner_by_shard.values()
+            if not runner.is_stopped
+        ]
+        self.metrics.state('shards_owned', len(owned))
+        for runner in owned:
+            for name, amount in summary(runner.tables).items():
+                self.metrics.state(f'shard_{runner.shard}_{name}', amount)
+
     @contextmanager
     def request(self) -> Iterator[None]:
         """
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -11,9 +11,9 @@
 from ragwortfield.engine.names import (
     PROGRESS_TABLE,
     inbox_table,
+    job_row,
     owner_row,
     part_of,
-    job_row,
 )
 from ragwortfield.engine.shard_commits import ShardCommits, Verdict
 from ragwortfield.engine.shard_rows import (
@@ -27,6 +27,7 @@
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
+    RowPage,
     RowStore,
     StoredRow,
 )
@@ -249,7 +250,7 @@
         self._spawn(self._follow_workers, listing.version)
         self._run()
 
-    def _read(self, table: str, part: str):
+    def _read(self, table: str, part: str) -> RowPage:
         while True:
             page = read_all(self._store, table, part)
             if not isinstance(page, Unavailable):
--- a/ragwortfield/front/health.py
+++ b/ragwortfield/front/health.py
@@ -45,6 +45,7 @@
         )
 
     def _metrics(self) -> Response:
+        self._node.refresh_metrics()
         body, fields = self._node.metrics.render()
         return Response(
             status=HTTPStatus.OK,
--- a/ragwortfield/report/scheduler_metrics.py
+++ b/ragwortfield/report/scheduler_metrics.py
@@ -36,17 +36,6 @@
             buckets=list(_LATENCY_BOUNDS_S),
             registry=self.registry,
         )
-        self._events = Counter(
-            'ragwortfield_scheduler_events_total',
-            'Decisions of the scheduler by name.',
-            registry=self.registry,
-        )
-        self._durations = Histogram(
-            'ragwortfield_scheduler_seconds',
-            'Durations within the scheduler by name.',
-            buckets=list(_LATENCY_BOUNDS_S),
-            registry=self.registry,
-        )
         self._gauge = Gauge(
             'ragwortfield_scheduler_state',
             'State of the scheduler by name.',
@@ -64,23 +53,6 @@
         self._requests.inc({'kind': kind, 'status': str(int(status))})
         self._latency.observe({'kind': kind}, duration_s)
 
-    def count(self, name: str) -> None:
-        """
-        Count a decision.
-
-        :param name: its name.
-        """
-        self._events.inc({'name': name})
-
-    def duration(self, name: str, duration_s: Seconds) -> None:
-        """
-        Observe a duration.
-
-        :param name: what took the time.
-        :param duration_s: seconds.
-        """
-        self._durations.observe({'name': name}, duration_s)
-
     def state(self, name: str, amount: float) -> None:
         """
         Set a state.
--- a/ragwortfield/testing/job_deployment.py
+++ b/ragwortfield/testing/job_deployment.py
@@ -203,6 +203,23 @@
         pool.close_idle()
         return outcome if isinstance(outcome, WholeAnswer) else None
 
+    def metrics_of(self, instance: Instance) -> str:
+        """
+        Scrape an instance.
+
+        :param instance: the instance.
+        :returns: its metrics as text; empty when it gives none.
+        """
+        pool = HttpPool(address=instance.health)
+        outcome = pool.exchange(
+            HttpRequest(method='GET', path='/metrics'),
+            Limits(first_byte_s=_ANSWER_S, total_s=_ANSWER_S),
+        )
+        pool.close_idle()
+        if not isinstance(outcome, WholeAnswer):
+            return ''
+        return outcome.body.decode()
+
     def owner(self) -> Instance | None:
         """
         Find a running process that has owned the shard, by its log.
--- a/ragwortfield/tests/test_scheduler_processes.py
+++ b/ragwortfield/tests/test_scheduler_processes.py
@@ -76,6 +76,17 @@
         answer = self.deployment.call(first, 'GET', '/elsewhere/')
         self.assertEqual(answer.status, 404)
 
+    def test_metrics_tell_requests_and_the_state_of_the_shard(self):
+        job_id = '00000000000000ba'
+        self.submit(self.instances[0], job_id, job_document('sleep 0', (1,)))
+        self.await_state(self.instances[0], job_id, 'complete')
+        texts = [
+            self.deployment.metrics_of(instance) for instance in self.instances
+        ]
+        self.assertIn('ragwortfield_job_requests_total', texts[0])
+        self.assertIn('ragwortfield_job_request_seconds_bucket', texts[0])
+        self.assertTrue(any('shard_0_workers"} 3' in text for text in texts))
+
     def test_failing_job_is_shown_as_failed_after_its_attempts(self):
         job_id = '00000000000000c1'
         self.submit(self.instances[0], job_id, job_document('fail', (1,)))
