--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -153,16 +153,6 @@
         if not owner.record.instance_id and not self.is_leaving:
             gevent.spawn(self._take_vacancy, shard)
 
-    def note_vacancy(self, shard: int) -> None:
-        """
-        Take a shard that its owner gave up, after those with a better rank.
-
-        :param shard: number of the shard.
-        """
-        owner = self._cluster.owner_by_shard.get(shard)
-        if owner is not None and not owner.record.instance_id:
-            gevent.spawn(self._take_vacancy, shard)
-
     def answer_ping(self, body: CallBody) -> CallBody:
         """
         Tell a peer whether a shard is owned here.
--- a/ragwortfield/scheduling/job_rows.py
+++ b/ragwortfield/scheduling/job_rows.py
@@ -69,7 +69,6 @@
     ticket: str = ''
     is_uncertain: bool = False
     avoided: set[WorkerId] = field(default_factory=set)
-    waiting_since: Instant = 0
 
     def record(self) -> TaskRecord:
         """
