A filler that is slowed down keeps its place on its worker

Ruled out: fillers that start beside a serving task they disturb (46 s). Change: a filler counts with what it asks for, whatever its pace. Test: red before.

--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -21,7 +21,6 @@
 
 #: Tolerance for sums of floating-point amounts of processor, in cores.
 _CPU_TOLERANCE = 1e-6
-_FULL_PACE = 100
 
 #: What decides whether any worker has room: pool, need, label and image.
 _Shape = tuple[str, tuple[float, float, float], str, str]
@@ -243,7 +242,7 @@
     """
     idle = worker.serving_cpu * _IDLE_SHARE
     used = sum(
-        task.step.need.cpu * task.pace / _FULL_PACE
+        task.step.need.cpu
         for task in worker.run_by_key.values()
         if task.step.is_filler
     )
--- a/ragwortfield/tests/test_interference.py
+++ b/ragwortfield/tests/test_interference.py
@@ -11,6 +11,7 @@
 from ragwortfield.scheduling.job_rows import RunStage
 from ragwortfield.scheduling.pressure import Load, PressureModel
 from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.scheduling.worker_choice import left_for_fillers
 from ragwortfield.testing.task_workers import FakeWorker
 
 #: Tail latency of the users' serving tasks when idle, and their target.
@@ -182,6 +183,15 @@
         self.assertLess(percent_by_key[harsh.key], 50)
         self.assertGreaterEqual(percent_by_key.get(gentle.key, 100), 50)
 
+    def test_slowed_filler_keeps_its_place(self):
+        """Fillers that took its place would run beside it when it resumes."""
+        self.serve(0.4)
+        task = self.add_job('filler', image='g', is_filler=True)[0]
+        worker = self.tables.worker_by_id[task.worker_id]
+        left = left_for_fillers(worker)
+        task.pace = 0
+        self.assertEqual(left_for_fillers(worker), left)
+
     def test_filler_that_stands_still_moves_if_it_can_resume(self):
         self.serve(0.4)
         task = self.add_job(
