Readings that lag behind a change of the fillers count less

Cause: a reading covers half a second, the fillers' use beside it is the latest, so a tail read while harsh fillers left was taken for the gentle ones'. Change: the pressure of what has changed since the last reading adds to the reading's variance; the variance of a reading is what readings without fillers show (0.04 instead of 0.02); least variance of a weight halved.

--- a/ragwortfield/scheduling/interference.py
+++ b/ragwortfield/scheduling/interference.py
@@ -14,6 +14,7 @@
 from ragwortfield.ports.task_worker import OrderDone, OrderOutcome, PaceRun
 from ragwortfield.scheduling.job_rows import RunStage, TaskRow
 from ragwortfield.scheduling.ordering import Urgency, urgency
+from ragwortfield.scheduling.pressure import Shares
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, Seconds
@@ -61,6 +62,8 @@
         return
     worker.read_clock_ms = worker.report_clock_ms
     shares = _used_shares(worker)
+    changes = _changes(worker.share_by_filler, shares)
+    worker.share_by_filler = shares
     worker.over_by_image = {}
     for task in worker.run_by_key.values():
         if not _is_read(task) or task.reading is None:
@@ -73,6 +76,7 @@
             image,
             step.load,
             shares,
+            changes=changes,
             tail_ms=task.reading,
             target_ms=target_ms,
         )
@@ -267,8 +271,8 @@
     return weight if weight > _NOTABLE_WEIGHT else 0
 
 
-def _used_shares(worker: WorkerRow) -> dict[str, float]:
-    share_by_image: dict[str, float] = {}
+def _used_shares(worker: WorkerRow) -> Shares:
+    share_by_image: Shares = {}
     for task in worker.run_by_key.values():
         if not task.step.is_filler or task.stage != RunStage.RUNNING:
             continue
@@ -281,6 +285,13 @@
     return share_by_image
 
 
+def _changes(before: Shares, shares: Shares) -> Shares:
+    return {
+        image: abs(shares.get(image, 0) - before.get(image, 0))
+        for image in {*before, *shares}
+    }
+
+
 def _wanted_paces(
     tables: ShardTables,
     worker: WorkerRow,
--- a/ragwortfield/scheduling/pressure.py
+++ b/ragwortfield/scheduling/pressure.py
@@ -18,7 +18,7 @@
 _FIRST_WEIGHT = 1.5
 _FIRST_VARIANCE = 2.0
 #: Smallest variance of a weight; images do not change for good.
-_LEAST_VARIANCE = 0.02
+_LEAST_VARIANCE = 0.01
 #: Largest weight; an image cannot help the tasks beside it either.
 _LARGEST_WEIGHT = 8.0
 #: Load before the first reading, and its variance.
@@ -31,8 +31,12 @@
 _TREND_MEMORY = 0.8
 #: Readings are whole milliseconds.
 _ROUNDING_MS = 0.5
-#: Variance of a reading beyond its rounding.
-_READING_VARIANCE = 0.0004
+#: Variance of a reading beyond its rounding: readings without fillers stray
+#: by 0.05 from the loads behind them.
+_READING_VARIANCE = 0.0016
+#: Part of a change of the fillers' pressure that a reading may miss, since it
+#: covers the half second in which the change fell.
+_LAGGING_SHARE = 0.5
 #: Use from which on a reading says only that the worker is overloaded.
 _SATURATED = 0.93
 #: Lightest load of a service at its quietest, as a share of its idle time.
@@ -171,6 +175,7 @@
         load: Load,
         shares: Shares,
         *,
+        changes: Shares,
         tail_ms: float,
         target_ms: float,
     ) -> float:
@@ -180,6 +185,7 @@
         :param serving: image of the serving task.
         :param load: load of its step, which is corrected.
         :param shares: what the fillers beside it use.
+        :param changes: by how much that has changed since the last reading.
         :param tail_ms: tail latency that was read, in milliseconds.
         :param target_ms: its target, in milliseconds.
         :returns: use that the reading shows beyond what the fillers add.
@@ -193,11 +199,12 @@
             return own_use
         idle_ms = self._idle_ms(serving, target_ms)
         noise = _ROUNDING_MS * idle_ms / max(tail_ms, idle_ms) ** 2
+        lag = _LAGGING_SHARE * self._added(serving, changes)
         weights = {
             image: self.weight_by_pair.setdefault((serving, image), _Weight())
             for image in shares
         }
-        total = load.level_variance + _READING_VARIANCE + noise**2
+        total = load.level_variance + _READING_VARIANCE + noise**2 + lag**2
         total += sum(
             one.variance * shares[image] ** 2 for image, one in weights.items()
         )
--- a/ragwortfield/scheduling/worker_rows.py
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -69,6 +69,8 @@
     :param failed_keys: tasks that failed here since the last success.
     :param over_by_image: latest worst tail latency, as a share of its
         target, by image of the serving tasks.
+    :param share_by_filler: processor that fillers used at the last reading,
+        as a share of the worker's, by image.
     """
 
     worker_id: WorkerId
@@ -95,6 +97,7 @@
     failed_keys: set[TaskKey] = field(default_factory=set)
     rest_count: int = 0
     over_by_image: dict[str, float] = field(default_factory=dict)
+    share_by_filler: dict[str, float] = field(default_factory=dict)
     read_clock_ms: float = 0
     paced_at: Instant = 0
 
--- a/ragwortfield/tests/test_interference.py
+++ b/ragwortfield/tests/test_interference.py
@@ -44,6 +44,7 @@
                 'serving',
                 load,
                 shares,
+                changes={},
                 tail_ms=round(_tail_ms(true_load, shares, weights)),
                 target_ms=_TARGET_MS,
             )
@@ -57,6 +58,21 @@
         self.assertGreater(harsh, _HARSH / 2)
         self.assertGreater(harsh, 2 * gentle)
 
+    def test_reading_that_lags_behind_a_change_says_little(self):
+        """A tail that was read while harsh fillers left is not the gentle's."""
+        model = self.learn({'gentle': _GENTLE, 'harsh': _HARSH})
+        before = model.weight('serving', 'gentle')
+        model.learn(
+            'serving',
+            Load(level=0.42, level_variance=0.001),
+            {'gentle': 0.1},
+            changes={'harsh': 0.2},
+            tail_ms=round(_tail_ms(0.42, {'harsh': 0.2}, {'harsh': _HARSH})),
+            target_ms=_TARGET_MS,
+        )
+        change = model.weight('serving', 'gentle') - before
+        self.assertLess(change, _GENTLE)
+
     def test_weights_stay_within_their_range(self):
         model = self.learn({'gentle': 0, 'harsh': 0})
         for image in ('gentle', 'harsh'):
@@ -88,8 +104,15 @@
             self.add_worker(f'w{number}')
         weights = self.tables.pressure.weight_by_pair
         model = PressureModel()
-        model.learn('a', Load(), {'f': 0.1, 'g': 0.1}, tail_ms=5, target_ms=18)
-        model.learn('b', Load(), {'f': 0.1, 'g': 0.1}, tail_ms=5, target_ms=18)
+        for image in ('a', 'b'):
+            model.learn(
+                image,
+                Load(),
+                {'f': 0.1, 'g': 0.1},
+                changes={},
+                tail_ms=5,
+                target_ms=18,
+            )
         weights.update(model.weight_by_pair)
         weights['a', 'f'].amount = _HARSH
         weights['b', 'f'].amount = _GENTLE
