--- a/ragwortfield/tests/test_interference.py
+++ b/ragwortfield/tests/test_interference.py
@@ -61,17 +61,18 @@
     def test_reading_that_lags_behind_a_change_says_little(self):
         """A tail that was read while harsh fillers left is not the gentle's."""
         model = self.learn({'gentle': _GENTLE, 'harsh': _HARSH})
-        before = model.weight('serving', 'gentle')
-        model.learn(
-            'serving',
-            Load(level=0.42, level_variance=0.001),
-            {'gentle': 0.1},
-            changes={'harsh': 0.2},
-            tail_ms=round(_tail_ms(0.42, {'harsh': 0.2}, {'harsh': _HARSH})),
-            target_ms=_TARGET_MS,
-        )
-        change = model.weight('serving', 'gentle') - before
-        self.assertLess(change, _GENTLE)
+        for _ in range(10):
+            model.learn(
+                'serving',
+                Load(level=0.42, level_variance=0.001),
+                {'gentle': 0.1},
+                changes={'harsh': 0.2},
+                tail_ms=round(
+                    _tail_ms(0.42, {'harsh': 0.2}, {'harsh': _HARSH}),
+                ),
+                target_ms=_TARGET_MS,
+            )
+        self.assertLess(model.weight('serving', 'gentle'), _HARSH / 2)
 
     def test_weights_stay_within_their_range(self):
         model = self.learn({'gentle': 0, 'harsh': 0})
