Revert: an eighth of the workers spared from serving tasks

Cause looked at: one serving task alone on a worker of 48 cores keeps fillers away that wait. Change tried: the last eighth of the workers without serving tasks is opened only when nothing else has room. Conclusion: mixing images before their tolerance is known spoils tolerant workers as often as it spares idle ones; the choice needs what was learned.

--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -25,11 +25,6 @@
 #: What decides whether any worker has room: pool, need, label and image.
 _Shape = tuple[str, tuple[float, float, float], str, str]
 
-#: Share of a pool's workers on which no task serves users, while possible.
-_UNSERVING_SHARE = 0.125
-#: Rank behind any mixture of images.
-_MOST_IMAGES = 1000
-
 #: Part of their processor that tasks with users of their own leave unused.
 _IDLE_SHARE = 0.58
 
@@ -138,27 +133,12 @@
         if step.step.is_filler:
             return self._best_for_filler(near or workers, step)
         if step.step.latency_target_ms:
-            return self._best_for_serving(near or workers, step)
+            return min(
+                near or workers,
+                key=lambda one: _rank_for_serving(one, step.step.image),
+            )
         return min(near or workers, key=_unused)
 
-    def _best_for_serving(
-        self,
-        workers: list[WorkerRow],
-        step: StepRow,
-    ) -> WorkerRow:
-        pool = workers[0].listed.pool
-        candidates = self._candidates_by_pool[pool]
-        idle = sum(not one.serving_by_image for one in candidates)
-        is_spared = idle <= len(candidates) * _UNSERVING_SHARE
-        return min(
-            workers,
-            key=lambda one: _rank_for_serving(
-                one,
-                step.step.image,
-                is_spared=is_spared,
-            ),
-        )
-
     def _best_for_filler(
         self,
         workers: list[WorkerRow],
@@ -241,23 +221,11 @@
     return not limit or step.count_by_worker.get(worker.worker_id, 0) < limit
 
 
-def _rank_for_serving(
-    worker: WorkerRow,
-    image: str,
-    *,
-    is_spared: bool,
-) -> tuple[int, float]:
-    """
-    Serving tasks of one image together leave most room for fillers.
-
-    A worker without any bears every filler, so the last of them are spared
-    as long as there is room elsewhere.
-    """
+def _rank_for_serving(worker: WorkerRow, image: str) -> tuple[int, float]:
+    """Serving tasks of one image together leave most room for fillers."""
     others = len(worker.serving_by_image)
     if image in worker.serving_by_image:
         return others - 1, worker.free_cpu()
-    if not others and is_spared:
-        return _MOST_IMAGES, worker.free_cpu()
     return others * 2, worker.free_cpu()
 
 
