Serving tasks move off workers that waiting fillers could use better

Change: tolerance.py says what share of idle processor the fillers asked for can use beside a set of images; serving tasks are placed where the least of it is lost, once their pairs are known, and consolidation.py moves them where that gains two cores a task, while much work waits, never a step that has a task away. Tests need no network.

--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -36,6 +36,7 @@
 )
 from ragwortfield.scheduling import (
     commits,
+    consolidation,
     dispatch,
     intake,
     interference,
@@ -377,6 +378,7 @@
             dispatch.repeat_starts(tables, now)
             interference.adjust_paces(tables, now)
             relocation.relocate(tables, now)
+            consolidation.consolidate(tables, now)
         if now - self._told_at > _TELL_EVERY_S:
             self._told_at = now
             event('shard_state', shard=self.shard, **summary(tables))
--- a/ragwortfield/scheduling/intake.py
+++ b/ragwortfield/scheduling/intake.py
@@ -51,6 +51,7 @@
         queue = Queue(name=job.queue, host='', path_prefix='', pool='')
     row = new_job_row(job, queue, now - age_s)
     tables.job_by_id[job.job_id] = row
+    _count_work(tables, job)
     if job.job_id in tables.cancelled_ids:
         row.is_cancelled = True
         row.finished_at = now
@@ -203,6 +204,15 @@
     )
 
 
+def _count_work(tables: ShardTables, job: Job) -> None:
+    work_by_filler = tables.work_by_filler
+    for step in job.steps:
+        if step.is_filler:
+            work = step.count * step.estimate_s * step.need.cpu
+            image = step.image
+            work_by_filler[image] = work_by_filler.get(image, 0) + work
+
+
 def _restore_binding(tables: ShardTables, worker_id: WorkerId) -> None:
     if worker_id in tables.worker_by_id:
         return
--- a/ragwortfield/scheduling/tables.py
+++ b/ragwortfield/scheduling/tables.py
@@ -32,6 +32,9 @@
     :param orders: orders that are due; the owner's runner sends them.
     :param uncommitted: bindings that are not durable yet, with their runs.
     :param cancelled_ids: cancellations, also of jobs not read yet.
+    :param work_by_filler: work of fillers that was asked for, in
+        core-seconds, by image.
+    :param consolidated_at: latest look for serving tasks to be moved.
     :param is_deposed: whether a worker has seen a newer owner.
     """
 
@@ -50,6 +53,8 @@
     timed_ids: set[JobId] = field(default_factory=set)
     cancelled_ids: set[JobId] = field(default_factory=set)
     forgotten: list[JobRow] = field(default_factory=list)
+    work_by_filler: dict[str, float] = field(default_factory=dict)
+    consolidated_at: Instant = 0
     is_deposed: bool = False
     pressure: PressureModel = field(default_factory=PressureModel)
 
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -16,6 +16,7 @@
 )
 from ragwortfield.scheduling.job_rows import JobRow, StepRow, TaskRow
 from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.scheduling.tolerance import Tolerance
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, WorkerId
 
@@ -25,9 +26,6 @@
 #: What decides whether any worker has room: pool, need, label and image.
 _Shape = tuple[str, tuple[float, float, float], str, str]
 
-#: Part of their processor that tasks with users of their own leave unused.
-_IDLE_SHARE = 0.58
-
 
 class Chooser:
     """
@@ -133,11 +131,24 @@
         if step.step.is_filler:
             return self._best_for_filler(near or workers, step)
         if step.step.latency_target_ms:
+            return self._best_for_serving(near or workers, step.step.image)
+        return min(near or workers, key=_unused)
+
+    def _best_for_serving(
+        self,
+        workers: list[WorkerRow],
+        image: str,
+    ) -> WorkerRow:
+        tolerance = tolerance_of(self._tables)
+        if tolerance.is_known(image):
             return min(
-                near or workers,
-                key=lambda one: _rank_for_serving(one, step.step.image),
+                workers,
+                key=lambda one: (
+                    round(tolerance.loss(one, image)),
+                    _rank_for_serving(one, image),
+                ),
             )
-        return min(near or workers, key=_unused)
+        return min(workers, key=lambda one: _rank_for_serving(one, image))
 
     def _best_for_filler(
         self,
@@ -240,13 +251,20 @@
     :param worker: the worker.
     :returns: cores.
     """
-    idle = worker.serving_cpu * _IDLE_SHARE
-    used = sum(
-        task.step.need.cpu
-        for task in worker.run_by_key.values()
-        if task.step.is_filler
+    return worker.idle_cpu() - worker.filler_cpu
+
+
+def tolerance_of(tables: ShardTables) -> Tolerance:
+    """
+    Judge the idle processor of a shard's workers.
+
+    :param tables: tables of the shard.
+    :returns: what fillers can make of it.
+    """
+    return Tolerance(
+        model=tables.pressure,
+        work_by_filler=tables.work_by_filler,
     )
-    return worker.free_cpu() + idle - used
 
 
 def _spread(
--- a/ragwortfield/scheduling/worker_rows.py
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -8,6 +8,9 @@
 from ragwortfield.scheduling.job_rows import TaskRow
 from ragwortfield.types import Instant, WorkerId
 
+#: Part of their processor that tasks with users of their own leave unused.
+_IDLE_SHARE = 0.58
+
 
 @dataclass(kw_only=True, slots=True)
 class WorkerClock:
@@ -159,6 +162,14 @@
         """
         return self.listed.room.cpu - self.used_cpu
 
+    def idle_cpu(self) -> float:
+        """
+        Estimate how much processor tasks other than fillers leave unused.
+
+        :returns: cores.
+        """
+        return self.free_cpu() + self.serving_cpu * _IDLE_SHARE
+
     def free_memory_mb(self) -> float:
         """
         Tell how much memory is not promised.
--- /dev/null
+++ b/ragwortfield/tests/filler_world.py
@@ -0,0 +1,120 @@
+"""Small shard with serving tasks and fillers, for tests of interference."""
+
+from ragwortfield.core.resources import Resources
+from ragwortfield.ports.task_worker import EndKind
+from ragwortfield.scheduling import dispatch, intake
+from ragwortfield.scheduling.bounds import Bounds
+from ragwortfield.scheduling.catalogue import Catalogue, Pool, Queue
+from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.job_rows import RunStage
+from ragwortfield.scheduling.pressure import Load, PressureModel
+from ragwortfield.scheduling.progress import end_run
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.testing.task_workers import FakeWorker
+
+#: Target of the users' serving tasks, in milliseconds.
+TARGET_MS = 18
+#: Weights of the pairs in these tests.
+GENTLE = 0.2
+HARSH = 2.0
+NOW = 1000.0
+
+
+class FillerWorld:
+    """Owner's tables with workers of 32 cores."""
+
+    def __init__(self, *, workers):
+        queue = Queue(
+            name='queue',
+            host='',
+            path_prefix='',
+            pool='pool',
+            attempts=2,
+        )
+        self.tables = ShardTables(
+            epoch=1,
+            owner_since=0,
+            bounds=Bounds(),
+            catalogue=Catalogue(
+                version=1,
+                queue_by_name={'queue': queue},
+                pool_by_name={'pool': Pool(name='pool')},
+            ),
+        )
+        for number in range(workers):
+            self._add_worker(f'w{number}')
+
+    def learn(self, amount_by_pair):
+        """Let pairs of images be known with their weights."""
+        model = PressureModel()
+        for (serving, filler), amount in amount_by_pair.items():
+            model.learn(
+                serving,
+                Load(),
+                {filler: 0.1},
+                changes={},
+                tail_ms=5,
+                target_ms=TARGET_MS,
+            )
+            model.weight_by_pair[serving, filler].amount = amount
+        self.tables.pressure.weight_by_pair.update(model.weight_by_pair)
+
+    def add_job(self, job_id, **terms):
+        """Submit a job of one step; what can be placed runs at once."""
+        step = Step(
+            count=terms.pop('count', 1),
+            need=Resources(cpu=terms.pop('cpu', 4), memory_mb=1),
+            estimate_s=1,
+            **terms,
+        )
+        job = Job(
+            job_id=job_id,
+            queue='queue',
+            spec='',
+            steps=(step,),
+            accepted_at=0,
+        )
+        intake.take_job(self.tables, job, now=NOW, wall=0)
+        self.dispatch()
+        row = self.tables.job_by_id[job_id].occurrence_by_number[0]
+        return row.steps[0].tasks
+
+    def dispatch(self):
+        """Place what waits, and let it run."""
+        dispatch.dispatch(self.tables, NOW)
+        for worker in self.tables.worker_by_id.values():
+            for task in worker.run_by_key.values():
+                if task.stage == RunStage.UNCOMMITTED:
+                    task.stage = RunStage.RUNNING
+                    task.percent = 100
+
+    def serve(self, image, *, load, cpu=20, **terms):
+        """Let tasks of an image serve, named like it; returns the first."""
+        task = self.add_job(
+            image,
+            cpu=cpu,
+            image=image,
+            latency_target_ms=TARGET_MS,
+            is_long_lived=True,
+            **terms,
+        )[0]
+        step = self.tables.step_of(task)
+        step.load.level = load
+        step.load.usual = load
+        return task
+
+    def end_stopped(self, task):
+        """Let a run that was told to stop end."""
+        end_run(self.tables, task, EndKind.STOPPED, '', NOW)
+        self.dispatch()
+
+    def _add_worker(self, worker_id):
+        fake = FakeWorker(
+            worker_id=worker_id,
+            clock=lambda: NOW,
+            room=Resources(cpu=32, memory_mb=1000, accelerators=0),
+        )
+        intake.take_worker(self.tables, fake.listing())
+        row = self.tables.worker_by_id[worker_id]
+        row.known_at = NOW
+        row.reported_at = NOW
--- /dev/null
+++ b/ragwortfield/tests/test_consolidation.py
@@ -0,0 +1,83 @@
+"""Serving tasks that keep waiting fillers off workers are moved."""
+
+import unittest
+
+from ragwortfield.scheduling import consolidation
+from ragwortfield.scheduling.pressure import PressureModel
+from ragwortfield.scheduling.tolerance import Tolerance
+from ragwortfield.tests.filler_world import GENTLE, HARSH, NOW, FillerWorld
+
+
+class ToleranceTest(unittest.TestCase):
+    def setUp(self):
+        world = FillerWorld(workers=1)
+        world.learn({('a', 'f'): HARSH, ('b', 'f'): GENTLE})
+        self.tolerance = Tolerance(
+            model=world.tables.pressure,
+            work_by_filler={'f': 10},
+        )
+
+    def test_worker_without_serving_tasks_bears_everything(self):
+        self.assertEqual(self.tolerance.usable(frozenset()), 1)
+
+    def test_harshest_pair_decides(self):
+        alone = self.tolerance.usable(frozenset({'a'}))
+        mixed = self.tolerance.usable(frozenset({'a', 'b'}))
+        self.assertEqual(alone, mixed)
+        self.assertLess(alone, self.tolerance.usable(frozenset({'b'})))
+
+    def test_image_is_unknown_until_its_pairs_were_seen(self):
+        self.assertTrue(self.tolerance.is_known('a'))
+        self.assertFalse(self.tolerance.is_known('c'))
+        empty = Tolerance(model=PressureModel(), work_by_filler={})
+        self.assertFalse(empty.is_known('a'))
+
+
+class ConsolidationTest(unittest.TestCase):
+    """Pattern: one harsh serving task alone, and harsh fillers that wait."""
+
+    def setUp(self):
+        self.world = FillerWorld(workers=2)
+        self.world.learn({('a', 'f'): HARSH, ('b', 'f'): HARSH})
+
+    def arrange(self, **terms):
+        """Images a and b serve on one worker each; fillers wait for both."""
+        alone = self.world.serve('a', cpu=6, load=0.7, **terms)
+        self.world.serve('b', cpu=20, load=0.7)
+        self.world.add_job('fillers', count=12, image='f', is_filler=True)
+        return alone
+
+    def consolidate(self):
+        consolidation.consolidate(self.world.tables, NOW)
+
+    def test_task_in_the_way_moves_to_a_worker_that_bears_no_more(self):
+        alone = self.arrange()
+        self.consolidate()
+        self.assertTrue(alone.is_stop_wanted)
+        self.world.end_stopped(alone)
+        other = self.world.tables.find_step(('b', 0, 0)).tasks[0]
+        self.assertEqual(alone.worker_id, other.worker_id)
+
+    def test_nothing_moves_while_no_filler_waits(self):
+        alone = self.world.serve('a', cpu=6, load=0.7)
+        self.world.serve('b', cpu=20, load=0.7)
+        self.consolidate()
+        self.assertFalse(alone.is_stop_wanted)
+
+    def test_task_that_must_not_be_away_stays(self):
+        alone = self.arrange(max_unavailable=0)
+        self.consolidate()
+        self.assertFalse(alone.is_stop_wanted)
+
+    def test_step_with_a_task_away_is_left_alone(self):
+        first = self.arrange(count=2, per_worker_limit=1, max_unavailable=1)
+        step = self.world.tables.step_of(first)
+        step.tasks[1].percent = 50
+        self.consolidate()
+        self.assertFalse(any(task.is_stop_wanted for task in step.tasks))
+
+    def test_unknown_images_are_not_moved(self):
+        self.world.tables.pressure.weight_by_pair.clear()
+        alone = self.arrange()
+        self.consolidate()
+        self.assertFalse(alone.is_stop_wanted)
--- a/ragwortfield/tests/test_interference.py
+++ b/ragwortfield/tests/test_interference.py
@@ -3,24 +3,19 @@
 import math
 import unittest
 
-from ragwortfield.core.resources import Resources
-from ragwortfield.scheduling import dispatch, intake, interference, relocation
-from ragwortfield.scheduling.bounds import Bounds
-from ragwortfield.scheduling.catalogue import Catalogue, Pool, Queue
-from ragwortfield.scheduling.job import Job, Step
-from ragwortfield.scheduling.job_rows import RunStage
+from ragwortfield.scheduling import interference, relocation
 from ragwortfield.scheduling.pressure import Load, PressureModel
-from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.worker_choice import left_for_fillers
-from ragwortfield.testing.task_workers import FakeWorker
-
-#: Tail latency of the users' serving tasks when idle, and their target.
+from ragwortfield.tests.filler_world import (
+    GENTLE,
+    HARSH,
+    NOW,
+    TARGET_MS,
+    FillerWorld,
+)
+
+#: Tail latency of the users' serving tasks when idle.
 _IDLE_MS = 4
-_TARGET_MS = 18
-#: Weights of the pairs in these tests.
-_GENTLE = 0.2
-_HARSH = 2.0
-_NOW = 1000.0
 
 
 def _tail_ms(load, shares, weights):
@@ -46,21 +41,21 @@
                 shares,
                 changes={},
                 tail_ms=round(_tail_ms(true_load, shares, weights)),
-                target_ms=_TARGET_MS,
+                target_ms=TARGET_MS,
             )
         return model
 
     def test_gentle_and_harsh_pairs_are_told_apart(self):
-        model = self.learn({'gentle': _GENTLE, 'harsh': _HARSH})
+        model = self.learn({'gentle': GENTLE, 'harsh': HARSH})
         gentle = model.weight('serving', 'gentle')
         harsh = model.weight('serving', 'harsh')
-        self.assertLess(gentle, _HARSH / 2)
-        self.assertGreater(harsh, _HARSH / 2)
+        self.assertLess(gentle, HARSH / 2)
+        self.assertGreater(harsh, HARSH / 2)
         self.assertGreater(harsh, 2 * gentle)
 
     def test_reading_that_lags_behind_a_change_says_little(self):
         """A tail that was read while harsh fillers left is not the gentle's."""
-        model = self.learn({'gentle': _GENTLE, 'harsh': _HARSH})
+        model = self.learn({'gentle': GENTLE, 'harsh': HARSH})
         for _ in range(10):
             model.learn(
                 'serving',
@@ -68,11 +63,11 @@
                 {'gentle': 0.1},
                 changes={'harsh': 0.2},
                 tail_ms=round(
-                    _tail_ms(0.42, {'harsh': 0.2}, {'harsh': _HARSH}),
+                    _tail_ms(0.42, {'harsh': 0.2}, {'harsh': HARSH}),
                 ),
-                target_ms=_TARGET_MS,
+                target_ms=TARGET_MS,
             )
-        self.assertLess(model.weight('serving', 'gentle'), _HARSH / 2)
+        self.assertLess(model.weight('serving', 'gentle'), HARSH / 2)
 
     def test_weights_stay_within_their_range(self):
         model = self.learn({'gentle': 0, 'harsh': 0})
@@ -83,89 +78,22 @@
 
 class FillerTest(unittest.TestCase):
     def setUp(self):
-        self.tables = ShardTables(
-            epoch=1,
-            owner_since=0,
-            bounds=Bounds(),
-            catalogue=Catalogue(
-                version=1,
-                queue_by_name={
-                    'queue': Queue(
-                        name='queue',
-                        host='',
-                        path_prefix='',
-                        pool='pool',
-                        attempts=2,
-                    ),
-                },
-                pool_by_name={'pool': Pool(name='pool')},
-            ),
-        )
-        for number in range(2):
-            self.add_worker(f'w{number}')
-        weights = self.tables.pressure.weight_by_pair
-        model = PressureModel()
-        for image in ('a', 'b'):
-            model.learn(
-                image,
-                Load(),
-                {'f': 0.1, 'g': 0.1},
-                changes={},
-                tail_ms=5,
-                target_ms=18,
-            )
-        weights.update(model.weight_by_pair)
-        weights['a', 'f'].amount = _HARSH
-        weights['b', 'f'].amount = _GENTLE
-        weights['a', 'g'].amount = _GENTLE
-        weights['b', 'g'].amount = _GENTLE
-
-    def add_worker(self, worker_id):
-        fake = FakeWorker(
-            worker_id=worker_id,
-            clock=lambda: _NOW,
-            room=Resources(cpu=32, memory_mb=1000, accelerators=0),
-        )
-        intake.take_worker(self.tables, fake.listing())
-        row = self.tables.worker_by_id[worker_id]
-        row.known_at = _NOW
-        row.reported_at = _NOW
-
-    def add_job(self, job_id, **terms):
-        step = Step(
-            count=terms.pop('count', 1),
-            need=Resources(cpu=terms.pop('cpu', 4), memory_mb=1),
-            estimate_s=1,
-            **terms,
-        )
-        job = Job(
-            job_id=job_id,
-            queue='queue',
-            spec='',
-            steps=(step,),
-            accepted_at=0,
+        self.world = FillerWorld(workers=2)
+        self.tables = self.world.tables
+        self.add_job = self.world.add_job
+        self.world.learn(
+            {
+                ('a', 'f'): HARSH,
+                ('b', 'f'): GENTLE,
+                ('a', 'g'): GENTLE,
+                ('b', 'g'): GENTLE,
+            },
         )
-        intake.take_job(self.tables, job, now=_NOW, wall=0)
-        dispatch.dispatch(self.tables, _NOW)
-        row = self.tables.job_by_id[job_id].occurrence_by_number[0]
-        for task in row.steps[0].tasks:
-            if task.stage == RunStage.UNCOMMITTED:
-                task.stage = RunStage.RUNNING
-        return row.steps[0].tasks
 
     def serve(self, load):
         """One serving task of image a, another of image b, elsewhere."""
         for image in ('a', 'b'):
-            task = self.add_job(
-                image,
-                cpu=20,
-                image=image,
-                latency_target_ms=_TARGET_MS,
-                is_long_lived=True,
-            )[0]
-            step = self.tables.step_of(task)
-            step.load.level = load
-            step.load.usual = load
+            self.world.serve(image, load=load)
         return [self.serve_place(image) for image in ('a', 'b')]
 
     def test_serving_images_are_kept_apart(self):
@@ -200,7 +128,7 @@
         worker.add(harsh)
         load = self.tables.find_step(('a', 0, 0)).load
         load.level = 0.65
-        interference.adjust_paces(self.tables, _NOW + 1)
+        interference.adjust_paces(self.tables, NOW + 1)
         percent_by_key = {
             order.key: order.percent for order in self.tables.orders
         }
@@ -229,6 +157,6 @@
         task.worker_id = self.serve_place('a')
         worker_by_id[task.worker_id].add(task)
         task.pace = 0
-        task.slowed_at = _NOW - 5
-        relocation.relocate(self.tables, _NOW)
+        task.slowed_at = NOW - 5
+        relocation.relocate(self.tables, NOW)
         self.assertTrue(task.is_stop_wanted)
