--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -64,7 +64,27 @@
 #: Members that are asked whether they hear the owner.
 _WITNESSES = 2
 
-RunnerFactory = Callable[[int, int, int, int], ShardRunner]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Tenure:
+    """
+    Ownership of a shard by this instance.
+
+    :param epoch: its fencing token.
+    :param version: version of the owner's row and of the sequence row that
+        were written with it.
+    :param lease_before_s: longest lease that the owners before asked of
+        workers, in seconds; 0 when it is not known.
+    """
+
+    shard: int
+    epoch: int
+    version: int
+    lease_before_s: Seconds
+
+
+RunnerFactory = Callable[[Tenure], ShardRunner]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -92,8 +112,8 @@
     :param cluster: view of the deployment.
     :param store: the platform's store.
     :param peers: calls to peers.
-    :param make_runner: makes a runner of a shard, an epoch and the versions
-        of the owner's row and of the sequence row.
+    :param lease_s: lease that owners ask of workers, in seconds.
+    :param make_runner: makes the runner of a shard that was taken.
     """
 
     def __init__(
@@ -103,6 +123,7 @@
         cluster: Cluster,
         store: RowStore,
         peers: PeerCalls,
+        lease_s: Seconds,
         make_runner: RunnerFactory,
     ) -> None:
         """Create; ``watch`` takes part."""
@@ -112,6 +133,7 @@
         self._cluster = cluster
         self._store = store
         self._peers = peers
+        self._lease_s = lease_s
         self._make_runner = make_runner
         self._silent_since: dict[int, Instant] = {}
 
@@ -351,7 +373,23 @@
             )
             return False
         epoch = _epoch_of(owner, sequence) + 1
-        outcome = self._write_owner(shard, owner, sequence, epoch)
+        lease_before_s = _lease_of(owner)
+        record = OwnerRecord(
+            instance_id=self._identity.instance_id,
+            incarnation=self._identity.incarnation,
+            epoch=epoch,
+            address=self._identity.address,
+            lease_s=self._lease_after(owner),
+        )
+        outcome = self._store.commit(
+            _owner_change(
+                shard,
+                record,
+                found_version,
+                0 if sequence is None else sequence.version,
+            ),
+            _COMMIT_TIMEOUT_S,
+        )
         event(
             'takeover',
             shard=shard,
@@ -362,10 +400,12 @@
         if not isinstance(outcome, TransactionDone):
             return False
         runner = self._make_runner(
-            shard,
-            epoch,
-            outcome.version,
-            outcome.version,
+            Tenure(
+                shard=shard,
+                epoch=epoch,
+                version=outcome.version,
+                lease_before_s=lease_before_s,
+            ),
         )
         self.runner_by_shard[shard] = runner
         runner.start()
@@ -393,28 +433,12 @@
             return page
         return page.rows[0] if page.rows else None
 
-    def _write_owner(
-        self,
-        shard: int,
-        owner: StoredRow | None,
-        sequence: StoredRow | None,
-        epoch: int,
-    ) -> TransactionDone | TransactionRefused | Unavailable:
-        record = OwnerRecord(
-            instance_id=self._identity.instance_id,
-            incarnation=self._identity.incarnation,
-            epoch=epoch,
-            address=self._identity.address,
-        )
-        return self._store.commit(
-            _owner_change(
-                shard,
-                record,
-                0 if owner is None else owner.version,
-                0 if sequence is None else sequence.version,
-            ),
-            _COMMIT_TIMEOUT_S,
-        )
+    def _lease_after(self, owner: StoredRow | None) -> Seconds:
+        """Longest lease that this owner or one before it may leave behind."""
+        before_s = _lease_of(owner)
+        if owner is not None and not before_s:
+            return 0
+        return max(self._lease_s, before_s)
 
     def _offer(self, shard: int, runner: ShardRunner) -> None:
         for member in self._cluster.ranked(shard):
@@ -447,6 +471,7 @@
             instance_id='',
             incarnation='',
             epoch=runner.tables.epoch,
+            lease_s=max(self._lease_s, runner.tables.inherited_lease_s()),
         )
         transaction = Transaction(
             expected=(
@@ -493,6 +518,13 @@
     )
 
 
+def _lease_of(owner: StoredRow | None) -> Seconds:
+    if owner is None:
+        return 0
+    record = decode_record(owner.content or b'', OwnerRecord)
+    return 0 if isinstance(record, Malformed) else record.lease_s
+
+
 def _epoch_of(owner: StoredRow | None, sequence: StoredRow | None) -> int:
     epoch = 0
     if owner is not None:
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -20,7 +20,7 @@
     member_row,
     part_of,
 )
-from ragwortfield.engine.ownership import Identity, Ownership
+from ragwortfield.engine.ownership import Identity, Ownership, Tenure
 from ragwortfield.engine.shard_commits import ShardCommits
 from ragwortfield.engine.shard_rows import WorkerEntries, WorkerParser
 from ragwortfield.engine.shard_runner import ShardRunner
@@ -128,6 +128,7 @@
             cluster=self._cluster,
             store=store,
             peers=self._peers,
+            lease_s=bounds.asked_lease_s(),
             make_runner=self._make_runner,
         )
         self.desk = JobDesk(
@@ -373,21 +374,15 @@
                 shard = int(row.name.part.removeprefix('s'))
                 self.ownership.note_owner(shard)
 
-    def _make_runner(
-        self,
-        shard: int,
-        epoch: int,
-        owner_version: int,
-        sequence_version: int,
-    ) -> ShardRunner:
+    def _make_runner(self, tenure: Tenure) -> ShardRunner:
         return ShardRunner(
-            shard=shard,
-            tables=self._tables(epoch),
+            shard=tenure.shard,
+            tables=self._tables(tenure.epoch, tenure.lease_before_s),
             commits=ShardCommits(
-                shard=shard,
+                shard=tenure.shard,
                 store=self._store,
-                owner_version=owner_version,
-                sequence_version=sequence_version,
+                owner_version=tenure.version,
+                sequence_version=tenure.version,
             ),
             store=self._store,
             workers=self._workers,
@@ -398,11 +393,16 @@
             calendar=self._calendar,
         )
 
-    def _tables(self, epoch: int) -> ShardTables:
+    def _tables(
+        self,
+        epoch: int,
+        lease_before_s: Seconds = 0,
+    ) -> ShardTables:
         return ShardTables(
             epoch=epoch,
             owner_since=time.monotonic(),
             bounds=self._bounds,
+            lease_before_s=lease_before_s,
             catalogue=self._catalogue or Catalogue(version=-1),
         )
 
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -226,7 +226,20 @@
         return time.monotonic() - self.failing_since
 
     def _spawn(self, work: Callable[..., None], *arguments: object) -> None:
-        self._greenlets.append(gevent.spawn(work, *arguments))
+        greenlet = gevent.spawn(work, *arguments)
+        greenlet.link_exception(self._give_way)
+        self._greenlets.append(greenlet)
+
+    def _give_way(self, failed: gevent.Greenlet) -> None:
+        # An owner of which a part has failed would hold the shard for ever;
+        # once it disowns the shard, the next in rank takes it.
+        event(
+            'owner_failed',
+            shard=self.shard,
+            epoch=self.tables.epoch,
+            error=f'{type(failed.exception).__name__}: {failed.exception}',
+        )
+        self.stop('an unexpected error')
 
     def _load_and_run(self) -> None:
         started_at = time.monotonic()
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -23,6 +23,9 @@
 
 #: Pause before a failed look at a worker is repeated, in seconds.
 _RETRY_S: Seconds = 0.1
+#: Pause before the next look while an acknowledgement is held back, in
+#: seconds; a start order is answered in less.
+_HELD_BACK_S: Seconds = 0.02
 #: Longest wait for a commit before ends are looked at again, in seconds.
 _ACKNOWLEDGE_WAIT_S: Seconds = 0.25
 
@@ -112,6 +115,9 @@
                 interference.take_readings(self._tables, row, now)
                 self._on_news()
                 self._await_acknowledgement(row)
+                if not order.acknowledged and row.acknowledged > row.told:
+                    # Held back, so the same ends would be listed at once.
+                    gevent.sleep(_HELD_BACK_S)
                 continue
             self._note_failure(worker_id, report)
             gevent.sleep(_RETRY_S)
--- a/ragwortfield/scheduling/bounds.py
+++ b/ragwortfield/scheduling/bounds.py
@@ -15,8 +15,10 @@
     """
     Durations in seconds, from the settings of the instance.
 
-    :param lease_s: lease that is asked of workers.
-    :param longest_lease_s: lease to which workers shorten a longer one.
+    :param lease_s: lease that is asked of workers; the longest one where
+        that is shorter.
+    :param longest_lease_ms: lease to which workers shorten a longer one, in
+        milliseconds, as the platform states it.
     :param start_window_s: time in which a start order must be carried out.
     :param contact_s: silence after which a worker gets no new runs.
     :param status_s: time for which a finished job stays known.
@@ -25,8 +27,24 @@
     """
 
     lease_s: Seconds = 4
-    longest_lease_s: Seconds = 10
+    longest_lease_ms: float = 10_000
     start_window_s: Seconds = 2
     contact_s: Seconds = 1.2
     status_s: Seconds = 120
     unaware_s: Seconds = 5
+
+    def longest_lease_s(self) -> Seconds:
+        """
+        Give the lease to which workers shorten a longer one.
+
+        :returns: seconds.
+        """
+        return self.longest_lease_ms / MS_PER_S
+
+    def asked_lease_s(self) -> Seconds:
+        """
+        Give the lease that owners ask of workers.
+
+        :returns: seconds; never more than workers grant.
+        """
+        return min(self.lease_s, self.longest_lease_s())
--- a/ragwortfield/scheduling/leases.py
+++ b/ragwortfield/scheduling/leases.py
@@ -2,6 +2,7 @@
 
 from ragwortfield.ports.task_worker import LeaseOrder
 from ragwortfield.scheduling.bounds import MS_PER_S
+from ragwortfield.scheduling.job_rows import RunStage
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant
@@ -27,24 +28,35 @@
     deadline_ms: int | None = None
     # A silent worker's lease is left to lapse: each extension that may have
     # arrived would put off the moment from which its tasks can run elsewhere.
-    if worker.is_in_contact(tables.bounds, now):
-        lease_ms = tables.bounds.lease_s * MS_PER_S
+    is_in_contact = worker.is_in_contact(tables.bounds, now)
+    if is_in_contact:
+        lease_ms = tables.bounds.asked_lease_s() * MS_PER_S
         deadline_ms = int(worker.clock.earliest_ms(now) + lease_ms)
         worker.lease_end_ms = max(worker.lease_end_ms, deadline_ms)
+    acknowledged = _acknowledgement(worker) if is_in_contact else 0
     has_unacknowledged = worker.noted > worker.acknowledged
     return LeaseOrder(
         worker_id=worker.worker_id,
         address=worker.listed.address,
         fencing_token=tables.epoch,
-        acknowledged=_acknowledgement(worker),
+        acknowledged=acknowledged,
         deadline_ms=deadline_ms,
         wait_ms=0 if has_unacknowledged or not worker.known_at else _WAIT_MS,
     )
 
 
 def _acknowledgement(worker: WorkerRow) -> int:
-    # Repeating an old number would acknowledge unseen ends of a worker that
-    # has started again and counts anew.
-    if worker.acknowledged > worker.told:
+    # A worker that has started again counts its ends anew, so a number of the
+    # life before would acknowledge ends that nobody has seen. That can only
+    # be where a run was started since the last report.
+    is_fresh = worker.acknowledged > worker.told
+    if is_fresh and not worker.is_life_doubtful and not _has_open_start(worker):
         return worker.acknowledged
     return 0
+
+
+def _has_open_start(worker: WorkerRow) -> bool:
+    return any(
+        task.stage == RunStage.ORDERED and (task.calls or task.is_uncertain)
+        for task in worker.run_by_key.values()
+    )
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -8,7 +8,7 @@
 
 from ragwortfield.adapters.documents import Malformed
 from ragwortfield.scheduling.job import Job
-from ragwortfield.types import InstanceId, WorkerId
+from ragwortfield.types import InstanceId, Seconds, WorkerId
 
 _Kind = TypeVar('_Kind')
 
@@ -76,12 +76,15 @@
     :param incarnation: distinguishes the lives of its process.
     :param epoch: fencing token; grows with every change of owner.
     :param address: where peers reach the owner.
+    :param lease_s: longest lease that it and the owners before it ask of
+        workers, in seconds; 0 when that is not known.
     """
 
     instance_id: InstanceId
     incarnation: str
     epoch: int
     address: str = ''
+    lease_s: Seconds = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -72,6 +72,7 @@
             is_reborn=is_reborn,
         )
     worker.reported_at = now
+    worker.is_life_doubtful = False
     for end in report.ends:
         _take_end(tables, worker, end, now)
     is_newest = report.clock_ms >= worker.report_clock_ms
@@ -107,10 +108,10 @@
         return
     task.calls = max(task.calls - 1, 0)
     if isinstance(outcome, OrderDone):
-        worker.clock.observe(outcome.clock_ms, now)
+        _observe_clock(worker, outcome.clock_ms, now)
         _confirm(tables, task, outcome.clock_ms, now)
     elif isinstance(outcome, OrderRefused):
-        worker.clock.observe(outcome.clock_ms, now)
+        _observe_clock(worker, outcome.clock_ms, now)
         _take_refusal(tables, worker, task, outcome, now)
     elif not _may_be_there(task, outcome):
         worker.full_until = now + _FULL_REST_S
@@ -153,7 +154,12 @@
             continue
         if not worker.run_by_key or worker.is_in_contact(tables.bounds, now):
             continue
-        if worker.is_lease_over(tables.bounds, now, tables.owner_since):
+        if worker.is_lease_over(
+            tables.bounds,
+            now,
+            tables.owner_since,
+            tables.inherited_lease_s(),
+        ):
             _release_all(tables, worker)
 
 
@@ -170,20 +176,29 @@
                 request_stop(tables, task, now)
 
 
+def _observe_clock(worker: WorkerRow, clock_ms: int, now: Instant) -> None:
+    worker.clock.observe(clock_ms, now)
+    if clock_ms < worker.report_clock_ms:
+        worker.is_life_doubtful = True
+
+
 def _inherited_lease_end_ms(
     tables: ShardTables,
     report: LeaseReport,
     *,
     is_reborn: bool,
 ) -> float:
-    longest_s = tables.bounds.longest_lease_s
     if is_reborn:
         # Orders on their way speak of the clock of the life before, on which
         # their deadlines lie far ahead.
-        longest_s += tables.bounds.start_window_s
+        bounds = tables.bounds
+        longest_s = bounds.longest_lease_s() + bounds.start_window_s
     elif tables.epoch == 1:
         return 0
-    # The owner before may have extended the lease up to this moment.
+    else:
+        # The owner before may have extended the lease up to this moment;
+        # from here on the worker refuses it.
+        longest_s = tables.inherited_lease_s()
     return report.clock_ms + longest_s * MS_PER_S
 
 
--- a/ragwortfield/scheduling/tables.py
+++ b/ragwortfield/scheduling/tables.py
@@ -14,7 +14,7 @@
 )
 from ragwortfield.scheduling.pressure import PressureModel
 from ragwortfield.scheduling.worker_rows import WorkerRow
-from ragwortfield.types import Instant, JobId, WorkerId
+from ragwortfield.types import Instant, JobId, Seconds, WorkerId
 
 Order = StartRun | StopRun | PaceRun
 StepKey = tuple[JobId, int, int]
@@ -27,6 +27,8 @@
 
     :param epoch: fencing token of the owner.
     :param owner_since: when it took the shard, by the monotonic clock.
+    :param lease_before_s: longest lease that the owner before asked of
+        workers, in seconds; 0 when it is not known.
     :param open_step_by_key: steps that may start and have waiting tasks.
     :param dirty_by_key: occurrences whose record lags behind.
     :param orders: orders that are due; the owner's runner sends them.
@@ -42,6 +44,7 @@
     owner_since: Instant
     bounds: Bounds
     catalogue: Catalogue
+    lease_before_s: Seconds = 0
     job_by_id: dict[JobId, JobRow] = field(default_factory=dict)
     worker_by_id: dict[WorkerId, WorkerRow] = field(default_factory=dict)
     open_step_by_key: dict[StepKey, StepRow] = field(default_factory=dict)
@@ -58,6 +61,16 @@
     is_deposed: bool = False
     pressure: PressureModel = field(default_factory=PressureModel)
 
+    def inherited_lease_s(self) -> Seconds:
+        """
+        Give the longest lease that an owner before may have left behind.
+
+        :returns: seconds from its last order.
+        """
+        if not self.lease_before_s:
+            return self.bounds.longest_lease_s()
+        return max(self.lease_before_s, self.bounds.start_window_s)
+
     def find_task(self, key: TaskKey) -> TaskRow | None:
         """
         Look a task up.
--- a/ragwortfield/scheduling/worker_rows.py
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -6,7 +6,7 @@
 from ragwortfield.scheduling.bounds import CLOCK_DRIFT, MS_PER_S, Bounds
 from ragwortfield.scheduling.job import TaskKey
 from ragwortfield.scheduling.job_rows import TaskRow
-from ragwortfield.types import Instant, WorkerId
+from ragwortfield.types import Instant, Seconds, WorkerId
 
 #: Part of their processor that tasks with users of their own leave unused.
 _IDLE_SHARE = 0.58
@@ -62,6 +62,8 @@
     :param noted: last end that was taken into the tables.
     :param acknowledged: last end whose effect is durable.
     :param told: last end of which the worker knows that.
+    :param is_life_doubtful: whether an answer since the latest report shows
+        an earlier clock, as after a new start.
     :param run_by_key: tasks bound to it.
     :param used_cpu: processor promised to tasks that are no fillers.
     :param serving_cpu: part of it that is promised to tasks with users.
@@ -88,6 +90,7 @@
     noted: int = 0
     acknowledged: int = 0
     told: int = 0
+    is_life_doubtful: bool = False
     run_by_key: dict[TaskKey, TaskRow] = field(default_factory=dict)
     used_cpu: float = 0
     used_memory_mb: float = 0
@@ -119,6 +122,7 @@
         bounds: Bounds,
         now: Instant,
         owner_since: Instant,
+        inherited_lease_s: Seconds,
     ) -> bool:
         """
         Tell whether everything on the worker has certainly ended.
@@ -126,12 +130,13 @@
         :param bounds: durations in force.
         :param now: reading of the monotonic clock.
         :param owner_since: when the present owner took the shard.
+        :param inherited_lease_s: longest lease that the owners before asked.
         :returns: whether no order of anybody can have kept a lease alive.
         """
         if self.known_at:
             return self.clock.earliest_ms(now) > self.lease_end_ms
         # Before the first report the lease may stem from the owner before.
-        longest_s = bounds.longest_lease_s / (1 - CLOCK_DRIFT)
+        longest_s = inherited_lease_s / (1 - CLOCK_DRIFT)
         return now - owner_since > bounds.unaware_s + longest_s
 
     def add(self, task: TaskRow) -> None:
--- a/ragwortfield/settings/scheduler.py
+++ b/ragwortfield/settings/scheduler.py
@@ -113,11 +113,12 @@
         if split_address(address) is None
     ]
     bounds = settings.bounds
-    if not 0 < bounds.lease_s <= bounds.longest_lease_s:
-        problems.append(
-            f"key 'bounds.lease_s' is {bounds.lease_s}, expected above 0 "
-            f'and at most longest_lease_s, {bounds.longest_lease_s}',
-        )
+    for key in ('lease_s', 'longest_lease_ms', 'start_window_s', 'status_s'):
+        if getattr(bounds, key) <= 0:
+            problems.append(
+                f"key 'bounds.{key}' is {getattr(bounds, key)}, "
+                'expected above 0',
+            )
     if settings.instance.cores <= 0:
         problems.append(
             f"key 'instance.cores' is {settings.instance.cores}, "
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -79,12 +79,13 @@
 class Owner:
     """One instance that believes to own the shard."""
 
-    def __init__(self, *, world: 'ShardWorld', epoch: int, version: int):
+    def __init__(self, *, world, epoch, version, lease_before_s):
         self.world = world
         self.tables = ShardTables(
             epoch=epoch,
             owner_since=world.now,
             bounds=Bounds(unaware_s=world.unaware_s),
+            lease_before_s=lease_before_s,
             catalogue=_CATALOGUE,
         )
         self.commits = ShardCommits(
@@ -288,8 +289,11 @@
         owner = self.store.row_by_name.get(owner_row(SHARD))
         last = self.store.row_by_name.get(sequence_row(SHARD))
         epoch = 1
+        lease_before_s = 0
         if owner is not None:
-            epoch = decode_record(owner.content, OwnerRecord).epoch + 1
+            record = decode_record(owner.content, OwnerRecord)
+            epoch = record.epoch + 1
+            lease_before_s = record.lease_s
         outcome = self.store.commit(
             Transaction(
                 expected=(
@@ -310,6 +314,7 @@
                                 instance_id=f'i{epoch}',
                                 incarnation=str(epoch),
                                 epoch=epoch,
+                                lease_s=Bounds().asked_lease_s(),
                             ),
                         ),
                     ),
@@ -325,7 +330,12 @@
         )
         if isinstance(outcome, TransactionDone):
             self.owners.append(
-                Owner(world=self, epoch=epoch, version=outcome.version),
+                Owner(
+                    world=self,
+                    epoch=epoch,
+                    version=outcome.version,
+                    lease_before_s=lease_before_s,
+                ),
             )
 
     def advance(self, seconds):
--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -3,6 +3,7 @@
 import unittest
 
 from ragwortfield.ports.task_worker import EndKind, OrderDone, StopRun
+from ragwortfield.scheduling.bounds import Bounds
 from ragwortfield.scheduling.status import JobStatus
 from ragwortfield.scheduling.worker_rows import WorkerClock
 from ragwortfield.tests.shard_world import ShardWorld, one_step
@@ -151,3 +152,69 @@
             world.advance(0.1)
         world.check()
         self.assertEqual(world.status(job_id), JobStatus.COMPLETE)
+
+    def test_fresh_acknowledgement_waits_where_a_start_met_a_new_life(self):
+        """Seed 30 of the shard machine, second part."""
+        world = ShardWorld(workers=1)
+        world.take_over()
+        owner = world.owners[-1]
+        world.submit(one_step())
+        for _ in range(5):
+            owner.act()
+            world.advance(0.1)
+        world.end_some(EndKind.DONE)
+        owner.act()
+        worker = world.workers.worker_by_id['w0']
+        worker.restart()
+        job_id = world.submit(one_step())
+        owner.act(holds=False)
+        world.end_some(EndKind.DONE)
+        row = owner.tables.worker_by_id['w0']
+        self.assertGreater(row.acknowledged, row.told)
+        for _ in range(5):
+            owner.act()
+            world.advance(0.1)
+        world.check()
+        self.assertEqual(world.status(job_id), JobStatus.COMPLETE)
+
+
+class InheritedLeaseTest(unittest.TestCase):
+    """A new owner waits for the lease that the one before can have asked."""
+
+    def setUp(self):
+        self.world = ShardWorld(workers=2)
+        self.world.take_over()
+        self.world.submit(one_step(is_long_lived=True))
+        self.act(1)
+
+    def act(self, seconds):
+        for _ in range(int(seconds / 0.1)):
+            self.world.owners[-1].act()
+            self.world.advance(0.1)
+        self.world.check()
+
+    def test_tasks_of_a_worker_lost_after_a_takeover_run_again_in_time(self):
+        self.world.take_over()
+        self.act(0.5)
+        lost = next(
+            worker
+            for worker in self.world.workers.worker_by_id.values()
+            if worker.run_by_key
+        )
+        lost.is_reachable = False
+        self.act(_AGAIN_S)
+        others = [
+            worker
+            for worker in self.world.workers.worker_by_id.values()
+            if worker.run_by_key and worker is not lost
+        ]
+        self.assertEqual(len(others), 1)
+
+    def test_unknown_lease_of_the_owner_before_counts_as_the_longest(self):
+        tables = self.world.owners[-1].tables
+        longest_s = tables.bounds.longest_lease_s()
+        self.assertEqual(tables.inherited_lease_s(), longest_s)
+
+    def test_asked_lease_is_never_longer_than_workers_grant(self):
+        bounds = Bounds(lease_s=4, longest_lease_ms=1500)
+        self.assertEqual(bounds.asked_lease_s(), 1.5)
