What an owner has learned of interference outlives it

Cause: each new owner began with no weights of pairs of images, so after every takeover harsh fillers ran beside serving tasks until they were learned anew. Change: the owner writes the weights every four seconds to a row of its shard, expecting its own owner's row; a new owner reads them before it decides.

--- /dev/null
+++ b/ragwortfield/engine/learned_rows.py
@@ -0,0 +1,113 @@
+"""Keeping what an owner has learned for the owners after it."""
+
+import gevent
+
+from ragwortfield.adapters.documents import Malformed
+from ragwortfield.engine.names import owner_row, pressure_row
+from ragwortfield.log import event
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.row_store import (
+    ExpectedVersion,
+    RowStore,
+    RowWrite,
+    Transaction,
+    TransactionDone,
+)
+from ragwortfield.scheduling.pressure import PressureModel
+from ragwortfield.scheduling.records import (
+    PressureRecord,
+    decode_record,
+    encode_record,
+)
+from ragwortfield.types import Seconds
+
+#: Time between two writes, in seconds; a lost owner loses this much.
+_KEEP_EVERY_S: Seconds = 4
+_COMMIT_TIMEOUT_S: Seconds = 1.2
+
+
+class LearnedRows:
+    """
+    Row of one shard with the weights of pairs of images.
+
+    :param shard: number of the shard.
+    :param store: the platform's store.
+    :param owner_version: version of the owner's row; a replaced owner
+        writes nothing.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: int,
+        store: RowStore,
+        owner_version: int,
+    ) -> None:
+        """Create without a call."""
+        self._shard = shard
+        self._store = store
+        self._owner_version = owner_version
+        self._kept = b''
+
+    def restore(self, model: PressureModel) -> None:
+        """
+        Take over what owners before have learned, if it can be read now.
+
+        :param model: the model to be filled.
+        """
+        name = pressure_row(self._shard)
+        page = self._store.read(name.table, name.part)
+        if isinstance(page, Unavailable):
+            event('learned_unread', shard=self._shard, reason=page.reason)
+            return
+        for row in page.rows:
+            record = decode_record(row.content or b'', PressureRecord)
+            if isinstance(record, Malformed):
+                event(
+                    'row_unreadable',
+                    key=row.name.key,
+                    reason=record.reason,
+                )
+                continue
+            model.restore(record)
+            event(
+                'learned_restored',
+                shard=self._shard,
+                pairs=len(record.weights),
+                version=row.version,
+            )
+
+    def keep(self, model: PressureModel) -> None:
+        """
+        Write what changes, for ever.
+
+        :param model: the model.
+        """
+        while True:
+            gevent.sleep(_KEEP_EVERY_S)
+            content = encode_record(model.record())
+            if content != self._kept and model.weight_by_pair:
+                self._write(content)
+
+    def _write(self, content: bytes) -> None:
+        owner = owner_row(self._shard)
+        outcome = self._store.commit(
+            Transaction(
+                expected=(
+                    ExpectedVersion(name=owner, version=self._owner_version),
+                ),
+                writes=(
+                    RowWrite(name=pressure_row(self._shard), content=content),
+                ),
+            ),
+            _COMMIT_TIMEOUT_S,
+        )
+        if isinstance(outcome, TransactionDone):
+            self._kept = content
+            return
+        event(
+            'learned_not_kept',
+            shard=self._shard,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, 'reason', 'the owner has changed'),
+        )
--- a/ragwortfield/engine/names.py
+++ b/ragwortfield/engine/names.py
@@ -10,6 +10,8 @@
 SEQUENCE_TABLE = 'sequences'
 #: Progress of jobs.
 PROGRESS_TABLE = 'progress'
+#: What owners have learned.
+LEARNED_TABLE = 'learned'
 #: Part of the rows that belong to no shard.
 COMMON_PART = ''
 
@@ -71,6 +73,16 @@
     return RowName(table=SEQUENCE_TABLE, part=part_of(shard), key='last')
 
 
+def pressure_row(shard: int) -> RowName:
+    """
+    Name the row with what was learned of interference.
+
+    :param shard: number of the shard.
+    :returns: the row.
+    """
+    return RowName(table=LEARNED_TABLE, part=part_of(shard), key='pressure')
+
+
 def layout_row() -> RowName:
     """
     Name the row with the number of shards.
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -8,6 +8,7 @@
 
 from ragwortfield.engine.calendar import Calendar
 from ragwortfield.engine.feeds import Feed, read_all
+from ragwortfield.engine.learned_rows import LearnedRows
 from ragwortfield.engine.names import (
     PROGRESS_TABLE,
     inbox_table,
@@ -106,6 +107,11 @@
         self._store = store
         self._entries = entries
         self._calendar = calendar
+        self._learned = LearnedRows(
+            shard=shard,
+            store=store,
+            owner_version=commits.owner_version,
+        )
         self._wake = Event()
         self._commit_wake = Event()
         self._is_committing = False
@@ -250,6 +256,7 @@
         self._take_workers(listing.rows, True)
         self._take_inbox(inbox.rows, False)
         take_progress_rows(self.tables, progress.rows, now)
+        self._learned.restore(self.tables.pressure)
         self.is_ready = True
         event(
             'shard_loaded',
@@ -260,6 +267,7 @@
             duration_s=now - started_at,
         )
         self._spawn(self._commit_loop)
+        self._spawn(self._learned.keep, self.tables.pressure)
         self._spawn(self._follow, inbox_table(self.shard), inbox.version)
         self._spawn(self._follow_workers, listing.version)
         self._run()
--- a/ragwortfield/scheduling/pressure.py
+++ b/ragwortfield/scheduling/pressure.py
@@ -12,6 +12,7 @@
 
 from dataclasses import dataclass, field
 
+from ragwortfield.scheduling.records import PressureRecord, WeightRecord
 from ragwortfield.types import Instant, Seconds
 
 #: Weight of a pair before anything is known, and its variance.
@@ -19,6 +20,10 @@
 _FIRST_VARIANCE = 2.0
 #: Smallest variance of a weight; images do not change for good.
 _LEAST_VARIANCE = 0.01
+#: Least variance of a weight that another owner learned.
+_INHERITED_VARIANCE = 0.04
+#: Digits of weights that are kept in the store.
+_RECORD_DIGITS = 2
 #: Largest weight; an image cannot help the tasks beside it either.
 _LARGEST_WEIGHT = 8.0
 #: Load before the first reading, and its variance.
@@ -213,6 +218,38 @@
         load.correct(error, total)
         return own_use
 
+    def record(self) -> PressureRecord:
+        """
+        Give what was learned.
+
+        :returns: the record.
+        """
+        return PressureRecord(
+            weights=tuple(
+                WeightRecord(
+                    serving=serving,
+                    filler=filler,
+                    amount=round(weight.amount, _RECORD_DIGITS),
+                    variance=round(weight.variance, _RECORD_DIGITS),
+                )
+                for (serving, filler), weight in self.weight_by_pair.items()
+            ),
+            least_by_image=dict(self.least_by_image),
+        )
+
+    def restore(self, record: PressureRecord) -> None:
+        """
+        Take over what an owner before has learned.
+
+        :param record: its record.
+        """
+        for one in record.weights:
+            self.weight_by_pair[one.serving, one.filler] = _Weight(
+                amount=one.amount,
+                variance=max(one.variance, _INHERITED_VARIANCE),
+            )
+        self.least_by_image.update(record.least_by_image)
+
     def _added(self, serving: str, shares: Shares) -> float:
         return sum(
             self.weight(serving, image) * share
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -95,6 +95,34 @@
     number: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WeightRecord:
+    """
+    What is known of one pair of images.
+
+    :param serving: image of the tasks that serve.
+    :param filler: image of the fillers.
+    """
+
+    serving: str
+    filler: str
+    amount: float
+    variance: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PressureRecord:
+    """
+    What an owner has learned of interference, for the owners after it.
+
+    :param least_by_image: smallest tail latency of each serving image, in
+        milliseconds.
+    """
+
+    weights: tuple[WeightRecord, ...]
+    least_by_image: dict[str, float]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MemberRecord:
     """
