Callers' changes are tried at peers after 0.35 s, and for 1.3 s in all

Change: peers are asked as well once the own write is unanswered for 0.35 s, and all tries together end after 1.3 s. All of them write the same row under the same condition, so the first answer settles it; anything unanswered makes the outcome uncertain, never a refusal. Tests: red before (held beyond the limit), green after.

--- a/ragwortfield/engine/job_desk.py
+++ b/ragwortfield/engine/job_desk.py
@@ -42,7 +42,7 @@
 )
 from ragwortfield.scheduling.status import JobStatus, status_of
 from ragwortfield.scheduling.tables import ShardTables
-from ragwortfield.types import InstanceId, JobId, Seconds
+from ragwortfield.types import Instant, InstanceId, JobId, Seconds
 
 #: Longest wait for the owner's answer about a job, in seconds.
 _OWNER_TIMEOUT_S: Seconds = 0.4
@@ -55,6 +55,12 @@
 RETRY_AFTER_S = 1
 #: Longest wait for a peer that writes in this instance's stead, in seconds.
 _RELAY_TIMEOUT_S: Seconds = 0.6
+#: Time without an answer of the store after which peers are asked to write as
+#: well, in seconds; a transaction usually takes 12 to 18 ms.
+_HEDGE_S: Seconds = 0.35
+#: Longest time in which a caller's change is tried, in seconds: less than
+#: half of what callers usually wait, so that they can turn elsewhere.
+_PERSIST_LIMIT_S: Seconds = 1.3
 #: Peers that are asked to stand in for the store.
 _STAND_INS = 2
 
@@ -396,36 +402,33 @@
         write: Callable[[], CancelOutcome],
     ) -> CancelOutcome:
         """
-        Write here, or through a peer while the store fails us.
+        Write here, and through peers where the store does not answer soon.
 
-        Waiting for a store that is away helps no caller, so what cannot be
-        written now is given up at once.
+        All of them write the same row, so whichever answers first settles
+        it. Waiting for a store that is away helps no caller, so what cannot
+        be written now is given up at once.
         """
-        outcomes: list[CancelOutcome] = []
+        end = time.monotonic() + _PERSIST_LIMIT_S
+        attempts: list[gevent.Greenlet] = []
         if not self._health.is_away():
-            outcomes.append(write())
-        if not _is_settled(outcomes):
-            outcomes.extend(self._ask_peers(name, body))
-        if not _is_settled(outcomes) and self._health.is_away():
+            attempts.append(gevent.spawn(write))
+            attempts[0].join(_HEDGE_S)
+        if not _is_settled(attempts):
+            attempts.extend(self._ask_peers(name, body))
+            _await_settled(attempts, end)
+        if _is_settled(attempts) or self._health.is_away():
             # The store may be back although nobody has seen it yet.
-            return _summed_up(outcomes)
-        if not _is_settled(outcomes):
+            return _summed_up(attempts)
+        if time.monotonic() + _RETRY_S < end:
             gevent.sleep(_RETRY_S)
-            outcomes.append(write())
-        return _summed_up(outcomes)
+            attempts.append(gevent.spawn(write))
+            _await_settled(attempts, end)
+        return _summed_up(attempts)
 
-    def _ask_peers(self, name: str, body: CallBody) -> list[CancelOutcome]:
-        addresses = self._stand_ins(self._shard(body['job_id']))
-        asked = [
-            gevent.spawn(self._relay, address, name, body)
-            for address in addresses
-        ]
-        gevent.joinall(asked, timeout=_RELAY_TIMEOUT_S + _RETRY_S)
+    def _ask_peers(self, name: str, body: CallBody) -> list[gevent.Greenlet]:
         return [
-            Uncertain(reason='a peer gave no answer')
-            if one.value is None
-            else one.value
-            for one in asked
+            gevent.spawn(self._relay, address, name, body)
+            for address in self._stand_ins(self._shard(body['job_id']))
         ]
 
     def _relay(
@@ -474,17 +477,37 @@
         return shard_of(job_id, max(self._cluster.shards, 1))
 
 
-def _is_settled(outcomes: list[CancelOutcome]) -> bool:
-    return any(isinstance(one, Accepted | Unknown) for one in outcomes)
+def _outcomes(attempts: list[gevent.Greenlet]) -> list[CancelOutcome]:
+    return [
+        Uncertain(reason='no answer in time')
+        if one.value is None
+        else one.value
+        for one in attempts
+    ]
+
+
+def _is_settled(attempts: list[gevent.Greenlet]) -> bool:
+    return any(
+        isinstance(one, Accepted | Unknown) for one in _outcomes(attempts)
+    )
+
+
+def _await_settled(attempts: list[gevent.Greenlet], end: Instant) -> None:
+    left = [one for one in attempts if not one.ready()]
+    while left and not _is_settled(attempts):
+        wait_s = end - time.monotonic()
+        if wait_s <= 0:
+            return
+        gevent.wait(left, timeout=wait_s, count=1)
+        left = [one for one in left if not one.ready()]
 
 
-def _summed_up(outcomes: list[CancelOutcome]) -> CancelOutcome:
-    for one in outcomes:
-        if isinstance(one, Accepted | Unknown):
-            return one
-    for one in outcomes:
-        if isinstance(one, Uncertain):
-            return one
+def _summed_up(attempts: list[gevent.Greenlet]) -> CancelOutcome:
+    outcomes = _outcomes(attempts)
+    for kinds in (Accepted | Unknown, Uncertain):
+        for one in outcomes:
+            if isinstance(one, kinds):
+                return one
     if outcomes:
         return outcomes[-1]
     return Rejected(reason='the store is away, and there is no peer to ask')
--- a/ragwortfield/tests/test_job_desk.py
+++ b/ragwortfield/tests/test_job_desk.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import gevent
+
 from ragwortfield.engine.cluster import Cluster
 from ragwortfield.engine.job_desk import (
     Accepted,
@@ -22,6 +24,9 @@
 from ragwortfield.testing.row_store import MemoryRowStore
 
 _JOB_ID = '00000000000000aa'
+#: Silence of a store, and the limit of a test that must not wait for it.
+_FOREVER_S = 120
+_LIMIT_S = 30
 
 
 class _NoOwnership:
@@ -45,6 +50,14 @@
         return self.answer
 
 
+class _SilentStore:
+    """Store that takes transactions and never answers."""
+
+    def commit(self, transaction, timeout_s):
+        gevent.sleep(_FOREVER_S)
+        return _SILENT
+
+
 _SILENT = Unavailable(reason='no answer', is_effect_possible=True)
 _UNREACHED = Unavailable(reason='refused')
 
@@ -125,6 +138,21 @@
         self.assertIsInstance(self.desk.submit(self.job), Accepted)
         self.assertIn('submit', self.peers.calls)
 
+    def test_peer_writes_while_the_store_is_silent_to_this_instance(self):
+        """Pattern: calls held until a silent store's answer is given up."""
+        self.peers.answer = {'outcome': 'Accepted', 'reason': ''}
+        self.desk._store = _SilentStore()
+        with gevent.Timeout(_LIMIT_S):
+            outcome = self.desk.submit(self.job)
+        self.assertIsInstance(outcome, Accepted)
+
+    def test_caller_is_not_held_by_a_silent_store(self):
+        self.peers.answer = _SILENT
+        self.desk._store = _SilentStore()
+        with gevent.Timeout(_LIMIT_S):
+            outcome = self.desk.submit(self.job)
+        self.assertIsInstance(outcome, Uncertain)
+
     def test_store_known_to_be_away_is_not_waited_for(self):
         self.health.note(_UNREACHED)
         self.health.note(_UNREACHED)
