Workers are divided among shards; shards prefer instances of their own

Change: the layout row also fixes limits of the hash of a worker's identifier that divide the pool evenly; an owner reads only entries of its own. Preferred owners are ranked one shard after another, so that shards share an instance only where there are more shards than instances. The settings pass on how fast an instance's cores are, which the ranking counts. Tests: test_cluster.

--- a/ragwortfield/daemons/scheduler.py
+++ b/ragwortfield/daemons/scheduler.py
@@ -156,7 +156,7 @@
             address=f'{instance.host}:{settings.listen.peer_port}',
         ),
         data_centre=instance.data_centre,
-        cores=instance.cores,
+        cores=instance.cores * instance.core_speed,
         store=StoreClient(address=settings.dependencies.store),
         workers=WorkerCalls(),
         names=PlatformNames(
--- a/ragwortfield/engine/cluster.py
+++ b/ragwortfield/engine/cluster.py
@@ -1,6 +1,7 @@
 """What an instance knows of the deployment: members, owners, layout."""
 
 import math
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ragwortfield.adapters.documents import Malformed
@@ -24,6 +25,9 @@
 _NEAR_STORE_MS = 4
 #: Weight of a member far from the store against one that is near.
 _FAR_WEIGHT = 0.1
+#: Weight of a member for each shard that prefers it already.
+_BUSY_WEIGHT = 0.01
+_LEAST_WEIGHT = 1e-12
 _HASH_BITS = 64
 _HASH_SPAN = 2**_HASH_BITS
 
@@ -42,11 +46,14 @@
     View of the deployment, fed by the cluster table.
 
     :param shards: number of shards; 0 until the layout is known.
+    :param worker_limits: division of the workers among them.
     """
 
     member_by_id: dict[InstanceId, MemberRecord] = field(default_factory=dict)
     owner_by_shard: dict[int, KnownOwner] = field(default_factory=dict)
     shards: int = 0
+    worker_limits: tuple[int, ...] = ()
+    _preferred: dict[int, InstanceId] = field(default_factory=dict)
 
     def take_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """
@@ -103,9 +110,10 @@
             (one.store_ms for one in self.member_by_id.values()),
             default=0,
         )
+        busy = Counter(self._preferred_before(shard, fastest))
         return sorted(
             self.member_by_id.values(),
-            key=lambda one: _score(shard, one, fastest),
+            key=lambda one: _score(shard, one, fastest, busy),
         )
 
     def rank_of(self, shard: int, instance_id: InstanceId) -> int:
@@ -121,14 +129,41 @@
                 return rank
         return len(self.member_by_id)
 
+    def _preferred_before(
+        self,
+        shard: int,
+        fastest_ms: float,
+    ) -> list[InstanceId]:
+        """List the preferred owners of the shards before one."""
+        if not self.member_by_id:
+            return []
+        for earlier in range(len(self._preferred), shard):
+            busy = Counter(self._preferred.values())
+            best = self._best(earlier, fastest_ms, busy)
+            self._preferred[earlier] = best.instance_id
+        return [self._preferred[earlier] for earlier in range(shard)]
+
+    def _best(
+        self,
+        shard: int,
+        fastest_ms: float,
+        busy: Counter[InstanceId],
+    ) -> MemberRecord:
+        return min(
+            self.member_by_id.values(),
+            key=lambda one: _score(shard, one, fastest_ms, busy),
+        )
+
     def _take_layout(self, row: StoredRow) -> None:
         record = decode_record(row.content or b'', LayoutRecord)
         if isinstance(record, Malformed):
             event('row_unreadable', key=row.name.key, reason=record.reason)
             return
         self.shards = record.shards
+        self.worker_limits = record.worker_limits
 
     def _take_member(self, member_id: InstanceId, row: StoredRow) -> None:
+        self._preferred.clear()
         if row.content is None:
             self.member_by_id.pop(member_id, None)
             return
@@ -139,10 +174,17 @@
         self.member_by_id[member_id] = record
 
 
-def _score(shard: int, member: MemberRecord, fastest_ms: float) -> float:
+def _score(
+    shard: int,
+    member: MemberRecord,
+    fastest_ms: float,
+    busy: Counter[InstanceId],
+) -> float:
     is_near = member.store_ms - fastest_ms <= _NEAR_STORE_MS
     weight = member.cores
     if not is_near:
         weight *= _FAR_WEIGHT
+    # Shards share an instance only where there are more of them.
+    weight *= _BUSY_WEIGHT ** busy[member.instance_id]
     draw = (stable_hash(f'{shard}|{member.instance_id}') + 1) / _HASH_SPAN
-    return -math.log(draw) / max(weight, _FAR_WEIGHT / _HASH_SPAN)
+    return -math.log(draw) / max(weight, _LEAST_WEIGHT)
--- a/ragwortfield/engine/names.py
+++ b/ragwortfield/engine/names.py
@@ -1,8 +1,11 @@
 """Names of the rows that the scheduler keeps in the store."""
 
+from bisect import bisect_right
+from collections.abc import Iterable
+
 from ragwortfield.ports.row_store import RowName
 from ragwortfield.systems.hashing import stable_hash
-from ragwortfield.types import InstanceId, JobId
+from ragwortfield.types import InstanceId, JobId, WorkerId
 
 #: Owners of shards and members of the deployment.
 CLUSTER_TABLE = 'cluster'
@@ -33,6 +36,35 @@
     return stable_hash(job_id) % shards
 
 
+def worker_limits(
+    worker_ids: Iterable[WorkerId],
+    shards: int,
+) -> tuple[int, ...]:
+    """
+    Divide workers evenly among shards.
+
+    :param worker_ids: the workers that are known now; later ones go to the
+        shards by the same limits.
+    :param shards: number of shards.
+    :returns: hash from which on the next shard begins, for all but the first.
+    """
+    hashes = sorted(stable_hash(one) for one in worker_ids)
+    return tuple(
+        hashes[len(hashes) * shard // shards] for shard in range(1, shards)
+    )
+
+
+def shard_of_worker(worker_id: WorkerId, limits: tuple[int, ...]) -> int:
+    """
+    Tell which shard has a worker.
+
+    :param worker_id: the worker.
+    :param limits: as ``worker_limits`` gives them.
+    :returns: number of the shard.
+    """
+    return bisect_right(limits, stable_hash(worker_id))
+
+
 def part_of(shard: int) -> str:
     """
     Name the part that holds the rows of a shard.
--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -26,7 +26,6 @@
     StoredRow,
     Transaction,
     TransactionDone,
-    TransactionRefused,
 )
 from ragwortfield.scheduling.records import (
     MemberRecord,
@@ -65,7 +64,6 @@
 _WITNESSES = 2
 
 
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Tenure:
     """
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -19,6 +19,8 @@
     layout_row,
     member_row,
     part_of,
+    shard_of_worker,
+    worker_limits,
 )
 from ragwortfield.engine.ownership import Identity, Ownership, Tenure
 from ragwortfield.engine.shard_commits import ShardCommits
@@ -331,15 +333,17 @@
             return
         shards = max(round(len(page.rows) / _WORKERS_A_SHARD), 1)
         name = layout_row()
+        record = LayoutRecord(
+            shards=shards,
+            worker_limits=worker_limits(
+                (row.name.key for row in page.rows),
+                shards,
+            ),
+        )
         outcome = self._store.commit(
             Transaction(
                 expected=(ExpectedVersion(name=name, version=0),),
-                writes=(
-                    RowWrite(
-                        name=name,
-                        content=encode_record(LayoutRecord(shards=shards)),
-                    ),
-                ),
+                writes=(RowWrite(name=name, content=encode_record(record)),),
             ),
             _COMMIT_TIMEOUT_S,
         )
@@ -389,6 +393,10 @@
             entries=WorkerEntries(
                 table=self._names.worker_table,
                 parse=self._names.parse_worker,
+                is_own=lambda worker_id: (
+                    shard_of_worker(worker_id, self._cluster.worker_limits)
+                    == tenure.shard
+                ),
             ),
             calendar=self._calendar,
         )
--- a/ragwortfield/engine/shard_rows.py
+++ b/ragwortfield/engine/shard_rows.py
@@ -28,10 +28,12 @@
 
     :param table: table of their entries.
     :param parse: reads an entry.
+    :param is_own: tells whether a worker belongs to the shard.
     """
 
     table: str
     parse: WorkerParser
+    is_own: Callable[[WorkerId], bool]
 
 
 def take_inbox_rows(
@@ -107,7 +109,7 @@
     rows: tuple[StoredRow, ...],
     *,
     is_whole: bool,
-    parse_worker: WorkerParser,
+    entries: WorkerEntries,
 ) -> None:
     """
     Take the workers' own entries in.
@@ -115,14 +117,16 @@
     :param tables: tables of the shard.
     :param rows: entries, new or changed.
     :param is_whole: whether they are all entries that there are.
-    :param parse_worker: reads an entry.
+    :param entries: reads an entry, and tells which belong to the shard.
     """
     for row in rows:
         worker_id = row.name.key
+        if not entries.is_own(worker_id):
+            continue
         if row.content is None:
             intake.drop_worker(tables, worker_id)
             continue
-        listed = parse_worker(worker_id, row.content)
+        listed = entries.parse(worker_id, row.content)
         if isinstance(listed, Malformed):
             event('entry_unusable', worker=worker_id, reason=listed.reason)
         else:
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -341,7 +341,7 @@
             self.tables,
             rows,
             is_whole=is_whole,
-            parse_worker=self._entries.parse,
+            entries=self._entries,
         )
         self._loops.watch()
 
--- a/ragwortfield/scheduling/consolidation.py
+++ b/ragwortfield/scheduling/consolidation.py
@@ -83,15 +83,19 @@
 def _best_move(tables: ShardTables, now: Instant) -> _Move | None:
     chooser = Chooser(tables=tables, now=now)
     tolerance = tolerance_of(tables)
-    moves = [
-        move
-        for worker in tables.worker_by_id.values()
-        for image in worker.serving_by_image
-        if tolerance.is_known(image)
-        for move in [_move(tables, chooser, tolerance, worker, image)]
-        if move is not None
-    ]
-    return max(moves, key=lambda one: one.gain_cpu, default=None)
+    best: _Move | None = None
+    for worker in tables.worker_by_id.values():
+        for image in worker.serving_by_image:
+            if not tolerance.is_known(image):
+                continue
+            move = _move(tables, chooser, tolerance, worker, image)
+            if move is not None and (best is None or _is_better(move, best)):
+                best = move
+    return best
+
+
+def _is_better(move: _Move, best: _Move) -> bool:
+    return move.gain_cpu > best.gain_cpu
 
 
 def _move(
--- a/ragwortfield/scheduling/interference.py
+++ b/ragwortfield/scheduling/interference.py
@@ -286,9 +286,10 @@
 
 
 def _changes(before: Shares, shares: Shares) -> Shares:
+    images = before | shares
     return {
         image: abs(shares.get(image, 0) - before.get(image, 0))
-        for image in {*before, *shares}
+        for image in images
     }
 
 
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -143,9 +143,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LayoutRecord:
-    """Number of shards, fixed when the deployment first starts."""
+    """
+    Division into shards, fixed when the deployment first starts.
+
+    :param worker_limits: hash of a worker's identifier from which on the
+        next shard has it; one fewer than there are shards.
+    """
 
     shards: int = field(default=1)
+    worker_limits: tuple[int, ...] = ()
 
 
 def encode_record(record: object) -> bytes:
--- a/ragwortfield/settings/scheduler.py
+++ b/ragwortfield/settings/scheduler.py
@@ -15,6 +15,7 @@
     Name and place of the instance.
 
     :param cores: processor that it has, in cores.
+    :param core_speed: speed of these cores, as a multiple of a plain one's.
     """
 
     id: str
@@ -22,6 +23,7 @@
     region: str
     host: str
     cores: float = 1
+    core_speed: float = 1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -119,9 +121,10 @@
                 f"key 'bounds.{key}' is {getattr(bounds, key)}, "
                 'expected above 0',
             )
-    if settings.instance.cores <= 0:
-        problems.append(
-            f"key 'instance.cores' is {settings.instance.cores}, "
-            'expected above 0',
-        )
+    for key in ('cores', 'core_speed'):
+        amount = getattr(settings.instance, key)
+        if amount <= 0:
+            problems.append(
+                f"key 'instance.{key}' is {amount}, expected above 0",
+            )
     return problems
--- /dev/null
+++ b/ragwortfield/tests/test_cluster.py
@@ -0,0 +1,78 @@
+"""Division of the deployment: workers among shards, shards among owners."""
+
+import unittest
+from collections import Counter
+
+from ragwortfield.engine.cluster import Cluster
+from ragwortfield.engine.names import (
+    member_row,
+    shard_of_worker,
+    worker_limits,
+)
+from ragwortfield.ports.row_store import StoredRow
+from ragwortfield.scheduling.records import MemberRecord, encode_record
+
+_SHARDS = 5
+
+
+def _cluster(members, **terms):
+    cluster = Cluster(shards=_SHARDS)
+    rows = []
+    for number in range(members):
+        record = MemberRecord(
+            instance_id=f'i{number}',
+            incarnation='1',
+            address=f'i{number}:1',
+            data_centre='dc',
+            cores=1,
+            **terms,
+        )
+        rows.append(
+            StoredRow(
+                name=member_row(record.instance_id),
+                version=1,
+                content=encode_record(record),
+            ),
+        )
+    cluster.take_rows(tuple(rows))
+    return cluster
+
+
+class WorkerLimitsTest(unittest.TestCase):
+    def test_workers_are_divided_evenly(self):
+        worker_ids = [f'w{number}' for number in range(177)]
+        limits = worker_limits(worker_ids, _SHARDS)
+        count_by_shard = Counter(
+            shard_of_worker(one, limits) for one in worker_ids
+        )
+        self.assertEqual(set(count_by_shard), set(range(_SHARDS)))
+        spread = max(count_by_shard.values()) - min(count_by_shard.values())
+        self.assertLessEqual(spread, 1)
+
+    def test_one_shard_has_every_worker(self):
+        limits = worker_limits(['w0', 'w1'], 1)
+        self.assertEqual(limits, ())
+        self.assertEqual(shard_of_worker('w9', limits), 0)
+
+
+class PreferredOwnerTest(unittest.TestCase):
+    def preferred(self, cluster):
+        return [
+            cluster.ranked(shard)[0].instance_id for shard in range(_SHARDS)
+        ]
+
+    def test_each_shard_prefers_an_instance_of_its_own(self):
+        preferred = self.preferred(_cluster(8))
+        self.assertEqual(len(set(preferred)), _SHARDS)
+
+    def test_every_member_gives_the_same_order(self):
+        first = _cluster(8)
+        second = _cluster(8)
+        self.assertEqual(
+            self.preferred(first)[::-1],
+            [second.ranked(one)[0].instance_id for one in (4, 3, 2, 1, 0)],
+        )
+
+    def test_shards_share_instances_where_there_are_few(self):
+        count_by_id = Counter(self.preferred(_cluster(2)))
+        self.assertLessEqual(max(count_by_id.values()), 3)
--- a/ragwortfield/tests/test_consolidation.py
+++ b/ragwortfield/tests/test_consolidation.py
@@ -21,10 +21,10 @@
         self.assertEqual(self.tolerance.usable(frozenset()), 1)
 
     def test_harshest_pair_decides(self):
-        alone = self.tolerance.usable(frozenset({'a'}))
-        mixed = self.tolerance.usable(frozenset({'a', 'b'}))
+        alone = self.tolerance.usable(frozenset(('a',)))
+        mixed = self.tolerance.usable(frozenset(('a', 'b')))
         self.assertEqual(alone, mixed)
-        self.assertLess(alone, self.tolerance.usable(frozenset({'b'})))
+        self.assertLess(alone, self.tolerance.usable(frozenset(('b',))))
 
     def test_image_is_unknown_until_its_pairs_were_seen(self):
         self.assertTrue(self.tolerance.is_known('a'))
--- a/ragwortfield/tests/test_shard_runner.py
+++ b/ragwortfield/tests/test_shard_runner.py
@@ -60,6 +60,7 @@
         entries=WorkerEntries(
             table='workers',
             parse=lambda worker_id, content: Malformed(reason=worker_id),
+            is_own=lambda worker_id: True,
         ),
         calendar=Calendar(),
     )
