--- a/ragwortfield/scheduling/consolidation.py
+++ b/ragwortfield/scheduling/consolidation.py
@@ -85,17 +85,15 @@
     tolerance = tolerance_of(tables)
     best: _Move | None = None
     for worker in tables.worker_by_id.values():
-        for image in worker.serving_by_image:
-            if not tolerance.is_known(image):
-                continue
+        for image in filter(tolerance.is_known, worker.serving_by_image):
             move = _move(tables, chooser, tolerance, worker, image)
-            if move is not None and (best is None or _is_better(move, best)):
+            if move is not None and _is_better(move, best):
                 best = move
     return best
 
 
-def _is_better(move: _Move, best: _Move) -> bool:
-    return move.gain_cpu > best.gain_cpu
+def _is_better(move: _Move, best: _Move | None) -> bool:
+    return best is None or move.gain_cpu > best.gain_cpu
 
 
 def _move(
