Queues whose workers another service approves

Cause: such a queue's starts were refused for want of a ticket and tried again at once, for ever. Tests: test_approvals.

--- a/ragwortfield/daemons/scheduler.py
+++ b/ragwortfield/daemons/scheduler.py
@@ -23,6 +23,7 @@
 from ragwortfield.log import event
 from ragwortfield.log_writer import BoundedLogHandler
 from ragwortfield.platform import names
+from ragwortfield.platform.advice import AdviceClient
 from ragwortfield.platform.boot import settings_path
 from ragwortfield.platform.documents import parse_catalogue, parse_worker
 from ragwortfield.platform.front import JobFront
@@ -159,6 +160,9 @@
         cores=instance.cores * instance.core_speed,
         store=StoreClient(address=settings.dependencies.store),
         workers=WorkerCalls(),
+        approval_service=AdviceClient(
+            address=settings.dependencies.advice,
+        ),
         names=PlatformNames(
             operator_table=names.OPERATOR_TABLE,
             worker_table=names.WORKER_TABLE,
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -29,6 +29,7 @@
 from ragwortfield.engine.store_health import StoreHealth
 from ragwortfield.log import event
 from ragwortfield.peering.calls import CallBody, PeerCalls
+from ragwortfield.ports.approvals import Approvals
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
     ExpectedVersion,
@@ -94,6 +95,7 @@
     :param cores: processor that it has.
     :param store: the platform's store.
     :param workers: calls to workers.
+    :param approval_service: service that approves workers for some queues.
     :param names: tables of the platform.
     :param bounds: durations in force.
     """
@@ -106,6 +108,7 @@
         cores: float,
         store: RowStore,
         workers: TaskWorkers,
+        approval_service: Approvals,
         names: PlatformNames,
         bounds: Bounds,
     ) -> None:
@@ -118,6 +121,7 @@
         self._cores = cores
         self._store = store
         self._workers = workers
+        self._approval_service = approval_service
         self._names = names
         self._bounds = bounds
         self._calendar = Calendar()
@@ -390,6 +394,7 @@
             ),
             store=self._store,
             workers=self._workers,
+            approval_service=self._approval_service,
             entries=WorkerEntries(
                 table=self._names.worker_table,
                 parse=self._names.parse_worker,
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -26,6 +26,7 @@
 )
 from ragwortfield.engine.worker_loops import WorkerLoops
 from ragwortfield.log import event
+from ragwortfield.ports.approvals import Approvals
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
     RowPage,
@@ -36,6 +37,7 @@
     TaskWorkers,
 )
 from ragwortfield.scheduling import (
+    approvals,
     commits,
     consolidation,
     dispatch,
@@ -82,6 +84,7 @@
     :param commits: commits of this owner.
     :param store: the platform's store.
     :param workers: calls to workers.
+    :param approval_service: service that approves workers for some queues.
     :param entries: where workers register, and how that is read.
     :param calendar: wall time.
     """
@@ -94,6 +97,7 @@
         commits: ShardCommits,
         store: RowStore,
         workers: TaskWorkers,
+        approval_service: Approvals,
         entries: WorkerEntries,
         calendar: Calendar,
     ) -> None:
@@ -105,6 +109,7 @@
         self.failing_since: Instant = 0
         self._commits = commits
         self._store = store
+        self._approval_service = approval_service
         self._entries = entries
         self._calendar = calendar
         self._learned = LearnedRows(
@@ -267,6 +272,7 @@
             duration_s=now - started_at,
         )
         self._spawn(self._commit_loop)
+        self._spawn(self._ask_for_approval)
         self._spawn(self._learned.keep, self.tables.pressure)
         self._spawn(self._follow, inbox_table(self.shard), inbox.version)
         self._spawn(self._follow_workers, listing.version)
@@ -415,6 +421,27 @@
             self._loops.committed.set()
         self._loops.send_orders()
 
+    def _ask_for_approval(self) -> None:
+        # The service takes one call of an instance at a time.
+        while True:
+            now = time.monotonic()
+            question = approvals.next_question(self.tables, now)
+            if question is None:
+                gevent.sleep(_ROUND_S)
+                continue
+            answer = self._approval_service.ask(question)
+            if isinstance(answer, Unavailable):
+                event(
+                    'approval_failed',
+                    shard=self.shard,
+                    job=question.job_id,
+                    reason=answer.reason,
+                )
+                gevent.sleep(_RETRY_S)
+                continue
+            approvals.take_answer(self.tables, question, answer, now)
+            self._wake.set()
+
     def _commit_loop(self) -> None:
         while True:
             self._commit_wake.wait()
--- /dev/null
+++ b/ragwortfield/scheduling/approvals.py
@@ -0,0 +1,139 @@
+"""Which workers may run a step, where another service has to approve them.
+
+Pattern: some queues allow only some workers to run a step, and the service
+that knows them takes a while for each worker that it is asked about. So it is
+asked about as many workers as the step's waiting tasks can use, the most
+urgent step first, and what it denied is not asked again. A ticket holds for
+all tasks of the step on one life of the worker, for a limited time.
+"""
+
+from ragwortfield.log import event
+from ragwortfield.ports.approvals import Approved, Question
+from ragwortfield.scheduling.catalogue import AdviceTerms
+from ragwortfield.scheduling.job_rows import JobRow, StepRow, Ticket
+from ragwortfield.scheduling.ordering import by_urgency
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.scheduling.worker_choice import (
+    Chooser,
+    fits,
+    has_label,
+    has_ticket,
+    room_for,
+)
+from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.types import Instant, Seconds
+
+#: Most workers in one question: the users' objective counts a call on thirty.
+_MOST_WORKERS = 30
+#: Workers asked about for each one that the waiting tasks need, since some
+#: are denied.
+_ASKED_FOR_EACH = 3
+#: Time that an answer may take beyond what its terms say, in seconds.
+_MARGIN_S: Seconds = 1
+
+
+def next_question(tables: ShardTables, now: Instant) -> Question | None:
+    """
+    Choose what to ask next.
+
+    :param tables: tables of the shard.
+    :param now: reading of the monotonic clock.
+    :returns: the question; ``None`` when nothing has to be asked.
+    """
+    chooser: Chooser | None = None
+    for step in by_urgency(tables, now):
+        job = tables.job_by_id[step.job_id]
+        terms = job.queue.advice
+        if terms is None:
+            continue
+        chooser = chooser or Chooser(tables=tables, now=now)
+        workers = _worth_asking(chooser, job, step, now)
+        if workers:
+            return _question(step, terms, workers)
+    return None
+
+
+def take_answer(
+    tables: ShardTables,
+    question: Question,
+    answer: Approved,
+    asked_at: Instant,
+) -> None:
+    """
+    Take an answer in.
+
+    :param tables: tables of the shard.
+    :param question: what was asked.
+    :param answer: the answer.
+    :param asked_at: when it was asked, by the monotonic clock; the tickets'
+        time is counted from here.
+    """
+    key = (question.job_id, question.occurrence, question.step)
+    step = tables.find_step(key)
+    if step is None:
+        return
+    terms = tables.job_by_id[question.job_id].queue.advice
+    valid_s = 0 if terms is None else terms.valid_s
+    for worker_id in question.worker_ids:
+        ticket = answer.ticket_by_worker.get(worker_id)
+        worker = tables.worker_by_id.get(worker_id)
+        if ticket is None:
+            step.denied.add(worker_id)
+        elif worker is not None:
+            step.ticket_by_worker[worker_id] = Ticket(
+                text=ticket,
+                born_ms=worker.born_ms,
+                valid_until=asked_at + valid_s,
+            )
+    event(
+        'step_approved',
+        step='.'.join(str(part) for part in key),
+        asked=len(question.worker_ids),
+        approved=len(answer.ticket_by_worker),
+        valid_s=valid_s,
+    )
+
+
+def _worth_asking(
+    chooser: Chooser,
+    job: JobRow,
+    step: StepRow,
+    now: Instant,
+) -> list[WorkerRow]:
+    usable = [
+        worker
+        for worker in chooser.candidates(job)
+        if fits(worker, step) and has_label(worker, step)
+    ]
+    known = [one for one in usable if has_ticket(one, step, now)]
+    wanted = len(step.waiting) - sum(room_for(one, step) for one in known)
+    if wanted <= 0:
+        return []
+    unknown = [
+        worker
+        for worker in usable
+        if worker.worker_id not in step.denied and worker not in known
+    ]
+    unknown.sort(key=lambda one: room_for(one, step), reverse=True)
+    chosen: list[WorkerRow] = []
+    for worker in unknown[:_MOST_WORKERS]:
+        if wanted <= 0:
+            break
+        chosen.append(worker)
+        wanted -= room_for(worker, step) / _ASKED_FOR_EACH
+    return chosen
+
+
+def _question(
+    step: StepRow,
+    terms: AdviceTerms,
+    workers: list[WorkerRow],
+) -> Question:
+    spent_s = terms.decide_s + terms.each_s * len(workers)
+    return Question(
+        job_id=step.job_id,
+        occurrence=step.occurrence,
+        step=step.number,
+        worker_ids=tuple(one.worker_id for one in workers),
+        limit_s=spent_s + _MARGIN_S,
+    )
--- a/ragwortfield/scheduling/job_rows.py
+++ b/ragwortfield/scheduling/job_rows.py
@@ -85,6 +85,21 @@
         )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ticket:
+    """
+    Approval of a worker for a step.
+
+    :param text: what start orders carry.
+    :param born_ms: life of the worker that it holds for.
+    :param valid_until: when it runs out, by the monotonic clock.
+    """
+
+    text: str
+    born_ms: int
+    valid_until: Instant
+
+
 @dataclass(kw_only=True, slots=True)
 class StepRow:
     """
@@ -93,6 +108,8 @@
     :param waiting: indexes of tasks that wait for a worker, in order.
     :param count_by_worker: tasks bound to each worker.
     :param load: load of its users, where its tasks serve any.
+    :param ticket_by_worker: approvals, where the queue needs them.
+    :param denied: workers that were not approved.
     """
 
     job_id: JobId
@@ -104,6 +121,8 @@
     done: int = 0
     count_by_worker: dict[WorkerId, int] = field(default_factory=dict)
     load: Load = field(default_factory=Load)
+    ticket_by_worker: dict[WorkerId, Ticket] = field(default_factory=dict)
+    denied: set[WorkerId] = field(default_factory=set)
 
     def is_done(self) -> bool:
         """
--- a/ragwortfield/scheduling/progress.py
+++ b/ragwortfield/scheduling/progress.py
@@ -43,6 +43,8 @@
     task.stage = RunStage.UNCOMMITTED
     task.run = run
     task.worker_id = worker.worker_id
+    ticket = step.ticket_by_worker.get(worker.worker_id)
+    task.ticket = '' if ticket is None else ticket.text
     task.ordered_at = now
     task.order_deadline_ms = 0
     task.seen_clock_ms = 0
--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -409,7 +409,8 @@
         worker.full_until = now + _FULL_REST_S
     elif outcome.refusal == Refusal.UNHEALTHY:
         worker.full_until = now + _UNHEALTHY_REST_S
-    task.ticket = ''
+    elif outcome.refusal == Refusal.UNAPPROVED:
+        tables.step_of(task).ticket_by_worker.pop(worker.worker_id, None)
     if outcome.refusal == Refusal.SUPERSEDED:
         # Its end is listed there; the next report tells how it ended.
         task.seen_clock_ms = max(task.seen_clock_ms, outcome.clock_ms)
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -18,11 +18,15 @@
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.tolerance import Tolerance
 from ragwortfield.scheduling.worker_rows import WorkerRow
-from ragwortfield.types import Instant, WorkerId
+from ragwortfield.types import Instant, Seconds, WorkerId
 
 #: Tolerance for sums of floating-point amounts of processor, in cores.
 _CPU_TOLERANCE = 1e-6
 
+#: Time from a binding to the start at the worker, in seconds; a ticket has to
+#: hold for it.
+_START_TIME_S: Seconds = 0.3
+
 #: What decides whether any worker has room: pool, need, label and image.
 _Shape = tuple[str, tuple[float, float, float], str, str]
 
@@ -70,7 +74,7 @@
         if not fitting:
             self._unfit.add(shape)
             return None
-        allowed = [one for one in fitting if is_allowed(one, step)]
+        allowed = [one for one in fitting if self._is_admitted(job, one, step)]
         preferred = [
             one for one in allowed if one.worker_id not in task.avoided
         ]
@@ -100,7 +104,7 @@
         candidates = [
             worker
             for worker in self.candidates(job)
-            if is_allowed(worker, step) and fits(worker, step)
+            if self._is_admitted(job, worker, step) and fits(worker, step)
         ]
         if step.step.is_same_rack:
             racks = sorted({one.listed.rack for one in candidates})
@@ -111,6 +115,16 @@
                     return chosen
         return _spread(candidates, step)
 
+    def _is_admitted(
+        self,
+        job: JobRow,
+        worker: WorkerRow,
+        step: StepRow,
+    ) -> bool:
+        if not is_allowed(worker, step):
+            return False
+        return job.queue.advice is None or has_ticket(worker, step, self._now)
+
     def _is_usable(self, worker: WorkerRow) -> bool:
         return (
             worker.is_listed
@@ -225,13 +239,59 @@
     :param step: the step.
     :returns: whether label and number of tasks are as the step wants.
     """
-    label = step.step.required_label
-    if label and label not in worker.listed.labels:
+    if not has_label(worker, step):
         return False
     limit = step.step.per_worker_limit
     return not limit or step.count_by_worker.get(worker.worker_id, 0) < limit
 
 
+def has_label(worker: WorkerRow, step: StepRow) -> bool:
+    """
+    Tell whether a worker has the label that a step asks for.
+
+    :param worker: the worker.
+    :param step: the step.
+    :returns: whether it has it, or none is asked for.
+    """
+    label = step.step.required_label
+    return not label or label in worker.listed.labels
+
+
+def has_ticket(worker: WorkerRow, step: StepRow, now: Instant) -> bool:
+    """
+    Tell whether a worker is approved for a step.
+
+    :param worker: the worker.
+    :param step: the step.
+    :param now: reading of the monotonic clock.
+    :returns: whether its ticket holds long enough for a start.
+    """
+    ticket = step.ticket_by_worker.get(worker.worker_id)
+    if ticket is None or ticket.born_ms != worker.born_ms:
+        return False
+    return now + _START_TIME_S < ticket.valid_until
+
+
+def room_for(worker: WorkerRow, step: StepRow) -> int:
+    """
+    Count the tasks of a step that fit on a worker.
+
+    :param worker: the worker.
+    :param step: the step.
+    :returns: number of tasks; at most those that the step has.
+    """
+    need = step.step.need
+    limit = step.step.per_worker_limit or step.step.count
+    amounts = [limit, step.step.count]
+    if need.cpu and not step.step.is_filler:
+        amounts.append(int((worker.free_cpu() + _CPU_TOLERANCE) / need.cpu))
+    if need.memory_mb:
+        amounts.append(int(worker.free_memory_mb() / need.memory_mb))
+    if need.accelerators:
+        amounts.append(int(worker.free_accelerators() / need.accelerators))
+    return max(min(amounts), 0)
+
+
 def _rank_for_serving(worker: WorkerRow, image: str) -> tuple[int, float]:
     """Serving tasks of one image together leave most room for fillers."""
     others = len(worker.serving_by_image)
@@ -272,18 +332,10 @@
     step: StepRow,
 ) -> list[WorkerRow] | None:
     """Fill workers in turn, the emptiest first."""
-    need = step.step.need
-    limit = step.step.per_worker_limit or step.step.count
     chosen: list[WorkerRow] = []
     for worker in sorted(workers, key=_unused, reverse=True):
-        amounts = [limit, step.step.count - len(chosen)]
-        if need.cpu and not step.step.is_filler:
-            amounts.append(int((worker.free_cpu() + _CPU_TOLERANCE) / need.cpu))
-        if need.memory_mb:
-            amounts.append(int(worker.free_memory_mb() / need.memory_mb))
-        if need.accelerators:
-            amounts.append(int(worker.free_accelerators() / need.accelerators))
-        chosen.extend(repeat(worker, max(min(amounts), 0)))
+        left = step.step.count - len(chosen)
+        chosen.extend(repeat(worker, min(room_for(worker, step), left)))
         if len(chosen) == step.step.count:
             return chosen
     return None
--- /dev/null
+++ b/ragwortfield/tests/test_approvals.py
@@ -0,0 +1,108 @@
+"""Steps whose workers another service has to approve."""
+
+import unittest
+from dataclasses import replace
+
+from ragwortfield.platform.advice import parse_advice
+from ragwortfield.ports.approvals import Approved
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.task_worker import OrderRefused, Refusal, StartRun
+from ragwortfield.scheduling import approvals, dispatch, reports
+from ragwortfield.scheduling.catalogue import AdviceTerms
+from ragwortfield.scheduling.job_rows import RunStage
+from ragwortfield.tests.filler_world import NOW, FillerWorld
+
+_VALID_S = 5
+
+
+class ApprovalTest(unittest.TestCase):
+    """Pattern: a queue of which only some workers may run a step."""
+
+    def setUp(self):
+        self.world = FillerWorld(workers=3)
+        self.tables = self.world.tables
+        catalogue = self.tables.catalogue
+        queue = catalogue.queue_by_name['queue']
+        terms = AdviceTerms(decide_s=0.05, each_s=0.01, valid_s=_VALID_S)
+        catalogue.queue_by_name['queue'] = replace(queue, advice=terms)
+
+    def ask(self):
+        return approvals.next_question(self.tables, NOW)
+
+    def approve(self, *worker_ids):
+        question = self.ask()
+        answer = Approved(
+            ticket_by_worker={one: f'ticket-{one}' for one in worker_ids},
+        )
+        approvals.take_answer(self.tables, question, answer, NOW)
+        return question
+
+    def test_nothing_starts_before_the_answer(self):
+        task = self.world.add_job('job')[0]
+        self.assertEqual(task.worker_id, '')
+        self.assertEqual(len(self.ask().worker_ids), 3)
+
+    def test_approved_worker_runs_the_step_with_its_ticket(self):
+        task = self.world.add_job('job')[0]
+        self.approve('w1')
+        self.world.dispatch()
+        self.assertEqual((task.worker_id, task.ticket), ('w1', 'ticket-w1'))
+
+    def test_denied_workers_are_not_asked_about_again(self):
+        self.world.add_job('job', count=9, cpu=8)
+        self.approve('w1')
+        self.assertIsNone(self.ask())
+
+    def test_ticket_of_another_life_does_not_hold(self):
+        task = self.world.add_job('job')[0]
+        self.approve('w1')
+        self.tables.worker_by_id['w1'].born_ms += 1
+        self.world.dispatch()
+        self.assertEqual(task.worker_id, '')
+
+    def test_ticket_runs_out(self):
+        task = self.world.add_job('job')[0]
+        self.approve('w1')
+        later = NOW + _VALID_S
+        self.tables.worker_by_id['w1'].reported_at = later
+        dispatch.dispatch(self.tables, later)
+        self.assertEqual(task.worker_id, '')
+
+    def test_refused_ticket_is_asked_for_anew(self):
+        task = self.world.add_job('job')[0]
+        self.approve('w1')
+        self.world.dispatch()
+        task.stage = RunStage.ORDERED
+        task.calls = 1
+        order = StartRun(
+            worker_id='w1',
+            address='',
+            key=task.key,
+            run=task.run,
+            spec='',
+            checkpoint='',
+            deadline_ms=0,
+            fencing_token=1,
+        )
+        refused = OrderRefused(refusal=Refusal.UNAPPROVED, clock_ms=0)
+        reports.take_start_outcome(self.tables, order, refused, NOW)
+        self.assertEqual(task.worker_id, '')
+        self.assertIn('w1', self.ask().worker_ids)
+
+    def test_queues_without_terms_need_no_approval(self):
+        catalogue = self.tables.catalogue
+        queue = catalogue.queue_by_name['queue']
+        catalogue.queue_by_name['queue'] = replace(queue, advice=None)
+        task = self.world.add_job('job')[0]
+        self.assertNotEqual(task.worker_id, '')
+        self.assertIsNone(self.ask())
+
+
+class AdviceDocumentTest(unittest.TestCase):
+    def test_rows_are_workers_and_tickets(self):
+        answer = parse_advice(b'{"good":[["w1","t1"],["w2","t2"]]}')
+        self.assertEqual(answer.ticket_by_worker, {'w1': 't1', 'w2': 't2'})
+
+    def test_wrong_types_are_an_error_not_a_denial(self):
+        for body in (b'{"good":[["w1"]]}', b'[]', b'\xff'):
+            self.assertIsInstance(parse_advice(body), Unavailable)
--- a/ragwortfield/tests/test_shard_runner.py
+++ b/ragwortfield/tests/test_shard_runner.py
@@ -12,6 +12,7 @@
 from ragwortfield.engine.shard_commits import ShardCommits
 from ragwortfield.engine.shard_rows import WorkerEntries
 from ragwortfield.engine.shard_runner import ShardRunner
+from ragwortfield.platform.advice import AdviceClient
 from ragwortfield.ports.row_store import RowWrite, Transaction
 from ragwortfield.scheduling.bounds import Bounds
 from ragwortfield.scheduling.catalogue import Catalogue
@@ -57,6 +58,7 @@
         ),
         store=store,
         workers=FakeWorkers(),
+        approval_service=AdviceClient(address=''),
         entries=WorkerEntries(
             table='workers',
             parse=lambda worker_id, content: Malformed(reason=worker_id),
