The pool is sized once it has filled

Change: layout.py waits until the number of workers stays the same for a heartbeat, at most 6 s; only the three first members look. Tests: PoolSizingTest, red before by construction (19 -> one shard).

--- /dev/null
+++ b/ragwortfield/engine/layout.py
@@ -0,0 +1,71 @@
+"""How many shards a deployment gets when it first starts.
+
+Workers register one after another, within about two heartbeats of the start.
+A division made from the first few of them would be far too coarse for good,
+so the pool counts as known once its size has stayed the same for a while.
+"""
+
+from dataclasses import dataclass
+
+from ragwortfield.types import Instant, Seconds
+
+#: Workers that one shard is meant for.
+_WORKERS_A_SHARD = 48
+#: Time for which the number of workers stays the same before it counts as
+#: the pool's size, in seconds: a heartbeat.
+_SETTLED_S: Seconds = 1.5
+#: Time after which the division is made from the workers that there are.
+_LIMIT_S: Seconds = 6
+#: Members that look at the pool; the others wait for their division.
+_LOOKERS = 3
+#: Time in which other members register before ranks count, in seconds.
+_GATHER_S: Seconds = 1
+
+
+def shards_for(workers: int) -> int:
+    """
+    Size the division.
+
+    :param workers: number of workers in the pool.
+    :returns: number of shards, at least one.
+    """
+    return max(round(workers / _WORKERS_A_SHARD), 1)
+
+
+@dataclass(kw_only=True, slots=True)
+class PoolSizing:
+    """
+    Looks at a pool that is filling.
+
+    :param started_at: when this instance began to look.
+    """
+
+    started_at: Instant
+    _seen: int = 0
+    _seen_at: Instant = 0
+
+    def is_due(self, rank: int, now: Instant) -> bool:
+        """
+        Tell whether this instance should look at the pool.
+
+        :param rank: its rank as owner of the first shard.
+        :param now: reading of the monotonic clock.
+        :returns: whether it is among the first, or they have done nothing.
+        """
+        waited_s = now - self.started_at
+        is_first = rank < _LOOKERS and waited_s > _GATHER_S
+        return is_first or waited_s > 2 * _LIMIT_S
+
+    def is_settled(self, workers: int, now: Instant) -> bool:
+        """
+        Take a look in.
+
+        :param workers: number of workers that are registered.
+        :param now: reading of the monotonic clock.
+        :returns: whether the pool's size is known.
+        """
+        if workers != self._seen:
+            self._seen = workers
+            self._seen_at = now
+        is_late = now - self.started_at > _LIMIT_S
+        return workers > 0 and (is_late or now - self._seen_at >= _SETTLED_S)
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -22,6 +22,7 @@
     shard_of_worker,
     worker_limits,
 )
+from ragwortfield.engine.layout import PoolSizing, shards_for
 from ragwortfield.engine.ownership import Identity, Ownership, Tenure
 from ragwortfield.engine.shard_commits import ShardCommits
 from ragwortfield.engine.shard_rows import WorkerEntries, WorkerParser
@@ -50,10 +51,10 @@
 )
 from ragwortfield.scheduling.status import summary
 from ragwortfield.scheduling.tables import ShardTables
-from ragwortfield.types import Seconds, WallTime
+from ragwortfield.types import Seconds, WallTime, WorkerId
 
-#: Time in which other instances register before owners are chosen.
-_GATHER_S: Seconds = 1
+#: Time between looks at the pool while it is sized, in seconds.
+_LAYOUT_LOOK_S: Seconds = 0.5
 #: Time between looks for a change, in seconds.
 _POLL_S: Seconds = 0.05
 #: An instance that the store does not answer for longer leaves new callers
@@ -64,8 +65,6 @@
 _SECOND_S: Seconds = 1
 _MS_PER_S = 1000
 _COMMIT_TIMEOUT_S: Seconds = 1.2
-#: Workers that one shard is meant for.
-_WORKERS_A_SHARD = 48
 
 CatalogueParser = Callable[[bytes], Catalogue | Malformed]
 
@@ -280,13 +279,7 @@
         store_ms = self._measure_store()
         self._register(store_ms)
         gevent.spawn(self._follow_cluster)
-        # Where the layout is fixed already, nobody needs to be waited for.
-        started_at = time.monotonic()
-        while not self._cluster.shards:
-            gevent.sleep(_POLL_S)
-            if time.monotonic() - started_at > _GATHER_S:
-                self._lay_out()
-                gevent.sleep(_RETRY_S)
+        self._await_layout()
         for shard in range(self._cluster.shards):
             gevent.spawn(self.ownership.watch, shard)
 
@@ -330,19 +323,31 @@
             event('registration_failed', reason=outcome.reason)
             gevent.sleep(_RETRY_S)
 
-    def _lay_out(self) -> None:
-        """Fix the number of shards, unless another instance has."""
-        page = self._store.read(self._names.worker_table, COMMON_PART)
-        if isinstance(page, Unavailable) or not page.rows:
-            return
-        shards = max(round(len(page.rows) / _WORKERS_A_SHARD), 1)
+    def _await_layout(self) -> None:
+        """Wait for the division into shards; the first to start make it."""
+        sizing = PoolSizing(started_at=time.monotonic())
+        looked_at: float = 0
+        while not self._cluster.shards:
+            gevent.sleep(_POLL_S)
+            now = time.monotonic()
+            rank = self._cluster.rank_of(0, self._identity.instance_id)
+            if now - looked_at < _LAYOUT_LOOK_S or not sizing.is_due(rank, now):
+                continue
+            looked_at = now
+            page = self._store.read(self._names.worker_table, COMMON_PART)
+            if isinstance(page, Unavailable):
+                continue
+            worker_ids = tuple(row.name.key for row in page.rows)
+            if sizing.is_settled(len(worker_ids), now):
+                self._lay_out(worker_ids)
+
+    def _lay_out(self, worker_ids: tuple[WorkerId, ...]) -> None:
+        """Fix the division into shards, unless another instance has."""
+        shards = shards_for(len(worker_ids))
         name = layout_row()
         record = LayoutRecord(
             shards=shards,
-            worker_limits=worker_limits(
-                (row.name.key for row in page.rows),
-                shards,
-            ),
+            worker_limits=worker_limits(worker_ids, shards),
         )
         outcome = self._store.commit(
             Transaction(
@@ -354,7 +359,7 @@
         event(
             'layout_proposed',
             shards=shards,
-            workers=len(page.rows),
+            workers=len(worker_ids),
             outcome=type(outcome).__name__,
         )
 
--- a/ragwortfield/tests/test_cluster.py
+++ b/ragwortfield/tests/test_cluster.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from ragwortfield.engine.cluster import Cluster
+from ragwortfield.engine.layout import PoolSizing, shards_for
 from ragwortfield.engine.names import (
     member_row,
     shard_of_worker,
@@ -55,6 +56,35 @@
         self.assertEqual(shard_of_worker('w9', limits), 0)
 
 
+class PoolSizingTest(unittest.TestCase):
+    """Pattern: workers that register within some seconds of the start."""
+
+    def settle(self, counts, rank=0):
+        sizing = PoolSizing(started_at=0)
+        for step, count in enumerate(counts):
+            now = 1.1 + step / 2
+            if sizing.is_due(rank, now) and sizing.is_settled(count, now):
+                return count
+        return None
+
+    def test_pool_that_is_filling_is_waited_for(self):
+        counts = (19, 60, 120, 200, 246, 246, 246, 246, 246)
+        self.assertEqual(shards_for(self.settle(counts)), 5)
+
+    def test_pool_that_never_settles_is_divided_as_it_is(self):
+        self.assertIsNotNone(self.settle(range(1, 40)))
+
+    def test_empty_pool_is_not_divided(self):
+        self.assertIsNone(self.settle([0] * 40))
+
+    def test_others_leave_the_first_time_to_do_it(self):
+        self.assertIsNone(self.settle([50] * 10, rank=5))
+        self.assertEqual(self.settle([50] * 60, rank=5), 50)
+
+    def test_small_pools_are_one_shard(self):
+        self.assertEqual([shards_for(one) for one in (1, 24, 33)], [1, 1, 1])
+
+
 class PreferredOwnerTest(unittest.TestCase):
     def preferred(self, cluster):
         return [
