Nothing is accepted before the division into shards is known

Cause: an instance that did not know the division yet took it for one shard; with several, the job's row would have stood in a shard whose owner does not read it, and the job would have been lost. Change: submissions, cancellations and questions are refused until then, also in a peer's stead, and the instance is not ready. Test: red before (the row was written).

--- a/ragwortfield/engine/job_desk.py
+++ b/ragwortfield/engine/job_desk.py
@@ -61,6 +61,7 @@
 #: Longest time in which a caller's change is tried, in seconds: less than
 #: half of what callers usually wait, so that they can turn elsewhere.
 _PERSIST_LIMIT_S: Seconds = 1.3
+_NO_LAYOUT = 'the division into shards is not known yet'
 #: Peers that are asked to stand in for the store.
 _STAND_INS = 2
 
@@ -181,6 +182,8 @@
         :param limit_s: longest time to try, in seconds.
         :returns: its state, or why it cannot be told.
         """
+        if not self._cluster.shards:
+            return Unavailable(reason=_NO_LAYOUT)
         end = time.monotonic() + limit_s
         while True:
             found = self._ask_owner(job_id)
@@ -212,7 +215,7 @@
             if not failed and counts:
                 return sum(counts)
             if time.monotonic() + _RETRY_S > end:
-                return failed[0] if failed else Unavailable(reason='no layout')
+                return failed[0] if failed else Unavailable(reason=_NO_LAYOUT)
             gevent.sleep(_RETRY_S)
 
     def store_for_peer(
@@ -225,6 +228,8 @@
         :param write: the write.
         :returns: what is certain about it.
         """
+        if not self._cluster.shards:
+            return Rejected(reason=_NO_LAYOUT)
         if self._health.is_away():
             return Rejected(reason='the store is away from the peer too')
         return write()
@@ -278,6 +283,8 @@
         :param job_id: the job.
         :returns: its state.
         """
+        if not self._cluster.shards:
+            return Unavailable(reason=_NO_LAYOUT)
         runner = self._ownership.runner(self._shard(job_id))
         if runner is None:
             return Unavailable(reason='the shard is not owned here')
@@ -304,6 +311,8 @@
         :param job_id: the job.
         :returns: its state.
         """
+        if not self._cluster.shards:
+            return Unavailable(reason=_NO_LAYOUT)
         shard = self._shard(job_id)
         cancelled = self._read_row(cancel_row(shard, job_id))
         job = self._read_row(job_row(shard, job_id))
@@ -408,6 +417,9 @@
         it. Waiting for a store that is away helps no caller, so what cannot
         be written now is given up at once.
         """
+        if not self._cluster.shards:
+            # The row would belong to a shard that is not known yet.
+            return Rejected(reason=_NO_LAYOUT)
         end = time.monotonic() + _PERSIST_LIMIT_S
         attempts: list[gevent.Greenlet] = []
         if not self._health.is_away():
@@ -474,7 +486,7 @@
         )
 
     def _shard(self, job_id: JobId) -> int:
-        return shard_of(job_id, max(self._cluster.shards, 1))
+        return shard_of(job_id, self._cluster.shards)
 
 
 def _outcomes(attempts: list[gevent.Greenlet]) -> list[CancelOutcome]:
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -185,10 +185,12 @@
         Tell whether callers should be sent here.
 
         :returns: whether there is a configuration, no planned stop, and a
-            store that answers.
+            store that answers, and a division into shards.
         """
         if self._catalogue is None or self.is_leaving:
             return False
+        if not self._cluster.shards:
+            return False
         return self._health.away_s() <= _AWAY_LIMIT_S
 
     def leave(self, timeout_s: Seconds) -> None:
--- a/ragwortfield/tests/test_job_desk.py
+++ b/ragwortfield/tests/test_job_desk.py
@@ -108,6 +108,17 @@
         self.assertIsInstance(self.desk.submit(self.job), Accepted)
         self.assertTrue(self.has_row())
 
+    def test_nothing_is_accepted_before_the_shards_are_known(self):
+        self.cluster.shards = 0
+        self.assertIsInstance(self.desk.submit(self.job), Rejected)
+        self.assertIsInstance(self.desk.cancel(_JOB_ID), Rejected)
+        self.assertIsInstance(self.desk.status(_JOB_ID, 0), Unavailable)
+        for ask in (self.desk.owned_status, self.desk.stored_status):
+            self.assertIsInstance(ask(_JOB_ID), Unavailable)
+        written = self.desk.store_for_peer(lambda: Accepted())
+        self.assertIsInstance(written, Rejected)
+        self.assertEqual(self.store.commits, 0)
+
     def test_repeat_is_the_same_job(self):
         self.desk.submit(self.job)
         version = self.store.version
