Tasks that last leave draining workers at once

Cause: what runs on a worker ends when it leaves, and a worker that fell silent may only be cut off, so its tasks waited for the end of the lease, 4 to 6 s. Change: evacuation.py stops tasks that last, and tasks that can resume and would not be done in the time that is left, once another worker has room. Tests: test_evacuation.

--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -41,6 +41,7 @@
     commits,
     consolidation,
     dispatch,
+    evacuation,
     intake,
     interference,
     relocation,
@@ -406,6 +407,7 @@
             interference.adjust_paces(tables, now)
             relocation.relocate(tables, now)
             consolidation.consolidate(tables, now)
+            evacuation.evacuate(tables, now)
         if now - self._told_at > _TELL_EVERY_S:
             self._told_at = now
             event('shard_state', shard=self.shard, **summary(tables))
--- /dev/null
+++ b/ragwortfield/scheduling/evacuation.py
@@ -0,0 +1,80 @@
+"""Moving tasks off workers that are about to leave.
+
+Pattern: workers are emptied and taken away, and what still runs there ends
+with them. Whether a worker that fell silent has left or is only cut off cannot
+be told, so its tasks would wait until its lease is over. Tasks that last, and
+tasks that can resume and would not be done in time, are stopped at once where
+another worker has room for them; short ones are left to finish.
+"""
+
+from ragwortfield.log import event
+from ragwortfield.scheduling.bounds import MS_PER_S
+from ragwortfield.scheduling.job_rows import RunStage, TaskRow
+from ragwortfield.scheduling.progress import request_stop, task_name
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.scheduling.worker_choice import Chooser
+from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.types import Instant, Seconds
+
+#: Tasks moved in one round, so that the next one sees the room they took.
+_MOVES_A_ROUND = 4
+_WHOLE_PERCENT = 100
+
+
+def evacuate(tables: ShardTables, now: Instant) -> None:
+    """
+    Stop tasks on draining workers that would be cut off, to start elsewhere.
+
+    :param tables: tables of the shard.
+    :param now: reading of the monotonic clock.
+    """
+    endangered = [
+        task
+        for worker in tables.worker_by_id.values()
+        if worker.listed.is_draining
+        for task in worker.run_by_key.values()
+        if _is_endangered(worker, task)
+    ]
+    if not endangered:
+        return
+    chooser = Chooser(tables=tables, now=now)
+    moved = 0
+    for task in endangered:
+        job = tables.job_by_id[task.key.job_id]
+        place = chooser.choose(job, tables.step_of(task), task)
+        if place is None:
+            continue
+        event(
+            'task_evacuated',
+            task=task_name(task),
+            run=task.run,
+            worker=task.worker_id,
+            remaining_ms=_remaining_ms(tables, task),
+            better=place.worker_id,
+        )
+        request_stop(tables, task, now)
+        moved += 1
+        if moved == _MOVES_A_ROUND:
+            return
+
+
+def _is_endangered(worker: WorkerRow, task: TaskRow) -> bool:
+    if task.stage != RunStage.RUNNING or task.is_stop_wanted:
+        return False
+    if task.step.is_gang:
+        # One member that stops breaks the others.
+        return False
+    if task.step.is_long_lived:
+        return True
+    left_s = _left_s(task)
+    remaining_s = worker.listed.remaining_ms / MS_PER_S
+    return task.step.is_checkpointed and left_s > remaining_s
+
+
+def _left_s(task: TaskRow) -> Seconds:
+    undone = max(_WHOLE_PERCENT - task.percent, 0) / _WHOLE_PERCENT
+    return task.step.estimate_s * undone
+
+
+def _remaining_ms(tables: ShardTables, task: TaskRow) -> int:
+    return tables.worker_by_id[task.worker_id].listed.remaining_ms
--- /dev/null
+++ b/ragwortfield/tests/test_evacuation.py
@@ -0,0 +1,73 @@
+"""Tasks on workers that are about to leave."""
+
+import unittest
+from dataclasses import replace
+
+from ragwortfield.scheduling import evacuation
+from ragwortfield.tests.filler_world import NOW, FillerWorld
+
+
+class EvacuationTest(unittest.TestCase):
+    """Pattern: a worker is emptied and taken away two seconds later."""
+
+    def setUp(self):
+        self.world = FillerWorld(workers=2)
+
+    def drain(self, worker_id, remaining_ms=2000):
+        row = self.world.tables.worker_by_id[worker_id]
+        row.listed = replace(
+            row.listed,
+            is_draining=True,
+            remaining_ms=remaining_ms,
+        )
+
+    def evacuate(self):
+        evacuation.evacuate(self.world.tables, NOW)
+
+    def test_lasting_task_moves_at_once(self):
+        task = self.world.add_job('job', is_long_lived=True)[0]
+        left = task.worker_id
+        self.drain(left)
+        self.evacuate()
+        self.assertTrue(task.is_stop_wanted)
+        self.world.end_stopped(task)
+        self.assertNotIn(task.worker_id, {left, ''})
+
+    def test_task_without_another_place_stays(self):
+        task = self.world.add_job('job', is_long_lived=True)[0]
+        self.drain('w0')
+        self.drain('w1')
+        self.evacuate()
+        self.assertFalse(task.is_stop_wanted)
+
+    def test_short_task_is_left_to_finish(self):
+        task = self.world.add_job('job', is_checkpointed=True)[0]
+        task.percent = 0
+        self.drain(task.worker_id)
+        self.evacuate()
+        self.assertFalse(task.is_stop_wanted)
+
+    def test_task_that_would_be_cut_off_moves_if_it_can_resume(self):
+        resumable = self.world.add_job('job', is_checkpointed=True)[0]
+        other = self.world.add_job('other')[0]
+        for task in (resumable, other):
+            task.percent = 0
+            self.drain(task.worker_id, remaining_ms=500)
+        self.world.tables.worker_by_id['w1'].listed = replace(
+            self.world.tables.worker_by_id['w1'].listed,
+            is_draining=resumable.worker_id == 'w1',
+        )
+        self.evacuate()
+        self.assertTrue(resumable.is_stop_wanted)
+        self.assertFalse(other.is_stop_wanted)
+
+    def test_members_of_a_gang_stay_together(self):
+        task = self.world.add_job(
+            'job',
+            count=2,
+            is_gang=True,
+            is_checkpointed=True,
+        )[0]
+        self.drain(task.worker_id, remaining_ms=0)
+        self.evacuate()
+        self.assertFalse(task.is_stop_wanted)
--- a/ragwortfield/tests/test_job_desk.py
+++ b/ragwortfield/tests/test_job_desk.py
@@ -115,7 +115,7 @@
         self.assertIsInstance(self.desk.status(_JOB_ID, 0), Unavailable)
         for ask in (self.desk.owned_status, self.desk.stored_status):
             self.assertIsInstance(ask(_JOB_ID), Unavailable)
-        written = self.desk.store_for_peer(lambda: Accepted())
+        written = self.desk.store_for_peer(Accepted)
         self.assertIsInstance(written, Rejected)
         self.assertEqual(self.store.commits, 0)
 
