--- a/ragwortfield/scheduling/consolidation.py
+++ b/ragwortfield/scheduling/consolidation.py
@@ -29,7 +29,7 @@
 #: Tasks moved in one round.
 _MOVES_A_ROUND = 3
 #: Cores of usable processor that one moved task must gain.
-_LEAST_GAIN_CPU = 2.0
+_LEAST_GAIN_CPU = 5.0
 #: Share of all workers' processor that waiting fillers ask for, from which on
 #: they wait for more than the next round.
 _CROWDED_SHARE = 0.03
