Jobs are taken up to 850 tasks, whose state fits a row

Cause: the state of a repetition is one row, 74 bytes a task; a job of more than 885 tasks would have been accepted, and from its first start on no commit of its shard could have been made. Found on reading; the limit was 2,000. Change: larger jobs are refused with the reason. Test: red before.

--- a/ragwortfield/platform/documents.py
+++ b/ragwortfield/platform/documents.py
@@ -22,8 +22,9 @@
 _MILLICORES = 1000
 #: Longest text that a job may hand to its tasks, in bytes (users' pages).
 _MAX_SPEC_BYTES = 4000
-#: Most tasks of one job that are taken; a step of the users has up to 36.
-_MAX_TASKS = 2000
+#: Most tasks of one job that are taken: their state makes up one row of at
+#: most 64 KiB, with 74 bytes a task. A step of the users has up to 36.
+MAX_TASKS = 850
 _STATES = frozenset(('ready', 'draining'))
 _JOB_ID = re.compile('[0-9a-fA-F]{16}')
 
@@ -232,8 +233,8 @@
         return f'spec has {spec_bytes} bytes, expected {_MAX_SPEC_BYTES}'
     if not wire.steps:
         return 'no steps, expected at least one'
-    if sum(one.count for one in wire.steps) > _MAX_TASKS:
-        return f'more than {_MAX_TASKS} tasks'
+    if sum(one.count for one in wire.steps) > MAX_TASKS:
+        return f'more than {MAX_TASKS} tasks'
     for number, step in enumerate(wire.steps):
         if step.count < 1:
             return f'step {number} has count {step.count}, expected 1 or more'
--- a/ragwortfield/tests/test_platform_documents.py
+++ b/ragwortfield/tests/test_platform_documents.py
@@ -6,6 +6,7 @@
 
 from ragwortfield.adapters.documents import Malformed
 from ragwortfield.platform.documents import (
+    MAX_TASKS,
     is_job_id,
     parse_catalogue,
     parse_job,
@@ -13,6 +14,15 @@
 )
 from ragwortfield.platform.worker_calls import parse_task_name
 from ragwortfield.scheduling.job import TaskKey
+from ragwortfield.scheduling.records import (
+    ProgressRecord,
+    TaskPhase,
+    TaskRecord,
+    encode_record,
+)
+
+#: Largest row of the users' store.
+_ROW_BYTES = 65536
 
 _ENTRY = {
     'service': 'pool',
@@ -53,6 +63,25 @@
         for content in bad:
             self.assertIsInstance(parse_worker('i-1', content), Malformed)
 
+    def test_state_of_the_largest_job_fits_a_row(self):
+        """A larger one would be accepted and never be written again."""
+        job = _job(steps=[{'count': MAX_TASKS}])
+        task = TaskRecord(
+            phase=TaskPhase.BOUND,
+            run=100,
+            worker_id='i-0123456789',
+            failures=3,
+            checkpoint='f' * 16,
+        )
+        record = ProgressRecord(
+            job_id=job.job_id,
+            occurrence=0,
+            steps=((task,) * job.steps[0].count,),
+        )
+        self.assertLessEqual(len(encode_record(record)), _ROW_BYTES)
+        larger = _job(steps=[{'count': MAX_TASKS}, {'count': 1}])
+        self.assertIsInstance(larger, Malformed)
+
     def test_job_with_all_terms(self):
         job = _job(
             steps=[
