Callers are answered within their own time

Ruled out: late refusals by the store (it answered nobody from 18 s to 22.8 s). Change: at most 0.45 of the caller's own deadline is used for tries. Test: red before (the call had no limit of the caller's).

--- a/ragwortfield/engine/job_desk.py
+++ b/ragwortfield/engine/job_desk.py
@@ -58,8 +58,8 @@
 #: Time without an answer of the store after which peers are asked to write as
 #: well, in seconds; a transaction usually takes 12 to 18 ms.
 _HEDGE_S: Seconds = 0.35
-#: Longest time in which a caller's change is tried, in seconds: less than
-#: half of what callers usually wait, so that they can turn elsewhere.
+#: Longest time in which a caller's change is tried, in seconds, however long
+#: the caller would wait: by then the store's silence is plain.
 _PERSIST_LIMIT_S: Seconds = 1.3
 _NO_LAYOUT = 'the division into shards is not known yet'
 #: Peers that are asked to stand in for the store.
@@ -132,11 +132,12 @@
         self._peers = peers
         self._empty_tables = empty_tables
 
-    def submit(self, job: Job) -> SubmitOutcome:
+    def submit(self, job: Job, limit_s: Seconds) -> SubmitOutcome:
         """
         Accept a job.
 
         :param job: the job.
+        :param limit_s: longest time to try, in seconds.
         :returns: whether it is stored.
         """
         record = encode_record(JobRecord(job=job))
@@ -144,6 +145,7 @@
             'submit',
             {'job_id': job.job_id, 'record': record},
             lambda: self.store_job(job.job_id, record),
+            limit_s,
         )
         event(
             'job_submitted',
@@ -154,17 +156,19 @@
         )
         return outcome
 
-    def cancel(self, job_id: JobId) -> CancelOutcome:
+    def cancel(self, job_id: JobId, limit_s: Seconds) -> CancelOutcome:
         """
         Cancel a job.
 
         :param job_id: the job.
+        :param limit_s: longest time to try, in seconds.
         :returns: whether the cancellation is stored.
         """
         outcome = self._persist(
             'cancel',
             {'job_id': job_id},
             lambda: self.store_cancel(job_id),
+            limit_s,
         )
         event(
             'cancel_requested',
@@ -409,6 +413,7 @@
         name: str,
         body: CallBody,
         write: Callable[[], CancelOutcome],
+        limit_s: Seconds,
     ) -> CancelOutcome:
         """
         Write here, and through peers where the store does not answer soon.
@@ -420,11 +425,12 @@
         if not self._cluster.shards:
             # The row would belong to a shard that is not known yet.
             return Rejected(reason=_NO_LAYOUT)
-        end = time.monotonic() + _PERSIST_LIMIT_S
+        limit_s = min(limit_s, _PERSIST_LIMIT_S)
+        end = time.monotonic() + limit_s
         attempts: list[gevent.Greenlet] = []
         if not self._health.is_away():
             attempts.append(gevent.spawn(write))
-            attempts[0].join(_HEDGE_S)
+            attempts[0].join(min(_HEDGE_S, limit_s / 2))
         if not _is_settled(attempts):
             attempts.extend(self._ask_peers(name, body))
             _await_settled(attempts, end)
--- a/ragwortfield/platform/front.py
+++ b/ragwortfield/platform/front.py
@@ -38,8 +38,9 @@
 _DEADLINE_FIELD = 'x-ragwortfield-deadline-ms'
 #: Deadline of a client that names none, in seconds.
 _DEFAULT_DEADLINE_S: Seconds = 3
-#: Part of the client's deadline that is used for tries.
-_TRY_SHARE = 0.5
+#: Part of the client's deadline that is used for tries, so that it can turn to
+#: another instance.
+_TRY_SHARE = 0.45
 _MAX_BODY_BYTES = 262144
 _MS_PER_S = 1000
 
@@ -121,7 +122,7 @@
         if method == 'GET':
             return self._status(target, environ)
         if method == 'DELETE':
-            return self._cancel(target)
+            return self._cancel(target, environ)
         return _failure(
             HTTPStatus.METHOD_NOT_ALLOWED,
             f'method {method}, expected POST, GET or DELETE',
@@ -139,7 +140,7 @@
         )
         if isinstance(job, Malformed):
             return _failure(HTTPStatus.BAD_REQUEST, job.reason)
-        outcome = self._node.desk.submit(job)
+        outcome = self._node.desk.submit(job, _limit_s(environ))
         if isinstance(outcome, Accepted):
             return _success({})
         return _refusal(outcome)
@@ -152,8 +153,8 @@
             return _failure(HTTPStatus.GONE, 'no such job')
         return _success({'state': found.value})
 
-    def _cancel(self, target: _Target) -> Response:
-        outcome = self._node.desk.cancel(target.job_id)
+    def _cancel(self, target: _Target, environ: dict[str, Any]) -> Response:
+        outcome = self._node.desk.cancel(target.job_id, _limit_s(environ))
         if isinstance(outcome, Accepted):
             return _success({})
         if isinstance(outcome, Unknown):
--- a/ragwortfield/tests/test_job_desk.py
+++ b/ragwortfield/tests/test_job_desk.py
@@ -1,6 +1,7 @@
 """What a caller is told about a submission is true."""
 
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -27,6 +28,8 @@
 #: Silence of a store, and the limit of a test that must not wait for it.
 _FOREVER_S = 120
 _LIMIT_S = 30
+#: Time that a caller allows.
+_CALLER_LIMIT_S = 1.3
 
 
 class _NoOwnership:
@@ -105,13 +108,19 @@
         return job_row(0, _JOB_ID) in self.store.row_by_name
 
     def test_accepted_means_stored(self):
-        self.assertIsInstance(self.desk.submit(self.job), Accepted)
+        self.assertIsInstance(
+            self.desk.submit(self.job, _CALLER_LIMIT_S), Accepted
+        )
         self.assertTrue(self.has_row())
 
     def test_nothing_is_accepted_before_the_shards_are_known(self):
         self.cluster.shards = 0
-        self.assertIsInstance(self.desk.submit(self.job), Rejected)
-        self.assertIsInstance(self.desk.cancel(_JOB_ID), Rejected)
+        self.assertIsInstance(
+            self.desk.submit(self.job, _CALLER_LIMIT_S), Rejected
+        )
+        self.assertIsInstance(
+            self.desk.cancel(_JOB_ID, _CALLER_LIMIT_S), Rejected
+        )
         self.assertIsInstance(self.desk.status(_JOB_ID, 0), Unavailable)
         for ask in (self.desk.owned_status, self.desk.stored_status):
             self.assertIsInstance(ask(_JOB_ID), Unavailable)
@@ -120,33 +129,43 @@
         self.assertEqual(self.store.commits, 0)
 
     def test_repeat_is_the_same_job(self):
-        self.desk.submit(self.job)
+        self.desk.submit(self.job, _CALLER_LIMIT_S)
         version = self.store.version
-        self.assertIsInstance(self.desk.submit(self.job), Accepted)
+        self.assertIsInstance(
+            self.desk.submit(self.job, _CALLER_LIMIT_S), Accepted
+        )
         self.assertEqual(self.store.version, version)
 
     def test_refusal_means_that_no_row_can_appear(self):
         self.store.is_down = True
-        self.assertIsInstance(self.desk.submit(self.job), Rejected)
+        self.assertIsInstance(
+            self.desk.submit(self.job, _CALLER_LIMIT_S), Rejected
+        )
         self.store.is_down = False
         self.store.apply_late()
         self.assertFalse(self.has_row())
 
     def test_lost_answer_is_never_a_refusal(self):
         self.store.delay_commit = lambda: True
-        self.assertIsInstance(self.desk.submit(self.job), Uncertain)
+        self.assertIsInstance(
+            self.desk.submit(self.job, _CALLER_LIMIT_S), Uncertain
+        )
         self.store.apply_late()
         self.assertTrue(self.has_row())
 
     def test_silent_peer_makes_a_refusal_uncertain(self):
         self.store.is_down = True
         self.peers.answer = _SILENT
-        self.assertIsInstance(self.desk.submit(self.job), Uncertain)
+        self.assertIsInstance(
+            self.desk.submit(self.job, _CALLER_LIMIT_S), Uncertain
+        )
 
     def test_peer_writes_while_the_store_turns_this_instance_away(self):
         self.store.is_down = True
         self.peers.answer = {'outcome': 'Accepted', 'reason': ''}
-        self.assertIsInstance(self.desk.submit(self.job), Accepted)
+        self.assertIsInstance(
+            self.desk.submit(self.job, _CALLER_LIMIT_S), Accepted
+        )
         self.assertIn('submit', self.peers.calls)
 
     def test_peer_writes_while_the_store_is_silent_to_this_instance(self):
@@ -154,31 +173,44 @@
         self.peers.answer = {'outcome': 'Accepted', 'reason': ''}
         self.desk._store = _SilentStore()
         with gevent.Timeout(_LIMIT_S):
-            outcome = self.desk.submit(self.job)
+            outcome = self.desk.submit(self.job, _CALLER_LIMIT_S)
         self.assertIsInstance(outcome, Accepted)
 
     def test_caller_is_not_held_by_a_silent_store(self):
         self.peers.answer = _SILENT
         self.desk._store = _SilentStore()
         with gevent.Timeout(_LIMIT_S):
-            outcome = self.desk.submit(self.job)
+            outcome = self.desk.submit(self.job, _CALLER_LIMIT_S)
+        self.assertIsInstance(outcome, Uncertain)
+
+    def test_caller_in_a_hurry_is_answered_before_it_leaves(self):
+        """Pattern: a repeat that was sent shortly before its deadline."""
+        self.peers.answer = _SILENT
+        self.desk._store = _SilentStore()
+        longest = 'ragwortfield.engine.job_desk._PERSIST_LIMIT_S'
+        with mock.patch(longest, _FOREVER_S), gevent.Timeout(_LIMIT_S):
+            outcome = self.desk.submit(self.job, 0.1)
         self.assertIsInstance(outcome, Uncertain)
 
     def test_store_known_to_be_away_is_not_waited_for(self):
         self.health.note(_UNREACHED)
         self.health.note(_UNREACHED)
         commits = self.store.commits
-        self.assertIsInstance(self.desk.submit(self.job), Rejected)
+        self.assertIsInstance(
+            self.desk.submit(self.job, _CALLER_LIMIT_S), Rejected
+        )
         self.assertEqual(self.store.commits, commits)
 
     def test_cancel_of_an_unknown_job_writes_nothing(self):
-        self.assertIsInstance(self.desk.cancel(_JOB_ID), Unknown)
+        self.assertIsInstance(
+            self.desk.cancel(_JOB_ID, _CALLER_LIMIT_S), Unknown
+        )
         self.assertEqual(self.store.commits, 0)
 
     def test_state_is_worked_out_from_rows_without_an_owner(self):
-        self.desk.submit(self.job)
+        self.desk.submit(self.job, _CALLER_LIMIT_S)
         self.assertEqual(self.desk.status(_JOB_ID, 1), JobStatus.PENDING)
-        self.desk.cancel(_JOB_ID)
+        self.desk.cancel(_JOB_ID, _CALLER_LIMIT_S)
         self.assertEqual(self.desk.status(_JOB_ID, 1), JobStatus.CANCELLED)
 
     def test_unknown_job_is_only_told_by_the_store(self):
