A young worker may hold the longest lease of the owner before

Ruled out: late orders of the old owner, which the fence turns away. Change: a successor waits for the lease asked for only where the worker's life began longer ago than the longest lease, the time an owner may not know that it was replaced, and 10 s for errors of wall clocks; and never where the worker has not answered it yet.

--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -377,7 +377,7 @@
             incarnation=self._identity.incarnation,
             epoch=epoch,
             address=self._identity.address,
-            lease_s=self._lease_after(owner),
+            lease_s=self._lease_after(epoch, lease_before_s),
         )
         outcome = self._store.commit(
             _owner_change(
@@ -431,10 +431,9 @@
             return page
         return page.rows[0] if page.rows else None
 
-    def _lease_after(self, owner: StoredRow | None) -> Seconds:
-        """Longest lease that this owner or one before it may leave behind."""
-        before_s = _lease_of(owner)
-        if owner is not None and not before_s:
+    def _lease_after(self, epoch: int, before_s: Seconds) -> Seconds:
+        """Longest lease that an owner or one before it may leave behind."""
+        if epoch > 1 and not before_s:
             return 0
         return max(self._lease_s, before_s)
 
@@ -469,7 +468,10 @@
             instance_id='',
             incarnation='',
             epoch=runner.tables.epoch,
-            lease_s=max(self._lease_s, runner.tables.inherited_lease_s()),
+            lease_s=self._lease_after(
+                runner.tables.epoch,
+                runner.tables.lease_before_s,
+            ),
         )
         transaction = Transaction(
             expected=(
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -423,6 +423,7 @@
             owner_since=time.monotonic(),
             bounds=self._bounds,
             lease_before_s=lease_before_s,
+            wall_offset_s=self._calendar.now() - time.monotonic(),
             catalogue=self._catalogue or Catalogue(version=-1),
         )
 
--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -69,6 +69,7 @@
         worker.lease_end_ms = _inherited_lease_end_ms(
             tables,
             report,
+            now,
             is_reborn=is_reborn,
         )
     worker.reported_at = now
@@ -154,12 +155,7 @@
             continue
         if not worker.run_by_key or worker.is_in_contact(tables.bounds, now):
             continue
-        if worker.is_lease_over(
-            tables.bounds,
-            now,
-            tables.owner_since,
-            tables.inherited_lease_s(),
-        ):
+        if worker.is_lease_over(tables.bounds, now, tables.owner_since):
             _release_all(tables, worker)
 
 
@@ -185,6 +181,7 @@
 def _inherited_lease_end_ms(
     tables: ShardTables,
     report: LeaseReport,
+    now: Instant,
     *,
     is_reborn: bool,
 ) -> float:
@@ -198,7 +195,7 @@
     else:
         # The owner before may have extended the lease up to this moment;
         # from here on the worker refuses it.
-        longest_s = tables.inherited_lease_s()
+        longest_s = tables.inherited_lease_s(report.born_ms, now)
     return report.clock_ms + longest_s * MS_PER_S
 
 
--- a/ragwortfield/scheduling/tables.py
+++ b/ragwortfield/scheduling/tables.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from ragwortfield.ports.task_worker import PaceRun, StartRun, StopRun
-from ragwortfield.scheduling.bounds import Bounds
+from ragwortfield.scheduling.bounds import MS_PER_S, Bounds
 from ragwortfield.scheduling.catalogue import Catalogue
 from ragwortfield.scheduling.job import TaskKey
 from ragwortfield.scheduling.job_rows import (
@@ -16,6 +16,9 @@
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, JobId, Seconds, WorkerId
 
+#: Error of wall times that is reckoned with, in seconds: they jump by some.
+_CLOCK_ERROR_S: Seconds = 10
+
 Order = StartRun | StopRun | PaceRun
 StepKey = tuple[JobId, int, int]
 
@@ -29,6 +32,8 @@
     :param owner_since: when it took the shard, by the monotonic clock.
     :param lease_before_s: longest lease that the owner before asked of
         workers, in seconds; 0 when it is not known.
+    :param wall_offset_s: wall time less the monotonic clock, when the shard
+        was taken.
     :param open_step_by_key: steps that may start and have waiting tasks.
     :param dirty_by_key: occurrences whose record lags behind.
     :param orders: orders that are due; the owner's runner sends them.
@@ -45,6 +50,7 @@
     bounds: Bounds
     catalogue: Catalogue
     lease_before_s: Seconds = 0
+    wall_offset_s: Seconds = 0
     job_by_id: dict[JobId, JobRow] = field(default_factory=dict)
     worker_by_id: dict[WorkerId, WorkerRow] = field(default_factory=dict)
     open_step_by_key: dict[StepKey, StepRow] = field(default_factory=dict)
@@ -61,14 +67,23 @@
     is_deposed: bool = False
     pressure: PressureModel = field(default_factory=PressureModel)
 
-    def inherited_lease_s(self) -> Seconds:
+    def inherited_lease_s(self, born_ms: int, now: Instant) -> Seconds:
         """
         Give the longest lease that an owner before may have left behind.
 
-        :returns: seconds from its last order.
+        An owner that has not noticed that a worker started again names a
+        deadline of the life before, which workers shorten to the longest
+        lease; so only workers of some age have just the lease asked for.
+
+        :param born_ms: start of the worker's life, as a Unix time.
+        :param now: reading of the monotonic clock.
+        :returns: seconds from the last order of the owner before.
         """
-        if not self.lease_before_s:
-            return self.bounds.longest_lease_s()
+        longest_s = self.bounds.longest_lease_s()
+        age_s = now + self.wall_offset_s - born_ms / MS_PER_S
+        settled_s = longest_s + self.bounds.unaware_s + _CLOCK_ERROR_S
+        if not self.lease_before_s or age_s < settled_s:
+            return longest_s
         return max(self.lease_before_s, self.bounds.start_window_s)
 
     def find_task(self, key: TaskKey) -> TaskRow | None:
--- a/ragwortfield/scheduling/worker_rows.py
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -6,7 +6,7 @@
 from ragwortfield.scheduling.bounds import CLOCK_DRIFT, MS_PER_S, Bounds
 from ragwortfield.scheduling.job import TaskKey
 from ragwortfield.scheduling.job_rows import TaskRow
-from ragwortfield.types import Instant, Seconds, WorkerId
+from ragwortfield.types import Instant, WorkerId
 
 #: Part of their processor that tasks with users of their own leave unused.
 _IDLE_SHARE = 0.58
@@ -122,7 +122,6 @@
         bounds: Bounds,
         now: Instant,
         owner_since: Instant,
-        inherited_lease_s: Seconds,
     ) -> bool:
         """
         Tell whether everything on the worker has certainly ended.
@@ -130,13 +129,12 @@
         :param bounds: durations in force.
         :param now: reading of the monotonic clock.
         :param owner_since: when the present owner took the shard.
-        :param inherited_lease_s: longest lease that the owners before asked.
         :returns: whether no order of anybody can have kept a lease alive.
         """
         if self.known_at:
             return self.clock.earliest_ms(now) > self.lease_end_ms
         # Before the first report the lease may stem from the owner before.
-        longest_s = inherited_lease_s / (1 - CLOCK_DRIFT)
+        longest_s = bounds.longest_lease_s() / (1 - CLOCK_DRIFT)
         return now - owner_since > bounds.unaware_s + longest_s
 
     def add(self, task: TaskRow) -> None:
--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -11,6 +11,7 @@
 #: Longest time from a worker's loss to the next run of its tasks: the users
 #: ask for a lasting task to run again within six seconds.
 _AGAIN_S = 6
+_SETTLED_S = 30
 
 
 class LeaseTest(unittest.TestCase):
@@ -185,7 +186,8 @@
         self.world = ShardWorld(workers=2)
         self.world.take_over()
         self.world.submit(one_step(is_long_lived=True))
-        self.act(1)
+        # A worker's life counts as settled after the longest lease and more.
+        self.act(_SETTLED_S)
 
     def act(self, seconds):
         for _ in range(int(seconds / 0.1)):
@@ -193,6 +195,28 @@
             self.world.advance(0.1)
         self.world.check()
 
+    def test_worker_of_a_young_life_may_hold_the_longest_lease(self):
+        """Seed 622 of the shard machine: a deadline of the life before.
+
+        An owner that has not noticed the new life extends the lease by the
+        old clock, then a second owner takes over and loses the worker.
+        """
+        worker = next(
+            one
+            for one in self.world.workers.worker_by_id.values()
+            if one.run_by_key
+        )
+        before = self.world.owners[-1]
+        worker.restart()
+        before._hold_all()
+        lease_s = (worker.lease_end_ms - worker.now_ms()) / 1000
+        self.world.take_over()
+        self.act(0.5)
+        tables = self.world.owners[-1].tables
+        row = tables.worker_by_id[worker.worker_id]
+        known_s = (row.lease_end_ms - worker.now_ms()) / 1000
+        self.assertGreaterEqual(known_s + 0.5, lease_s)
+
     def test_tasks_of_a_worker_lost_after_a_takeover_run_again_in_time(self):
         self.world.take_over()
         self.act(0.5)
@@ -213,7 +237,8 @@
     def test_unknown_lease_of_the_owner_before_counts_as_the_longest(self):
         tables = self.world.owners[-1].tables
         longest_s = tables.bounds.longest_lease_s()
-        self.assertEqual(tables.inherited_lease_s(), longest_s)
+        inherited_s = tables.inherited_lease_s(0, self.world.now)
+        self.assertEqual(inherited_s, longest_s)
 
     def test_asked_lease_is_never_longer_than_workers_grant(self):
         bounds = Bounds(lease_s=4, longest_lease_ms=1500)
