--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -14,18 +14,20 @@
 _SETTLED_S = 30
 
 
+def _act(world, seconds):
+    """Let the newest owner act for a while."""
+    for _ in range(int(seconds / 0.1)):
+        world.owners[-1].act()
+        world.advance(0.1)
+    world.check()
+
+
 class LeaseTest(unittest.TestCase):
     def setUp(self):
         self.world = ShardWorld(workers=2)
         self.world.take_over()
         self.job_id = self.world.submit(one_step(is_long_lived=True))
-        self.act(1)
-
-    def act(self, seconds):
-        for _ in range(int(seconds / 0.1)):
-            self.world.owners[-1].act()
-            self.world.advance(0.1)
-        self.world.check()
+        _act(self.world, 1)
 
     def running(self):
         return [
@@ -42,20 +44,20 @@
     def test_tasks_of_a_silent_worker_run_elsewhere_within_the_bound(self):
         lost = self.running()[0]
         lost.is_reachable = False
-        self.act(_AGAIN_S)
+        _act(self.world, _AGAIN_S)
         others = [one for one in self.running() if one is not lost]
         self.assertEqual(len(others), 1)
 
     def test_tasks_wait_while_the_lease_may_still_run(self):
         lost = self.running()[0]
         lost.is_reachable = False
-        self.act(2)
+        _act(self.world, 2)
         self.assertEqual(self.running(), [lost])
 
     def test_reborn_worker_gets_its_tasks_anew(self):
         lost = self.running()[0]
         lost.restart()
-        self.act(1)
+        _act(self.world, 1)
         self.assertEqual(self.first_task(self.job_id).run, 2)
         self.assertEqual(self.world.status(self.job_id), JobStatus.ACTIVE)
 
@@ -78,10 +80,10 @@
         key = next(iter(worker.run_by_key))
         self.world.store.is_down = True
         worker.end(key, EndKind.FAILED)
-        self.act(1)
+        _act(self.world, 1)
         self.assertEqual(len(worker.ends), 1)
         self.world.store.is_down = False
-        self.act(1)
+        _act(self.world, 1)
         self.assertEqual(worker.ends, [])
 
     def test_fake_worker_refuses_a_stopped_run(self):
@@ -187,13 +189,7 @@
         self.world.take_over()
         self.world.submit(one_step(is_long_lived=True))
         # A worker's life counts as settled after the longest lease and more.
-        self.act(_SETTLED_S)
-
-    def act(self, seconds):
-        for _ in range(int(seconds / 0.1)):
-            self.world.owners[-1].act()
-            self.world.advance(0.1)
-        self.world.check()
+        _act(self.world, _SETTLED_S)
 
     def test_worker_of_a_young_life_may_hold_the_longest_lease(self):
         """Seed 622 of the shard machine: a deadline of the life before.
@@ -211,7 +207,7 @@
         before._hold_all()
         lease_s = (worker.lease_end_ms - worker.now_ms()) / 1000
         self.world.take_over()
-        self.act(0.5)
+        _act(self.world, 0.5)
         tables = self.world.owners[-1].tables
         row = tables.worker_by_id[worker.worker_id]
         known_s = (row.lease_end_ms - worker.now_ms()) / 1000
@@ -219,14 +215,14 @@
 
     def test_tasks_of_a_worker_lost_after_a_takeover_run_again_in_time(self):
         self.world.take_over()
-        self.act(0.5)
+        _act(self.world, 0.5)
         lost = next(
             worker
             for worker in self.world.workers.worker_by_id.values()
             if worker.run_by_key
         )
         lost.is_reachable = False
-        self.act(_AGAIN_S)
+        _act(self.world, _AGAIN_S)
         others = [
             worker
             for worker in self.world.workers.worker_by_id.values()
