Waiting tasks share rankings; whole workers are cleared for fillers; trials without network

Cause: (1) Each round built its chooser anew and walked every worker for every waiting task. Ruled out: room as such (idle processor for 5 fillers a worker is left), the order of steps (one queue of fillers), commits (41 ms). Change: rankings.py shares a ranking among the tasks of a step and looks at an unmet need again only on workers that have changed; tolerance.py weighs cores, not shares; consolidation.py also clears a worker of all its serving tasks, for a gain in proportion to their processor, and a worker that is being cleared takes no other serving tasks (without that one task was moved 39 times to and fro). rounds.py holds the round that runner and trial share. The two checks of Tolerance.usable are replaced by the same ones in cores, and a third.

--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -36,20 +36,11 @@
 from ragwortfield.ports.task_worker import (
     TaskWorkers,
 )
-from ragwortfield.scheduling import (
-    approvals,
-    commits,
-    consolidation,
-    dispatch,
-    evacuation,
-    intake,
-    interference,
-    relocation,
-    reports,
-)
+from ragwortfield.scheduling import approvals, commits, intake
 from ragwortfield.scheduling.catalogue import Catalogue
 from ragwortfield.scheduling.commits import Batch
 from ragwortfield.scheduling.job_rows import JobRow
+from ragwortfield.scheduling.rounds import Rounds
 from ragwortfield.scheduling.status import (
     JobStatus,
     status_of,
@@ -63,15 +54,10 @@
 _ROUND_S: Seconds = 0.05
 #: Time between looks at commits under way, in seconds.
 _POLL_S: Seconds = 0.01
-#: Time between rounds of slow-moving decisions, in seconds.
-_SLOW_ROUND_S: Seconds = 0.1
 #: Pause before a failed call is made again, in seconds.
 _RETRY_S: Seconds = 0.1
 #: A process that stood still for longer checks that it is still the owner.
 _PAUSE_S: Seconds = 0.7
-#: Time between looks for jobs that can be forgotten, in seconds.
-_FORGET_EVERY_S: Seconds = 5
-
 #: Time between two lines of the log on the state of the shard, in seconds.
 _TELL_EVERY_S: Seconds = 2
 
@@ -128,9 +114,8 @@
             workers=workers,
             on_news=self._wake.set,
         )
+        self._rounds = Rounds()
         self._round_at: Instant = 0
-        self._slow_round_at: Instant = 0
-        self._forgot_at: Instant = 0
         self._told_at: Instant = 0
         self._boot_offset = _boot_offset()
 
@@ -398,24 +383,15 @@
 
     def _round(self, now: Instant) -> None:
         tables = self.tables
-        if now - self._slow_round_at > _SLOW_ROUND_S:
-            self._slow_round_at = now
-            intake.open_due_occurrences(tables, self._calendar.now())
-            reports.release_lapsed(tables, now)
-            reports.repeat_stops(tables, now)
-            dispatch.repeat_starts(tables, now)
-            interference.adjust_paces(tables, now)
-            relocation.relocate(tables, now)
-            consolidation.consolidate(tables, now)
-            evacuation.evacuate(tables, now)
+        self._rounds.decide(
+            tables,
+            now,
+            wall=self._calendar.now(),
+            is_binding=not self._is_handing_over,
+        )
         if now - self._told_at > _TELL_EVERY_S:
             self._told_at = now
             event('shard_state', shard=self.shard, **summary(tables))
-        if now - self._forgot_at > _FORGET_EVERY_S:
-            self._forgot_at = now
-            commits.forget_finished(tables, now)
-        if not self._is_handing_over:
-            dispatch.dispatch(tables, now)
         if tables.dirty_by_key or tables.forgotten:
             self._commit_wake.set()
         elif not self._is_committing:
--- /dev/null
+++ b/ragwortfield/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Trials of the decisions on jobs and workers, without network or clock."""
--- /dev/null
+++ b/ragwortfield/experiment/trial.py
@@ -0,0 +1,249 @@
+"""One trial: a drawn load, the real decisions, emulated workers."""
+
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+
+from ragwortfield.core.resources import Resources
+from ragwortfield.experiment.loads import (
+    POOL,
+    QUEUES,
+    SERVING,
+    Draw,
+    PoolLoad,
+)
+from ragwortfield.experiment.workers import EmulatedWorker
+from ragwortfield.ports.task_worker import OrderDone, PaceRun, StartRun
+from ragwortfield.scheduling import commits, intake, interference, reports
+from ragwortfield.scheduling.bounds import MS_PER_S, Bounds
+from ragwortfield.scheduling.catalogue import Catalogue, Pool
+from ragwortfield.scheduling.job_rows import LATE_FACTOR, JobRow
+from ragwortfield.scheduling.rounds import Rounds
+from ragwortfield.scheduling.tables import Order, ShardTables
+from ragwortfield.types import Instant, Seconds
+
+#: Time between rounds, which is also how long a commit takes, in seconds.
+_ROUND_S: Seconds = 0.05
+#: Time between reports of a worker where nothing ends, in seconds.
+_REPORT_S: Seconds = 0.5
+#: Time before the drawn jobs come, for the standing ones to start.
+_LEAD_S: Seconds = 4
+#: Time after the drawn jobs, for them to finish.
+_FINISH_S: Seconds = 6
+#: Worth of a job that is late, beside one that is on time.
+_LATE_WORTH = 0.15
+_MEMORY_MB = 128_000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TrialResult:
+    """
+    What came of a trial.
+
+    :param runs: runs that were started.
+    :param decision_ms_a_run: processor of all decisions, in milliseconds,
+        divided by the runs.
+    :param slowest_round_ms: processor of the dearest round, in milliseconds.
+    :param on_time_by_queue: share of the jobs that were on time, late ones
+        counted with a part, by queue.
+    :param serving: share of the time for which tasks with users were at work
+        and within their target.
+    """
+
+    workers: int
+    seed: int
+    runs: int
+    decision_ms_a_run: float
+    slowest_round_ms: float
+    on_time_by_queue: dict[str, float]
+    serving: float
+
+    def document(self) -> dict[str, object]:
+        """
+        Give the result for a line of JSON.
+
+        :returns: fields by name.
+        """
+        return asdict(self)
+
+
+class Trial:
+    """
+    One pool under one owner.
+
+    :param load: the pool and its load.
+    :param seed: seed of the draw.
+    """
+
+    def __init__(self, *, load: PoolLoad, seed: int) -> None:
+        """Create the pool; ``run`` plays the load."""
+        self.tables = ShardTables(
+            epoch=1,
+            owner_since=0,
+            bounds=Bounds(),
+            catalogue=Catalogue(
+                version=1,
+                queue_by_name={one.name: one for one in QUEUES},
+                pool_by_name={POOL: Pool(name=POOL)},
+            ),
+        )
+        self._load = load
+        self._seed = seed
+        self._draw = Draw(load=load, seed=seed)
+        self._rounds = Rounds()
+        # Readings of zero mean "never" in the tables.
+        self._now: Instant = 1
+        self._runs = 0
+        self._commits = 0
+        self._spent_s: Seconds = 0
+        self._slowest_s: Seconds = 0
+        self._good_tails = 0
+        self._tails = 0
+        self._worker_by_id = {
+            f'w{number:04}': self._worker(number)
+            for number in range(load.workers)
+        }
+
+    def run(self, length_s: Seconds) -> TrialResult:
+        """
+        Play the load.
+
+        :param length_s: how long jobs are handed in, in seconds.
+        :returns: what came of it.
+        """
+        for job in self._draw.standing_jobs():
+            intake.take_job(self.tables, job, now=self._now, wall=self._now)
+        first = self._now + _LEAD_S
+        last = first + length_s
+        while self._now < last + _FINISH_S:
+            self._round(is_loaded=first <= self._now < last)
+        return TrialResult(
+            workers=self._load.workers,
+            seed=self._seed,
+            runs=self._runs,
+            decision_ms_a_run=self._spent_s * MS_PER_S / max(self._runs, 1),
+            slowest_round_ms=self._slowest_s * MS_PER_S,
+            on_time_by_queue=self._on_time_by_queue(),
+            serving=self._good_tails / max(self._tails, 1),
+        )
+
+    def _worker(self, number: int) -> EmulatedWorker:
+        size = 1.5 if number % 3 == 0 else 1
+        worker = EmulatedWorker(
+            worker_id=f'w{number:04}',
+            room=Resources(
+                cpu=self._load.worker_cpu * size,
+                memory_mb=_MEMORY_MB,
+            ),
+            pool=POOL,
+            draw=self._draw,
+            idle_ms=self._load.idle_ms,
+        )
+        intake.take_worker(self.tables, worker.listing())
+        return worker
+
+    def _round(self, *, is_loaded: bool) -> None:
+        self._now += _ROUND_S
+        now = self._now
+        for worker in self._worker_by_id.values():
+            worker.advance(now, _ROUND_S)
+        if is_loaded:
+            jobs = tuple(self._draw.jobs_between(now - _ROUND_S, now))
+            self._judge_tails()
+        else:
+            jobs = ()
+        started_s = time.process_time()
+        for job in jobs:
+            intake.take_job(self.tables, job, now=now, wall=now)
+        self._take_reports()
+        self._rounds.decide(self.tables, now, wall=now, is_binding=True)
+        self._commit()
+        spent_s = time.process_time() - started_s
+        self._spent_s += spent_s
+        self._slowest_s = max(self._slowest_s, spent_s)
+        orders = self.tables.orders
+        self.tables.orders = []
+        for order in orders:
+            self._carry_out(order)
+
+    def _take_reports(self) -> None:
+        for worker in self._worker_by_id.values():
+            is_due = self._now - worker.reported_at >= _REPORT_S
+            if not worker.ends and not is_due:
+                continue
+            row = self.tables.worker_by_id[worker.worker_id]
+            report = worker.report(self._now, row.acknowledged)
+            reports.take_report(
+                self.tables,
+                row,
+                report,
+                self._now,
+                told=row.acknowledged,
+            )
+            interference.take_readings(self.tables, row, self._now)
+
+    def _commit(self) -> None:
+        batch = commits.take_batch(self.tables, self._commits + 1)
+        while batch is not None:
+            self._commits += 1
+            commits.confirm(self.tables, batch, self._now)
+            batch = commits.take_batch(self.tables, self._commits + 1)
+        commits.acknowledge_settled(self.tables)
+
+    def _carry_out(self, order: Order) -> None:
+        worker = self._worker_by_id[order.worker_id]
+        done = OrderDone(clock_ms=round(self._now * MS_PER_S))
+        if isinstance(order, StartRun):
+            task = self.tables.find_task(order.key)
+            if task is not None:
+                self._runs += 1
+                worker.start(order.key, task.step, order.run, self._now)
+                self._spend(
+                    lambda: reports.take_start_outcome(
+                        self.tables,
+                        order,
+                        done,
+                        self._now,
+                    ),
+                )
+        elif isinstance(order, PaceRun):
+            worker.pace(order.key, order.percent)
+            interference.take_pace_outcome(
+                self.tables,
+                order,
+                done,
+                self._now,
+            )
+        else:
+            worker.stop(order.key)
+            reports.take_stop_outcome(self.tables, order, done)
+
+    def _spend(self, work: Callable[[], None]) -> None:
+        started_s = time.process_time()
+        work()
+        self._spent_s += time.process_time() - started_s
+
+    def _judge_tails(self) -> None:
+        for worker in self._worker_by_id.values():
+            for _, tail_ms, target_ms in worker.tails():
+                self._tails += 1
+                self._good_tails += tail_ms <= target_ms
+
+    def _on_time_by_queue(self) -> dict[str, float]:
+        earned: Counter[str] = Counter()
+        owed: Counter[str] = Counter()
+        for row in self.tables.job_by_id.values():
+            if row.job.queue != SERVING:
+                owed[row.job.queue] += 1
+                earned[row.job.queue] += _worth(row)
+        return {queue: earned[queue] / owed[queue] for queue in sorted(owed)}
+
+
+def _worth(row: JobRow) -> float:
+    if not row.finished_at:
+        return 0
+    taken_s = row.finished_at - row.learned_at
+    if taken_s <= row.objective_s():
+        return 1
+    return _LATE_WORTH if taken_s <= LATE_FACTOR * row.objective_s() else 0
--- a/ragwortfield/scheduling/consolidation.py
+++ b/ragwortfield/scheduling/consolidation.py
@@ -1,14 +1,17 @@
 """Moving serving tasks off workers that fillers could use better.
 
 Pattern: serving tasks start before anything is known of the fillers to come,
-so a few of them end up alone on large workers, or beside an image that bears
-fillers which they do not. One such task keeps all those fillers away. Where
-other workers have room for it and bear those fillers no better anyway, it is
-stopped and starts there. That costs its users a moment of one task, so it
-happens only for a clear gain, one task of a step at a time.
+so a few of them end up on workers of which most stays unused, or beside an
+image that bears fillers which they do not. They keep all those fillers away.
+Where other workers have room for them and bear those fillers no better anyway,
+the tasks of one image, or all that serve on a worker, are stopped and start
+there. That costs their users a moment of one task, so it happens only for a
+gain that outweighs it, one task of a step at a time.
 """
 
-from dataclasses import dataclass
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
 
 from ragwortfield.log import event
 from ragwortfield.scheduling.job_rows import RunStage, StepRow, TaskRow
@@ -21,15 +24,22 @@
     is_allowed,
     tolerance_of,
 )
-from ragwortfield.scheduling.worker_rows import WorkerRow
-from ragwortfield.types import Instant, Seconds
+from ragwortfield.scheduling.worker_rows import SERVING_LOAD, WorkerRow
+from ragwortfield.types import Instant, Seconds, WorkerId
 
 #: Time between two rounds, in seconds: a moved task is at work again by then.
 _ROUND_S: Seconds = 1
-#: Tasks moved in one round.
+#: Tasks moved off one worker in one round.
 _MOVES_A_ROUND = 3
-#: Cores of usable processor that one moved task must gain.
-_LEAST_GAIN_CPU = 5.0
+#: Workers for each of which one worker is cleared at a time.
+_WORKERS_A_MOVE = 24
+#: Cores for fillers that a move must gain for each core of the moved tasks.
+_LEAST_GAIN = 0.4
+#: Time for which a worker that is being cleared gets no other serving tasks,
+#: in seconds; the tasks of one step leave one after the other.
+_CLEARING_S: Seconds = 3
+#: Departures, the most promising first, for which places are looked for.
+_DEPARTURES_TRIED = 8
 #: Share of all workers' processor that waiting fillers ask for, from which on
 #: they wait for more than the next round.
 _CROWDED_SHARE = 0.03
@@ -37,14 +47,30 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _Move:
-    """Tasks of one image that would leave a worker, and what that gains."""
+class _Departure:
+    """Tasks that would leave a worker, and what that gains there, in cores."""
 
     worker: WorkerRow
     tasks: tuple[TaskRow, ...]
     gain_cpu: float
 
 
+@dataclass(kw_only=True, slots=True)
+class _Place:
+    """
+    Worker as it would be with the tasks that were found a place there.
+
+    :param images: images that serve there.
+    :param added_by_step: tasks given a place, by identity of their step.
+    """
+
+    worker: WorkerRow
+    images: frozenset[str]
+    free_cpu: float
+    idle_cpu: float
+    added_by_step: Counter[int] = field(default_factory=Counter)
+
+
 def consolidate(tables: ShardTables, now: Instant) -> None:
     """
     Stop serving tasks that are in the way of fillers, to start elsewhere.
@@ -55,19 +81,19 @@
     if now - tables.consolidated_at < _ROUND_S or not _is_crowded(tables):
         return
     tables.consolidated_at = now
-    move = _best_move(tables, now)
-    if move is None:
-        return
-    for task in _movable_now(tables, move.tasks):
-        event(
-            'serving_moved',
-            task=task_name(task),
-            run=task.run,
-            worker=task.worker_id,
-            image=task.step.image,
-            gain_cores=move.gain_cpu,
-        )
-        request_stop(tables, task, now)
+    limit = 1 + len(tables.worker_by_id) // _WORKERS_A_MOVE
+    for departure in _Planner(tables, now).best(limit):
+        departure.worker.clearing_until = now + _CLEARING_S
+        for task in _movable_now(tables, departure.tasks):
+            event(
+                'serving_moved',
+                task=task_name(task),
+                run=task.run,
+                worker=task.worker_id,
+                image=task.step.image,
+                gain_cores=departure.gain_cpu,
+            )
+            request_stop(tables, task, now)
 
 
 def _is_crowded(tables: ShardTables) -> bool:
@@ -80,76 +106,159 @@
     return waiting > _CROWDED_SHARE * room
 
 
-def _best_move(tables: ShardTables, now: Instant) -> _Move | None:
-    chooser = Chooser(tables=tables, now=now)
-    tolerance = tolerance_of(tables)
-    best: _Move | None = None
-    for worker in tables.worker_by_id.values():
-        for image in filter(tolerance.is_known, worker.serving_by_image):
-            move = _move(tables, chooser, tolerance, worker, image)
-            if move is not None and _is_better(move, best):
-                best = move
-    return best
+class _Planner:
+    """Search for the departures that gain most, within one round."""
 
+    def __init__(self, tables: ShardTables, now: Instant) -> None:
+        self._tables = tables
+        self._now = now
+        self._chooser = Chooser(tables=tables, now=now)
+        self._tolerance: Tolerance = tolerance_of(tables)
+        self._place_by_worker: dict[WorkerId, _Place] = {}
 
-def _is_better(move: _Move, best: _Move | None) -> bool:
-    return best is None or move.gain_cpu > best.gain_cpu
+    def best(self, limit: int) -> list[_Departure]:
+        """Give the best departures, each from another worker."""
+        promising = sorted(
+            self._departures(),
+            key=lambda one: one.gain_cpu,
+            reverse=True,
+        )
+        chosen: list[_Departure] = []
+        cleared: set[WorkerId] = set()
+        for departure in promising[: _DEPARTURES_TRIED * limit]:
+            if departure.worker.worker_id in cleared:
+                continue
+            places = self._find_places(departure, cleared)
+            if places is None:
+                continue
+            for place in places:
+                self._place_by_worker[place.worker.worker_id] = place
+            cleared.add(departure.worker.worker_id)
+            chosen.append(departure)
+            if len(chosen) == limit:
+                break
+        return chosen
 
+    def _departures(self) -> Iterator[_Departure]:
+        for worker in self._tables.worker_by_id.values():
+            images = worker.serving_by_image
+            if not images or not all(map(self._tolerance.is_known, images)):
+                continue
+            wholes = [frozenset(images)] if len(images) > 1 else []
+            for leaving in (*(frozenset((one,)) for one in images), *wholes):
+                departure = self._departure(worker, leaving)
+                if departure is not None:
+                    yield departure
 
-def _move(
-    tables: ShardTables,
-    chooser: Chooser,
-    tolerance: Tolerance,
-    worker: WorkerRow,
-    image: str,
-) -> _Move | None:
-    tasks = tuple(
-        task
-        for task in worker.run_by_key.values()
-        if task.step.latency_target_ms and task.step.image == image
-    )
-    gain = tolerance.gain(worker, image) - _LEAST_GAIN_CPU * len(tasks)
-    if gain <= 0 or not all(_is_at_work(task) for task in tasks):
-        return None
-    free_by_worker: dict[str, float] = {}
-    opened: set[str] = set()
-    for task in tasks:
-        place = _place(tables, chooser, tolerance, task, free_by_worker)
-        if place is None:
+    def _departure(
+        self,
+        worker: WorkerRow,
+        leaving: frozenset[str],
+    ) -> _Departure | None:
+        tasks = tuple(
+            task
+            for task in worker.run_by_key.values()
+            if task.step.latency_target_ms and task.step.image in leaving
+        )
+        cpu = sum(task.step.need.cpu for task in tasks)
+        gain = self._tolerance.gain(worker, leaving, cpu) - _LEAST_GAIN * cpu
+        if gain <= 0 or not all(map(_is_at_work, tasks)):
             return None
-        free = free_by_worker.get(place.worker_id, place.free_cpu())
-        free_by_worker[place.worker_id] = free - task.step.need.cpu
-        if place.worker_id not in opened:
-            opened.add(place.worker_id)
-            gain -= tolerance.loss(place, image)
-    if gain <= 0:
-        return None
-    return _Move(worker=worker, tasks=tasks, gain_cpu=gain)
+        return _Departure(worker=worker, tasks=tasks, gain_cpu=gain)
 
+    def _find_places(
+        self,
+        departure: _Departure,
+        cleared: set[WorkerId],
+    ) -> list[_Place] | None:
+        """Give the places as they would be; None where the move is no gain."""
+        gain = departure.gain_cpu
+        closed = {*cleared, departure.worker.worker_id}
+        changed: dict[WorkerId, _Place] = {}
+        for task in sorted(departure.tasks, key=_need, reverse=True):
+            best: _Place | None = None
+            best_loss = gain
+            for place in self._open_places(task, closed, changed):
+                loss = self._loss(place, task)
+                if loss < best_loss:
+                    best = place
+                    best_loss = loss
+            if best is None:
+                return None
+            gain -= best_loss
+            changed[best.worker.worker_id] = _with_task(
+                best,
+                self._tables.step_of(task),
+            )
+        return list(changed.values())
 
-def _place(
-    tables: ShardTables,
-    chooser: Chooser,
-    tolerance: Tolerance,
-    task: TaskRow,
-    free_by_worker: dict[str, float],
-) -> WorkerRow | None:
-    step = tables.step_of(task)
-    job = tables.job_by_id[task.key.job_id]
-    places = [
-        worker
-        for worker in chooser.candidates(job)
-        if worker.worker_id != task.worker_id
-        and fits(worker, step)
-        and is_allowed(worker, step)
-        and free_by_worker.get(worker.worker_id, worker.free_cpu())
-        >= step.step.need.cpu
-    ]
-    image = task.step.image
-    return min(
-        places,
-        key=lambda one: tolerance.loss(one, image),
-        default=None,
+    def _open_places(
+        self,
+        task: TaskRow,
+        closed: set[WorkerId],
+        changed: dict[WorkerId, _Place],
+    ) -> Iterator[_Place]:
+        step = self._tables.step_of(task)
+        job = self._tables.job_by_id[task.key.job_id]
+        for worker in self._chooser.candidates(job):
+            if worker.worker_id in closed or self._now < worker.clearing_until:
+                continue
+            if not fits(worker, step):
+                continue
+            place = changed.get(worker.worker_id) or self._place(worker)
+            if _has_room(place, step):
+                yield place
+
+    def _place(self, worker: WorkerRow) -> _Place:
+        place = self._place_by_worker.get(worker.worker_id)
+        if place is None:
+            place = _Place(
+                worker=worker,
+                images=frozenset(worker.serving_by_image),
+                free_cpu=worker.free_cpu(),
+                idle_cpu=worker.idle_cpu(),
+            )
+            self._place_by_worker[worker.worker_id] = place
+        return place
+
+    def _loss(self, place: _Place, task: TaskRow) -> float:
+        room_cpu = place.worker.listed.room.cpu
+        load_cpu = task.step.need.cpu * SERVING_LOAD
+        before = self._tolerance.usable_cpu(
+            place.images,
+            idle_cpu=place.idle_cpu,
+            room_cpu=room_cpu,
+        )
+        return before - self._tolerance.usable_cpu(
+            place.images | {task.step.image},
+            idle_cpu=max(place.idle_cpu - load_cpu, 0),
+            room_cpu=room_cpu,
+        )
+
+
+def _need(task: TaskRow) -> float:
+    return task.step.need.cpu
+
+
+def _has_room(place: _Place, step: StepRow) -> bool:
+    if place.free_cpu < step.step.need.cpu:
+        return False
+    added = place.added_by_step[id(step)]
+    limit = step.step.per_worker_limit
+    known = step.count_by_worker.get(place.worker.worker_id, 0)
+    return is_allowed(place.worker, step) and (
+        not limit or known + added < limit
+    )
+
+
+def _with_task(place: _Place, step: StepRow) -> _Place:
+    cpu = step.step.need.cpu
+    return _Place(
+        worker=place.worker,
+        images=place.images | {step.step.image},
+        free_cpu=place.free_cpu - cpu,
+        idle_cpu=place.idle_cpu - cpu * SERVING_LOAD,
+        added_by_step=place.added_by_step + Counter((id(step),)),
     )
 
 
--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -119,6 +119,7 @@
         if worker is None:
             break
         bind(tables, task, worker, run=task.run + 1, now=now)
+        chooser.note_bound(worker, step)
         bound += 1
     return bound
 
@@ -138,4 +139,5 @@
     run = max(task.run for task in step.tasks) + 1
     for task, worker in zip(step.tasks, chosen, strict=True):
         bind(tables, task, worker, run=run, now=now)
+        chooser.note_bound(worker, step)
     return len(chosen)
--- a/ragwortfield/scheduling/intake.py
+++ b/ragwortfield/scheduling/intake.py
@@ -166,6 +166,7 @@
         tables.worker_by_id[listed.worker_id] = WorkerRow(
             worker_id=listed.worker_id,
             listed=listed,
+            changes=tables.changes,
         )
         event(
             'worker_listed',
@@ -184,6 +185,7 @@
         )
     row.listed = listed
     row.is_listed = True
+    row.note_change()
 
 
 def drop_worker(tables: ShardTables, worker_id: WorkerId) -> None:
@@ -221,6 +223,7 @@
         worker_id=worker_id,
         listed=ListedWorker(worker_id=worker_id),
         is_listed=False,
+        changes=tables.changes,
     )
 
 
--- a/ragwortfield/scheduling/interference.py
+++ b/ragwortfield/scheduling/interference.py
@@ -65,6 +65,7 @@
     changes = _changes(worker.share_by_filler, shares)
     worker.share_by_filler = shares
     worker.over_by_image = {}
+    worker.note_change()
     for task in worker.run_by_key.values():
         if not _is_read(task) or task.reading is None:
             continue
@@ -210,26 +211,6 @@
     return speed, cost
 
 
-def intolerance(tables: ShardTables, worker: WorkerRow) -> float:
-    """
-    Tell how badly a worker's serving tasks get on with fillers in general.
-
-    A filler that disturbs nobody goes to such a worker, so that the tolerant
-    ones stay free for fillers that disturb most others.
-
-    :param tables: tables of the shard.
-    :param worker: the worker.
-    :returns: mean weight of its worst serving image; 0 where nothing serves.
-    """
-    return max(
-        (
-            round(tables.pressure.mean_weight(serving), 1)
-            for serving in worker.serving_by_image
-        ),
-        default=0,
-    )
-
-
 def is_fast_enough(speed: float) -> bool:
     """
     Tell whether a filler should be started at a speed.
--- /dev/null
+++ b/ragwortfield/scheduling/rounds.py
@@ -0,0 +1,66 @@
+"""One round of decisions on everything that an owner's shard holds."""
+
+from dataclasses import dataclass
+
+from ragwortfield.scheduling import (
+    commits,
+    consolidation,
+    dispatch,
+    evacuation,
+    intake,
+    interference,
+    relocation,
+    reports,
+)
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.types import Instant, Seconds, WallTime
+
+#: Time between rounds of slow-moving decisions, in seconds.
+_SLOW_ROUND_S: Seconds = 0.1
+#: Time between looks for jobs that can be forgotten, in seconds.
+_FORGET_EVERY_S: Seconds = 5
+
+
+@dataclass(kw_only=True, slots=True)
+class Rounds:
+    """
+    Rounds of decisions of one owner.
+
+    :param slow_at: latest round of slow-moving decisions.
+    :param forgot_at: latest look for jobs that can be forgotten.
+    """
+
+    slow_at: Instant = 0
+    forgot_at: Instant = 0
+
+    def decide(
+        self,
+        tables: ShardTables,
+        now: Instant,
+        *,
+        wall: WallTime,
+        is_binding: bool,
+    ) -> None:
+        """
+        Decide what is due; orders and changes are left in the tables.
+
+        :param tables: tables of the shard.
+        :param now: reading of the monotonic clock.
+        :param wall: wall clock, not ahead of the true time.
+        :param is_binding: whether waiting tasks may be given to workers.
+        """
+        if now - self.slow_at > _SLOW_ROUND_S:
+            self.slow_at = now
+            intake.open_due_occurrences(tables, wall)
+            reports.release_lapsed(tables, now)
+            reports.repeat_stops(tables, now)
+            dispatch.repeat_starts(tables, now)
+            interference.adjust_paces(tables, now)
+            relocation.relocate(tables, now)
+            consolidation.consolidate(tables, now)
+            evacuation.evacuate(tables, now)
+        if now - self.forgot_at > _FORGET_EVERY_S:
+            self.forgot_at = now
+            commits.forget_finished(tables, now)
+        if is_binding:
+            dispatch.dispatch(tables, now)
--- a/ragwortfield/scheduling/tables.py
+++ b/ragwortfield/scheduling/tables.py
@@ -13,7 +13,8 @@
     TaskRow,
 )
 from ragwortfield.scheduling.pressure import PressureModel
-from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.scheduling.rankings import UnmetNeeds
+from ragwortfield.scheduling.worker_rows import ChangeCounter, WorkerRow
 from ragwortfield.types import Instant, JobId, Seconds, WorkerId
 
 #: Error of wall times that is reckoned with, in seconds: they jump by some.
@@ -41,6 +42,8 @@
     :param cancelled_ids: cancellations, also of jobs not read yet.
     :param work_by_filler: work of fillers that was asked for, in
         core-seconds, by image.
+    :param changes: numbers the changes of the workers.
+    :param unmet_needs: needs that no worker met.
     :param consolidated_at: latest look for serving tasks to be moved.
     :param is_deposed: whether a worker has seen a newer owner.
     """
@@ -63,6 +66,8 @@
     cancelled_ids: set[JobId] = field(default_factory=set)
     forgotten: list[JobRow] = field(default_factory=list)
     work_by_filler: dict[str, float] = field(default_factory=dict)
+    changes: ChangeCounter = field(default_factory=ChangeCounter)
+    unmet_needs: UnmetNeeds = field(default_factory=UnmetNeeds)
     consolidated_at: Instant = 0
     is_deposed: bool = False
     pressure: PressureModel = field(default_factory=PressureModel)
--- a/ragwortfield/scheduling/tolerance.py
+++ b/ragwortfield/scheduling/tolerance.py
@@ -3,13 +3,15 @@
 Pattern: some pairs of images get on and some do not, so a worker's idle
 processor is worth what the fillers that are asked for can make of it beside
 the images that serve there. A worker where nothing serves bears every filler;
-each further image takes away those that it does not get on with.
+beside an image that a filler does not get on with, as many run as the
+headroom of the serving tasks allows.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ragwortfield.scheduling.pressure import PressureModel
-from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.scheduling.worker_rows import SERVING_LOAD, WorkerRow
 
 #: Use that a serving task at its usual load leaves for fillers.
 _USUAL_HEADROOM = 0.25
@@ -17,6 +19,10 @@
 #: tolerance says more than a guess.
 _KNOWN_SHARE = 0.5
 
+Images = frozenset[str]
+#: Shares of the fillers' work, each with the weight of its harshest pair.
+_Profile = tuple[tuple[float, float], ...]
+
 
 @dataclass(kw_only=True, slots=True)
 class Tolerance:
@@ -30,9 +36,7 @@
 
     model: PressureModel
     work_by_filler: dict[str, float]
-    _usable_by_images: dict[frozenset[str], float] = field(
-        default_factory=dict,
-    )
+    _profile_by_images: dict[Images, _Profile] = field(default_factory=dict)
 
     def is_known(self, serving: str) -> bool:
         """
@@ -49,55 +53,90 @@
         )
         return total > 0 and known >= _KNOWN_SHARE * total
 
-    def usable(self, images: frozenset[str]) -> float:
+    def usable_cpu(
+        self,
+        images: Images,
+        *,
+        idle_cpu: float,
+        room_cpu: float,
+    ) -> float:
         """
-        Tell what share of idle processor fillers can use.
+        Tell how much idle processor fillers can use.
 
         :param images: images that serve beside them.
-        :returns: 1 where nothing serves, towards 0 beside harsh pairs.
+        :param idle_cpu: processor that is left idle, in cores.
+        :param room_cpu: processor of the worker, in cores.
+        :returns: cores, as a mean over the fillers that are asked for.
         """
-        known = self._usable_by_images.get(images)
-        if known is None:
-            known = self._mean_share(images)
-            self._usable_by_images[images] = known
-        return known
+        bearable_cpu = room_cpu * _USUAL_HEADROOM
+        return sum(
+            share * min(idle_cpu, bearable_cpu / weight if weight else idle_cpu)
+            for share, weight in self._profile(images)
+        )
 
-    def loss(self, worker: WorkerRow, serving: str) -> float:
+    def loss(self, worker: WorkerRow, serving: str, cpu: float) -> float:
         """
-        Tell what fillers lose when an image begins to serve on a worker.
+        Tell what fillers lose when a task begins to serve on a worker.
 
         :param worker: the worker.
-        :param serving: the image.
-        :returns: cores; 0 where the image serves already.
+        :param serving: image of the task.
+        :param cpu: processor that is promised to it, in cores.
+        :returns: cores.
         """
         present = frozenset(worker.serving_by_image)
-        share = self.usable(present) - self.usable(present | {serving})
-        return worker.idle_cpu() * share
-
-    def gain(self, worker: WorkerRow, serving: str) -> float:
+        idle_cpu = worker.idle_cpu()
+        before = self._usable_of(worker, present, idle_cpu)
+        left_cpu = max(idle_cpu - cpu * SERVING_LOAD, 0)
+        return before - self._usable_of(worker, present | {serving}, left_cpu)
+
+    def gain(
+        self,
+        worker: WorkerRow,
+        leaving: Iterable[str],
+        cpu: float,
+    ) -> float:
         """
-        Tell what fillers gain when an image serves no longer on a worker.
+        Tell what fillers gain when images serve no longer on a worker.
 
         :param worker: the worker.
-        :param serving: the image.
+        :param leaving: the images.
+        :param cpu: processor that is promised to their tasks, in cores.
         :returns: cores.
         """
         present = frozenset(worker.serving_by_image)
-        share = self.usable(present - {serving}) - self.usable(present)
-        return worker.idle_cpu() * share
+        idle_cpu = worker.idle_cpu()
+        before = self._usable_of(worker, present, idle_cpu)
+        freed_cpu = idle_cpu + cpu * SERVING_LOAD
+        staying = present.difference(leaving)
+        return self._usable_of(worker, staying, freed_cpu) - before
+
+    def _usable_of(
+        self,
+        worker: WorkerRow,
+        images: Images,
+        idle_cpu: float,
+    ) -> float:
+        return self.usable_cpu(
+            images,
+            idle_cpu=idle_cpu,
+            room_cpu=worker.listed.room.cpu,
+        )
 
-    def _mean_share(self, images: frozenset[str]) -> float:
+    def _profile(self, images: Images) -> _Profile:
+        known = self._profile_by_images.get(images)
+        if known is None:
+            known = self._make_profile(images)
+            self._profile_by_images[images] = known
+        return known
+
+    def _make_profile(self, images: Images) -> _Profile:
         total = sum(self.work_by_filler.values())
         if not images or not total:
-            return 1
-        return (
-            sum(
-                work * min(self._share(one, filler) for one in images)
-                for filler, work in self.work_by_filler.items()
+            return ((1.0, 0),)
+        return tuple(
+            (
+                work / total,
+                max(self.model.weight(serving, filler) for serving in images),
             )
-            / total
+            for filler, work in self.work_by_filler.items()
         )
-
-    def _share(self, serving: str, filler: str) -> float:
-        weight = self.model.weight(serving, filler)
-        return min(1, _USUAL_HEADROOM / max(weight, _USUAL_HEADROOM))
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -5,16 +5,23 @@
 most is left for each of them.
 """
 
+from functools import partial
 from itertools import repeat
 
+from ragwortfield.core.resources import Resources
 from ragwortfield.scheduling.interference import (
     Headroom,
-    intolerance,
     is_fast_enough,
     spare_headroom,
     speed_and_cost,
 )
 from ragwortfield.scheduling.job_rows import JobRow, StepRow, TaskRow
+from ragwortfield.scheduling.rankings import (
+    NeedGroup,
+    Rank,
+    RankFunction,
+    Ranking,
+)
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.tolerance import Tolerance
 from ragwortfield.scheduling.worker_rows import WorkerRow
@@ -27,8 +34,12 @@
 #: hold for it.
 _START_TIME_S: Seconds = 0.3
 
-#: What decides whether any worker has room: pool, need, label and image.
-_Shape = tuple[str, tuple[float, float, float], str, str]
+#: Steps in which the loss that a serving task brings is told apart, for each
+#: time its own processor.
+_LOSS_STEPS = 4
+
+#: What tells needs apart: group, amounts, rack of the data, serving image.
+_Need = tuple[NeedGroup, Resources, str, str]
 
 
 class Chooser:
@@ -43,15 +54,16 @@
         """Collect the workers that may get tasks in this round."""
         self._tables = tables
         self._now = now
-        self._spare_by_worker: dict[WorkerId, Headroom] = {}
+        self._spare_by_worker: dict[WorkerId, tuple[int, Headroom]] = {}
         self._candidates_by_pool: dict[str, list[WorkerRow]] = {}
         for worker in tables.worker_by_id.values():
             if self._is_usable(worker):
                 pool = worker.listed.pool
                 self._candidates_by_pool.setdefault(pool, []).append(worker)
-        self._unfit: set[_Shape] = set()
+        self._ranking_by_need: dict[_Need, Ranking] = {}
         # Nothing is learned within a round, so one judgement serves it.
         self._tolerance = tolerance_of(tables)
+        self._intolerance_by_image: dict[str, float] = {}
 
     def choose(
         self,
@@ -67,20 +79,36 @@
         :param task: the task.
         :returns: the worker; ``None`` when none fits now.
         """
-        shape = self._shape(job, step)
-        if shape in self._unfit:
-            return None
-        fitting = [
-            worker for worker in self.candidates(job) if fits(worker, step)
-        ]
-        if not fitting:
-            self._unfit.add(shape)
-            return None
-        allowed = [one for one in fitting if self._is_admitted(job, one, step)]
-        preferred = [
-            one for one in allowed if one.worker_id not in task.avoided
-        ]
-        return self._best(preferred or allowed, step)
+        need = _need(job, step)
+        ranking = self._ranking_by_need.get(need)
+        if ranking is None:
+            ranking = self._rank(job, step)
+            self._ranking_by_need[need] = ranking
+        worker = ranking.best(
+            partial(self._is_admitted, job, step=step),
+            task.avoided,
+        )
+        if worker is None and ranking.is_empty():
+            self._tables.unmet_needs.note(
+                need[0],
+                step.step.need,
+                self._tables.changes.latest,
+            )
+        return worker
+
+    def note_bound(self, worker: WorkerRow, step: StepRow) -> None:
+        """
+        Take into account that a task was bound in this round.
+
+        :param worker: its worker.
+        :param step: its step.
+        """
+        if step.step.is_filler:
+            # A filler only leaves less, which is seen when its worker is next.
+            return
+        for need, ranking in self._ranking_by_need.items():
+            if not _is_for_fillers(need):
+                ranking.refresh(worker)
 
     def candidates(self, job: JobRow) -> list[WorkerRow]:
         """
@@ -106,7 +134,7 @@
         candidates = [
             worker
             for worker in self.candidates(job)
-            if self._is_admitted(job, worker, step) and fits(worker, step)
+            if self._is_admitted(job, worker, step=step) and fits(worker, step)
         ]
         if step.step.is_same_rack:
             racks = sorted({one.listed.rack for one in candidates})
@@ -121,6 +149,7 @@
         self,
         job: JobRow,
         worker: WorkerRow,
+        *,
         step: StepRow,
     ) -> bool:
         if not is_allowed(worker, step):
@@ -128,90 +157,96 @@
         return job.queue.advice is None or has_ticket(worker, step, self._now)
 
     def _is_usable(self, worker: WorkerRow) -> bool:
-        return (
+        is_usable = (
             worker.is_listed
             and not worker.listed.is_draining
             and worker.is_in_contact(self._tables.bounds, self._now)
             and self._now >= max(worker.full_until, worker.resting_until)
         )
+        if is_usable and not worker.is_usable:
+            worker.note_change()
+        worker.is_usable = is_usable
+        return is_usable
+
+    def _rank(self, job: JobRow, step: StepRow) -> Ranking:
+        since = self._tables.unmet_needs.unmet_since(
+            _need(job, step)[0],
+            step.step.need,
+        )
+        return Ranking(
+            workers=(
+                worker
+                for worker in self.candidates(job)
+                if worker.changed > since
+            ),
+            rank=self._rank_function(step),
+        )
 
-    def _best(
-        self,
-        workers: list[WorkerRow],
-        step: StepRow,
-    ) -> WorkerRow | None:
-        if not workers:
-            return None
-        rack = step.step.data_rack
-        near = [one for one in workers if not rack or one.listed.rack == rack]
+    def _rank_function(self, step: StepRow) -> RankFunction:
         if step.step.is_filler:
-            return self._best_for_filler(near or workers, step)
+            return partial(self._rank_for_filler, step)
         if step.step.latency_target_ms:
-            return self._best_for_serving(near or workers, step.step.image)
-        return min(near or workers, key=_unused)
+            return partial(self._rank_for_serving, step)
+        return partial(_rank_for_fit, step)
 
-    def _best_for_serving(
-        self,
-        workers: list[WorkerRow],
-        image: str,
-    ) -> WorkerRow:
-        tolerance = self._tolerance
-        if tolerance.is_known(image):
-            return min(
-                workers,
-                key=lambda one: (
-                    round(tolerance.loss(one, image)),
-                    _rank_for_serving(one, image),
-                ),
-            )
-        return min(workers, key=lambda one: _rank_for_serving(one, image))
+    def _rank_for_serving(
+        self, step: StepRow, worker: WorkerRow
+    ) -> Rank | None:
+        if not fits(worker, step):
+            return None
+        image = step.step.image
+        cpu = step.step.need.cpu
+        loss = 0
+        if self._tolerance.is_known(image):
+            lost_cpu = self._tolerance.loss(worker, image, cpu)
+            loss = round(_LOSS_STEPS * lost_cpu / max(cpu, _CPU_TOLERANCE))
+        return (
+            _is_far(worker, step),
+            self._now < worker.clearing_until,
+            loss,
+            *_order_for_serving(worker, image),
+        )
 
-    def _best_for_filler(
-        self,
-        workers: list[WorkerRow],
-        step: StepRow,
-    ) -> WorkerRow | None:
-        best: WorkerRow | None = None
-        best_rank: tuple[float, float, float] | None = None
-        for worker in workers:
-            speed, cost = speed_and_cost(
-                self._tables,
-                worker,
-                self._spare(worker),
-                step.step.image,
-                step.step.need.cpu,
-            )
-            rank = (
-                -round(cost, 1),
-                intolerance(self._tables, worker),
-                left_for_fillers(worker),
-            )
-            is_better = best_rank is None or rank > best_rank
-            if is_fast_enough(speed) and is_better:
-                best = worker
-                best_rank = rank
-        if best is not None:
-            self._spare_by_worker.pop(best.worker_id, None)
-        return best
+    def _rank_for_filler(self, step: StepRow, worker: WorkerRow) -> Rank | None:
+        if not fits(worker, step):
+            return None
+        speed, cost = speed_and_cost(
+            self._tables,
+            worker,
+            self._spare(worker),
+            step.step.image,
+            step.step.need.cpu,
+        )
+        if not is_fast_enough(speed):
+            return None
+        return (
+            _is_far(worker, step),
+            round(cost, 1),
+            -self._intolerance(worker),
+            -left_for_fillers(worker),
+        )
 
     def _spare(self, worker: WorkerRow) -> Headroom:
         known = self._spare_by_worker.get(worker.worker_id)
-        if known is None:
-            known = spare_headroom(self._tables, worker)
+        if known is None or known[0] != worker.changed:
+            known = worker.changed, spare_headroom(self._tables, worker)
             self._spare_by_worker[worker.worker_id] = known
-        return known
+        return known[1]
 
-    def _shape(
-        self,
-        job: JobRow,
-        step: StepRow,
-    ) -> _Shape:
-        need = step.step.need
-        return (
-            job.queue.pool,
-            (need.cpu, need.memory_mb, need.accelerators),
-            step.step.required_label,
-            step.step.image if step.step.is_filler else '',
+    def _intolerance(self, worker: WorkerRow) -> float:
+        """
+        Tell how badly a worker's serving tasks get on with fillers in general.
+
+        A filler that disturbs nobody goes to such a worker, so that the
+        tolerant ones stay free for fillers that disturb most others.
+        """
+        known = self._intolerance_by_image
+        for image in worker.serving_by_image:
+            if image not in known:
+                mean = self._tables.pressure.mean_weight(image)
+                known[image] = round(mean, 1)
+        return max(
+            (known[image] for image in worker.serving_by_image), default=0
         )
 
 
@@ -294,7 +329,33 @@
     return max(min(amounts), 0)
 
 
-def _rank_for_serving(worker: WorkerRow, image: str) -> tuple[int, float]:
+def _need(job: JobRow, step: StepRow) -> _Need:
+    terms = step.step
+    group = (
+        job.queue.pool,
+        terms.required_label,
+        f'filler {terms.image}' if terms.is_filler else '',
+    )
+    serving = terms.image if terms.latency_target_ms else ''
+    return group, terms.need, terms.data_rack, serving
+
+
+def _is_for_fillers(need: _Need) -> bool:
+    return bool(need[0][-1])
+
+
+def _rank_for_fit(step: StepRow, worker: WorkerRow) -> Rank | None:
+    if not fits(worker, step):
+        return None
+    return _is_far(worker, step), worker.free_cpu()
+
+
+def _is_far(worker: WorkerRow, step: StepRow) -> bool:
+    rack = step.step.data_rack
+    return bool(rack) and worker.listed.rack != rack
+
+
+def _order_for_serving(worker: WorkerRow, image: str) -> tuple[int, float]:
     """Serving tasks of one image together leave most room for fillers."""
     others = len(worker.serving_by_image)
     if image in worker.serving_by_image:
--- a/ragwortfield/scheduling/worker_rows.py
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -8,8 +8,8 @@
 from ragwortfield.scheduling.job_rows import TaskRow
 from ragwortfield.types import Instant, WorkerId
 
-#: Part of their processor that tasks with users of their own leave unused.
-_IDLE_SHARE = 0.58
+#: Part of their processor that tasks with users of their own use.
+SERVING_LOAD = 0.42
 
 
 @dataclass(kw_only=True, slots=True)
@@ -49,6 +49,22 @@
         return self.reading_ms + passed_ms * (1 - CLOCK_DRIFT)
 
 
+@dataclass(kw_only=True, slots=True)
+class ChangeCounter:
+    """Numbers the changes of a shard's workers."""
+
+    latest: int = 0
+
+    def advance(self) -> int:
+        """
+        Count one more change.
+
+        :returns: its number.
+        """
+        self.latest += 1
+        return self.latest
+
+
 @dataclass(kw_only=True, slots=True)
 class WorkerRow:
     """
@@ -71,15 +87,24 @@
     :param filler_cpu: processor asked for by fillers.
     :param full_until: no starts before this, after a refusal for room.
     :param resting_until: no starts before this, for its failures.
+    :param clearing_until: no serving tasks before this if others have room,
+        while those that serve here are moved off.
     :param failed_keys: tasks that failed here since the last success.
     :param over_by_image: latest worst tail latency, as a share of its
         target, by image of the serving tasks.
     :param share_by_filler: processor that fillers used at the last reading,
         as a share of the worker's, by image.
+    :param changes: numbers the changes of all workers of the shard.
+    :param changed: number of the latest change that matters to tasks that
+        wait for room.
+    :param is_usable: whether it could get tasks when that was last looked at.
     """
 
     worker_id: WorkerId
     listed: ListedWorker
+    changes: ChangeCounter = field(default_factory=ChangeCounter)
+    changed: int = 0
+    is_usable: bool = False
     is_listed: bool = True
     clock: WorkerClock = field(default_factory=WorkerClock)
     born_ms: int = 0
@@ -100,6 +125,7 @@
     serving_by_image: dict[str, int] = field(default_factory=dict)
     full_until: Instant = 0
     resting_until: Instant = 0
+    clearing_until: Instant = 0
     failed_keys: set[TaskKey] = field(default_factory=set)
     rest_count: int = 0
     over_by_image: dict[str, float] = field(default_factory=dict)
@@ -157,6 +183,10 @@
         if self.run_by_key.pop(task.key, None) is not None:
             self._count(task, -1)
 
+    def note_change(self) -> None:
+        """Number a change that matters to tasks that wait for room."""
+        self.changed = self.changes.advance()
+
     def free_cpu(self) -> float:
         """
         Tell how much processor is not promised.
@@ -171,7 +201,7 @@
 
         :returns: cores.
         """
-        return self.free_cpu() + self.serving_cpu * _IDLE_SHARE
+        return self.free_cpu() + self.serving_cpu * (1 - SERVING_LOAD)
 
     def free_memory_mb(self) -> float:
         """
@@ -190,6 +220,7 @@
         return self.listed.room.accelerators - self.used_accelerators
 
     def _count(self, task: TaskRow, sign: int) -> None:
+        self.note_change()
         need = task.step.need
         if task.step.is_filler:
             self.filler_cpu += sign * need.cpu
