Shards as few as strong owners carry; rounds are spaced; events without log records

Cause: the twin of the large site broke LOST 92 times: one owner with 0.069 of a core held 48 workers, was too busy to answer pings, was replaced, and each successor went the same way. Ruled out: the store (commits 0.07 to 0.4 s only under that load), links. Change: layout.py sizes shards by the cores of the third strongest instance (64 workers a core, 16 at least); cluster.py ranks strong instances first, also far from the store; an owner pauses 20 ms to 0.25 s after a round, three times as long as that took; events go to the log writer directly; names of tasks are parsed once.

--- a/ragwortfield/daemons/scheduler.py
+++ b/ragwortfield/daemons/scheduler.py
@@ -20,7 +20,7 @@
 from ragwortfield.engine.scheduler_node import PlatformNames, SchedulerNode
 from ragwortfield.front.health import HealthFront
 from ragwortfield.front.server import FrontServer
-from ragwortfield.log import event
+from ragwortfield.log import event, route_events
 from ragwortfield.log_writer import BoundedLogHandler
 from ragwortfield.platform import names
 from ragwortfield.platform.advice import AdviceClient
@@ -186,6 +186,7 @@
     for other in tuple(absl_logger.handlers):
         absl_logger.removeHandler(other)
     stdlib_logging.getLogger('websockets').setLevel(stdlib_logging.ERROR)
+    route_events(handler.take_event)
     handler.start()
     return handler
 
--- a/ragwortfield/engine/cluster.py
+++ b/ragwortfield/engine/cluster.py
@@ -25,6 +25,13 @@
 _NEAR_STORE_MS = 4
 #: Weight of a member far from the store against one that is near.
 _FAR_WEIGHT = 0.1
+#: Share of the strongest member's processor from which on a member is strong.
+_STRONG_SHARE = 0.5
+#: Weight of a member that is not: one far from the store carries more.
+_WEAK_WEIGHT = 0.01
+#: Strongest members that are passed over when shards are sized, so that
+#: losing them leaves owners of the same strength.
+_SPARE_OWNERS = 2
 #: Weight of a member for each shard that prefers it already.
 _BUSY_WEIGHT = 0.01
 _LEAST_WEIGHT = 1e-12
@@ -40,6 +47,14 @@
     version: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Best:
+    """Best figures of any member: time to the store, processor."""
+
+    store_ms: float
+    cores: float
+
+
 @dataclass(kw_only=True, slots=True)
 class Cluster:
     """
@@ -100,21 +115,30 @@
         """
         Rank the members as owners of a shard.
 
-        Weighted rendezvous hashing: members with more processor, and those
-        near the store, come first more often.
+        Weighted rendezvous hashing: strong members come before weak ones,
+        and among them those near the store come first more often.
 
         :param shard: number of the shard.
         :returns: members, the preferred one first.
         """
-        fastest = min(
-            (one.store_ms for one in self.member_by_id.values()),
-            default=0,
-        )
-        busy = Counter(self._preferred_before(shard, fastest))
+        best = self._best_known()
+        busy = Counter(self._preferred_before(shard, best))
         return sorted(
             self.member_by_id.values(),
-            key=lambda one: _score(shard, one, fastest, busy),
+            key=lambda one: _score(shard, one, best, busy),
+        )
+
+    def owner_cores(self) -> float:
+        """
+        Give the processor that an owner of a shard can be expected to have.
+
+        :returns: cores; 0 while no member is known.
+        """
+        by_strength = sorted(
+            (one.cores for one in self.member_by_id.values()),
+            reverse=True,
         )
+        return next(iter(by_strength[_SPARE_OWNERS:] or by_strength[-1:]), 0)
 
     def rank_of(self, shard: int, instance_id: InstanceId) -> int:
         """
@@ -132,26 +156,33 @@
     def _preferred_before(
         self,
         shard: int,
-        fastest_ms: float,
+        best_known: _Best,
     ) -> list[InstanceId]:
         """List the preferred owners of the shards before one."""
         if not self.member_by_id:
             return []
         for earlier in range(len(self._preferred), shard):
             busy = Counter(self._preferred.values())
-            best = self._best(earlier, fastest_ms, busy)
+            best = self._best(earlier, best_known, busy)
             self._preferred[earlier] = best.instance_id
         return [self._preferred[earlier] for earlier in range(shard)]
 
     def _best(
         self,
         shard: int,
-        fastest_ms: float,
+        best_known: _Best,
         busy: Counter[InstanceId],
     ) -> MemberRecord:
         return min(
             self.member_by_id.values(),
-            key=lambda one: _score(shard, one, fastest_ms, busy),
+            key=lambda one: _score(shard, one, best_known, busy),
+        )
+
+    def _best_known(self) -> _Best:
+        members = self.member_by_id.values()
+        return _Best(
+            store_ms=min((one.store_ms for one in members), default=0),
+            cores=max((one.cores for one in members), default=0),
         )
 
     def _take_layout(self, row: StoredRow) -> None:
@@ -177,11 +208,13 @@
 def _score(
     shard: int,
     member: MemberRecord,
-    fastest_ms: float,
+    best: _Best,
     busy: Counter[InstanceId],
 ) -> float:
-    is_near = member.store_ms - fastest_ms <= _NEAR_STORE_MS
+    is_near = member.store_ms - best.store_ms <= _NEAR_STORE_MS
     weight = member.cores
+    if member.cores < _STRONG_SHARE * best.cores:
+        weight *= _WEAK_WEIGHT
     if not is_near:
         weight *= _FAR_WEIGHT
     # Shards share an instance only where there are more of them.
--- a/ragwortfield/engine/layout.py
+++ b/ragwortfield/engine/layout.py
@@ -9,8 +9,11 @@
 
 from ragwortfield.types import Instant, Seconds
 
-#: Workers that one shard is meant for.
-_WORKERS_A_SHARD = 48
+#: Workers that an owner carries for each core that it has.
+_WORKERS_A_CORE = 64
+#: Fewest workers that a shard is meant for: a wide step finds no room in a
+#: smaller one.
+_LEAST_WORKERS = 16
 #: Time for which the number of workers stays the same before it counts as
 #: the pool's size, in seconds: a heartbeat.
 _SETTLED_S: Seconds = 1.5
@@ -22,14 +25,19 @@
 _GATHER_S: Seconds = 1
 
 
-def shards_for(workers: int) -> int:
+def shards_for(workers: int, owner_cores: float) -> int:
     """
-    Size the division.
+    Size the division: as few shards as their owners can carry.
+
+    Work is not handed between shards, so each further one leaves room unused
+    that tasks of another wait for.
 
     :param workers: number of workers in the pool.
+    :param owner_cores: processor of the instances that own shards, in cores.
     :returns: number of shards, at least one.
     """
-    return max(round(workers / _WORKERS_A_SHARD), 1)
+    carried = max(_WORKERS_A_CORE * owner_cores, _LEAST_WORKERS)
+    return max(round(workers / carried), 1)
 
 
 @dataclass(kw_only=True, slots=True)
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -52,6 +52,14 @@
 
 #: Longest time between two rounds of decisions, in seconds.
 _ROUND_S: Seconds = 0.05
+#: Shortest time from one round to the next, in seconds; what is learned
+#: meanwhile is decided on together.
+_LEAST_PAUSE_S: Seconds = 0.02
+#: Pause after a round, as a multiple of the time that it took: calls to
+#: workers and peers are served meanwhile.
+_PAUSE_FACTOR = 3
+#: Longest pause, in seconds.
+_LONGEST_PAUSE_S: Seconds = 0.25
 #: Time between looks at commits under way, in seconds.
 _POLL_S: Seconds = 0.01
 #: Pause before a failed call is made again, in seconds.
@@ -340,10 +348,14 @@
     def _run(self) -> None:
         while True:
             self._wake.wait(_ROUND_S)
-            self._wake.clear()
             if not self._is_owner_still():
                 return
-            self._round(time.monotonic())
+            self._wake.clear()
+            started_at = time.monotonic()
+            self._round(started_at)
+            took_s = time.monotonic() - started_at
+            pause_s = max(_LEAST_PAUSE_S, _PAUSE_FACTOR * took_s)
+            gevent.sleep(min(pause_s, _LONGEST_PAUSE_S))
 
     def _is_owner_still(self) -> bool:
         now = time.monotonic()
--- a/ragwortfield/experiment/workers.py
+++ b/ragwortfield/experiment/workers.py
@@ -107,8 +107,9 @@
         :param key: its task.
         :param percent: its share of full speed.
         """
-        if key in self.run_by_key:
-            self.run_by_key[key].pace = percent
+        run = self.run_by_key.get(key)
+        if run is not None:
+            run.pace = percent
 
     def advance(self, now: Instant, passed_s: Seconds) -> None:
         """
--- a/ragwortfield/log.py
+++ b/ragwortfield/log.py
@@ -1,5 +1,6 @@
 """Log of events: one line of key=value pairs each."""
 
+from collections.abc import Callable
 from typing import Any
 
 from absl import logging
@@ -7,6 +8,27 @@
 #: Characters that make quoting necessary.
 _SPECIAL = frozenset(' "=\n\r\t')
 
+#: Takes the level and the text of a line.
+LineSink = Callable[[int, str], None]
+
+
+class _Route:
+    """Where events go; a daemon that logs much takes them directly."""
+
+    sink: LineSink | None = None
+
+
+def route_events(sink: LineSink | None) -> None:
+    """
+    Hand events to a sink instead of absl.logging.
+
+    The logging package spends several times what the event itself costs on
+    the caller's place in the source, which these lines do not show.
+
+    :param sink: takes level and text; ``None`` for absl.logging.
+    """
+    _Route.sink = sink
+
 
 def event(name: str, *, level: int = logging.INFO, **pairs: Any) -> None:
     """
@@ -22,7 +44,11 @@
     """
     if not _is_enabled(level):
         return
-    logging.log(level, '%s', format_event(name, pairs))
+    text = format_event(name, pairs)
+    if _Route.sink is None:
+        logging.log(level, '%s', text)
+    else:
+        _Route.sink(level, text)
 
 
 def format_event(name: str, pairs: dict[str, Any]) -> str:
@@ -45,6 +71,8 @@
 def _quoted(text: Any) -> str:
     if isinstance(text, float):
         return f'{text:.6g}'
+    if isinstance(text, int):
+        return str(text)
     plain = str(text)
     if plain and not _SPECIAL.intersection(plain):
         return plain
--- a/ragwortfield/log_writer.py
+++ b/ragwortfield/log_writer.py
@@ -3,9 +3,11 @@
 import logging
 import os
 import sys
+import time
 from collections import deque
 
 import gevent
+from absl import logging as absl_logging
 
 #: Lines that wait for the reader of the log; older ones are kept, newer
 #: ones are counted and dropped.
@@ -13,6 +15,14 @@
 #: Time over which lines are gathered into one write, in seconds.
 _GATHER_S = 0.05
 _LINE_FORMAT = 'time=%(asctime)s.%(msecs)03d level=%(levelname)s %(message)s'
+_NAME_BY_LEVEL = {
+    absl_logging.FATAL: 'CRITICAL',
+    absl_logging.ERROR: 'ERROR',
+    absl_logging.WARNING: 'WARNING',
+    absl_logging.INFO: 'INFO',
+    absl_logging.DEBUG: 'DEBUG',
+}
+_MS_PER_S = 1000
 _TIME_FORMAT = '%Y-%m-%dT%H:%M:%S'
 
 
@@ -30,6 +40,8 @@
             logging.Formatter(_LINE_FORMAT, datefmt=_TIME_FORMAT),
         )
         self.dropped = 0
+        self._second = 0
+        self._second_text = ''
         self._descriptor = descriptor
         self._lines: deque[str] = deque()
 
@@ -39,10 +51,26 @@
 
         :param record: what is logged.
         """
-        if len(self._lines) >= _WAITING_LINES:
-            self.dropped += 1
-            return
-        self._lines.append(self.format(record))
+        self._append(self.format(record))
+
+    def take_event(self, level: int, text: str) -> None:
+        """
+        Take an event, without the cost of a log record.
+
+        :param level: level of absl.logging.
+        :param text: its line.
+        """
+        now = time.time()
+        second = int(now)
+        if second != self._second:
+            self._second = second
+            moment = time.localtime(second)
+            self._second_text = time.strftime(_TIME_FORMAT, moment)
+        milliseconds = int((now - second) * _MS_PER_S)
+        name = _NAME_BY_LEVEL.get(level, str(level))
+        self._append(
+            f'time={self._second_text}.{milliseconds:03} level={name} {text}',
+        )
 
     def start(self) -> None:
         """Write in the background."""
@@ -53,6 +81,12 @@
         if self._lines:
             self._write(self._take())
 
+    def _append(self, line: str) -> None:
+        if len(self._lines) >= _WAITING_LINES:
+            self.dropped += 1
+        else:
+            self._lines.append(line)
+
     def _run(self) -> None:
         pool = gevent.get_hub().threadpool
         while True:
--- a/ragwortfield/platform/worker_calls.py
+++ b/ragwortfield/platform/worker_calls.py
@@ -1,5 +1,6 @@
 """Calls to the platform's workers."""
 
+from functools import lru_cache
 from http import HTTPStatus
 from typing import Any
 
@@ -32,6 +33,8 @@
 _READING = 4
 _JSON = ('content-type', 'application/json')
 _INCARNATION_FIELD = 'x-ragwortfield-expected-instance'
+#: Names of tasks whose parts are kept: each report lists all that runs.
+_TASK_NAMES_KEPT = 16_384
 #: Orders under way to one worker; it admits 64 connections in all.
 _ORDERS_AT_ONCE = 16
 
@@ -200,6 +203,7 @@
         return outcome
 
 
+@lru_cache(maxsize=_TASK_NAMES_KEPT)
 def parse_task_name(name: str) -> TaskKey | None:
     """
     Read a task's name on the wire: ID.K.STEP.INDEX.
--- a/ragwortfield/scheduling/job.py
+++ b/ragwortfield/scheduling/job.py
@@ -97,15 +97,22 @@
         return self.first_due_at + occurrence * self.interval_s
 
 
-def longest_chain_s(steps: tuple[Step, ...]) -> Seconds:
+def remaining_by_step(steps: tuple[Step, ...]) -> tuple[Seconds, ...]:
     """
-    Sum the estimates along the longest path through the steps.
+    Sum the estimates from each step on, along the longest path.
 
     :param steps: steps that name only earlier ones in ``after``.
-    :returns: seconds.
+    :returns: seconds, by number of the step.
     """
-    end_by_step: list[Seconds] = []
-    for step in steps:
-        start = max((end_by_step[one] for one in step.after), default=0)
-        end_by_step.append(start + step.estimate_s)
-    return max(end_by_step, default=0)
+    left_by_step: dict[int, Seconds] = {}
+    for number in range(len(steps) - 1, -1, -1):
+        after = max(
+            (
+                left_by_step[later]
+                for later in range(number + 1, len(steps))
+                if number in steps[later].after
+            ),
+            default=0,
+        )
+        left_by_step[number] = steps[number].estimate_s + after
+    return tuple(left_by_step[number] for number in range(len(steps)))
--- a/ragwortfield/scheduling/job_rows.py
+++ b/ragwortfield/scheduling/job_rows.py
@@ -4,7 +4,12 @@
 from enum import IntEnum
 
 from ragwortfield.scheduling.catalogue import Queue
-from ragwortfield.scheduling.job import Job, Step, TaskKey, longest_chain_s
+from ragwortfield.scheduling.job import (
+    Job,
+    Step,
+    TaskKey,
+    remaining_by_step,
+)
 from ragwortfield.scheduling.pressure import Load
 from ragwortfield.scheduling.records import (
     ProgressRecord,
@@ -183,6 +188,8 @@
     :param occurrence_by_number: those that are due or under way.
     :param opened: occurrences created so far.
     :param finished_at: when it reached its final state; 0 before.
+    :param left_by_step: work from each step on along the longest path, in
+        seconds, by number of the step.
     """
 
     job: Job
@@ -198,7 +205,7 @@
     is_durably_failed: bool = False
     is_durably_done: bool = False
     finished_at: Instant = 0
-    chain_s: Seconds = 0
+    left_by_step: tuple[Seconds, ...] = ()
 
     def occurrences_wanted(self) -> int:
         """
@@ -222,7 +229,17 @@
 
         :returns: seconds from its acceptance.
         """
-        return self.queue.stretch * self.chain_s + self.queue.slack_s
+        chain_s = max(self.left_by_step, default=0)
+        return self.queue.stretch * chain_s + self.queue.slack_s
+
+    def remaining_s(self, step: int) -> Seconds:
+        """
+        Give the work that is left from a step on.
+
+        :param step: number of the step.
+        :returns: seconds along the longest path.
+        """
+        return self.left_by_step[step]
 
 
 def new_job_row(job: Job, queue: Queue, learned_at: Instant) -> JobRow:
@@ -238,7 +255,7 @@
         job=job,
         queue=queue,
         learned_at=learned_at,
-        chain_s=longest_chain_s(job.steps),
+        left_by_step=remaining_by_step(job.steps),
     )
 
 
--- a/ragwortfield/scheduling/ordering.py
+++ b/ragwortfield/scheduling/ordering.py
@@ -8,7 +8,7 @@
 
 from ragwortfield.scheduling.job_rows import LATE_FACTOR, JobRow, StepRow
 from ragwortfield.scheduling.tables import ShardTables
-from ragwortfield.types import Instant, Seconds
+from ragwortfield.types import Instant
 
 #: Order of jobs that can be on time, late, or neither.
 _ON_TIME = 0
@@ -43,27 +43,10 @@
     """
     objective_s = job.objective_s()
     age_s = now - job.learned_at
-    left_s = _remaining_s(job, step)
+    left_s = job.remaining_s(step.number)
     if age_s + left_s <= objective_s:
         slack_s = objective_s - age_s - left_s
         return job.queue.priority, _ON_TIME, slack_s
     if age_s + left_s <= LATE_FACTOR * objective_s:
         return job.queue.priority, _LATE, -age_s
     return job.queue.priority, _MISSED, -age_s
-
-
-def _remaining_s(job: JobRow, step: StepRow) -> Seconds:
-    """Sum the estimates from this step on, along the longest path."""
-    steps = job.job.steps
-    left_by_step: dict[int, Seconds] = {}
-    for number in range(len(steps) - 1, step.number - 1, -1):
-        after = max(
-            (
-                left_by_step.get(later, 0)
-                for later in range(number + 1, len(steps))
-                if number in steps[later].after
-            ),
-            default=0,
-        )
-        left_by_step[number] = steps[number].estimate_s + after
-    return left_by_step[step.number]
--- a/ragwortfield/scheduling/tolerance.py
+++ b/ragwortfield/scheduling/tolerance.py
@@ -15,6 +15,8 @@
 
 #: Use that a serving task at its usual load leaves for fillers.
 _USUAL_HEADROOM = 0.25
+#: Weight below which a pair gets on perfectly.
+_LEAST_WEIGHT = 1e-6
 #: Share of the work asked for whose pairs must be known, before an image's
 #: tolerance says more than a guess.
 _KNOWN_SHARE = 0.5
@@ -70,7 +72,7 @@
         """
         bearable_cpu = room_cpu * _USUAL_HEADROOM
         return sum(
-            share * min(idle_cpu, bearable_cpu / weight if weight else idle_cpu)
+            share * min(idle_cpu, bearable_cpu / max(weight, _LEAST_WEIGHT))
             for share, weight in self._profile(images)
         )
 
--- /dev/null
+++ b/ragwortfield/tests/test_log_writer.py
@@ -0,0 +1,61 @@
+"""Lines of the log: the same for events and for other records, bounded."""
+
+import os
+import re
+import unittest
+
+from absl import logging
+
+from ragwortfield import log_writer
+from ragwortfield.log import event, route_events
+from ragwortfield.log_writer import BoundedLogHandler
+
+_LINE = re.compile(
+    r'time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3} level=(\w+) (.*)\n',
+)
+
+
+class EventLineTest(unittest.TestCase):
+    def setUp(self):
+        reader, writer = os.pipe()
+        self.reader = reader
+        self.writer = writer
+        self.handler = BoundedLogHandler(descriptor=writer)
+        route_events(self.handler.take_event)
+        self.level = logging.get_verbosity()
+        logging.set_verbosity(logging.INFO)
+        self.addCleanup(self.restore)
+
+    def restore(self):
+        route_events(None)
+        logging.set_verbosity(self.level)
+        os.close(self.reader)
+        os.close(self.writer)
+
+    def lines(self):
+        self.handler.flush()
+        return os.read(self.reader, 65536).decode()
+
+    def test_event_is_one_line_with_time_and_level(self):
+        event('job_taken', job='a1', age_s=0.25, reason='a b')
+        found = _LINE.fullmatch(self.lines())
+        self.assertIsNotNone(found)
+        self.assertEqual(
+            found.groups(),
+            ('INFO', 'event=job_taken job=a1 age_s=0.25 reason="a b"'),
+        )
+
+    def test_level_is_named(self):
+        event('job_failed', level=logging.ERROR)
+        self.assertEqual(_LINE.fullmatch(self.lines())[1], 'ERROR')
+
+    def test_disabled_level_leaves_no_line(self):
+        event('detail', level=logging.DEBUG)
+        event('job_taken')
+        self.assertEqual(self.lines().count('\n'), 1)
+
+    def test_lines_beyond_the_bound_are_counted(self):
+        beyond = 3
+        for _ in range(log_writer._WAITING_LINES + beyond):
+            event('x')
+        self.assertEqual(self.handler.dropped, beyond)
