Serving tasks give way to wide tasks; one shard for each hundred workers a core

Change: clearance.py moves up to three serving tasks of a worker into pieces elsewhere when nothing else makes room (tests first); shards are sized at 100 workers for each core of a strong instance, so the large site has one.

--- a/ragwortfield/engine/layout.py
+++ b/ragwortfield/engine/layout.py
@@ -10,7 +10,7 @@
 from ragwortfield.types import Instant, Seconds
 
 #: Workers that an owner carries for each core that it has.
-_WORKERS_A_CORE = 64
+_WORKERS_A_CORE = 100
 #: Fewest workers that a shard is meant for: a wide step finds no room in a
 #: smaller one.
 _LEAST_WORKERS = 16
--- a/ragwortfield/experiment/main.py
+++ b/ragwortfield/experiment/main.py
@@ -10,6 +10,9 @@
 from ragwortfield.experiment.loads import FILLERS, URGENT, pool_load
 from ragwortfield.experiment.trial import Trial, TrialResult
 
+#: Time in which a few hundred jobs are drawn for the smallest pool.
+_DEFAULT_SECONDS = 20
+
 _WORKERS = flags.DEFINE_list(
     'workers',
     ['24', '66'],
@@ -18,7 +21,7 @@
 _SEEDS = flags.DEFINE_list('seeds', ['1'], 'Seeds of the drawn loads.')
 _SECONDS = flags.DEFINE_float(
     'seconds',
-    20,
+    _DEFAULT_SECONDS,
     'How long jobs are handed in, in seconds.',
     lower_bound=1,
 )
--- /dev/null
+++ b/ragwortfield/scheduling/clearance.py
@@ -0,0 +1,203 @@
+"""Making room for wide tasks that need processor of their own.
+
+Pattern: tasks with users of their own leave pieces of free processor on many
+workers, each too small for an urgent task of several cores, though together
+they are room enough. The same befalls tasks with users whose step may have
+only a few of them on one worker. Where a few of them fit into pieces elsewhere, they are
+stopped and start there, so that one worker has room for the wide task. That
+costs their users a moment; the wide task would wait until one of them leaves.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import islice
+
+from ragwortfield.log import event
+from ragwortfield.scheduling.disruption import is_at_work, is_disruptable
+from ragwortfield.scheduling.job_rows import StepRow, TaskRow
+from ragwortfield.scheduling.ordering import by_urgency
+from ragwortfield.scheduling.progress import request_stop, task_name
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.scheduling.worker_choice import Chooser, fits, is_allowed
+from ragwortfield.scheduling.worker_rows import WorkerRow
+from ragwortfield.types import Instant, Seconds, WorkerId
+
+#: Time between two rounds, in seconds: a stop takes effect by then.
+_ROUND_S: Seconds = 0.5
+#: Time for which a cleared worker gets no other serving tasks, in seconds.
+_CLEARING_S: Seconds = 2
+#: Most tasks that leave one worker for a wide one.
+_MOST_LEAVING = 3
+#: Workers for each of which one worker is cleared in a round.
+_WORKERS_A_CLEARANCE = 24
+#: Steps, the most urgent first, for which room is looked for in a round.
+_STEPS_A_ROUND = 4
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Clearance:
+    """Serving tasks that would leave a worker, and where they fit."""
+
+    worker: WorkerRow
+    tasks: tuple[TaskRow, ...]
+    place_ids: tuple[WorkerId, ...]
+
+    def cost(self) -> tuple[int, float]:
+        """Order: fewest tasks, then least processor."""
+        moved_cpu = sum(task.step.need.cpu for task in self.tasks)
+        return len(self.tasks), moved_cpu
+
+
+def make_room(tables: ShardTables, now: Instant) -> None:
+    """
+    Stop serving tasks that leave wide tasks no room, to start elsewhere.
+
+    :param tables: tables of the shard.
+    :param now: reading of the monotonic clock.
+    """
+    if now - tables.cleared_at < _ROUND_S:
+        return
+    wide = list(islice(_wide_steps(tables, now), _STEPS_A_ROUND))
+    if not wide:
+        return
+    tables.cleared_at = now
+    left = 1 + len(tables.worker_by_id) // _WORKERS_A_CLEARANCE
+    chooser = Chooser(tables=tables, now=now)
+    taken: set[WorkerId] = set()
+    for step in wide:
+        for clearance in _clearances(tables, chooser, step, taken, now):
+            _clear(tables, clearance, step, now)
+            left -= 1
+            if not left:
+                return
+
+
+def _wide_steps(tables: ShardTables, now: Instant) -> Iterator[StepRow]:
+    """Give the steps whose tasks no worker has room for, urgent ones first."""
+    for step in by_urgency(tables, now):
+        terms = step.step
+        if terms.need.cpu and not (terms.is_filler or terms.is_gang):
+            yield step
+
+
+def _clearances(
+    tables: ShardTables,
+    chooser: Chooser,
+    step: StepRow,
+    taken: set[WorkerId],
+    now: Instant,
+) -> Iterator[_Clearance]:
+    """Give the cheapest clearances, one for each waiting task at most."""
+    job = tables.job_by_id[step.job_id]
+    workers = [
+        worker
+        for worker in chooser.candidates(job)
+        if now >= worker.clearing_until and is_allowed(worker, step)
+    ]
+    if any(fits(worker, step) for worker in workers):
+        return
+    found = [
+        clearance
+        for worker in workers
+        if (clearance := _clearance(tables, chooser, step, worker, taken))
+    ]
+    found.sort(key=_Clearance.cost)
+    for clearance in found[: len(step.waiting)]:
+        ids = {clearance.worker.worker_id, *clearance.place_ids}
+        if ids.isdisjoint(taken):
+            taken |= ids
+            yield clearance
+
+
+def _clearance(
+    tables: ShardTables,
+    chooser: Chooser,
+    step: StepRow,
+    worker: WorkerRow,
+    taken: set[WorkerId],
+) -> _Clearance | None:
+    missing_cpu = step.step.need.cpu - worker.free_cpu()
+    is_memory_short = step.step.need.memory_mb > worker.free_memory_mb()
+    if worker.worker_id in taken or is_memory_short:
+        return None
+    leaving: list[TaskRow] = []
+    place_ids: list[WorkerId] = []
+    for task in _movable(tables, worker, missing_cpu):
+        if len(leaving) == _MOST_LEAVING or missing_cpu <= 0:
+            break
+        closed = {*taken, *place_ids, worker.worker_id}
+        place = _piece_for(tables, chooser, task, step, closed)
+        if place is None:
+            continue
+        leaving.append(task)
+        place_ids.append(place.worker_id)
+        missing_cpu -= task.step.need.cpu
+    if missing_cpu > 0:
+        return None
+    return _Clearance(
+        worker=worker,
+        tasks=tuple(leaving),
+        place_ids=tuple(place_ids),
+    )
+
+
+def _movable(
+    tables: ShardTables,
+    worker: WorkerRow,
+    missing_cpu: float,
+) -> list[TaskRow]:
+    """List the serving tasks, one of a step: first those that suffice alone."""
+    task_by_step: dict[int, TaskRow] = {}
+    for task in worker.run_by_key.values():
+        if not task.step.latency_target_ms or not is_at_work(task):
+            continue
+        step = tables.step_of(task)
+        if is_disruptable(step):
+            task_by_step.setdefault(id(step), task)
+    return sorted(
+        task_by_step.values(),
+        key=lambda one: (
+            one.step.need.cpu < missing_cpu,
+            abs(one.step.need.cpu - missing_cpu),
+        ),
+    )
+
+
+def _piece_for(
+    tables: ShardTables,
+    chooser: Chooser,
+    task: TaskRow,
+    wide: StepRow,
+    closed: set[WorkerId],
+) -> WorkerRow | None:
+    """Find the smallest piece that a serving task fits into."""
+    step = tables.step_of(task)
+    job = tables.job_by_id[task.key.job_id]
+    pieces = [
+        worker
+        for worker in chooser.candidates(job)
+        if worker.worker_id not in closed
+        and worker.free_cpu() < wide.step.need.cpu
+        and fits(worker, step)
+        and is_allowed(worker, step)
+    ]
+    return min(pieces, key=WorkerRow.free_cpu, default=None)
+
+
+def _clear(
+    tables: ShardTables,
+    clearance: _Clearance,
+    step: StepRow,
+    now: Instant,
+) -> None:
+    clearance.worker.clearing_until = now + _CLEARING_S
+    event(
+        'room_cleared',
+        job=step.job_id,
+        step=step.number,
+        worker=clearance.worker.worker_id,
+        cores=step.step.need.cpu,
+        leaving=','.join(task_name(task) for task in clearance.tasks),
+    )
+    for task in clearance.tasks:
+        request_stop(tables, task, now)
--- a/ragwortfield/scheduling/consolidation.py
+++ b/ragwortfield/scheduling/consolidation.py
@@ -14,7 +14,8 @@
 from dataclasses import dataclass, field
 
 from ragwortfield.log import event
-from ragwortfield.scheduling.job_rows import RunStage, StepRow, TaskRow
+from ragwortfield.scheduling.disruption import is_at_work, is_disruptable
+from ragwortfield.scheduling.job_rows import StepRow, TaskRow
 from ragwortfield.scheduling.progress import request_stop, task_name
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.tolerance import Tolerance
@@ -43,7 +44,6 @@
 #: Share of all workers' processor that waiting fillers ask for, from which on
 #: they wait for more than the next round.
 _CROWDED_SHARE = 0.03
-_FULL_PERCENT = 100
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -162,7 +162,7 @@
         )
         cpu = sum(task.step.need.cpu for task in tasks)
         gain = self._tolerance.gain(worker, leaving, cpu) - _LEAST_GAIN * cpu
-        if gain <= 0 or not all(map(_is_at_work, tasks)):
+        if gain <= 0 or not all(map(is_at_work, tasks)):
             return None
         return _Departure(worker=worker, tasks=tasks, gain_cpu=gain)
 
@@ -269,18 +269,6 @@
     task_by_step: dict[int, TaskRow] = {}
     for task in tasks:
         step = tables.step_of(task)
-        if _is_disruptable(step):
+        if is_disruptable(step):
             task_by_step.setdefault(id(step), task)
     return list(task_by_step.values())[:_MOVES_A_ROUND]
-
-
-def _is_disruptable(step: StepRow) -> bool:
-    """Tell whether all tasks of a step are at work, and one may be away."""
-    limit = step.step.max_unavailable
-    is_whole = all(_is_at_work(task) for task in step.tasks)
-    return is_whole and (limit is None or limit > 0)
-
-
-def _is_at_work(task: TaskRow) -> bool:
-    is_running = task.stage == RunStage.RUNNING and not task.is_stop_wanted
-    return is_running and task.percent >= _FULL_PERCENT
--- a/ragwortfield/scheduling/rounds.py
+++ b/ragwortfield/scheduling/rounds.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ragwortfield.scheduling import (
+    clearance,
     commits,
     consolidation,
     dispatch,
@@ -64,3 +65,5 @@
             commits.forget_finished(tables, now)
         if is_binding:
             dispatch.dispatch(tables, now)
+            # What still waits has found no room in this round.
+            clearance.make_room(tables, now)
--- /dev/null
+++ b/ragwortfield/tests/test_clearance.py
@@ -0,0 +1,82 @@
+"""Serving tasks give way to wide tasks that find only pieces of room."""
+
+import unittest
+
+from ragwortfield.scheduling import clearance
+from ragwortfield.tests.filler_world import NOW, FillerWorld
+
+
+class PiecesTest(unittest.TestCase):
+    """Pattern: two workers of 32 cores with pieces of 10 and 8 left."""
+
+    def setUp(self):
+        self.world = FillerWorld(workers=2)
+        self.serving = [
+            self.world.serve(image, load=0.4, cpu=cpu)
+            for image, cpu in (('a', 12), ('b', 14), ('c', 10), ('d', 10))
+        ]
+        free = sorted(
+            worker.free_cpu()
+            for worker in self.world.tables.worker_by_id.values()
+        )
+        self.assertEqual(free, [8, 10])
+
+    def arrange(self, **terms):
+        return self.world.add_job('wide', cpu=16, **terms)
+
+    def make_room(self):
+        clearance.make_room(self.world.tables, NOW)
+
+    def stopped(self):
+        return [task for task in self.serving if task.is_stop_wanted]
+
+    def test_wide_task_waits_while_no_piece_is_wide_enough(self):
+        wide = self.arrange()[0]
+        self.assertEqual(wide.worker_id, '')
+
+    def test_one_task_leaves_for_a_piece_and_the_wide_one_starts(self):
+        wide = self.arrange()[0]
+        self.make_room()
+        leaving = self.stopped()
+        self.assertEqual(len(leaving), 1)
+        cleared = leaving[0].worker_id
+        self.world.end_stopped(leaving[0])
+        self.assertEqual(wide.worker_id, cleared)
+        self.assertNotEqual(leaving[0].worker_id, cleared)
+
+    def test_room_is_made_for_a_serving_task_too(self):
+        late = self.world.serve('late', load=0.4, cpu=16)
+        self.assertEqual(late.worker_id, '')
+        self.make_room()
+        self.world.end_stopped(self.stopped()[0])
+        self.assertNotEqual(late.worker_id, '')
+
+    def test_nothing_leaves_while_the_wide_task_fits(self):
+        self.world.add_job('narrow', cpu=2)
+        self.make_room()
+        self.assertEqual(self.stopped(), [])
+
+    def test_nothing_leaves_that_finds_no_piece(self):
+        self.world.serve('e', load=0.4, cpu=10)
+        self.arrange()
+        self.make_room()
+        self.assertEqual(self.stopped(), [])
+
+    def test_tasks_that_must_not_be_away_stay(self):
+        for task in self.serving:
+            task.percent = 50
+        self.arrange()
+        self.make_room()
+        self.assertEqual(self.stopped(), [])
+
+    def test_fillers_that_wait_move_nobody(self):
+        self.world.add_job('f', cpu=30, is_filler=True, image='f')
+        self.make_room()
+        self.assertEqual(self.stopped(), [])
+
+    def test_a_second_round_waits_for_the_first(self):
+        self.arrange(count=2)
+        self.make_room()
+        count = len(self.stopped())
+        self.make_room()
+        self.assertEqual(len(self.stopped()), count)
