--- a/ragwortfield/scheduling/clearance.py
+++ b/ragwortfield/scheduling/clearance.py
@@ -3,8 +3,8 @@
 Pattern: tasks with users of their own leave pieces of free processor on many
 workers, each too small for an urgent task of several cores, though together
 they are room enough. The same befalls tasks with users whose step may have
-only a few of them on one worker. Where a few of them fit into pieces elsewhere, they are
-stopped and start there, so that one worker has room for the wide task. That
+only a few of them on one worker. Where a few serving tasks fit into pieces
+elsewhere, they are stopped and start there, so that one worker has room. That
 costs their users a moment; the wide task would wait until one of them leaves.
 """
 
