Random machine plays whole rounds, with tasks that last

Cause: the machine called four decisions by name, so moves of serving tasks, clearing, evacuation and paces were outside its invariants. Change: its owners call Rounds.decide; jobs whose tasks last and serve are drawn, and a rule lets what runs be at work.

--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -33,7 +33,6 @@
 )
 from ragwortfield.scheduling import (
     commits,
-    dispatch,
     intake,
     interference,
     leases,
@@ -51,6 +50,7 @@
     encode_record,
 )
 from ragwortfield.scheduling.status import JobStatus, status_of
+from ragwortfield.scheduling.rounds import Rounds
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.testing.row_store import MemoryRowStore
 from ragwortfield.testing.task_workers import FakeWorker, FakeWorkers
@@ -94,6 +94,7 @@
             owner_version=version,
             sequence_version=version,
         )
+        self.rounds = Rounds()
         self.batch = None
         self.is_loaded = False
         self.is_deposed = False
@@ -121,11 +122,12 @@
         self._follow()
         if holds:
             self._hold_all()
-        now = self.world.now
-        reports.release_lapsed(self.tables, now)
-        reports.repeat_stops(self.tables, now)
-        dispatch.repeat_starts(self.tables, now)
-        dispatch.dispatch(self.tables, now)
+        self.rounds.decide(
+            self.tables,
+            self.world.now,
+            wall=self.world.now,
+            is_binding=True,
+        )
         self._commit()
         self._send()
         self.is_deposed = self.is_deposed or self.tables.is_deposed
@@ -348,7 +350,19 @@
         """End tasks that run."""
         for worker in self.workers.worker_by_id.values():
             for key in tuple(worker.run_by_key)[:count]:
-                worker.end(key, kind)
+                # Tasks that last end as failed, however often.
+                ends_failed = self.is_lasting(key)
+                worker.end(key, EndKind.FAILED if ends_failed else kind)
+
+    def is_lasting(self, key):
+        """Whether a task runs until its job is cancelled."""
+        return self.accepted[key.job_id].steps[key.step].is_long_lived
+
+    def let_work(self):
+        """Let everything that runs be at work, or done with its start."""
+        for worker in self.workers.worker_by_id.values():
+            for run in worker.run_by_key.values():
+                run.percent = 100
 
     def settle(self, rounds=60):
         """Heal everything and let the newest owner finish all work."""
@@ -403,7 +417,8 @@
             )
             assert key not in done_at, f'{key} started after it was done'
             failed = failed_by_key.get(key, 0)
-            assert failed < ATTEMPTS, f'{key} started after {failed} failures'
+            is_within = failed < ATTEMPTS or self.is_lasting(key)
+            assert is_within, f'{key} started after {failed} failures'
             self._check_order(key, start, ended_at)
             last_by_key[key] = (start, end)
             if kind == 'done' and is_noted:
@@ -426,6 +441,17 @@
     return (Step(count=count, need=need, estimate_s=1, **terms),)
 
 
+def serving(count=1, cpu=1.0):
+    """Step of a job whose tasks last and serve users."""
+    return one_step(
+        count=count,
+        cpu=cpu,
+        is_long_lived=True,
+        image='serving',
+        latency_target_ms=10,
+    )
+
+
 def chain(first=2, second=2):
     """Steps of a job whose second step waits for the first."""
     need = Resources(cpu=1, memory_mb=1, accelerators=0)
--- a/ragwortfield/tests/test_shard_machine.py
+++ b/ragwortfield/tests/test_shard_machine.py
@@ -10,7 +10,12 @@
 
 from ragwortfield.ports.task_worker import EndKind
 from ragwortfield.testing.randomised import run_machine
-from ragwortfield.tests.shard_world import ShardWorld, chain, one_step
+from ragwortfield.tests.shard_world import (
+    ShardWorld,
+    chain,
+    one_step,
+    serving,
+)
 
 _MAX_JOBS = 8
 _SHARES = strategies.sampled_from((0, 0, 0.2, 0.5))
@@ -36,6 +41,15 @@
     def submit(self, count, cpu):
         self.world.submit(one_step(count=count, cpu=cpu))
 
+    @precondition(lambda self: len(self.world.accepted) < _MAX_JOBS)
+    @rule(count=strategies.integers(1, 3), cpu=strategies.sampled_from((1, 2)))
+    def submit_serving(self, count, cpu):
+        self.world.submit(serving(count=count, cpu=cpu))
+
+    @rule()
+    def let_work(self):
+        self.world.let_work()
+
     @rule(data=strategies.data())
     def cancel(self, data):
         job_id = data.draw(strategies.sampled_from(sorted(self.world.accepted)))
