--- /dev/null
+++ b/ragwortfield/tests/test_experiment.py
@@ -0,0 +1,53 @@
+"""Trials of the decisions on drawn loads."""
+
+import unittest
+
+from absl import app, logging
+
+from ragwortfield.experiment import main
+from ragwortfield.experiment.loads import FILLERS, URGENT, Draw, pool_load
+from ragwortfield.experiment.trial import Trial
+
+
+class TrialTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        level = logging.get_verbosity()
+        logging.set_verbosity(logging.FATAL)
+        cls.addClassCleanup(logging.set_verbosity, level)
+        cls.result = Trial(load=pool_load(12), seed=3).run(4)
+
+    def test_same_seed_gives_the_same_choices(self):
+        again = Trial(load=pool_load(12), seed=3).run(4)
+        self.assertEqual(again.runs, self.result.runs)
+        self.assertEqual(again.on_time_by_queue, self.result.on_time_by_queue)
+        self.assertEqual(again.serving, self.result.serving)
+
+    def test_a_light_load_is_served(self):
+        self.assertGreater(self.result.runs, 0)
+        self.assertGreater(self.result.serving, 0.9)
+        self.assertEqual(set(self.result.on_time_by_queue), {URGENT, FILLERS})
+
+    def test_result_is_told_as_a_row_and_as_a_document(self):
+        row = main.format_result(self.result)
+        self.assertEqual(row.split()[:2], ['12', '3'])
+        self.assertEqual(self.result.document()['workers'], 12)
+
+    def test_plot_is_drawn(self):
+        self.assertIn(b'<svg', main.cost_plot([self.result]))
+
+
+class DrawTest(unittest.TestCase):
+    def test_standing_jobs_fill_their_share(self):
+        load = pool_load(24)
+        jobs = Draw(load=load, seed=1).standing_jobs()
+        promised = sum(
+            step.count * step.need.cpu for job in jobs for step in job.steps
+        )
+        wanted = load.workers * load.worker_cpu * load.serving_share
+        self.assertGreaterEqual(promised, wanted)
+        self.assertLess(promised, 1.3 * wanted)
+
+    def test_bad_numbers_are_named(self):
+        with self.assertRaisesRegex(app.UsageError, "--workers: 'x'"):
+            main._numbers('workers', ['24', 'x'])
--- /dev/null
+++ b/ragwortfield/tests/test_rankings.py
@@ -0,0 +1,144 @@
+"""Rankings of workers, and needs that are looked at again only on changes."""
+
+import unittest
+
+from ragwortfield.core.resources import Resources
+from ragwortfield.scheduling.dispatch import dispatch
+from ragwortfield.scheduling.rankings import Ranking, UnmetNeeds
+from ragwortfield.scheduling.worker_choice import Chooser
+from ragwortfield.tests.filler_world import HARSH, NOW, FillerWorld
+
+_GROUP = ('pool', '', '')
+
+
+def _need(cpu, memory_mb=1):
+    return Resources(cpu=cpu, memory_mb=memory_mb)
+
+
+class RankingTest(unittest.TestCase):
+    def setUp(self):
+        self.world = FillerWorld(workers=3)
+        self.workers = tuple(self.world.tables.worker_by_id.values())
+        self.rank_by_id = {'w0': 2, 'w1': 1, 'w2': 3}
+
+    def rank(self, worker):
+        number = self.rank_by_id.get(worker.worker_id)
+        return None if number is None else (number,)
+
+    def best(self, ranking, *, refused=(), avoided=()):
+        worker = ranking.best(
+            lambda one: one.worker_id not in refused,
+            avoided,
+        )
+        return None if worker is None else worker.worker_id
+
+    def ranking(self):
+        return Ranking(workers=self.workers, rank=self.rank)
+
+    def test_smallest_rank_comes_first_and_stays(self):
+        ranking = self.ranking()
+        self.assertEqual(self.best(ranking), 'w1')
+        self.assertEqual(self.best(ranking), 'w1')
+
+    def test_worker_that_changed_is_ranked_anew(self):
+        ranking = self.ranking()
+        self.rank_by_id['w1'] = 9
+        self.workers[1].note_change()
+        self.assertEqual(self.best(ranking), 'w0')
+
+    def test_worker_that_no_longer_meets_the_need_is_left_out(self):
+        ranking = self.ranking()
+        self.rank_by_id.clear()
+        for worker in self.workers:
+            worker.note_change()
+        self.assertIsNone(self.best(ranking))
+        self.assertTrue(ranking.is_empty())
+
+    def test_refused_workers_stay_for_other_tasks(self):
+        ranking = self.ranking()
+        self.assertEqual(self.best(ranking, refused={'w1'}), 'w0')
+        self.assertIsNone(self.best(ranking, refused=self.rank_by_id))
+        self.assertFalse(ranking.is_empty())
+        self.assertEqual(self.best(ranking), 'w1')
+
+    def test_avoided_workers_come_last(self):
+        ranking = self.ranking()
+        self.assertEqual(self.best(ranking, avoided={'w1', 'w0'}), 'w2')
+        self.assertEqual(self.best(ranking, avoided=self.rank_by_id), 'w1')
+
+
+class UnmetNeedsTest(unittest.TestCase):
+    def setUp(self):
+        self.needs = UnmetNeeds()
+        self.needs.note(_GROUP, _need(4), 7)
+
+    def since(self, cpu, memory_mb=1, group=_GROUP):
+        return self.needs.unmet_since(group, _need(cpu, memory_mb))
+
+    def test_larger_needs_are_unmet_too(self):
+        self.assertEqual(self.since(4), 7)
+        self.assertEqual(self.since(5, 2), 7)
+
+    def test_smaller_and_other_needs_are_looked_at(self):
+        self.assertEqual(self.since(3), -1)
+        self.assertEqual(self.since(5, 0), -1)
+        self.assertEqual(self.since(5, group=('other', '', '')), -1)
+
+    def test_later_look_counts(self):
+        self.needs.note(_GROUP, _need(5), 9)
+        self.assertEqual(self.since(6), 9)
+        self.assertEqual(self.since(4), 7)
+
+
+class WaitingTest(unittest.TestCase):
+    """Pattern: a need that nobody meets, until one worker changes."""
+
+    def test_task_starts_once_a_worker_has_room_again(self):
+        world = FillerWorld(workers=3)
+        served = [world.serve(f's{one}', load=0.4, cpu=30) for one in range(3)]
+        wide = world.add_job('wide', cpu=20)[0]
+        for _ in range(3):
+            dispatch(world.tables, NOW)
+        self.assertEqual(wide.worker_id, '')
+        freed = served[1].worker_id
+        world.tables.cancelled_ids.add('s1')
+        served[1].is_stop_wanted = True
+        world.tables.job_by_id['s1'].is_cancelled = True
+        world.end_stopped(served[1])
+        self.assertEqual(wide.worker_id, freed)
+
+    def test_worker_that_can_be_used_again_is_looked_at(self):
+        world = FillerWorld(workers=1)
+        worker = world.tables.worker_by_id['w0']
+        worker.resting_until = NOW + 1
+        task = world.add_job('job', cpu=2)[0]
+        self.assertEqual(task.worker_id, '')
+        worker.resting_until = NOW - 1
+        world.dispatch()
+        self.assertEqual(task.worker_id, 'w0')
+
+    def test_filler_starts_once_the_load_beside_it_falls(self):
+        world = FillerWorld(workers=1)
+        world.learn({('s', 'f'): HARSH})
+        served = world.serve('s', load=0.8)
+        filler = world.add_job('f', cpu=4, image='f', is_filler=True)[0]
+        self.assertEqual(filler.worker_id, '')
+        load = world.tables.step_of(served).load
+        load.level = 0.1
+        load.usual = 0.1
+        world.dispatch()
+        self.assertEqual(filler.worker_id, '', 'nothing was read since')
+        world.tables.worker_by_id['w0'].note_change()
+        world.dispatch()
+        self.assertEqual(filler.worker_id, 'w0')
+
+    def test_equal_needs_share_one_look_in_a_round(self):
+        world = FillerWorld(workers=2)
+        chooser = Chooser(tables=world.tables, now=NOW)
+        tasks = world.add_job('job', count=3, cpu=30)
+        job = world.tables.job_by_id['job']
+        step = world.tables.step_of(tasks[2])
+        self.assertEqual(list(step.waiting), [2])
+        self.assertIsNone(chooser.choose(job, step, tasks[2]))
+        since = world.tables.unmet_needs.unmet_since(_GROUP, _need(30))
+        self.assertEqual(since, world.tables.changes.latest)
--- /dev/null
+++ b/ragwortfield/tests/test_refusals.py
@@ -0,0 +1,50 @@
+"""What follows when a worker does not start a run."""
+
+import unittest
+
+from ragwortfield.ports.task_worker import OrderRefused, Refusal, StartRun
+from ragwortfield.scheduling.dispatch import dispatch, order_start
+from ragwortfield.scheduling.reports import take_start_outcome
+from ragwortfield.tests.filler_world import NOW, FillerWorld
+
+
+class MalformedTest(unittest.TestCase):
+    """Pattern: one worker calls a start malformed that others carry out."""
+
+    def setUp(self):
+        self.world = FillerWorld(workers=2)
+        self.task = self.world.add_job('job', cpu=2)[0]
+
+    def refuse(self, refusal):
+        tables = self.world.tables
+        order_start(tables, self.task, NOW)
+        order = tables.orders.pop()
+        self.assertIsInstance(order, StartRun)
+        take_start_outcome(
+            tables,
+            order,
+            OrderRefused(refusal=refusal, clock_ms=0),
+            NOW,
+        )
+
+    def test_next_start_goes_elsewhere(self):
+        first = self.task.worker_id
+        self.refuse(Refusal.MALFORMED)
+        self.assertEqual(self.task.worker_id, '')
+        dispatch(self.world.tables, NOW)
+        self.assertNotIn(self.task.worker_id, {'', first})
+
+    def test_lone_worker_is_tried_again_after_a_pause(self):
+        del self.world.tables.worker_by_id[
+            next(
+                one
+                for one in self.world.tables.worker_by_id
+                if one != self.task.worker_id
+            )
+        ]
+        first = self.task.worker_id
+        self.refuse(Refusal.MALFORMED)
+        dispatch(self.world.tables, NOW)
+        self.assertEqual(self.task.worker_id, '')
+        dispatch(self.world.tables, NOW + 1.1)
+        self.assertEqual(self.task.worker_id, first)
