Lasting tasks come before late urgent ones; moves of fillers share rankings

Each stuck filler walked all workers anew. Ruled out: room as a whole (nothing waited at 7 s), the owner's processor (1.26 of 2.15 cores). Change: ordering.py ranks lasting tasks after urgent ones in time and before late ones, and first once they have waited 2.5 s; relocation.py uses the chooser's rankings; moves in a round grow with the pool. Tests of the order.

--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -37,6 +37,9 @@
             bound += _bind_gang(tables, chooser, job, step, now)
         else:
             bound += _bind_tasks(tables, chooser, job, step, now)
+        step.unplaced_since = (
+            (step.unplaced_since or now) if step.waiting else 0
+        )
         occurrence = job.occurrence_by_number[step.occurrence]
         open_ready_steps(tables, job, occurrence)
     return bound
--- a/ragwortfield/scheduling/evacuation.py
+++ b/ragwortfield/scheduling/evacuation.py
@@ -16,8 +16,10 @@
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, Seconds
 
-#: Tasks moved in one round, so that the next one sees the room they took.
-_MOVES_A_ROUND = 4
+#: Least tasks moved in one round, and workers for each of which there is one
+#: more: the next round sees the room they took.
+_LEAST_MOVES = 4
+_WORKERS_A_MOVE = 6
 _WHOLE_PERCENT = 100
 
 
@@ -37,6 +39,7 @@
     ]
     if not endangered:
         return
+    most = max(_LEAST_MOVES, len(tables.worker_by_id) // _WORKERS_A_MOVE)
     chooser = Chooser(tables=tables, now=now)
     moved = 0
     for task in endangered:
@@ -54,7 +57,7 @@
         )
         request_stop(tables, task, now)
         moved += 1
-        if moved == _MOVES_A_ROUND:
+        if moved == most:
             return
 
 
--- a/ragwortfield/scheduling/ordering.py
+++ b/ragwortfield/scheduling/ordering.py
@@ -3,17 +3,25 @@
 Pattern: more work waits than fits. Priority comes first, so that an urgent
 job is never behind a less urgent one. Within a priority the jobs that can
 still meet their objective come first, by the time that they have left; then
-those that can still earn as late ones; then the rest, oldest first.
+tasks that last, which earn by each second that they are at work; then those
+that can still earn as late ones; then the rest, oldest first. A stream of
+urgent jobs must not keep a lasting task out for good, so one that has waited
+for a while comes before all others.
 """
 
 from ragwortfield.scheduling.job_rows import LATE_FACTOR, JobRow, StepRow
 from ragwortfield.scheduling.tables import ShardTables
-from ragwortfield.types import Instant
+from ragwortfield.types import Instant, Seconds
 
-#: Order of jobs that can be on time, late, or neither.
-_ON_TIME = 0
-_LATE = 1
-_MISSED = 2
+#: Time for which a task that lasts waits before it comes first, in seconds:
+#: the users ask for it to run again within six.
+_LONGEST_WAIT_S: Seconds = 2.5
+#: Order within a priority.
+_STARVED = 0
+_ON_TIME = 1
+_LASTING = 2
+_LATE = 3
+_MISSED = 4
 
 Urgency = tuple[int, int, float]
 
@@ -43,6 +51,8 @@
     """
     objective_s = job.objective_s()
     age_s = now - job.learned_at
+    if step.step.is_long_lived:
+        return job.queue.priority, _rank_of_lasting(step, now), -age_s
     left_s = job.remaining_s(step.number)
     if age_s + left_s <= objective_s:
         slack_s = objective_s - age_s - left_s
@@ -50,3 +60,9 @@
     if age_s + left_s <= LATE_FACTOR * objective_s:
         return job.queue.priority, _LATE, -age_s
     return job.queue.priority, _MISSED, -age_s
+
+
+def _rank_of_lasting(step: StepRow, now: Instant) -> int:
+    since = step.unplaced_since
+    is_starved = since > 0 and now - since > _LONGEST_WAIT_S
+    return _STARVED if is_starved else _LASTING
--- a/ragwortfield/scheduling/relocation.py
+++ b/ragwortfield/scheduling/relocation.py
@@ -6,19 +6,10 @@
 """
 
 from ragwortfield.log import event
-from ragwortfield.scheduling.interference import (
-    Headroom,
-    spare_headroom,
-    speed_and_cost,
-)
 from ragwortfield.scheduling.job_rows import RunStage, TaskRow
 from ragwortfield.scheduling.progress import request_stop, task_name
 from ragwortfield.scheduling.tables import ShardTables
-from ragwortfield.scheduling.worker_choice import (
-    Chooser,
-    fits,
-    is_allowed,
-)
+from ragwortfield.scheduling.worker_choice import Chooser
 from ragwortfield.scheduling.worker_rows import WorkerRow
 from ragwortfield.types import Instant, Seconds, WorkerId
 
@@ -29,8 +20,10 @@
 _STILL_PACE = 25
 #: Disturbance up to which a worker bears a filler without notice.
 _NEGLIGIBLE = 0.1
-#: Moves in one round, so that the next one sees their effect.
-_MOVES_A_ROUND = 4
+#: Least moves in one round, and workers for each of which there is one more:
+#: the next round sees their effect.
+_LEAST_MOVES = 4
+_WORKERS_A_MOVE = 6
 
 
 def relocate(tables: ShardTables, now: Instant) -> None:
@@ -48,6 +41,7 @@
     ]
     if not still:
         return
+    most = max(_LEAST_MOVES, len(tables.worker_by_id) // _WORKERS_A_MOVE)
     chooser = Chooser(tables=tables, now=now)
     taken: set[WorkerId] = set()
     for task in still:
@@ -64,7 +58,7 @@
             better=place.worker_id,
         )
         request_stop(tables, task, now)
-        if len(taken) == _MOVES_A_ROUND:
+        if len(taken) == most:
             return
 
 
@@ -81,24 +75,15 @@
     task: TaskRow,
     taken: set[WorkerId],
 ) -> WorkerRow | None:
-    job = tables.job_by_id[task.key.job_id]
     step = tables.step_of(task)
-    others = [
-        worker
-        for worker in chooser.candidates(job)
-        if worker.worker_id not in {*taken, task.worker_id}
-    ]
-    for worker in others:
-        if not fits(worker, step) or not is_allowed(worker, step):
-            continue
-        spare: Headroom = spare_headroom(tables, worker)
-        speed, cost = speed_and_cost(
-            tables,
-            worker,
-            spare,
-            task.step.image,
-            task.step.need.cpu,
-        )
-        if speed >= 1 and cost <= _NEGLIGIBLE:
-            return worker
-    return None
+    place = chooser.choose(
+        tables.job_by_id[task.key.job_id],
+        step,
+        task,
+        closed={*taken, task.worker_id},
+    )
+    if place is None:
+        return None
+    speed, cost = chooser.speed_and_cost(place, step)
+    is_better = speed >= 1 and cost <= _NEGLIGIBLE
+    return place if is_better else None
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -5,6 +5,7 @@
 most is left for each of them.
 """
 
+from collections.abc import Container
 from functools import partial
 from itertools import repeat
 
@@ -70,6 +71,7 @@
         job: JobRow,
         step: StepRow,
         task: TaskRow,
+        closed: Container[WorkerId] = (),
     ) -> WorkerRow | None:
         """
         Choose a worker for one task.
@@ -77,6 +79,7 @@
         :param job: its job.
         :param step: its step.
         :param task: the task.
+        :param closed: workers that it must not go to.
         :returns: the worker; ``None`` when none fits now.
         """
         need = _need(job, step)
@@ -85,7 +88,10 @@
             ranking = self._rank(job, step)
             self._ranking_by_need[need] = ranking
         worker = ranking.best(
-            partial(self._is_admitted, job, step=step),
+            lambda worker: (
+                worker.worker_id not in closed
+                and self._is_admitted(job, worker, step=step)
+            ),
             task.avoided,
         )
         if worker is None and ranking.is_empty():
@@ -96,6 +102,27 @@
             )
         return worker
 
+    def speed_and_cost(
+        self,
+        worker: WorkerRow,
+        step: StepRow,
+    ) -> tuple[float, float]:
+        """
+        Judge a worker for one more filler.
+
+        :param worker: the worker.
+        :param step: step of the filler.
+        :returns: share of its full speed that it would find, and how much it
+            would disturb.
+        """
+        return speed_and_cost(
+            self._tables,
+            worker,
+            self._spare(worker),
+            step.step.image,
+            step.step.need.cpu,
+        )
+
     def note_bound(self, worker: WorkerRow, step: StepRow) -> None:
         """
         Take into account that a task was bound in this round.
@@ -210,13 +237,7 @@
     def _rank_for_filler(self, step: StepRow, worker: WorkerRow) -> Rank | None:
         if not fits(worker, step):
             return None
-        speed, cost = speed_and_cost(
-            self._tables,
-            worker,
-            self._spare(worker),
-            step.step.image,
-            step.step.need.cpu,
-        )
+        speed, cost = self.speed_and_cost(worker, step)
         if not is_fast_enough(speed):
             return None
         return (
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -94,7 +94,6 @@
             owner_version=version,
             sequence_version=version,
         )
-        self.rounds = Rounds()
         self.batch = None
         self.is_loaded = False
         self.is_deposed = False
@@ -122,7 +121,8 @@
         self._follow()
         if holds:
             self._hold_all()
-        self.rounds.decide(
+        # Every act is a whole round, however little time has passed.
+        Rounds().decide(
             self.tables,
             self.world.now,
             wall=self.world.now,
--- /dev/null
+++ b/ragwortfield/tests/test_ordering.py
@@ -0,0 +1,46 @@
+"""Which waiting step comes next."""
+
+import unittest
+
+from ragwortfield.scheduling.dispatch import dispatch
+from ragwortfield.scheduling.ordering import by_urgency
+from ragwortfield.tests.filler_world import NOW, FillerWorld
+
+
+class LastingTest(unittest.TestCase):
+    """Pattern: a full pool, urgent jobs that come on, a lasting task's turn."""
+
+    def setUp(self):
+        self.world = FillerWorld(workers=1)
+        self.full = self.world.add_job('full', cpu=32)[0]
+        self.world.serve('lasting', load=0.4, cpu=20)
+        self.world.add_job('urgent', cpu=20)
+
+    def order(self, now):
+        return [step.job_id for step in by_urgency(self.world.tables, now)]
+
+    def test_urgent_job_in_time_comes_before_a_lasting_task(self):
+        self.assertEqual(self.order(NOW), ['urgent', 'lasting'])
+
+    def test_lasting_task_comes_before_an_urgent_job_that_is_late(self):
+        self.assertEqual(self.order(NOW + 2), ['lasting', 'urgent'])
+
+    def test_lasting_task_that_has_waited_comes_first(self):
+        self.world.add_job('newer', cpu=20)
+        row = self.world.tables.job_by_id['newer']
+        row.learned_at = NOW + 3
+        self.assertEqual(
+            self.order(NOW + 3),
+            ['lasting', 'newer', 'urgent'],
+        )
+
+    def test_wait_is_counted_from_the_time_that_no_worker_was_found(self):
+        step = self.world.tables.find_step(('lasting', 0, 0))
+        self.assertEqual(step.unplaced_since, NOW)
+        dispatch(self.world.tables, NOW + 1)
+        self.assertEqual(step.unplaced_since, NOW)
+        worker = self.world.tables.worker_by_id['w0']
+        worker.remove(self.full)
+        worker.reported_at = NOW + 3
+        dispatch(self.world.tables, NOW + 3)
+        self.assertEqual(step.unplaced_since, 0)
