Clearing looks for pieces once a step; trials as full as the users' pools

Cause: clearing looked at every worker for each task that might leave one: up to a second at 270 workers, in the owner's loop. Change: pieces are sorted once a step and searched by size; 32 workers and 8 pieces are tried. Drawn loads promise 0.85 of the pool to serving tasks and ask 0.15 of a worker for an urgent task, as the users' pools do.

--- a/ragwortfield/experiment/loads.py
+++ b/ragwortfield/experiment/loads.py
@@ -93,7 +93,7 @@
             cpu=0.2,
         ),
     )
-    serving_share: float = 0.75
+    serving_share: float = 0.85
     filler_images: int = 9
     serving_images: int = 5
     harsh_share: float = 0.65
@@ -120,7 +120,7 @@
                 per_worker_s=0.1 / growth,
                 steps=2,
                 width=5 * growth,
-                cpu=0.07,
+                cpu=0.15,
                 work_s=0.8,
             ),
             JobKind(
--- a/ragwortfield/scheduling/clearance.py
+++ b/ragwortfield/scheduling/clearance.py
@@ -8,7 +8,8 @@
 costs their users a moment; the wide task would wait until one of them leaves.
 """
 
-from collections.abc import Iterator
+from bisect import bisect_left
+from collections.abc import Container, Iterable, Iterator
 from dataclasses import dataclass
 from itertools import islice
 
@@ -30,6 +31,9 @@
 _MOST_LEAVING = 3
 #: Workers for each of which one worker is cleared in a round.
 _WORKERS_A_CLEARANCE = 24
+#: Workers, those with most room first, and pieces that are tried for a step.
+_WORKERS_TRIED = 32
+_PIECES_TRIED = 8
 #: Steps, the most urgent first, for which room is looked for in a round.
 _STEPS_A_ROUND = 4
 
@@ -87,19 +91,22 @@
     taken: set[WorkerId],
     now: Instant,
 ) -> Iterator[_Clearance]:
-    """Give the cheapest clearances, one for each waiting task at most."""
-    job = tables.job_by_id[step.job_id]
+    """Give cheap clearances, one for each waiting task at most."""
+    candidates = chooser.candidates(tables.job_by_id[step.job_id])
     workers = [
         worker
-        for worker in chooser.candidates(job)
+        for worker in candidates
         if now >= worker.clearing_until and is_allowed(worker, step)
     ]
     if any(fits(worker, step) for worker in workers):
         return
+    pieces = _Pieces(tables, candidates, step.step.need.cpu)
+    # Workers that lack least have to give up fewest tasks.
+    workers.sort(key=WorkerRow.free_cpu, reverse=True)
     found = [
         clearance
-        for worker in workers
-        if (clearance := _clearance(tables, chooser, step, worker, taken))
+        for worker in workers[:_WORKERS_TRIED]
+        if (clearance := _clearance(tables, pieces, step, worker, taken))
     ]
     found.sort(key=_Clearance.cost)
     for clearance in found[: len(step.waiting)]:
@@ -109,9 +116,40 @@
             yield clearance
 
 
+class _Pieces:
+    """Pieces of room too small for a wide task, the smallest first."""
+
+    def __init__(
+        self,
+        tables: ShardTables,
+        candidates: Iterable[WorkerRow],
+        wide_cpu: float,
+    ) -> None:
+        self._tables = tables
+        self._workers = sorted(
+            (one for one in candidates if one.free_cpu() < wide_cpu),
+            key=WorkerRow.free_cpu,
+        )
+        self._sizes = [one.free_cpu() for one in self._workers]
+
+    def find(
+        self,
+        task: TaskRow,
+        closed: Container[WorkerId],
+    ) -> WorkerRow | None:
+        """Find the smallest piece that a serving task fits into."""
+        step = self._tables.step_of(task)
+        first = bisect_left(self._sizes, task.step.need.cpu)
+        for worker in self._workers[first : first + _PIECES_TRIED]:
+            is_open = worker.worker_id not in closed
+            if is_open and fits(worker, step) and is_allowed(worker, step):
+                return worker
+        return None
+
+
 def _clearance(
     tables: ShardTables,
-    chooser: Chooser,
+    pieces: _Pieces,
     step: StepRow,
     worker: WorkerRow,
     taken: set[WorkerId],
@@ -125,8 +163,7 @@
     for task in _movable(tables, worker, missing_cpu):
         if len(leaving) == _MOST_LEAVING or missing_cpu <= 0:
             break
-        closed = {*taken, *place_ids, worker.worker_id}
-        place = _piece_for(tables, chooser, task, step, closed)
+        place = pieces.find(task, {*taken, *place_ids, worker.worker_id})
         if place is None:
             continue
         leaving.append(task)
@@ -163,27 +200,6 @@
     )
 
 
-def _piece_for(
-    tables: ShardTables,
-    chooser: Chooser,
-    task: TaskRow,
-    wide: StepRow,
-    closed: set[WorkerId],
-) -> WorkerRow | None:
-    """Find the smallest piece that a serving task fits into."""
-    step = tables.step_of(task)
-    job = tables.job_by_id[task.key.job_id]
-    pieces = [
-        worker
-        for worker in chooser.candidates(job)
-        if worker.worker_id not in closed
-        and worker.free_cpu() < wide.step.need.cpu
-        and fits(worker, step)
-        and is_allowed(worker, step)
-    ]
-    return min(pieces, key=WorkerRow.free_cpu, default=None)
-
-
 def _clear(
     tables: ShardTables,
     clearance: _Clearance,
