Serving tasks are packed tightly while others wait for room of their own

Change: while a task that needs processor of its own finds no worker, a serving task counts the piece that it would leave, where that is too small for another one, as a loss. Test of that load, red before.

--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -35,6 +35,9 @@
 #: hold for it.
 _START_TIME_S: Seconds = 0.3
 
+#: What a core in a piece too small for another serving task counts, against
+#: a core that fillers lose, while tasks wait for room of their own.
+_WASTE_WEIGHT = 1.0
 #: Steps in which the loss that a serving task brings is told apart, for each
 #: time its own processor.
 _LOSS_STEPS = 4
@@ -65,6 +68,11 @@
         # Nothing is learned within a round, so one judgement serves it.
         self._tolerance = tolerance_of(tables)
         self._intolerance_by_image: dict[str, float] = {}
+        # Room in pieces is only worth something to tasks that want it.
+        self._is_tight = any(
+            step.unplaced_since and not step.step.is_filler
+            for step in tables.open_step_by_key.values()
+        )
 
     def choose(
         self,
@@ -223,10 +231,12 @@
             return None
         image = step.step.image
         cpu = step.step.need.cpu
-        loss = 0
+        lost_cpu: float = 0
+        if self._is_tight:
+            lost_cpu += _WASTE_WEIGHT * _waste(worker, cpu)
         if self._tolerance.is_known(image):
-            lost_cpu = self._tolerance.loss(worker, image, cpu)
-            loss = round(_LOSS_STEPS * lost_cpu / max(cpu, _CPU_TOLERANCE))
+            lost_cpu += self._tolerance.loss(worker, image, cpu)
+        loss = round(_LOSS_STEPS * lost_cpu / max(cpu, _CPU_TOLERANCE))
         return (
             _is_far(worker, step),
             self._now < worker.clearing_until,
@@ -376,6 +386,12 @@
     return bool(rack) and worker.listed.rack != rack
 
 
+def _waste(worker: WorkerRow, cpu: float) -> float:
+    """A piece that is left but too small for another such task, in cores."""
+    left_cpu = worker.free_cpu() - cpu
+    return left_cpu if left_cpu < cpu else 0
+
+
 def _order_for_serving(worker: WorkerRow, image: str) -> tuple[int, float]:
     """Serving tasks of one image together leave most room for fillers."""
     others = len(worker.serving_by_image)
--- a/ragwortfield/tests/filler_world.py
+++ b/ragwortfield/tests/filler_world.py
@@ -88,10 +88,10 @@
                     task.stage = RunStage.RUNNING
                     task.percent = 100
 
-    def serve(self, image, *, load, cpu=20, **terms):
+    def serve(self, image, *, load, cpu=20, job_id='', **terms):
         """Let tasks of an image serve, named like it; returns the first."""
         task = self.add_job(
-            image,
+            job_id or image,
             cpu=cpu,
             image=image,
             latency_target_ms=TARGET_MS,
--- a/ragwortfield/tests/test_clearance.py
+++ b/ragwortfield/tests/test_clearance.py
@@ -80,3 +80,22 @@
         count = len(self.stopped())
         self.make_room()
         self.assertEqual(len(self.stopped()), count)
+
+
+class TightPackingTest(unittest.TestCase):
+    """Pattern: wide tasks wait, and each piece left by a poor fit is lost."""
+
+    def place(self, *, is_tight):
+        world = FillerWorld(workers=2)
+        world.serve('a', load=0.4, cpu=10)
+        world.serve('b', load=0.4, cpu=18)
+        if is_tight:
+            world.add_job('wide', cpu=31)
+        task = world.serve('a', load=0.4, cpu=14, job_id='a2')
+        return world.tables.worker_by_id[task.worker_id].free_cpu()
+
+    def test_exact_fit_is_taken_while_wide_tasks_wait(self):
+        self.assertEqual(self.place(is_tight=True), 0)
+
+    def test_image_decides_while_nothing_waits(self):
+        self.assertEqual(self.place(is_tight=False), 8)
