--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -15,6 +15,9 @@
 
 #: Pause before an unanswered start order is sent again, in seconds.
 _START_RETRY_S: Seconds = 0.4
+#: Bindings after which a round leaves the other steps to the next one, so that
+#: the owner answers pings while it places a whole deployment's tasks.
+_BINDINGS_A_ROUND = 512
 #: Time without an answer to start orders after which a run is given up.
 _START_LIMIT_S: Seconds = 2.5
 
@@ -42,6 +45,8 @@
         )
         occurrence = job.occurrence_by_number[step.occurrence]
         open_ready_steps(tables, job, occurrence)
+        if bound >= _BINDINGS_A_ROUND:
+            break
     return bound
 
 
--- a/ragwortfield/tests/filler_world.py
+++ b/ragwortfield/tests/filler_world.py
@@ -42,7 +42,7 @@
             ),
         )
         for number in range(workers):
-            self._add_worker(f'w{number}')
+            self.add_worker(f'w{number}')
 
     def learn(self, amount_by_pair):
         """Let pairs of images be known with their weights."""
@@ -108,11 +108,12 @@
         end_run(self.tables, task, EndKind.STOPPED, '', NOW)
         self.dispatch()
 
-    def _add_worker(self, worker_id):
+    def add_worker(self, worker_id, cpu=32):
+        """Let a worker register and report."""
         fake = FakeWorker(
             worker_id=worker_id,
             clock=lambda: NOW,
-            room=Resources(cpu=32, memory_mb=1000, accelerators=0),
+            room=Resources(cpu=cpu, memory_mb=1000, accelerators=0),
         )
         intake.take_worker(self.tables, fake.listing())
         row = self.tables.worker_by_id[worker_id]
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -398,7 +398,8 @@
                 for worker in self.workers.worker_by_id.values()
                 for entry in _spans(worker, self.now)
             ),
-            key=lambda span: span[1],
+            # A run may end in the instant of its start, and the next begin.
+            key=lambda span: (span[1], span[2]),
         )
         last_by_key = {}
         failed_by_key = {}
--- a/ragwortfield/tests/test_clearance.py
+++ b/ragwortfield/tests/test_clearance.py
@@ -99,3 +99,34 @@
 
     def test_image_decides_while_nothing_waits(self):
         self.assertEqual(self.place(is_tight=False), 8)
+
+
+class StepAwayTest(unittest.TestCase):
+    """Pattern: one step serves on several workers that would be cleared."""
+
+    def setUp(self):
+        self.world = FillerWorld(workers=6)
+        for number in range(2):
+            self.world.serve(f'full{number}', load=0.4, cpu=24)
+        self.step = self.world.tables.step_of(
+            self.world.serve(
+                'spread',
+                load=0.4,
+                cpu=8,
+                count=4,
+                per_worker_limit=1,
+                max_unavailable=1,
+            ),
+        )
+        for number in range(2):
+            self.world.serve(f'half{number}', load=0.4, cpu=22)
+
+    def test_only_one_task_of_a_step_leaves_at_a_time(self):
+        # A round clears at most one worker for each 24 and one more.
+        for number in range(24):
+            self.world.add_worker(f'x{number}', cpu=4)
+        for number in range(2):
+            self.world.add_job(f'wide{number}', cpu=26)
+        clearance.make_room(self.world.tables, NOW)
+        away = [task for task in self.step.tasks if task.is_stop_wanted]
+        self.assertEqual(len(away), 1)
--- a/ragwortfield/tests/test_rankings.py
+++ b/ragwortfield/tests/test_rankings.py
@@ -1,6 +1,7 @@
 """Rankings of workers, and needs that are looked at again only on changes."""
 
 import unittest
+from dataclasses import replace
 
 from ragwortfield.core.resources import Resources
 from ragwortfield.scheduling.dispatch import dispatch
@@ -142,3 +143,17 @@
         self.assertIsNone(chooser.choose(job, step, tasks[2]))
         since = world.tables.unmet_needs.unmet_since(_GROUP, _need(30))
         self.assertEqual(since, world.tables.changes.latest)
+
+
+class RoundTest(unittest.TestCase):
+    """Pattern: thousands of tasks wait at once, as after a start."""
+
+    def test_a_round_is_bounded_and_the_next_ones_finish(self):
+        world = FillerWorld(workers=40)
+        tables = world.tables
+        tables.bounds = replace(tables.bounds, contact_s=-1)
+        for number in range(8):
+            world.add_job(f'job{number}', count=100, cpu=1)
+        tables.bounds = replace(tables.bounds, contact_s=1)
+        bound = [dispatch(tables, NOW) for _ in range(3)]
+        self.assertEqual(bound, [600, 200, 0])
