--- a/ragwortfield/experiment/main.py
+++ b/ragwortfield/experiment/main.py
@@ -31,6 +31,8 @@
     'Folder for results.jsonl and cost.svg; nothing is written without it.',
 )
 
+#: Height of the plot as a multiple of its highest point.
+_AIR = 1.1
 _HEADER = (
     'workers   seed    runs  ms a run  slowest ms  urgent  fillers  serving'
 )
@@ -83,16 +85,23 @@
     :param results: results of trials.
     :returns: an SVG document.
     """
+    dearest = max((one.decision_ms_a_run for one in results), default=0)
     chart = pygal.XY(
         title='Processor of the decisions on one run',
         x_title='workers',
         y_title='ms',
+        range=(0, dearest * _AIR),
         js=[],
     )
-    chart.add(
-        'ms a run',
-        [(one.workers, one.decision_ms_a_run) for one in results],
-    )
+    for seed in sorted({one.seed for one in results}):
+        chart.add(
+            f'seed {seed}',
+            [
+                (one.workers, one.decision_ms_a_run)
+                for one in results
+                if one.seed == seed
+            ],
+        )
     return chart.render()
 
 
