A start that may have met a new life of its worker counts until the longest lease

A worker starts again unnoticed; the repeated start order reaches its new life, which takes the deadline for its own clock, 20 s behind, and shortens it to the longest lease of 10 s. The owner judged the lease by the old life's clock, over after 6 s, and started the task elsewhere while the first run went on. The answer showed an earlier clock, but nothing followed from that; with the answer lost there is not even that. Change: a start that is not answered for certain, or answered by an earlier clock than the last report's, keeps its task bound for the longest lease and the start window from then on, or until the worker reports. Other tasks of the worker are released as before. Cost: a task whose start was under way when its worker fell silent waits up to 12 s instead of six.

--- a/ragwortfield/scheduling/job_rows.py
+++ b/ragwortfield/scheduling/job_rows.py
@@ -45,6 +45,8 @@
     :param seen_clock_ms: worker's clock when the run was last known there.
     :param own_use: use that its latest reading shows beyond what fillers
         add, for a task that serves users.
+    :param may_run_until: until when the run may go on in a life of its
+        worker that has not reported yet; 0 where none can have taken it.
     :param is_stop_wanted: whether the run is to be stopped.
     :param avoided: workers on which the task failed or stood still.
     """
@@ -73,6 +75,7 @@
     stop_sent_at: Instant = 0
     ticket: str = ''
     is_uncertain: bool = False
+    may_run_until: Instant = 0
     avoided: set[WorkerId] = field(default_factory=set)
 
     def record(self) -> TaskRecord:
--- a/ragwortfield/scheduling/progress.py
+++ b/ragwortfield/scheduling/progress.py
@@ -58,6 +58,7 @@
     task.is_stop_wanted = False
     task.stop_sent_at = 0
     task.is_uncertain = False
+    task.may_run_until = 0
     task.calls = 0
     worker.add(task)
     tables.uncommitted.append((task, run))
--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -16,7 +16,7 @@
     StartRun,
     StopRun,
 )
-from ragwortfield.scheduling.bounds import MS_PER_S
+from ragwortfield.scheduling.bounds import CLOCK_DRIFT, MS_PER_S
 from ragwortfield.scheduling.job_rows import RunStage, TaskRow
 from ragwortfield.scheduling.progress import (
     end_run,
@@ -108,6 +108,11 @@
     if not _is_current(task, order) or worker is None:
         return
     task.calls = max(task.calls - 1, 0)
+    if _may_have_met_new_life(worker, outcome):
+        # A new life takes the deadline for its own clock, which is behind,
+        # and shortens it to the longest lease.
+        longest_s = tables.bounds.longest_lease_s() / (1 - CLOCK_DRIFT)
+        task.may_run_until = now + longest_s + tables.bounds.start_window_s
     if isinstance(outcome, OrderDone):
         _observe_clock(worker, outcome.clock_ms, now)
         _confirm(tables, task, outcome.clock_ms, now)
@@ -156,7 +161,7 @@
         if not worker.run_by_key or worker.is_in_contact(tables.bounds, now):
             continue
         if worker.is_lease_over(tables.bounds, now, tables.owner_since):
-            _release_all(tables, worker)
+            _release_all(tables, worker, now)
 
 
 def repeat_stops(tables: ShardTables, now: Instant) -> None:
@@ -172,6 +177,13 @@
                 request_stop(tables, task, now)
 
 
+def _may_have_met_new_life(worker: WorkerRow, outcome: OrderOutcome) -> bool:
+    if isinstance(outcome, Unavailable):
+        return outcome.is_effect_possible
+    is_done = isinstance(outcome, OrderDone)
+    return is_done and outcome.clock_ms < worker.report_clock_ms
+
+
 def _observe_clock(worker: WorkerRow, clock_ms: int, now: Instant) -> None:
     worker.clock.observe(clock_ms, now)
     if clock_ms < worker.report_clock_ms:
@@ -330,16 +342,26 @@
             release(tables, task, 'not listed by its worker')
 
 
-def _release_all(tables: ShardTables, worker: WorkerRow) -> None:
+def _release_all(
+    tables: ShardTables,
+    worker: WorkerRow,
+    now: Instant,
+) -> None:
+    over = [
+        task
+        for task in worker.run_by_key.values()
+        if task.stage != RunStage.UNCOMMITTED and now > task.may_run_until
+    ]
+    if not over:
+        return
     event(
         'lease_lapsed',
         worker=worker.worker_id,
-        tasks=len(worker.run_by_key),
+        tasks=len(over),
         lease_end_ms=worker.lease_end_ms,
     )
-    for task in tuple(worker.run_by_key.values()):
-        if task.stage != RunStage.UNCOMMITTED:
-            release(tables, task, 'lease lapsed')
+    for task in over:
+        release(tables, task, 'lease lapsed')
 
 
 def _is_current(task: TaskRow, order: StartRun) -> bool:
--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -75,6 +75,39 @@
         stopped = worker.highest_by_key.get(task.key, 0)
         self.assertGreaterEqual(stopped, 1)
 
+    def start_in_a_new_life(self, answer_is_lost):
+        """A repeated start meets a life that cannot report (seed 2090)."""
+        # Deadlines of the old life's clock lie far ahead of the new one's.
+        _act(self.world, 15)
+        owner = self.world.owners[-1]
+        self.world.order_delay = 1.0
+        job_id = self.world.submit(one_step())
+        owner.act(holds=False)
+        task = self.first_task(job_id)
+        worker = self.world.workers.worker_by_id[task.worker_id]
+        self.world.workers.late.clear()
+        self.world.order_delay = 0
+        worker.restart()
+        self.world.advance(0.5)
+        self.world.order_loss = 1.0 if answer_is_lost else 0
+        owner.act(holds=False)
+        self.world.order_loss = 0
+        self.assertIn(task.key, worker.run_by_key)
+        worker.is_reachable = False
+        return worker, task.key
+
+    def test_start_that_met_a_new_life_keeps_its_longest_lease(self):
+        for answer_is_lost in (False, True):
+            with self.subTest(answer_is_lost=answer_is_lost):
+                self.setUp()
+                worker, key = self.start_in_a_new_life(answer_is_lost)
+                # The check finds a second run while the first goes on.
+                _act(self.world, 9)
+                self.assertIn(key, worker.run_by_key)
+                _act(self.world, 6)
+                self.assertNotIn(key, worker.run_by_key)
+                self.assertEqual(self.first_task(key.job_id).run, 2)
+
     def test_end_is_not_acknowledged_before_it_is_durable(self):
         worker = self.running()[0]
         key = next(iter(worker.run_by_key))
