--- a/ragwortfield/tests/test_processes.py
+++ b/ragwortfield/tests/test_processes.py
@@ -88,7 +88,8 @@
             booking = f'booking-{number}'
             first = self.book('entry-1', booking.encode(), key)
             second = self.book('entry-2', booking.encode(), key)
-            self.assertEqual(first.field_value('ragwortfield-run'), 'ran')
+            said = f'booking {number}: {first.status} {first.body!r}'
+            self.assertEqual(first.field_value('ragwortfield-run'), 'ran', said)
             self.assertEqual(second.field_value('ragwortfield-run'), 'ran')
             self.assertEqual(second.body, booking.encode())
             self.assertEqual(self.runs(booking), 1)
