One search for tasks that may be stopped, one for what a serving task costs

Change: disruption.one_of_each_step and Tolerance.loss_beside serve both; an alias of WorkerRow.free_cpu goes.

--- a/ragwortfield/scheduling/clearance.py
+++ b/ragwortfield/scheduling/clearance.py
@@ -14,7 +14,7 @@
 from itertools import islice
 
 from ragwortfield.log import event
-from ragwortfield.scheduling.disruption import is_at_work, is_disruptable
+from ragwortfield.scheduling.disruption import is_at_work, one_of_each_step
 from ragwortfield.scheduling.job_rows import StepRow, TaskRow
 from ragwortfield.scheduling.ordering import by_urgency
 from ragwortfield.scheduling.progress import request_stop, task_name
@@ -184,15 +184,13 @@
     missing_cpu: float,
 ) -> list[TaskRow]:
     """List the serving tasks, one of a step: first those that suffice alone."""
-    task_by_step: dict[int, TaskRow] = {}
-    for task in worker.run_by_key.values():
-        if not task.step.latency_target_ms or not is_at_work(task):
-            continue
-        step = tables.step_of(task)
-        if is_disruptable(step):
-            task_by_step.setdefault(id(step), task)
+    serving = (
+        task
+        for task in worker.run_by_key.values()
+        if task.step.latency_target_ms and is_at_work(task)
+    )
     return sorted(
-        task_by_step.values(),
+        one_of_each_step(tables, serving),
         key=lambda one: (
             one.step.need.cpu < missing_cpu,
             abs(one.step.need.cpu - missing_cpu),
--- a/ragwortfield/scheduling/consolidation.py
+++ b/ragwortfield/scheduling/consolidation.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 
 from ragwortfield.log import event
-from ragwortfield.scheduling.disruption import is_at_work, is_disruptable
+from ragwortfield.scheduling.disruption import is_at_work, one_of_each_step
 from ragwortfield.scheduling.job_rows import StepRow, TaskRow
 from ragwortfield.scheduling.progress import request_stop, task_name
 from ragwortfield.scheduling.tables import ShardTables
@@ -84,7 +84,8 @@
     limit = 1 + len(tables.worker_by_id) // _WORKERS_A_MOVE
     for departure in _Planner(tables, now).best(limit):
         departure.worker.clearing_until = now + _CLEARING_S
-        for task in _movable_now(tables, departure.tasks):
+        movable = one_of_each_step(tables, departure.tasks)
+        for task in movable[:_MOVES_A_ROUND]:
             event(
                 'serving_moved',
                 task=task_name(task),
@@ -222,17 +223,12 @@
         return place
 
     def _loss(self, place: _Place, task: TaskRow) -> float:
-        room_cpu = place.worker.listed.room.cpu
-        load_cpu = task.step.need.cpu * SERVING_LOAD
-        before = self._tolerance.usable_cpu(
+        return self._tolerance.loss_beside(
             place.images,
+            task.step.image,
+            task.step.need.cpu,
             idle_cpu=place.idle_cpu,
-            room_cpu=room_cpu,
-        )
-        return before - self._tolerance.usable_cpu(
-            place.images | {task.step.image},
-            idle_cpu=max(place.idle_cpu - load_cpu, 0),
-            room_cpu=room_cpu,
+            room_cpu=place.worker.listed.room.cpu,
         )
 
 
@@ -260,15 +256,3 @@
         idle_cpu=place.idle_cpu - cpu * SERVING_LOAD,
         added_by_step=place.added_by_step + Counter((id(step),)),
     )
-
-
-def _movable_now(
-    tables: ShardTables,
-    tasks: tuple[TaskRow, ...],
-) -> list[TaskRow]:
-    task_by_step: dict[int, TaskRow] = {}
-    for task in tasks:
-        step = tables.step_of(task)
-        if is_disruptable(step):
-            task_by_step.setdefault(id(step), task)
-    return list(task_by_step.values())[:_MOVES_A_ROUND]
--- a/ragwortfield/scheduling/disruption.py
+++ b/ragwortfield/scheduling/disruption.py
@@ -1,6 +1,9 @@
 """Which tasks with users of their own may be stopped to be moved."""
 
+from collections.abc import Iterable
+
 from ragwortfield.scheduling.job_rows import RunStage, StepRow, TaskRow
+from ragwortfield.scheduling.tables import ShardTables
 
 _FULL_PERCENT = 100
 
@@ -26,3 +29,22 @@
     limit = step.step.max_unavailable
     is_whole = all(is_at_work(task) for task in step.tasks)
     return is_whole and (limit is None or limit > 0)
+
+
+def one_of_each_step(
+    tables: ShardTables,
+    tasks: Iterable[TaskRow],
+) -> list[TaskRow]:
+    """
+    Pick tasks that may be stopped now, one of a step.
+
+    :param tables: tables of the shard.
+    :param tasks: tasks with users of their own.
+    :returns: the first task of each step that may lose one.
+    """
+    task_by_step: dict[int, TaskRow] = {}
+    for task in tasks:
+        step = tables.step_of(task)
+        if is_disruptable(step):
+            task_by_step.setdefault(id(step), task)
+    return list(task_by_step.values())
--- a/ragwortfield/scheduling/ordering.py
+++ b/ragwortfield/scheduling/ordering.py
@@ -49,10 +49,10 @@
     :param now: reading of the monotonic clock.
     :returns: sort key; smaller comes first.
     """
-    objective_s = job.objective_s()
     age_s = now - job.learned_at
     if step.step.is_long_lived:
         return job.queue.priority, _rank_of_lasting(step, now), -age_s
+    objective_s = job.objective_s()
     left_s = job.remaining_s(step.number)
     if age_s + left_s <= objective_s:
         slack_s = objective_s - age_s - left_s
--- a/ragwortfield/scheduling/tolerance.py
+++ b/ragwortfield/scheduling/tolerance.py
@@ -85,11 +85,43 @@
         :param cpu: processor that is promised to it, in cores.
         :returns: cores.
         """
-        present = frozenset(worker.serving_by_image)
-        idle_cpu = worker.idle_cpu()
-        before = self._usable_of(worker, present, idle_cpu)
-        left_cpu = max(idle_cpu - cpu * SERVING_LOAD, 0)
-        return before - self._usable_of(worker, present | {serving}, left_cpu)
+        return self.loss_beside(
+            frozenset(worker.serving_by_image),
+            serving,
+            cpu,
+            idle_cpu=worker.idle_cpu(),
+            room_cpu=worker.listed.room.cpu,
+        )
+
+    def loss_beside(
+        self,
+        present: Images,
+        serving: str,
+        cpu: float,
+        *,
+        idle_cpu: float,
+        room_cpu: float,
+    ) -> float:
+        """
+        Tell what fillers lose when a task begins to serve beside images.
+
+        :param present: images that serve there already.
+        :param serving: image of the task.
+        :param cpu: processor that is promised to it, in cores.
+        :param idle_cpu: processor that is left idle before, in cores.
+        :param room_cpu: processor of the worker, in cores.
+        :returns: cores.
+        """
+        before = self.usable_cpu(
+            present,
+            idle_cpu=idle_cpu,
+            room_cpu=room_cpu,
+        )
+        return before - self.usable_cpu(
+            present | {serving},
+            idle_cpu=max(idle_cpu - cpu * SERVING_LOAD, 0),
+            room_cpu=room_cpu,
+        )
 
     def gain(
         self,
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -400,10 +400,6 @@
     return others * 2, worker.free_cpu()
 
 
-def _unused(worker: WorkerRow) -> float:
-    return worker.free_cpu()
-
-
 def left_for_fillers(worker: WorkerRow) -> float:
     """
     Estimate the processor that a further filler would find unused.
@@ -433,7 +429,7 @@
 ) -> list[WorkerRow] | None:
     """Fill workers in turn, the emptiest first."""
     chosen: list[WorkerRow] = []
-    for worker in sorted(workers, key=_unused, reverse=True):
+    for worker in sorted(workers, key=WorkerRow.free_cpu, reverse=True):
         left = step.step.count - len(chosen)
         chosen.extend(repeat(worker, min(room_for(worker, step), left)))
         if len(chosen) == step.step.count:
