--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -216,7 +216,8 @@
         ]
         self.metrics.state('shards_owned', len(owned))
         for runner in owned:
-            for name, amount in summary(runner.tables).items():
+            amounts = summary(runner.tables) | runner.pulse.told
+            for name, amount in amounts.items():
                 self.metrics.state(f'shard_{runner.shard}_{name}', amount)
 
     @contextmanager
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -16,6 +16,7 @@
     owner_row,
     part_of,
 )
+from ragwortfield.engine.owner_pulse import OwnerPulse
 from ragwortfield.engine.shard_commits import ShardCommits, Verdict
 from ragwortfield.engine.shard_rows import (
     WorkerEntries,
@@ -102,6 +103,7 @@
         self.is_ready = False
         self.is_stopped = False
         self.failing_since: Instant = 0
+        self.pulse = OwnerPulse()
         self._commits = commits
         self._store = store
         self._approval_service = approval_service
@@ -120,6 +122,7 @@
         self._loops = WorkerLoops(
             tables=tables,
             workers=workers,
+            pulse=self.pulse,
             on_news=self._wake.set,
         )
         self._rounds = Rounds()
@@ -354,8 +357,12 @@
             started_at = time.monotonic()
             self._round(started_at)
             took_s = time.monotonic() - started_at
+            self.pulse.note_round(took_s)
             pause_s = max(_LEAST_PAUSE_S, _PAUSE_FACTOR * took_s)
-            gevent.sleep(min(pause_s, _LONGEST_PAUSE_S))
+            pause_s = min(pause_s, _LONGEST_PAUSE_S)
+            gevent.sleep(pause_s)
+            slept_s = time.monotonic() - started_at - took_s
+            self.pulse.note_lag(slept_s - pause_s)
 
     def _is_owner_still(self) -> bool:
         now = time.monotonic()
@@ -403,7 +410,12 @@
         )
         if now - self._told_at > _TELL_EVERY_S:
             self._told_at = now
-            event('shard_state', shard=self.shard, **summary(tables))
+            event(
+                'shard_state',
+                shard=self.shard,
+                **summary(tables),
+                **self.pulse.tell(),
+            )
         if tables.dirty_by_key or tables.forgotten:
             self._commit_wake.set()
         elif not self._is_committing:
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent.event import Event
 
+from ragwortfield.engine.owner_pulse import OwnerPulse
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
@@ -19,7 +20,7 @@
 from ragwortfield.scheduling import interference, leases, reports
 from ragwortfield.scheduling.tables import Order, ShardTables
 from ragwortfield.scheduling.worker_rows import WorkerRow
-from ragwortfield.types import Seconds, WorkerId
+from ragwortfield.types import Instant, Seconds, WorkerId
 
 #: Pause before a failed look at a worker is repeated, in seconds.
 _RETRY_S: Seconds = 0.1
@@ -36,6 +37,7 @@
 
     :param tables: tables of the shard.
     :param workers: calls to workers.
+    :param pulse: told of reports and of looks that got none.
     :param on_news: called when something was learned.
     """
 
@@ -44,15 +46,18 @@
         *,
         tables: ShardTables,
         workers: TaskWorkers,
+        pulse: OwnerPulse,
         on_news: Callable[[], None],
     ) -> None:
         """Create; ``watch`` starts the loops."""
         self.committed = Event()
         self._tables = tables
         self._workers = workers
+        self._pulse = pulse
         self._on_news = on_news
         self._is_stopped = False
         self._loop_by_worker: dict[WorkerId, gevent.Greenlet] = {}
+        self._silent_since: dict[WorkerId, Instant] = {}
 
     def watch(self) -> None:
         """Start a loop for each worker that has none."""
@@ -101,10 +106,18 @@
             row = self._tables.worker_by_id.get(worker_id)
             if row is None:
                 return
+            lease_end_ms = row.lease_end_ms
             order = leases.lease_order(self._tables, row, time.monotonic())
             report = self._workers.hold(order)
             now = time.monotonic()
             if isinstance(report, LeaseReport):
+                self._note_heard(worker_id, now)
+                self._pulse.note_report(
+                    row,
+                    now,
+                    lease_end_ms=lease_end_ms,
+                    clock_ms=report.clock_ms,
+                )
                 reports.take_report(
                     self._tables,
                     row,
@@ -119,7 +132,7 @@
                     # Held back, so the same ends would be listed at once.
                     gevent.sleep(_HELD_BACK_S)
                 continue
-            self._note_failure(worker_id, report)
+            self._note_failure(row, report, now)
             gevent.sleep(_RETRY_S)
 
     def _await_acknowledgement(self, row: WorkerRow) -> None:
@@ -132,14 +145,40 @@
             self.committed.wait(left_s)
             left_s = end - time.monotonic()
 
+    def _note_heard(self, worker_id: WorkerId, now: Instant) -> None:
+        since = self._silent_since.pop(worker_id, None)
+        if since is not None:
+            event('worker_heard', worker=worker_id, silent_s=now - since)
+
     def _note_failure(
         self,
-        worker_id: WorkerId,
+        row: WorkerRow,
         failure: OrderRefused | Unavailable,
+        now: Instant,
     ) -> None:
+        worker_id = row.worker_id
+        self._pulse.note_failed_look()
         if isinstance(failure, Unavailable):
+            self._note_silence(row, failure, now)
             return
         event('hold_refused', worker=worker_id, reason=failure.refusal.value)
         if failure.refusal == Refusal.FENCED:
             self._tables.is_deposed = True
             self._on_news()
+
+    def _note_silence(
+        self,
+        row: WorkerRow,
+        failure: Unavailable,
+        now: Instant,
+    ) -> None:
+        if row.worker_id in self._silent_since:
+            return
+        self._silent_since[row.worker_id] = now
+        event(
+            'worker_silent',
+            worker=row.worker_id,
+            reason=failure.reason,
+            tasks=len(row.run_by_key),
+            report_age_s=now - row.reported_at if row.known_at else -1,
+        )
--- /dev/null
+++ b/ragwortfield/tests/test_owner_pulse.py
@@ -0,0 +1,53 @@
+"""Amounts that tell an owner's lack of processor from other causes."""
+
+import unittest
+
+from ragwortfield.engine.owner_pulse import OwnerPulse
+from ragwortfield.ports.task_worker import ListedWorker
+from ragwortfield.scheduling.job import TaskKey
+from ragwortfield.scheduling.worker_rows import WorkerRow
+
+
+def _worker(has_tasks=True):
+    worker = WorkerRow(
+        worker_id='w0',
+        listed=ListedWorker(worker_id='w0'),
+        known_at=1,
+        reported_at=10,
+    )
+    if has_tasks:
+        worker.run_by_key[TaskKey('0' * 16, 0, 0, 0)] = None
+    return worker
+
+
+class OwnerPulseTest(unittest.TestCase):
+    def setUp(self):
+        self.pulse = OwnerPulse()
+
+    def test_slowest_moments_are_told_once(self):
+        self.pulse.note_round(0.2)
+        self.pulse.note_round(0.1)
+        self.pulse.note_lag(0.3)
+        self.pulse.note_failed_look()
+        self.pulse.note_report(_worker(), 13, lease_end_ms=9000, clock_ms=8500)
+        told = {
+            'round_s': 0.2,
+            'lag_s': 0.3,
+            'look_gap_s': 3,
+            'failed_looks': 1,
+            'lease_left_s': 0.5,
+        }
+        self.assertEqual(self.pulse.tell(), told)
+        self.assertEqual(self.pulse.told, told)
+        self.assertEqual(self.pulse.tell()['round_s'], 0)
+
+    def test_worker_without_tasks_has_no_lease_to_lose(self):
+        worker = _worker(has_tasks=False)
+        self.pulse.note_report(worker, 13, lease_end_ms=9000, clock_ms=9500)
+        self.assertNotIn('lease_left_s', self.pulse.tell())
+
+    def test_first_report_of_a_worker_says_nothing_of_gaps(self):
+        worker = _worker()
+        worker.known_at = 0
+        self.pulse.note_report(worker, 13, lease_end_ms=9000, clock_ms=9500)
+        self.assertEqual(self.pulse.tell()['look_gap_s'], 0)
