Tests: takeover of a large shard (red), backlog that fits nowhere

The third test guards against what the record shows: jobs that fit nowhere must cost a round no look at workers.

--- a/ragwortfield/tests/test_rankings.py
+++ b/ragwortfield/tests/test_rankings.py
@@ -2,8 +2,10 @@
 
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from ragwortfield.core.resources import Resources
+from ragwortfield.scheduling import worker_choice
 from ragwortfield.scheduling.dispatch import dispatch
 from ragwortfield.scheduling.rankings import Ranking, UnmetNeeds
 from ragwortfield.scheduling.worker_choice import Chooser
@@ -145,6 +147,25 @@
         self.assertEqual(since, world.tables.changes.latest)
 
 
+class BacklogTest(unittest.TestCase):
+    """Pattern: hundreds of jobs wait for a pool that is full."""
+
+    # Guards against LOST of incident 0006: rounds grew dearer with each job
+    # that waited, until the leases of what ran lapsed.
+    def test_jobs_that_fit_nowhere_cost_a_round_no_look_at_workers(self):
+        world = FillerWorld(workers=12)
+        for number in range(12):
+            world.serve(f's{number}', load=0.4, cpu=30)
+        for number in range(100):
+            world.add_job(f'wide{number}', cpu=4 + number / 100)
+            world.add_job(f'filler{number}', cpu=40, is_filler=True)
+        with patch.object(worker_choice, 'fits', wraps=worker_choice.fits) as (
+            looks
+        ):
+            self.assertEqual(dispatch(world.tables, NOW), 0)
+        self.assertEqual(looks.call_count, 0)
+
+
 class RoundTest(unittest.TestCase):
     """Pattern: thousands of tasks wait at once, as after a start."""
 
--- a/ragwortfield/tests/test_shard_runner.py
+++ b/ragwortfield/tests/test_shard_runner.py
@@ -2,13 +2,20 @@
 
 import time
 import unittest
+from dataclasses import replace
 
 import gevent
 
 from ragwortfield.adapters.documents import Malformed
+from ragwortfield.core.resources import Resources
 from ragwortfield.engine.calendar import Calendar
 from ragwortfield.engine.learned_rows import LearnedRows
-from ragwortfield.engine.names import owner_row, pressure_row
+from ragwortfield.engine.names import (
+    job_row,
+    owner_row,
+    pressure_row,
+    progress_row,
+)
 from ragwortfield.engine.shard_commits import ShardCommits
 from ragwortfield.engine.shard_rows import WorkerEntries
 from ragwortfield.engine.shard_runner import ShardRunner
@@ -16,8 +23,16 @@
 from ragwortfield.ports.row_store import RowWrite, Transaction
 from ragwortfield.scheduling.bounds import Bounds
 from ragwortfield.scheduling.catalogue import Catalogue
+from ragwortfield.scheduling.job import Job, Step
 from ragwortfield.scheduling.pressure import PressureModel
-from ragwortfield.scheduling.records import encode_record
+from ragwortfield.scheduling.records import (
+    JobRecord,
+    ProgressRecord,
+    TaskPhase,
+    TaskRecord,
+    encode_record,
+)
+from ragwortfield.scheduling.status import JobStatus
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.testing.row_store import MemoryRowStore
 from ragwortfield.testing.task_workers import FakeWorkers
@@ -27,6 +42,12 @@
 _LIMIT_S = 5
 
 
+#: Jobs of a large shard, and most of them that one turn may take in.
+_MANY_JOBS = 300
+_JOBS_A_TURN = 50
+_TASKS = 20
+
+
 class _PacedStore(MemoryRowStore):
     """Feeds answer after a moment, so that the other greenlets run."""
 
@@ -68,6 +89,36 @@
     )
 
 
+def _store_finished_jobs(store, count):
+    """Jobs of two steps whose tasks are all done; gives their names."""
+    step = Step(count=_TASKS, need=Resources(cpu=1), estimate_s=1)
+    done = tuple(TaskRecord(phase=TaskPhase.DONE, run=1) for _ in range(_TASKS))
+    job_ids = [f'{number:016x}' for number in range(count)]
+    for job_id in job_ids:
+        job = Job(
+            job_id=job_id,
+            queue='queue',
+            spec='',
+            steps=(step, replace(step, after=(0,))),
+            accepted_at=0,
+        )
+        progress = ProgressRecord(
+            job_id=job_id,
+            occurrence=0,
+            steps=(done, done),
+        )
+        row_by_name = {
+            job_row(0, job_id): JobRecord(job=job),
+            progress_row(0, job_id, 0): progress,
+        }
+        writes = tuple(
+            RowWrite(name=name, content=encode_record(record))
+            for name, record in row_by_name.items()
+        )
+        store.commit(Transaction(writes=writes), 1)
+    return job_ids
+
+
 class ShardRunnerTest(unittest.TestCase):
     def await_true(self, condition):
         end = time.monotonic() + _LIMIT_S
@@ -85,6 +136,40 @@
         self.await_true(lambda: runner.is_stopped)
 
 
+class LoadTest(unittest.TestCase):
+    """Pattern: a new owner reads a shard with hundreds of jobs."""
+
+    # Guards against leases that lapse and owners that replace one another
+    # because a successor does nothing else while it takes its shard in.
+    def test_owner_that_takes_a_large_shard_in_lets_other_work_run(self):
+        runner = _make_runner()
+        self.addCleanup(runner.stop, 'end of the test')
+        _store_finished_jobs(runner._store, _MANY_JOBS)
+        runner.start()
+        turns = 0
+        end = time.monotonic() + 2 * _LIMIT_S
+        while not runner.is_ready and time.monotonic() < end:
+            gevent.sleep(0)
+            turns += 1
+        self.assertTrue(runner.is_ready)
+        self.assertEqual(len(runner.tables.job_by_id), _MANY_JOBS)
+        self.assertGreater(turns, _MANY_JOBS / _JOBS_A_TURN)
+
+    # Guards against a takeover that lasts longer the more jobs are done.
+    def test_finished_jobs_are_shown_without_rows_for_their_tasks(self):
+        runner = _make_runner()
+        self.addCleanup(runner.stop, 'end of the test')
+        job_ids = _store_finished_jobs(runner._store, 1)
+        runner.start()
+        end = time.monotonic() + _LIMIT_S
+        while not runner.is_ready and time.monotonic() < end:
+            gevent.sleep(0)
+        self.assertEqual(runner.status(job_ids[0]), JobStatus.COMPLETE)
+        row = runner.tables.job_by_id[job_ids[0]]
+        self.assertEqual(list(row.occurrence_by_number), [0])
+        self.assertEqual(len(row.occurrence_by_number[0].steps), 0)
+
+
 class LearnedRowsTest(unittest.TestCase):
     def test_new_owner_knows_what_the_one_before_has_learned(self):
         store = _PacedStore()
