A new owner takes its shard in piece by piece, and done jobs without their tasks

Now rows are taken in 25 at a time and other work runs between; progress is read first, so the rows of a job are built once and not twice; a job whose tasks are all done gets no rows for them. Workers are looked at once all is known, as before.

--- a/ragwortfield/engine/shard_rows.py
+++ b/ragwortfield/engine/shard_rows.py
@@ -1,7 +1,9 @@
 """Rows of the store that an owner takes into its tables."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Container, Iterable, Iterator
 from dataclasses import dataclass
+from itertools import chain, islice
+from typing import TypeVar
 
 from ragwortfield.adapters.documents import Malformed
 from ragwortfield.engine.names import cancelled_job_of
@@ -16,7 +18,12 @@
     decode_record,
 )
 from ragwortfield.scheduling.tables import ShardTables
-from ragwortfield.types import Instant, WallTime, WorkerId
+from ragwortfield.types import Instant, JobId, WallTime, WorkerId
+
+#: Rows that are taken in before other work may run.
+_ROWS_A_STEP = 25
+
+_Item = TypeVar('_Item')
 
 WorkerParser = Callable[[WorkerId, bytes], ListedWorker | Malformed]
 
@@ -42,6 +49,7 @@
     *,
     now: Instant,
     wall: WallTime,
+    started: Container[JobId] = (),
 ) -> None:
     """
     Take accepted jobs and cancellations in.
@@ -50,6 +58,7 @@
     :param rows: rows of the shard's inbox.
     :param now: reading of the monotonic clock.
     :param wall: reading of the wall clock.
+    :param started: jobs whose progress is taken in afterwards.
     """
     for row in rows:
         if row.content is None:
@@ -58,7 +67,7 @@
         if cancelled:
             intake.cancel_job(tables, cancelled, now)
         else:
-            take_job_row(tables, row, now=now, wall=wall)
+            take_job_row(tables, row, now=now, wall=wall, started=started)
 
 
 def take_job_row(
@@ -67,6 +76,7 @@
     *,
     now: Instant,
     wall: WallTime,
+    started: Container[JobId] = (),
 ) -> JobRow | None:
     """
     Take an accepted job in.
@@ -75,33 +85,67 @@
     :param row: its row.
     :param now: reading of the monotonic clock.
     :param wall: reading of the wall clock.
+    :param started: jobs whose progress is taken in afterwards.
     :returns: the job; ``None`` when the row cannot be read.
     """
     record = decode_record(row.content or b'', JobRecord)
     if isinstance(record, Malformed):
         event('row_unreadable', key=row.name.key, reason=record.reason)
         return None
-    return intake.take_job(tables, record.job, now=now, wall=wall)
+    job = record.job
+    return intake.take_job(
+        tables,
+        job,
+        now=now,
+        wall=wall,
+        has_progress=job.job_id in started,
+    )
 
 
-def take_progress_rows(
+def load_rows(
     tables: ShardTables,
-    rows: tuple[StoredRow, ...],
+    inbox: tuple[StoredRow, ...],
+    progress: tuple[StoredRow, ...],
+    *,
     now: Instant,
-) -> None:
+    wall: WallTime,
+) -> Iterator[None]:
     """
-    Take the progress that a former owner wrote in.
+    Take in what former owners wrote, a few rows at a time.
 
-    :param tables: tables of the shard, with its jobs.
-    :param rows: progress rows of the shard.
+    A shard holds hundreds of jobs, and its owner has to answer peers while it
+    takes them in.
+
+    :param tables: tables of the shard, with its workers.
+    :param inbox: rows of the shard's inbox.
+    :param progress: progress rows of the shard.
     :param now: reading of the monotonic clock.
+    :param wall: reading of the wall clock.
+    :returns: an iterator to be exhausted; other work may run between its
+        steps.
     """
-    for row in rows:
-        record = decode_record(row.content or b'', ProgressRecord)
-        if isinstance(record, Malformed):
-            event('row_unreadable', key=row.name.key, reason=record.reason)
-            continue
-        intake.restore_progress(tables, record, now)
+    records_by_job: dict[JobId, list[ProgressRecord]] = {}
+    for rows in _batched(progress, _ROWS_A_STEP):
+        for row in rows:
+            record = decode_record(row.content or b'', ProgressRecord)
+            if isinstance(record, Malformed):
+                event('row_unreadable', key=row.name.key, reason=record.reason)
+                continue
+            records_by_job.setdefault(record.job_id, []).append(record)
+        yield
+    for rows in _batched(inbox, _ROWS_A_STEP):
+        take_inbox_rows(
+            tables,
+            rows,
+            now=now,
+            wall=wall,
+            started=records_by_job,
+        )
+        yield
+    for records in _batched(records_by_job.values(), _ROWS_A_STEP):
+        for record in chain.from_iterable(records):
+            intake.restore_progress(tables, record, now)
+        yield
 
 
 def take_worker_rows(
@@ -137,3 +181,12 @@
     for worker_id in tuple(tables.worker_by_id):
         if worker_id not in present:
             intake.drop_worker(tables, worker_id)
+
+
+def _batched(
+    items: Iterable[_Item],
+    size: int,
+) -> Iterator[tuple[_Item, ...]]:
+    left = iter(items)
+    while batch := tuple(islice(left, size)):
+        yield batch
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -20,9 +20,9 @@
 from ragwortfield.engine.shard_commits import ShardCommits, Verdict
 from ragwortfield.engine.shard_rows import (
     WorkerEntries,
+    load_rows,
     take_inbox_rows,
     take_job_row,
-    take_progress_rows,
     take_worker_rows,
 )
 from ragwortfield.engine.worker_loops import WorkerLoops
@@ -255,9 +255,18 @@
         progress = self._read(PROGRESS_TABLE, part_of(self.shard))
         listing = self._read(self._entries.table, '')
         now = time.monotonic()
-        self._take_workers(listing.rows, True)
-        self._take_inbox(inbox.rows, False)
-        take_progress_rows(self.tables, progress.rows, now)
+        self._list_workers(listing.rows, is_whole=True)
+        steps = load_rows(
+            self.tables,
+            inbox.rows,
+            progress.rows,
+            now=now,
+            wall=self._calendar.now(),
+        )
+        for _ in steps:
+            gevent.sleep(0)
+        # Not before: runs that are not known yet would be stopped.
+        self._loops.watch()
         self._learned.restore(self.tables.pressure)
         self.is_ready = True
         event(
@@ -339,6 +348,15 @@
         self,
         rows: tuple[StoredRow, ...],
         is_whole: bool,
+    ) -> None:
+        self._list_workers(rows, is_whole=is_whole)
+        self._loops.watch()
+
+    def _list_workers(
+        self,
+        rows: tuple[StoredRow, ...],
+        *,
+        is_whole: bool,
     ) -> None:
         take_worker_rows(
             self.tables,
@@ -346,7 +364,6 @@
             is_whole=is_whole,
             entries=self._entries,
         )
-        self._loops.watch()
 
     def _run(self) -> None:
         while True:
--- a/ragwortfield/scheduling/intake.py
+++ b/ragwortfield/scheduling/intake.py
@@ -6,6 +6,7 @@
 from ragwortfield.scheduling.job import Job
 from ragwortfield.scheduling.job_rows import (
     JobRow,
+    OccurrenceRow,
     new_job_row,
     new_occurrence,
 )
@@ -31,6 +32,7 @@
     *,
     now: Instant,
     wall: WallTime,
+    has_progress: bool = False,
 ) -> JobRow:
     """
     Take an accepted job in; one that is known already stays as it is.
@@ -39,6 +41,8 @@
     :param job: the job.
     :param now: reading of the monotonic clock.
     :param wall: reading of the wall clock.
+    :param has_progress: whether records of its progress follow, so that
+        nothing of it must start from the beginning.
     :returns: its row.
     """
     known = tables.job_by_id.get(job.job_id)
@@ -58,7 +62,7 @@
         return row
     if job.repeat_count:
         tables.timed_ids.add(job.job_id)
-    else:
+    elif not has_progress:
         _open_occurrence(tables, row, 0, None)
     event(
         'job_taken',
@@ -86,7 +90,7 @@
     if row is None:
         event('progress_without_job', job=record.job_id)
         return
-    occurrence = new_occurrence(row.job, record.occurrence, record)
+    occurrence = _restored(row.job, record)
     row.occurrence_by_number[record.occurrence] = occurrence
     row.opened = max(row.opened, record.occurrence + 1)
     row.has_run = row.has_run or occurrence.has_run
@@ -215,6 +219,22 @@
             work_by_filler[image] = work_by_filler.get(image, 0) + work
 
 
+def _restored(job: Job, record: ProgressRecord) -> OccurrenceRow:
+    is_done = all(
+        task.phase == TaskPhase.DONE for step in record.steps for task in step
+    )
+    if is_done:
+        # Its tasks are asked for by nobody, and most jobs of a shard are done.
+        return OccurrenceRow(
+            job_id=job.job_id,
+            number=record.occurrence,
+            steps=[],
+            is_durably_done=True,
+            has_run=True,
+        )
+    return new_occurrence(job, record.occurrence, record)
+
+
 def _restore_binding(tables: ShardTables, worker_id: WorkerId) -> None:
     if worker_id in tables.worker_by_id:
         return
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -13,10 +13,7 @@
     sequence_row,
 )
 from ragwortfield.engine.shard_commits import ShardCommits, Verdict
-from ragwortfield.engine.shard_rows import (
-    take_inbox_rows,
-    take_progress_rows,
-)
+from ragwortfield.engine.shard_rows import load_rows, take_inbox_rows
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
     ExpectedVersion,
@@ -98,6 +95,7 @@
         self.is_loaded = False
         self.is_deposed = False
         self.feed_version = 0
+        self.load_steps = 0
 
     def load(self):
         """Read the shard; false when the store does not answer."""
@@ -106,8 +104,14 @@
         if isinstance(inbox, Unavailable) or isinstance(progress, Unavailable):
             return
         self._list_workers()
-        self._take_inbox(inbox.rows)
-        take_progress_rows(self.tables, progress.rows, self.world.now)
+        steps = load_rows(
+            self.tables,
+            inbox.rows,
+            progress.rows,
+            now=self.world.now,
+            wall=self.world.now,
+        )
+        self.load_steps = len(list(steps))
         self.feed_version = inbox.version
         self.is_loaded = True
 
