Test: each round leaves time to extend a lease

Rounds of 20 ms with news each millisecond and answers of workers that take four turns: 20 rounds give at least 20 looks.

--- a/ragwortfield/tests/test_shard_runner.py
+++ b/ragwortfield/tests/test_shard_runner.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 import gevent
+from gevent.monkey import get_original
 
 from ragwortfield.adapters.documents import Malformed
 from ragwortfield.core.resources import Resources
@@ -21,6 +22,7 @@
 from ragwortfield.engine.shard_runner import ShardRunner
 from ragwortfield.platform.advice import AdviceClient
 from ragwortfield.ports.row_store import RowWrite, Transaction
+from ragwortfield.scheduling import intake
 from ragwortfield.scheduling.bounds import Bounds
 from ragwortfield.scheduling.catalogue import Catalogue
 from ragwortfield.scheduling.job import Job, Step
@@ -35,7 +37,7 @@
 from ragwortfield.scheduling.status import JobStatus
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.testing.row_store import MemoryRowStore
-from ragwortfield.testing.task_workers import FakeWorkers
+from ragwortfield.testing.task_workers import FakeWorker, FakeWorkers
 from ragwortfield.tests.filler_world import HARSH, FillerWorld
 
 #: Longest wait for the runner's greenlets, in seconds.
@@ -46,6 +48,13 @@
 _MANY_JOBS = 300
 _JOBS_A_TURN = 50
 _TASKS = 20
+#: Sleeps without letting other greenlets run.
+_block = get_original('time', 'sleep')
+#: Turns of the loop that an answer of a worker takes.
+_TURNS_A_LOOK = 4
+#: Length of a dear round, in seconds, and how many of them are waited for.
+_BUSY_S = 0.02
+_ROUNDS = 20
 
 
 class _PacedStore(MemoryRowStore):
@@ -136,6 +145,52 @@
         self.await_true(lambda: runner.is_stopped)
 
 
+class _RemoteWorkers(FakeWorkers):
+    """Workers whose answers take a few turns of the loop, as over a wire."""
+
+    def hold(self, order):
+        for _ in range(_TURNS_A_LOOK):
+            gevent.sleep(0.001)
+        self.late.append((order, 0))
+        return super().hold(order)
+
+
+class SpacingTest(unittest.TestCase):
+    """Pattern: rounds are dear, and each report brings news for the next."""
+
+    def setUp(self):
+        self.rounds = 0
+        self.runner = _make_runner()
+        self.addCleanup(self.runner.stop, 'end of the test')
+        worker = FakeWorker(worker_id='w0', clock=time.monotonic)
+        self.workers = _RemoteWorkers(worker_by_id={'w0': worker})
+        self.runner._loops._workers = self.workers
+        intake.take_worker(self.runner.tables, worker.listing())
+        self.runner._rounds = self
+
+    def decide(self, *_details, **_options):
+        """A round that is busy for a while."""
+        self.rounds += 1
+        _block(_BUSY_S)
+
+    def bring_news(self):
+        while True:
+            self.runner._wake.set()
+            gevent.sleep(0.001)
+
+    # Guards against LOST of incident 0006: rounds that followed each report
+    # at once left the leases of workers no time.
+    def test_each_round_leaves_time_to_extend_a_lease(self):
+        self.runner.start()
+        news = gevent.spawn(self.bring_news)
+        self.addCleanup(news.kill)
+        end = time.monotonic() + 2 * _LIMIT_S
+        while self.rounds < _ROUNDS and time.monotonic() < end:
+            gevent.sleep(0.001)
+        looks = len(self.workers.late)
+        self.assertGreaterEqual(looks, self.rounds)
+
+
 class LoadTest(unittest.TestCase):
     """Pattern: a new owner reads a shard with hundreds of jobs."""
 
