--- /dev/null
+++ b/ragwortfield/testing/log_lines.py
@@ -0,0 +1,26 @@
+"""Reading the events that are logged while something is tried."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from absl import logging
+
+from ragwortfield.log import route_events
+
+
+@contextmanager
+def captured_lines() -> Iterator[list[str]]:
+    """
+    Collect the lines of events instead of writing them.
+
+    :returns: a context that gives the lines, which grow while it lasts.
+    """
+    lines: list[str] = []
+    level = logging.get_verbosity()
+    logging.set_verbosity(logging.INFO)
+    route_events(lambda _level, text: lines.append(text))
+    try:
+        yield lines
+    finally:
+        route_events(None)
+        logging.set_verbosity(level)
