An HTTP status without a name is an answer of a worker like others

Callers would see lasting tasks that stop and don't run again. Cause: HTTPStatus raises ValueError for a number that it does not know, so that the loop or order that got the answer ended. Change: statuses are looked up by number; one without a meaning here leaves the effect open, as 500 did before. Measured: test_worker_calls, statuses 299, 499, 520 and 599 for all four calls: ValueError before, passed after.

--- a/ragwortfield/platform/worker_calls.py
+++ b/ragwortfield/platform/worker_calls.py
@@ -250,13 +250,14 @@
         except ValueError:
             refusal = Refusal.MALFORMED
         return OrderRefused(refusal=refusal, clock_ms=clock_ms)
-    refusal_by_status = {
+    # By number: a worker may send one that HTTPStatus has no name for.
+    refusal_by_status: dict[int, Refusal] = {
         HTTPStatus.MISDIRECTED_REQUEST: Refusal.OTHER_INCARNATION,
         HTTPStatus.TOO_MANY_REQUESTS: Refusal.UNHEALTHY,
         HTTPStatus.SERVICE_UNAVAILABLE: Refusal.UNHEALTHY,
         HTTPStatus.BAD_REQUEST: Refusal.MALFORMED,
     }
-    known = refusal_by_status.get(HTTPStatus(answer.status))
+    known = refusal_by_status.get(answer.status)
     if known is None:
         return Unavailable(
             reason=f'a worker said {answer.status}',
