Frames of peers that can't be read cost one line of the log

Callers would see calls between instances that wait for their whole time, and operators a traceback instead of an event. Cause: only some kinds of errors were looked for. A call whose body the handler can't read raised ValueError or AttributeError; an answer without its number ended the greenlet that reads the link, which stayed in use unread. Change: one list of the errors of malformed frames for calls and answers; the link of such an answer is dropped.

--- a/ragwortfield/peering/calls.py
+++ b/ragwortfield/peering/calls.py
@@ -30,6 +30,17 @@
 _NAME = 'name'
 _BODY = 'body'
 
+#: Errors that a frame raises whose shape or values nobody expected.
+_MALFORMED = (
+    cbor2.CBORDecodeError,
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+)
+#: Errors after which nobody reads a link any more.
+_LINK_BROKEN = (OSError, WebSocketException, *_MALFORMED)
+
 CallBody = dict[str, Any]
 CallHandler = Callable[[str, CallBody], CallBody]
 
@@ -164,8 +175,8 @@
                 waiting = link.answer_by_number.get(answer[_NUMBER])
                 if waiting is not None:
                     waiting.set(answer[_BODY])
-        except (OSError, WebSocketException, cbor2.CBORDecodeError) as error:
-            event('peer_link_broken', address=address, reason=error)
+        except _LINK_BROKEN as error:
+            event('peer_link_broken', address=address, reason=repr(error))
         self._drop(address, link)
 
     def _drop(self, address: str, link: _Link) -> None:
@@ -207,7 +218,7 @@
         call = cbor2.loads(frame)
         body = handler(call[_NAME], call[_BODY])
         connection.send(cbor2.dumps({_NUMBER: call[_NUMBER], _BODY: body}))
-    except (cbor2.CBORDecodeError, KeyError, TypeError) as error:
+    except _MALFORMED as error:
         event('peer_call_malformed', reason=repr(error))
     except (OSError, WebSocketException) as error:
         event('peer_answer_lost', reason=error)
