An end counts as taken once it has been taken

Callers would see a task run a second time after it was done. Cause: the number of an end was noted before the end was taken in. Where that raised, the end was acknowledged with the next commit and its task released as not listed. Change: the number is noted afterwards. Measured: test_end_that_could_not_be_taken_is_taken_from_the_next_report: "started after it was done" before, passed after; tests of the shard (leases, takeover, world, machine) pass.

--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -75,7 +75,11 @@
     worker.reported_at = now
     worker.is_life_doubtful = False
     for end in report.ends:
-        _take_end(tables, worker, end, now)
+        if end.number > worker.noted:
+            _take_end(tables, worker, end, now)
+            # Not before: an end that could not be taken must not be
+            # acknowledged.
+            worker.noted = end.number
     is_newest = report.clock_ms >= worker.report_clock_ms
     worker.report_clock_ms = max(worker.report_clock_ms, report.clock_ms)
     if not is_newest:
@@ -247,9 +251,6 @@
     end: ListedEnd,
     now: Instant,
 ) -> None:
-    if end.number <= worker.noted:
-        return
-    worker.noted = end.number
     task = tables.find_task(end.key)
     is_latest = task is not None and task.run == end.run
     event(
