Loops and orders go on after an unexpected error

Callers would see lasting tasks that stop and don't run again, jobs that never start, or an instance that takes no part, while the process lives. Cause: the loop that keeps a worker's lease, the loops of an instance (calendar, configuration, members and owners, registration, watch of owners) and each order ended with their greenlet at the first unexpected error. An order that ended so was counted as under way for ever. Change: LastingWork guards them: the error is told once a second at most, with its place, and the loop begins anew after a pause. An order's error counts as an outcome with a possible effect. An owner whose decisions fail gives way as before. A look at a worker costs nothing more: the guard is around the loop.

--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -14,6 +14,7 @@
 
 from ragwortfield.adapters.documents import Malformed
 from ragwortfield.engine.cluster import Cluster, KnownOwner
+from ragwortfield.engine.lasting import LastingWork
 from ragwortfield.engine.names import owner_row, part_of, sequence_row
 from ragwortfield.engine.shard_commits import COMMIT_TIMEOUT_S
 from ragwortfield.engine.shard_runner import ShardRunner
@@ -134,6 +135,7 @@
         self._lease_s = lease_s
         self._make_runner = make_runner
         self._silent_since: dict[int, Instant] = {}
+        self._taking = LastingWork(name='take_vacancy')
 
     def watch(self, shard: int) -> None:
         """
@@ -141,10 +143,12 @@
 
         :param shard: number of the shard.
         """
-        while not self.is_leaving:
-            rank = self._rank(shard)
-            self._look(shard, rank)
-            gevent.sleep(_WATCH_S if rank < _WATCHERS else _SLOW_WATCH_S)
+        watching = LastingWork(
+            name='watch_owner',
+            pause_s=_WATCH_S,
+            shard=shard,
+        )
+        watching.run(self._watch, shard)
 
     def runner(self, shard: int) -> ShardRunner | None:
         """
@@ -171,7 +175,8 @@
         if owner.version > runner.owner_version():
             runner.stop('the store names another owner')
         if not owner.record.instance_id and not self.is_leaving:
-            gevent.spawn(self._take_vacancy, shard)
+            # Whoever watches the shard tries again.
+            gevent.spawn(self._taking.attempt, self._take_vacancy, shard)
 
     def answer_ping(self, body: CallBody) -> CallBody:
         """
@@ -226,6 +231,12 @@
         ]
         gevent.joinall(leaving, timeout=2 * timeout_s)
 
+    def _watch(self, shard: int) -> None:
+        while not self.is_leaving:
+            rank = self._rank(shard)
+            self._look(shard, rank)
+            gevent.sleep(_WATCH_S if rank < _WATCHERS else _SLOW_WATCH_S)
+
     def _rank(self, shard: int) -> int:
         return self._cluster.rank_of(shard, self._identity.instance_id)
 
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -22,6 +22,7 @@
     shard_of_worker,
     worker_limits,
 )
+from ragwortfield.engine.lasting import LastingWork
 from ragwortfield.engine.layout import PoolSizing, shards_for
 from ragwortfield.engine.ownership import Identity, Ownership, Tenure
 from ragwortfield.engine.shard_commits import COMMIT_TIMEOUT_S, ShardCommits
@@ -62,6 +63,9 @@
 _AWAY_LIMIT_S: Seconds = 1
 #: Pause before a failed call is made again, in seconds.
 _RETRY_S: Seconds = 0.2
+#: Pause before a table is read again as a whole after an unexpected error, in
+#: seconds.
+_READ_AGAIN_S: Seconds = 1
 _SECOND_S: Seconds = 1
 _MS_PER_S = 1000
 
@@ -159,8 +163,10 @@
     def start(self) -> None:
         """Take part in the deployment, in the background."""
         self._peers.listen(self._identity.address, self._answer)
-        gevent.spawn(self._keep_calendar)
-        gevent.spawn(self._follow_operator)
+        keeping = LastingWork(name='keep_calendar', pause_s=_RETRY_S)
+        gevent.spawn(keeping.run, self._keep_calendar)
+        following = LastingWork(name='follow_operator', pause_s=_READ_AGAIN_S)
+        gevent.spawn(following.run, self._follow_operator)
         gevent.spawn(self._join)
 
     def catalogue(self) -> Catalogue | None:
@@ -278,10 +284,12 @@
             runner.take_catalogue(catalogue)
 
     def _join(self) -> None:
-        store_ms = self._measure_store()
-        self._register(store_ms)
-        gevent.spawn(self._follow_cluster)
-        self._await_layout()
+        joining = LastingWork(name='join', pause_s=_RETRY_S)
+        store_ms = joining.run(self._measure_store)
+        joining.run(self._register, store_ms)
+        following = LastingWork(name='follow_cluster', pause_s=_READ_AGAIN_S)
+        gevent.spawn(following.run, self._follow_cluster)
+        joining.run(self._await_layout)
         for shard in range(self._cluster.shards):
             gevent.spawn(self.ownership.watch, shard)
 
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -6,11 +6,13 @@
 import gevent
 from gevent.event import Event
 
+from ragwortfield.engine.lasting import LastingWork
 from ragwortfield.engine.owner_pulse import OwnerPulse
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
     LeaseReport,
+    OrderOutcome,
     OrderRefused,
     Refusal,
     StartRun,
@@ -58,13 +60,20 @@
         self._is_stopped = False
         self._loop_by_worker: dict[WorkerId, gevent.Greenlet] = {}
         self._silent_since: dict[WorkerId, Instant] = {}
+        self._sending = LastingWork(name='send_order')
 
     def watch(self) -> None:
         """Start a loop for each worker that has none."""
         for worker_id, row in self._tables.worker_by_id.items():
             known = self._loop_by_worker.get(worker_id)
             if row.listed.address and (known is None or known.dead):
+                holding = LastingWork(
+                    name='hold_worker',
+                    pause_s=_RETRY_S,
+                    worker=worker_id,
+                )
                 self._loop_by_worker[worker_id] = gevent.spawn(
+                    holding.run,
                     self._hold,
                     worker_id,
                 )
@@ -84,14 +93,20 @@
     def _send(self, order: Order) -> None:
         if self._is_stopped:
             return
-        if isinstance(order, StartRun):
-            outcome = self._workers.start(order)
-        elif isinstance(order, StopRun):
-            outcome = self._workers.stop(order)
-        else:
-            outcome = self._workers.pace(order)
+        outcome = self._sending.attempt(self._call, order)
         if self._is_stopped:
             return
+        self._sending.attempt(self._take_outcome, order, outcome)
+        self._on_news()
+
+    def _call(self, order: Order) -> OrderOutcome:
+        if isinstance(order, StartRun):
+            return self._workers.start(order)
+        if isinstance(order, StopRun):
+            return self._workers.stop(order)
+        return self._workers.pace(order)
+
+    def _take_outcome(self, order: Order, outcome: OrderOutcome) -> None:
         now = time.monotonic()
         if isinstance(order, StartRun):
             reports.take_start_outcome(self._tables, order, outcome, now)
@@ -99,7 +114,6 @@
             reports.take_stop_outcome(self._tables, order, outcome)
         else:
             interference.take_pace_outcome(self._tables, order, outcome, now)
-        self._on_news()
 
     def _hold(self, worker_id: WorkerId) -> None:
         while True:
--- /dev/null
+++ b/ragwortfield/tests/test_lasting.py
@@ -0,0 +1,65 @@
+"""Work that goes on after unexpected errors: told, bounded, and stoppable."""
+
+import unittest
+from unittest import mock
+
+import gevent
+
+from ragwortfield.engine import lasting
+from ragwortfield.engine.lasting import LastingWork
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.testing.log_lines import captured_lines
+
+_PAUSE_S = 0.01
+
+
+def _fail():
+    raise LookupError('no such row ' * 100)
+
+
+def _wait():
+    gevent.sleep(60)
+
+
+class LastingWorkTest(unittest.TestCase):
+    def setUp(self):
+        self.work = LastingWork(name='some', pause_s=_PAUSE_S, shard=3)
+
+    # Guards against work that is begun anew although it has ended by itself.
+    def test_work_that_ends_by_itself_gives_its_outcome(self):
+        work = mock.Mock(side_effect=[LookupError('a'), ValueError('b'), 7])
+        with captured_lines():
+            self.assertEqual(self.work.run(work, 'x'), 7)
+        self.assertEqual(work.mock_calls, [mock.call('x')] * 3)
+
+    # Guards against loops that can't be ended any more.
+    def test_kill_ends_a_loop_in_its_work_and_in_its_pause(self):
+        for work in (_wait, _fail):
+            with captured_lines():
+                loop = gevent.spawn(self.work.run, work)
+                gevent.sleep(2 * _PAUSE_S)
+                self.assertFalse(loop.dead)
+                loop.kill(timeout=1)
+            self.assertTrue(loop.dead)
+
+    # Guards against a log that is full of one error, or of one long text.
+    def test_errors_are_told_once_a_second_and_in_short(self):
+        with mock.patch.object(lasting, 'time') as clock:
+            with captured_lines() as lines:
+                for now in (0, 0.4, 0.9, 1.1):
+                    clock.monotonic.return_value = now
+                    self.work.attempt(_fail)
+        self.assertEqual(len(lines), 2)
+        self.assertIn('event=unexpected_error work=some shard=3', lines[0])
+        self.assertIn('LookupError: no such row', lines[0])
+        self.assertIn('place=_fail:', lines[0])
+        self.assertIn('untold_before=0', lines[0])
+        self.assertIn('untold_before=2', lines[1])
+        self.assertLess(len(lines[0]), 400)
+
+    # Guards against an unknown effect that is taken for none.
+    def test_failed_attempt_may_have_had_an_effect(self):
+        with captured_lines():
+            outcome = self.work.attempt(_fail)
+        self.assertIsInstance(outcome, Unavailable)
+        self.assertTrue(outcome.is_effect_possible)
