A failed subtest fails the run of the suite

The runner counted failures and errors only; nose2 reports a failed subtest with an outcome of its own, so a run printed FAILED, then '0 failed', and ended with status 0.

Test: test_run_tests.test_failed_subtest_fails_its_test, red before.

--- a/ragwortfield/testing/run_tests.py
+++ b/ragwortfield/testing/run_tests.py
@@ -12,6 +12,7 @@
 from absl import flags, logging
 from nose2 import events
 from nose2.main import PluggableTestProgram
+from nose2.result import ERROR, FAIL, SUBTEST
 
 from ragwortfield.invariants import INVARIANTS
 
@@ -34,10 +35,12 @@
 
         :param event: the outcome as nose2 gives it.
         """
-        name = event.test.id()
-        self.ran.add(name)
-        if event.outcome in {'failed', 'error'}:
-            self.failed.add(name)
+        is_subtest = event.outcome == SUBTEST
+        # A subtest counts for the test that it is part of.
+        test = event.test.test_case if is_subtest else event.test
+        self.ran.add(test.id())
+        if event.outcome in {FAIL, ERROR} or (is_subtest and event.exc_info):
+            self.failed.add(test.id())
 
 
 def main() -> int:
--- /dev/null
+++ b/ragwortfield/tests/test_run_tests.py
@@ -0,0 +1,57 @@
+"""The run of the suite counts every kind of failure."""
+
+import unittest
+
+from nose2 import events, result
+
+from ragwortfield.testing.run_tests import _plugin
+
+_ERROR = (ValueError, ValueError('wrong'), None)
+
+
+class _Example(unittest.TestCase):
+    """Not collected by name; its subtests are handed to the plugin."""
+
+    def check(self):
+        """Stand for a test with a good and a bad subtest."""
+        for number in (1, 2):
+            with self.subTest(number=number):
+                self.assertEqual(number, 1)
+
+
+class _Recorder(unittest.TestResult):
+    """Hands the outcomes of subtests on, as the suite's runner does."""
+
+    def __init__(self, plugin):
+        super().__init__()
+        self.plugin = plugin
+
+    def addSubTest(self, test, subtest, err):
+        event = events.TestOutcomeEvent(subtest, self, result.SUBTEST, err)
+        self.plugin.testOutcome(event)
+
+
+class FailureListTest(unittest.TestCase):
+    def setUp(self):
+        self.plugin = _plugin()
+        self.plugin.ran = set()
+        self.plugin.failed = set()
+        self.example = _Example('check')
+
+    # Guards against a suite that passes although a subtest has failed.
+    def test_failed_subtest_fails_its_test(self):
+        self.example.run(_Recorder(self.plugin))
+        self.assertEqual(self.plugin.failed, {self.example.id()})
+
+    def test_failures_and_errors_are_remembered(self):
+        for outcome in (result.FAIL, result.ERROR):
+            self.plugin.failed.clear()
+            event = events.TestOutcomeEvent(self.example, None, outcome, _ERROR)
+            self.plugin.testOutcome(event)
+            self.assertEqual(self.plugin.failed, {self.example.id()})
+
+    def test_success_is_no_failure(self):
+        event = events.TestOutcomeEvent(self.example, None, result.PASS)
+        self.plugin.testOutcome(event)
+        self.assertEqual(self.plugin.ran, {self.example.id()})
+        self.assertEqual(self.plugin.failed, set())
