Test: a late owner lets leases lapse (red)

Listed as known red.

Found by asking what else than dear rounds makes leases lapse under an owner that is alive: an extension is sent only if the worker's last report is younger than 1.2 s when the next look is sent, so an owner that is late itself takes every worker for silent.

The second test holds already: an owner that stood still for longer than a lease looks before it extends.

--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -3,6 +3,7 @@
 import unittest
 
 from ragwortfield.ports.task_worker import EndKind, OrderDone, StopRun
+from ragwortfield.scheduling import leases
 from ragwortfield.scheduling.bounds import Bounds
 from ragwortfield.scheduling.status import JobStatus
 from ragwortfield.scheduling.worker_rows import WorkerClock
@@ -12,6 +13,9 @@
 #: ask for a lasting task to run again within six seconds.
 _AGAIN_S = 6
 _SETTLED_S = 30
+#: Time between two rounds of an owner that is late, in seconds: longer than
+#: the silence after which a worker gets no new runs.
+_LATE_S = 1.5
 
 
 def _act(world, seconds):
@@ -54,6 +58,27 @@
         _act(self.world, 2)
         self.assertEqual(self.running(), [lost])
 
+    # Guards against LOST of incident 0006: an owner that was late itself took
+    # every worker for silent and extended no lease.
+    def test_task_runs_on_under_an_owner_that_is_late_itself(self):
+        worker = self.running()[0]
+        for _ in range(20):
+            self.world.owners[-1].act()
+            self.world.advance(_LATE_S)
+        self.world.check()
+        self.assertEqual(self.running(), [worker])
+        self.assertEqual(self.first_task(self.job_id).run, 1)
+
+    # Guards against an owner that was stopped and extends leases which its
+    # successor takes for over.
+    def test_owner_that_stood_still_for_a_lease_looks_before_it_extends(self):
+        owner = self.world.owners[-1]
+        row = next(iter(owner.tables.worker_by_id.values()))
+        later = self.world.now + Bounds().asked_lease_s() + 0.1
+        order = leases.lease_order(owner.tables, row, later)
+        self.assertIsNone(order.deadline_ms)
+        self.assertLess(Bounds().asked_lease_s(), Bounds().unaware_s)
+
     def test_reborn_worker_gets_its_tasks_anew(self):
         lost = self.running()[0]
         lost.restart()
