Leases are extended while looks are answered, however late the owner is

Cause: a look extended the lease only if the last report was younger than 1.2 s when the look was sent. Between the two lie the wait for the commit and the turns of the owner's own thread. An owner that was late by 1.2 s so took every worker for silent, extended no lease at all, and its own lateness ended what ran.

Change: silence is what looks without an answer show. A look extends if the one before was answered, and its report is not older than a lease; an owner that stood still for longer looks first, since a successor reckons with extensions of the one before for five seconds (Bounds.unaware_s).

--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -172,6 +172,7 @@
     ) -> None:
         worker_id = row.worker_id
         self._pulse.note_failed_look()
+        leases.note_unanswered(row)
         if isinstance(failure, Unavailable):
             self._note_silence(row, failure, now)
             return
--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -73,6 +73,7 @@
             is_reborn=is_reborn,
         )
     worker.reported_at = now
+    worker.is_answering = True
     worker.is_life_doubtful = False
     for end in report.ends:
         if end.number > worker.noted:
--- a/ragwortfield/scheduling/worker_rows.py
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -75,6 +75,7 @@
     :param lease_end_ms: latest end of its lease, by its own clock.
     :param known_at: first report under the present owner; 0 before it.
     :param reported_at: latest report.
+    :param is_answering: whether the latest look got a report.
     :param noted: last end that was taken into the tables.
     :param acknowledged: last end whose effect is durable.
     :param told: last end of which the worker knows that.
@@ -111,6 +112,7 @@
     lease_end_ms: float = 0
     known_at: Instant = 0
     reported_at: Instant = 0
+    is_answering: bool = False
     report_clock_ms: float = 0
     noted: int = 0
     acknowledged: int = 0
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -173,7 +173,9 @@
                     told=order.acknowledged,
                 )
                 interference.take_readings(self.tables, row, self.world.now)
-            elif isinstance(report, OrderRefused):
+                continue
+            leases.note_unanswered(row)
+            if isinstance(report, OrderRefused):
                 self.tables.is_deposed = True
 
     def _commit(self):
