A commit holds at most what the store takes when jobs are forgotten

What callers would have seen, 240 s after the first jobs ended at some 16 jobs a second: an owner that commits nothing any more. Cause: a commit took up to 90 records and the rows of up to 90 forgotten jobs, two and more each; the store takes 100 entries a call, refuses, and the same batch was tried for ever.

Change: records and removals share one bound; a job's own row goes before those of its occurrences, which may take several commits. What put a batch back was called by nothing and is gone.

Red before: 150 jobs forgotten at once made a call of 183 entries; now 100 at most (test_shard_commits).

--- a/ragwortfield/engine/shard_commits.py
+++ b/ragwortfield/engine/shard_commits.py
@@ -1,5 +1,6 @@
 """Commits of a shard's owner, each of them made once."""
 
+from collections.abc import Iterator
 from enum import Enum
 
 from ragwortfield.adapters.documents import Malformed
@@ -14,6 +15,7 @@
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
     ExpectedVersion,
+    RowName,
     RowStore,
     RowWrite,
     Transaction,
@@ -21,7 +23,6 @@
     TransactionRefused,
 )
 from ragwortfield.scheduling.commits import Batch
-from ragwortfield.scheduling.job_rows import JobRow
 from ragwortfield.scheduling.records import (
     SequenceRecord,
     decode_record,
@@ -125,8 +126,9 @@
             )
             for (job_id, number), content in batch.record_by_key.items()
         )
-        for job in batch.removed:
-            writes.extend(self._removals(job))
+        writes.extend(
+            RowWrite(name=name, content=None) for name in self._removals(batch)
+        )
         return Transaction(
             expected=(
                 ExpectedVersion(
@@ -138,13 +140,10 @@
             writes=tuple(writes),
         )
 
-    def _removals(self, job: JobRow) -> list[RowWrite]:
-        job_id = job.job.job_id
-        names = [job_row(self._shard, job_id)]
-        if job.is_cancelled:
-            names.append(cancel_row(self._shard, job_id))
-        names.extend(
-            progress_row(self._shard, job_id, number)
-            for number in job.occurrence_by_number
-        )
-        return [RowWrite(name=name, content=None) for name in names]
+    def _removals(self, batch: Batch) -> Iterator[RowName]:
+        for job in batch.removed:
+            yield job_row(self._shard, job.job.job_id)
+            if job.is_cancelled:
+                yield cancel_row(self._shard, job.job.job_id)
+        for job_id, number in batch.removed_occurrences:
+            yield progress_row(self._shard, job_id, number)
--- a/ragwortfield/scheduling/commits.py
+++ b/ragwortfield/scheduling/commits.py
@@ -1,6 +1,6 @@
 """What is written durably together, and what may follow a commit."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ragwortfield.scheduling.dispatch import order_start
 from ragwortfield.scheduling.job_rows import JobRow, RunStage, TaskRow
@@ -15,8 +15,11 @@
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.types import Instant, JobId
 
-#: Occurrences written together; the store takes 100 entries a transaction.
-_RECORDS_A_COMMIT = 90
+#: Rows written or removed together; the store takes 100 entries a
+#: transaction, a few of which say what is expected.
+_ROWS_A_COMMIT = 90
+#: Rows of a job beside those of its occurrences: its own, its cancellation.
+_ROWS_A_JOB = 2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -30,7 +33,8 @@
     :param noted_by_worker: ends whose effect the batch makes durable.
     :param failed: jobs whose failure it makes durable.
     :param finished: occurrences that it shows as done.
-    :param removed: jobs whose rows it removes.
+    :param removed: jobs whose own rows it removes.
+    :param removed_occurrences: occurrences whose records it removes.
     """
 
     sequence: SequenceRecord
@@ -39,7 +43,8 @@
     noted_by_worker: dict[str, tuple[int, int]]
     failed: tuple[JobRow, ...] = ()
     finished: tuple[tuple[JobId, int], ...] = ()
-    removed: tuple[JobRow, ...] = field(default=())
+    removed: tuple[JobRow, ...] = ()
+    removed_occurrences: tuple[tuple[JobId, int], ...] = ()
 
 
 def take_batch(tables: ShardTables, number: int) -> Batch | None:
@@ -50,7 +55,7 @@
     :param number: number of the commit.
     :returns: the batch; ``None`` when nothing has changed.
     """
-    keys = tuple(tables.dirty_by_key)[:_RECORDS_A_COMMIT]
+    keys = tuple(tables.dirty_by_key)[:_ROWS_A_COMMIT]
     if not keys and not tables.forgotten:
         return None
     rows = [tables.dirty_by_key.pop(key) for key in keys]
@@ -68,8 +73,10 @@
         for one in tables.uncommitted
         if (one[0].key.job_id, one[0].key.occurrence) not in written
     ]
-    removed = tuple(tables.forgotten[:_RECORDS_A_COMMIT])
-    del tables.forgotten[:_RECORDS_A_COMMIT]
+    removed, removed_occurrences = _take_forgotten(
+        tables,
+        _ROWS_A_COMMIT - len(keys),
+    )
     return Batch(
         sequence=SequenceRecord(epoch=tables.epoch, number=number),
         record_by_key={
@@ -87,26 +94,10 @@
             key for key, row in zip(keys, rows, strict=True) if row.is_done()
         ),
         removed=removed,
+        removed_occurrences=removed_occurrences,
     )
 
 
-def put_back(tables: ShardTables, batch: Batch) -> None:
-    """
-    Take a batch back whose commit is not known to have been made.
-
-    Its changes are part of the next batch, which says the same or more.
-
-    :param tables: tables of the shard.
-    :param batch: the batch.
-    """
-    for job_id, number in batch.record_by_key:
-        job = tables.job_by_id.get(job_id)
-        if job is not None and number in job.occurrence_by_number:
-            tables.mark_dirty(job.occurrence_by_number[number])
-    tables.uncommitted.extend(batch.starts)
-    tables.forgotten.extend(batch.removed)
-
-
 def confirm(tables: ShardTables, batch: Batch, now: Instant) -> None:
     """
     Act on what has become durable.
@@ -163,6 +154,37 @@
         tables.forgotten.append(job)
 
 
+def _take_forgotten(
+    tables: ShardTables,
+    room: int,
+) -> tuple[tuple[JobRow, ...], tuple[tuple[JobId, int], ...]]:
+    """
+    Take as many forgotten jobs and occurrences as fit into a commit.
+
+    A job's own row goes first: an occurrence without its job is not read, a
+    job without an occurrence of its own would run it again.
+    """
+    jobs: list[JobRow] = []
+    occurrences: list[tuple[JobId, int]] = []
+    while tables.forgotten:
+        job = tables.forgotten[0]
+        if not job.is_removed and room < _ROWS_A_JOB:
+            break
+        if not job.is_removed:
+            job.is_removed = True
+            jobs.append(job)
+            room -= _ROWS_A_JOB
+        numbers = tuple(job.occurrence_by_number)[:room]
+        for number in numbers:
+            del job.occurrence_by_number[number]
+            occurrences.append((job.job.job_id, number))
+        room -= len(numbers)
+        if job.occurrence_by_number:
+            break
+        tables.forgotten.pop(0)
+    return tuple(jobs), tuple(occurrences)
+
+
 def _noted(tables: ShardTables) -> dict[str, tuple[int, int]]:
     return {
         worker.worker_id: (worker.born_ms, worker.noted)
--- a/ragwortfield/scheduling/job_rows.py
+++ b/ragwortfield/scheduling/job_rows.py
@@ -194,6 +194,7 @@
     :param occurrence_by_number: those that are due or under way.
     :param opened: occurrences created so far.
     :param finished_at: when it reached its final state; 0 before.
+    :param is_removed: whether its own rows are removed from the store.
     :param left_by_step: work from each step on along the longest path, in
         seconds, by number of the step.
     """
@@ -211,6 +212,7 @@
     is_durably_failed: bool = False
     is_durably_done: bool = False
     finished_at: Instant = 0
+    is_removed: bool = False
     left_by_step: tuple[Seconds, ...] = ()
 
     def occurrences_wanted(self) -> int:
--- /dev/null
+++ b/ragwortfield/tests/test_shard_commits.py
@@ -0,0 +1,74 @@
+"""What an owner writes in one call."""
+
+import unittest
+
+from ragwortfield.ports.task_worker import EndKind
+from ragwortfield.scheduling import commits
+from ragwortfield.scheduling.bounds import Bounds
+from ragwortfield.scheduling.status import JobStatus
+from ragwortfield.testing.row_store import MemoryRowStore
+from ragwortfield.tests.shard_world import ShardWorld, one_step
+
+#: Entries of one call that the store takes (users' pages).
+_STORE_ENTRIES = 100
+_JOBS = 150
+
+
+class _CountingStore(MemoryRowStore):
+    """Store that tells how many entries each call holds."""
+
+    def __init__(self, *, sizes):
+        super().__init__()
+        self.sizes = sizes
+
+    def commit(self, transaction, timeout_s):
+        entries = len(transaction.expected) + len(transaction.writes)
+        self.sizes.append(entries)
+        return super().commit(transaction, timeout_s)
+
+
+class CommitSizeTest(unittest.TestCase):
+    def setUp(self):
+        self.world = ShardWorld(workers=3)
+        self.sizes = []
+        self.world.store = _CountingStore(sizes=self.sizes)
+        self.world.take_over()
+
+    def act(self, rounds):
+        for _ in range(rounds):
+            self.world.owners[-1].act()
+            self.world.advance(0.1)
+            self.world.end_some(EndKind.DONE, count=_JOBS)
+
+    # Guards against an owner that never commits again, because the store
+    # refuses a call that forgets hundreds of jobs at once.
+    def test_forgotten_jobs_are_removed_in_calls_that_the_store_takes(self):
+        job_ids = [self.world.submit(one_step(cpu=0.01)) for _ in range(_JOBS)]
+        self.act(20)
+        self.assertEqual(self.world.status(job_ids[-1]), JobStatus.COMPLETE)
+        self.sizes.clear()
+        self.world.advance(2 * Bounds().status_s + 1)
+        self.act(20)
+        self.assertEqual(self.world.owners[-1].tables.job_by_id, {})
+        self.assertEqual(self.world.owners[-1].tables.forgotten, [])
+        self.assertLessEqual(max(self.sizes), _STORE_ENTRIES)
+
+    # Guards against a job with hundreds of occurrences that never fits into a
+    # call, and against one of them that runs again without the others.
+    def test_rows_of_a_long_timed_job_are_removed_after_the_job_itself(self):
+        job_id = self.world.submit(one_step(cpu=0.01))
+        self.act(4)
+        tables = self.world.owners[-1].tables
+        job = tables.job_by_id[job_id]
+        for number in range(2 * _STORE_ENTRIES):
+            job.occurrence_by_number[number] = job.occurrence_by_number[0]
+        tables.forgotten.append(job)
+        batches = [commits.take_batch(tables, number) for number in range(4)]
+        removed = [batch and len(batch.removed) for batch in batches]
+        self.assertEqual(removed, [1, 0, 0, None])
+        numbers = [
+            number
+            for batch in batches[:3]
+            for _, number in batch.removed_occurrences
+        ]
+        self.assertEqual(numbers, list(range(2 * _STORE_ENTRIES)))
