Timed jobs go on after sixteen occurrences, and leave none out

Callers of a job with more than sixteen occurrences would see it stop for good after the sixteenth: finished occurrences counted as open. And where a later occurrence had been written before an earlier one, a new owner took the earlier one for opened, and it never ran. Finished ones no longer count, and the next occurrence is the first that is not known.

Tests: test_timed_occurrences, both red before.

--- a/ragwortfield/scheduling/intake.py
+++ b/ragwortfield/scheduling/intake.py
@@ -22,7 +22,7 @@
 
 #: Longest time before now that an acceptance by another clock may lie.
 _LONGEST_AGE_S: Seconds = 120
-#: Occurrences of one job that may be open at once.
+#: Occurrences of one job that may be unfinished at once.
 _OPEN_OCCURRENCES = 16
 
 
@@ -92,7 +92,6 @@
         return
     occurrence = _restored(row.job, record)
     row.occurrence_by_number[record.occurrence] = occurrence
-    row.opened = max(row.opened, record.occurrence + 1)
     row.has_run = row.has_run or occurrence.has_run
     for step in occurrence.steps:
         for task in step.tasks:
@@ -136,10 +135,17 @@
     """
     for job_id in tuple(tables.timed_ids):
         row = tables.job_by_id[job_id]
+        # Later occurrences may have been restored without this one.
+        while row.opened in row.occurrence_by_number:
+            row.opened += 1
         if row.is_closed() or row.opened >= row.job.repeat_count:
             tables.timed_ids.discard(job_id)
             continue
-        is_room = len(row.occurrence_by_number) < _OPEN_OCCURRENCES
+        unfinished = sum(
+            not occurrence.is_done()
+            for occurrence in row.occurrence_by_number.values()
+        )
+        is_room = unfinished < _OPEN_OCCURRENCES
         if is_room and row.job.due_at(row.opened) <= wall:
             _open_occurrence(tables, row, row.opened, None)
 
--- /dev/null
+++ b/ragwortfield/tests/test_timed_occurrences.py
@@ -0,0 +1,66 @@
+"""Timed jobs: each occurrence once, however many there are."""
+
+import unittest
+from dataclasses import replace
+
+from ragwortfield.core.resources import Resources
+from ragwortfield.scheduling import intake
+from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.records import (
+    ProgressRecord,
+    TaskPhase,
+    TaskRecord,
+)
+from ragwortfield.tests.filler_world import NOW, FillerWorld
+
+_TIMES = 40
+_DONE = TaskRecord(phase=TaskPhase.DONE, run=1)
+
+
+class OccurrenceTest(unittest.TestCase):
+    def setUp(self):
+        self.tables = FillerWorld(workers=1).tables
+        self.job = Job(
+            job_id='timed',
+            queue='queue',
+            spec='',
+            steps=(Step(count=1, need=Resources(cpu=1)),),
+            accepted_at=0,
+            repeat_count=_TIMES,
+            first_due_at=1,
+            interval_s=1,
+        )
+        self.row = intake.take_job(self.tables, self.job, now=NOW, wall=0)
+
+    def restore(self, number, *steps):
+        record = ProgressRecord(
+            job_id='timed',
+            occurrence=number,
+            steps=steps,
+        )
+        intake.restore_progress(self.tables, record, NOW)
+
+    def open_all(self):
+        for _ in range(_TIMES):
+            intake.open_due_occurrences(self.tables, 2 * _TIMES)
+
+    def numbers(self):
+        return sorted(self.row.occurrence_by_number)
+
+    # Guards against a timed job that stops for good after its first sixteen
+    # occurrences.
+    def test_finished_occurrences_make_room_for_later_ones(self):
+        self.open_all()
+        self.assertEqual(self.numbers(), list(range(16)))
+        for number in self.numbers():
+            self.restore(number, (_DONE,))
+        self.open_all()
+        self.assertEqual(self.numbers(), list(range(32)))
+
+    # Guards against an occurrence that never runs because a later one was
+    # written before it when the owner changed.
+    def test_occurrence_without_a_record_is_opened_after_a_takeover(self):
+        self.restore(0, (_DONE,))
+        self.restore(2, (replace(_DONE, phase=TaskPhase.WAITING),))
+        intake.open_due_occurrences(self.tables, 2)
+        self.assertEqual(self.numbers(), [0, 1, 2])
