A record of another shape finishes no job

A progress record with fewer tasks than its job has would have shown the job as complete (since; before, it ended the owner). It counts as unreadable now, as one that can't be decoded does, and is logged.

Test: test_shard_takeover.UnfitRecordTest, red before.

--- a/ragwortfield/scheduling/intake.py
+++ b/ragwortfield/scheduling/intake.py
@@ -226,6 +226,15 @@
 
 
 def _restored(job: Job, record: ProgressRecord) -> OccurrenceRow:
+    counts = tuple(len(step) for step in record.steps)
+    if counts != tuple(step.count for step in job.steps):
+        event(
+            'row_unreadable',
+            job=job.job_id,
+            occurrence=record.occurrence,
+            reason=f'tasks of steps {counts}, expected those of the job',
+        )
+        return new_occurrence(job, record.occurrence)
     is_done = all(
         task.phase == TaskPhase.DONE for step in record.steps for task in step
     )
--- a/ragwortfield/tests/test_shard_takeover.py
+++ b/ragwortfield/tests/test_shard_takeover.py
@@ -2,8 +2,17 @@
 
 import unittest
 
+from ragwortfield.core.resources import Resources
 from ragwortfield.ports.task_worker import EndKind
+from ragwortfield.scheduling import intake
+from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.records import (
+    ProgressRecord,
+    TaskPhase,
+    TaskRecord,
+)
 from ragwortfield.scheduling.status import JobStatus
+from ragwortfield.tests.filler_world import NOW, FillerWorld
 from ragwortfield.tests.shard_world import (
     ATTEMPTS,
     ShardWorld,
@@ -11,6 +20,8 @@
     one_step,
 )
 
+_DONE = TaskRecord(phase=TaskPhase.DONE, run=1)
+
 
 class TakeoverTest(unittest.TestCase):
     def setUp(self):
@@ -95,3 +106,32 @@
         self.replace_owner()
         self.finish()
         self.assertEqual(self.world.status(job_id), JobStatus.COMPLETE)
+
+
+class UnfitRecordTest(unittest.TestCase):
+    # Guards against a job that is shown as complete because its record names
+    # fewer tasks than it has.
+    def test_record_of_another_shape_does_not_finish_a_job(self):
+        tables = FillerWorld(workers=1).tables
+        step = Step(count=2, need=Resources(cpu=1))
+        job = Job(
+            job_id='job',
+            queue='queue',
+            spec='',
+            steps=(step, step),
+            accepted_at=0,
+        )
+        for steps in ((), ((_DONE, _DONE),), ((_DONE,), (_DONE, _DONE))):
+            tables.job_by_id.clear()
+            row = intake.take_job(
+                tables,
+                job,
+                now=NOW,
+                wall=0,
+                has_progress=True,
+            )
+            record = ProgressRecord(job_id='job', occurrence=0, steps=steps)
+            intake.restore_progress(tables, record, NOW)
+            self.assertFalse(row.is_durably_done)
+            tasks = row.occurrence_by_number[0].steps[1].tasks
+            self.assertEqual(len(tasks), 2)
