Tests: a hand-over of seats cut off by an outage (red)

What callers saw: once in five whole runs of the suite, beside load, the first booking of an outage was refused as not run. Cause: a seat handed to a newcomer has no holder between its release and the newcomer's write; an outage that begins there leaves it so. Instances count as ready while one holds all four seats, so hand-overs follow at once. Besides: a release that the store refused leaves the seat unused too, and a seat whose claims were not read refuses every key. Reading this path showed a fourth fault: a claim opened between the plan of a release and its write is not in the table, and the next holder runs the key again. Ruled out by reading: the lease's end (a holder keeps its seat in an outage), quotas, and gaps (no holder was lost). Not ruled out: pauses and late heartbeats; the refusal's body was not kept.

--- a/ragwortfield/tests/seat_world.py
+++ b/ragwortfield/tests/seat_world.py
@@ -1,5 +1,6 @@
 """Instances that hold seats, on a platform in memory, driven by one clock."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ragwortfield.core.configuration import ConfigurationVersion
@@ -38,6 +39,9 @@
 
     platform: MemoryPlatform
     is_cut: bool = False
+    is_refusing_writes: bool = False
+    refused: list[Write] = field(default_factory=list)
+    after_write: Callable[[], None] | None = None
 
     def scan(self, prefix):
         if self.is_cut:
@@ -47,7 +51,15 @@
     def transact(self, writes):
         if self.is_cut:
             return Unavailable(reason='cut')
-        return self.platform.transact(writes)
+        if self.is_refusing_writes:
+            self.refused.extend(writes)
+            return Unavailable(reason='refused')
+        outcome = self.platform.transact(writes)
+        follow = self.after_write
+        if follow is not None:
+            self.after_write = None
+            follow()
+        return outcome
 
     def fetch(self):
         if self.is_cut:
@@ -207,6 +219,9 @@
         seats = self.configuration.data_centres[data_centre].seats
         return [f'seats/{data_centre}/{index}' for index in range(seats)]
 
+    def stop_store(self):
+        self.platform.switches.is_down = True
+
     def is_store_seen(self, member):
         return is_store_reachable(member.tables, self.clock.monotonic())
 
--- a/ragwortfield/tests/test_seats.py
+++ b/ragwortfield/tests/test_seats.py
@@ -1,9 +1,21 @@
 """Tests of the seats: holding, handing over, taking over."""
 
+from itertools import count
 from unittest import TestCase
 
+from ragwortfield.core.claims import (
+    ClaimKey,
+    FinishedClaim,
+    FreshClaim,
+    RunningClaim,
+)
+from ragwortfield.core.outcomes import WholeAnswer
+from ragwortfield.core.seats import SeatId
+from ragwortfield.systems.claims import home_of
 from ragwortfield.tests.seat_world import SeatWorld
 
+_ANSWER = WholeAnswer(status=200, fields=(), body=b'booked')
+
 
 class SeatTests(TestCase):
     """Directed cases; the machine covers their combinations."""
@@ -83,3 +95,110 @@
     def check_single(self):
         for names in self.holders():
             self.assertLessEqual(len(names), 1)
+
+
+class HandOverTests(TestCase):
+    """The holder of all seats hands some over as the store fails."""
+
+    def setUp(self):
+        self.world = SeatWorld()
+        self.old = self.world.bear()
+        self.world.run(3)
+        self.assertEqual(self.holders(), [[self.old.name]] * 4)
+
+    # A refused release left its seat without a holder through the outage.
+    def test_refused_release_leaves_the_seat_with_its_holder(self):
+        self.old.reach.is_refusing_writes = True
+        self.world.bear()
+        self.world.run(3)
+        releases = [
+            write
+            for write in self.old.reach.refused
+            if not write.body['holder']
+        ]
+        self.assertTrue(releases)
+        self.world.stop_store()
+        self.world.run(60)
+        self.assertEqual(self.holders(), [[self.old.name]] * 4)
+
+    # A seat released and not yet taken refuses bookings through the outage.
+    def test_outage_between_release_and_taking_leaves_a_holder(self):
+        self.world.bear()
+        self.world.run(5, self.stop_store_at_a_vacancy)
+        self.assertTrue(self.world.platform.switches.is_down)
+        self.world.run(60)
+        self.assertEqual([len(names) for names in self.holders()], [1] * 4)
+
+    # A holder with unread claims refused bookings through the outage.
+    def test_outage_between_taking_and_claims_leaves_a_home(self):
+        keys = [
+            ClaimKey(team='hospitals', key=f'bergamo:{number}')
+            for number in range(40)
+        ]
+        for key in keys:
+            self.open_at_home(key)
+            self.old.keeper.close_ran(key, _ANSWER)
+        self.assertTrue(self.old.keeper.flush())
+        newcomer = self.world.bear()
+        newcomer.reach.after_write = self.world.stop_store
+        self.world.run(5)
+        self.assertTrue(self.world.platform.switches.is_down)
+        self.assertTrue(newcomer.tables.held_by_key)
+        self.world.run(60)
+        self.assertEqual([len(names) for names in self.homes()], [1] * 4)
+        for key in keys:
+            self.assertIsInstance(self.open_at_home(key), FinishedClaim)
+
+    # A claim opened after a release was planned ran again at the next holder.
+    def test_seat_with_an_unwritten_claim_is_not_released(self):
+        key = self.key_of_the_seat_released_first()
+        self.old.reach.after_write = lambda: self.open_unwritten(key)
+        self.world.bear()
+        self.world.run(10)
+        self.assertIn(key.text(), self.old.tables.claim_by_key)
+        self.assertIsInstance(self.open_at_home(key), RunningClaim)
+
+    def open_at_home(self, key):
+        home = home_of(self.world.configuration, key)
+        decisions = [
+            member.keeper.open(key, 'digest')
+            for member in self.world.member_by_id.values()
+            if member.keeper.is_home_ready(home)
+        ]
+        self.assertEqual(len(decisions), 1)
+        return decisions[0]
+
+    def open_unwritten(self, key):
+        self.old.reach.is_refusing_writes = True
+        self.assertIsInstance(self.open_at_home(key), FreshClaim)
+        self.old.reach.is_refusing_writes = False
+
+    def key_of_the_seat_released_first(self):
+        last = SeatId(data_centre='bergamo', index=3)
+        return next(
+            key
+            for key in (
+                ClaimKey(team='hospitals', key=f'bergamo:{number}')
+                for number in count()
+            )
+            if home_of(self.world.configuration, key) == last
+        )
+
+    def holders(self):
+        return [self.world.holders(key) for key in self.world.seat_keys()]
+
+    def homes(self):
+        return [
+            [
+                member.name
+                for member in self.world.member_by_id.values()
+                if member.keeper.is_home_ready(
+                    SeatId(data_centre='bergamo', index=index),
+                )
+            ]
+            for index in range(len(self.world.seat_keys()))
+        ]
+
+    def stop_store_at_a_vacancy(self):
+        if [] in self.holders():
+            self.world.stop_store()
