Hand-overs: releases taken back, claims read ahead, none left unwritten

What callers saw: bookings refused as not run through a whole outage, homed at a seat that was being handed over when it began; and, found by reading, a key that could run twice around a hand-over. Cause: a seat was given up although the store had refused its release; a new holder that had not read the claims could not until the store was back; a claim opened between the plan of a release and its write was overlooked. Ruled out: taking a seat back after a release whose effect is not known, or after one that took effect: another instance may hold it already. Change: a release that certainly had no effect is taken back, suspended if the process stood still meanwhile; the claims of a released seat are read before it is taken as well as after; a release waits until the table has every claim of its seat, except in a planned stop. The seat and claim machines gained two faults: the next one to three writes refused, and the store lost after a write. Not mended: an outage between a release and the taking; its test and the one with processes stay listed. Test: three of the four tests of hand-overs fail before and pass after; the fourth fails still. A new test of a pause in a refused release fails without the suspension.

--- a/ragwortfield/engine/claim_keeper.py
+++ b/ragwortfield/engine/claim_keeper.py
@@ -1,7 +1,7 @@
 """Keeper of claims: decisions in memory, records in the platform's table."""
 
 import uuid
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import gevent
 from gevent.lock import Semaphore
@@ -30,6 +30,7 @@
     Committed,
     Conflict,
     Row,
+    Rows,
     Table,
     Unavailable,
     Write,
@@ -41,6 +42,7 @@
     expired_claims,
     home_of,
 )
+from ragwortfield.systems.seats import SeatWrite
 from ragwortfield.types import Seconds
 
 #: Longest wait for the record of a claim before the request goes out.
@@ -67,6 +69,18 @@
         self.lock = Semaphore(1)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _RowsAhead:
+    """
+    Claims of a released seat, read before it was taken.
+
+    :param generation: generation under which it was to be taken.
+    """
+
+    generation: int
+    rows: tuple[Row, ...]
+
+
 class ClaimKeeper:
     """
     Claims of the keys whose home this instance holds.
@@ -92,6 +106,7 @@
         self._clock = clock
         self._record_by_key: dict[str, _Record] = {}
         self._generation_by_seat: dict[str, int] = {}
+        self._rows_ahead_by_seat: dict[str, _RowsAhead] = {}
         self._store_failed_at = float('-inf')
 
     def is_home_ready(self, home: SeatId) -> bool:
@@ -115,6 +130,27 @@
             if self._generation_by_seat.get(key) != held.generation:
                 self._load(held.seat_id, held.generation)
 
+    def read_ahead(self, write: SeatWrite) -> None:
+        """
+        Read the claims of a released seat before it is taken.
+
+        Its last holder wrote every claim before the release, so they serve
+        when the store goes away before they can be read as usual.
+
+        :param write: the taking that is about to go out.
+        """
+        key = write.seat_id.row_key()
+        self._rows_ahead_by_seat.pop(key, None)
+        row = self._tables.seat_row_by_key.get(key)
+        if row is None or row.seat.holder:
+            return
+        found = self._table.scan(_claim_prefix(write.seat_id))
+        if not isinstance(found, Unavailable):
+            self._rows_ahead_by_seat[key] = _RowsAhead(
+                generation=write.seat.generation,
+                rows=found.rows,
+            )
+
     def open(self, key: ClaimKey, digest: str) -> ClaimDecision:
         """
         Claim the only run of a key.
@@ -194,6 +230,19 @@
         """
         return len(self._dirty_keys())
 
+    def is_written(self, seat_id: SeatId) -> bool:
+        """
+        Tell whether the table has every claim of a seat.
+
+        :param seat_id: the seat.
+        :returns: whether it has.
+        """
+        prefix = _claim_prefix(seat_id)
+        return not any(
+            record.is_dirty and record.row_key.startswith(prefix)
+            for record in self._record_by_key.values()
+        )
+
     def drop_expired(self) -> None:
         """Forget claims that no caller can repeat any more."""
         for text in expired_claims(self._tables, self._clock.wall()):
@@ -323,13 +372,26 @@
             return row, claim
         return None
 
+    def _rows_of(
+        self,
+        seat_id: SeatId,
+        generation: int,
+    ) -> tuple[Row, ...] | None:
+        ahead = self._rows_ahead_by_seat.pop(seat_id.row_key(), None)
+        found = self._table.scan(_claim_prefix(seat_id))
+        if isinstance(found, Rows):
+            return found.rows
+        if ahead is None or ahead.generation != generation:
+            return None
+        return ahead.rows
+
     def _load(self, seat_id: SeatId, generation: int) -> None:
-        prefix = f'claims/{seat_id.data_centre}/{seat_id.index}/'
-        found = self._table.scan(prefix)
-        if isinstance(found, Unavailable):
+        prefix = _claim_prefix(seat_id)
+        rows = self._rows_of(seat_id, generation)
+        if rows is None:
             return
         claims = {}
-        for row in found.rows:
+        for row in rows:
             claim = from_document(row.body, Claim)
             text = row.key[len(prefix) :]
             if isinstance(claim, Malformed):
@@ -350,4 +412,8 @@
         if configuration is None:
             return f'claims/none/0/{key.text()}'
         home = home_of(configuration, key)
-        return f'claims/{home.data_centre}/{home.index}/{key.text()}'
+        return f'{_claim_prefix(home)}{key.text()}'
+
+
+def _claim_prefix(seat_id: SeatId) -> str:
+    return f'claims/{seat_id.data_centre}/{seat_id.index}/'
--- a/ragwortfield/engine/platform_sync.py
+++ b/ragwortfield/engine/platform_sync.py
@@ -35,6 +35,7 @@
     observe_seat_rows,
     plan_seats,
     record_write,
+    take_back,
 )
 
 #: Row that holds the configuration in force; its version is the
@@ -132,19 +133,15 @@
         self.exchange_seats()
 
     def _write_seat(self, write: SeatWrite) -> None:
-        give_up_before_release(self._tables, write)
-        outcome = self._platform.transact(
-            (
-                Write(
-                    key=write.seat_id.row_key(),
-                    expected_version=write.expected_version,
-                    body=to_document(write.seat),
-                ),
-            )
-        )
+        if not write.seat.holder:
+            self._release(write)
+            return
         key = write.seat_id.row_key()
+        is_new = key not in self._tables.held_by_key
+        if is_new:
+            self._keeper.read_ahead(write)
+        outcome = self._transact(write)
         if isinstance(outcome, Committed):
-            is_new = key not in self._tables.held_by_key
             version = outcome.version_by_key[key]
             record_write(
                 self._tables,
@@ -152,14 +149,49 @@
                 version,
                 self._clock.monotonic(),
             )
-            if is_new and write.seat.holder:
+            if is_new:
                 event(
                     'seat_taken',
                     seat=key,
                     generation=write.seat.generation,
                 )
-        elif isinstance(outcome, Conflict):
+
+    def _release(self, write: SeatWrite) -> None:
+        # Claims may have been opened since the release was planned.
+        is_written = self._keeper.is_written(write.seat_id)
+        if not (is_written or self._tables.is_leaving):
+            return
+        gave_up_at = self._clock.monotonic()
+        held = give_up_before_release(self._tables, write)
+        outcome = self._transact(write)
+        now = self._clock.monotonic()
+        if isinstance(outcome, Committed):
+            version = outcome.version_by_key[write.seat_id.row_key()]
+            record_write(self._tables, write, version, now)
+        elif (
+            isinstance(outcome, Unavailable)
+            and not outcome.is_effect_possible
+            and held is not None
+        ):
+            take_back(self._tables, held, gave_up_at=gave_up_at, now=now)
+
+    def _transact(
+        self,
+        write: SeatWrite,
+    ) -> Committed | Conflict | Unavailable:
+        key = write.seat_id.row_key()
+        outcome = self._platform.transact(
+            (
+                Write(
+                    key=key,
+                    expected_version=write.expected_version,
+                    body=to_document(write.seat),
+                ),
+            ),
+        )
+        if isinstance(outcome, Conflict):
             event('seat_conflict', seat=key, version=outcome.version)
+        return outcome
 
     def _adopt(self, row: Row) -> None:
         text = str(row.body.get('text', ''))
--- a/ragwortfield/systems/seats.py
+++ b/ragwortfield/systems/seats.py
@@ -131,7 +131,10 @@
         )
 
 
-def give_up_before_release(tables: Tables, write: SeatWrite) -> None:
+def give_up_before_release(
+    tables: Tables,
+    write: SeatWrite,
+) -> HeldSeat | None:
     """
     Stop using a seat before its release is written.
 
@@ -139,10 +142,37 @@
     instance may then take the seat at once.
 
     :param tables: the instance's tables.
-    :param write: the write that is about to go out.
+    :param write: the release that is about to go out.
+    :returns: the seat as it was held; ``None`` when it was not.
     """
-    if write.seat.holder != tables.identity.instance_id:
-        tables.held_by_key.pop(write.seat_id.row_key(), None)
+    return tables.held_by_key.pop(write.seat_id.row_key(), None)
+
+
+def take_back(
+    tables: Tables,
+    held: HeldSeat,
+    *,
+    gave_up_at: Instant,
+    now: Instant,
+) -> None:
+    """
+    Use a seat again whose release certainly took no effect.
+
+    :param tables: the instance's tables.
+    :param held: the seat as it was held.
+    :param gave_up_at: when its use was stopped.
+    :param now: reading of the monotonic clock.
+    """
+    # A pause in between suspended the other seats, but not this one.
+    was_paused = now - gave_up_at > tables.pause_limit_s()
+    tables.held_by_key.setdefault(
+        held.seat_id.row_key(),
+        replace(
+            held,
+            is_leaving=tables.is_leaving,
+            is_suspended=held.is_suspended or was_paused,
+        ),
+    )
 
 
 def record_write(
--- a/ragwortfield/tests/seat_world.py
+++ b/ragwortfield/tests/seat_world.py
@@ -40,6 +40,7 @@
     platform: MemoryPlatform
     is_cut: bool = False
     is_refusing_writes: bool = False
+    writes_to_refuse: int = 0
     refused: list[Write] = field(default_factory=list)
     after_write: Callable[[], None] | None = None
 
@@ -51,6 +52,9 @@
     def transact(self, writes):
         if self.is_cut:
             return Unavailable(reason='cut')
+        if self.writes_to_refuse:
+            self.writes_to_refuse -= 1
+            return Unavailable(reason='refused once')
         if self.is_refusing_writes:
             self.refused.extend(writes)
             return Unavailable(reason='refused')
--- a/ragwortfield/tests/test_claim_machine.py
+++ b/ragwortfield/tests/test_claim_machine.py
@@ -160,6 +160,19 @@
     def lose_answers(self, lost):
         self.world.platform.switches.lost_answers = lost
 
+    @precondition(lambda self: self.members())
+    @rule(
+        data=strategies.data(),
+        writes=strategies.integers(min_value=1, max_value=3),
+    )
+    def refuse_writes(self, data, writes):
+        self.pick(data).reach.writes_to_refuse = writes
+
+    @precondition(lambda self: self.members())
+    @rule(data=strategies.data())
+    def stop_store_after_a_write(self, data):
+        self.pick(data).reach.after_write = self.world.stop_store
+
     @rule(is_cut=_RARELY)
     def cut_data_centre(self, is_cut):
         for member in self.world.member_by_id.values():
--- a/ragwortfield/tests/test_seat_machine.py
+++ b/ragwortfield/tests/test_seat_machine.py
@@ -82,6 +82,19 @@
     def lose_answers(self, lost):
         self.world.platform.switches.lost_answers = lost
 
+    @precondition(lambda self: self.members())
+    @rule(
+        data=strategies.data(),
+        writes=strategies.integers(min_value=1, max_value=3),
+    )
+    def refuse_writes(self, data, writes):
+        self.pick(data).reach.writes_to_refuse = writes
+
+    @precondition(lambda self: self.members())
+    @rule(data=strategies.data())
+    def stop_store_after_a_write(self, data):
+        self.pick(data).reach.after_write = self.world.stop_store
+
     @rule(lag=strategies.sampled_from((0, 5, 30)))
     def let_list_lag(self, lag):
         self.world.platform.switches.list_lag_s = lag
@@ -144,6 +157,8 @@
             member.is_frozen = False
             member.is_peer_cut = False
             member.reach.is_cut = False
+            member.reach.writes_to_refuse = 0
+            member.reach.after_write = None
         world.bear()
         world.run(30, self.check)
         for key in world.seat_keys():
--- a/ragwortfield/tests/test_seats.py
+++ b/ragwortfield/tests/test_seats.py
@@ -12,7 +12,8 @@
 from ragwortfield.core.outcomes import WholeAnswer
 from ragwortfield.core.seats import SeatId
 from ragwortfield.systems.claims import home_of
-from ragwortfield.tests.seat_world import SeatWorld
+from ragwortfield.systems.seats import take_back
+from ragwortfield.tests.seat_world import STEP_S, SeatWorld
 
 _ANSWER = WholeAnswer(status=200, fields=(), body=b'booked')
 
@@ -158,6 +159,18 @@
         self.assertIn(key.text(), self.old.tables.claim_by_key)
         self.assertIsInstance(self.open_at_home(key), RunningClaim)
 
+    # A seat taken back after a pause may have been taken over meanwhile.
+    def test_seat_taken_back_after_a_pause_is_not_used(self):
+        tables = self.old.tables
+        now = self.world.clock.monotonic()
+        key, held = tables.held_by_key.popitem()
+        pause_s = tables.pause_limit_s() + STEP_S
+        take_back(tables, held, gave_up_at=now - pause_s, now=now)
+        self.assertEqual(self.world.holders(key), [])
+        del tables.held_by_key[key]
+        take_back(tables, held, gave_up_at=now - STEP_S, now=now)
+        self.assertEqual(self.world.holders(key), [self.old.name])
+
     def open_at_home(self, key):
         home = home_of(self.world.configuration, key)
         decisions = [
