Test: a holder whose writes alone are refused (red)

Found by a rule of the seat machine that was too wide for its own fault: the holder is replaced after its lease, since it can't renew, and goes on using the seat until it reads the new row.

--- a/ragwortfield/tests/test_seats.py
+++ b/ragwortfield/tests/test_seats.py
@@ -93,6 +93,14 @@
         hidden.is_frozen = False
         self.world.run(2, self.check_single)
 
+    # A holder whose writes alone are refused is replaced and goes on.
+    def test_holder_that_can_read_but_not_write_is_no_second_holder(self):
+        lost = self.world.member_by_id['entry-1']
+        lost.reach.is_refusing_writes = True
+        lost.is_peer_cut = True
+        self.world.platform.switches.hidden_instances = ('entry-1',)
+        self.world.run(20, self.check_single)
+
     def check_single(self):
         for names in self.holders():
             self.assertLessEqual(len(names), 1)
