--- a/ragwortfield/testing/task_workers.py
+++ b/ragwortfield/testing/task_workers.py
@@ -52,6 +52,8 @@
     clock: Callable[[], Instant]
     room: Resources = field(default_factory=Resources)
     pool: str = 'pool'
+    labels: tuple[str, ...] = ('kind', 'rack-1')
+    rack: str = 'rack-1'
     rate: float = 1
     longest_lease_s: float = 10
     is_guarded: bool = True
@@ -90,8 +92,8 @@
             address=f'{self.worker_id}:1',
             data_centre='dc',
             room=self.room,
-            labels=('kind', 'rack-1'),
-            rack='rack-1',
+            labels=self.labels,
+            rack=self.rack,
             clock_ms=int(self.now_ms()),
             born_ms=int(self.born_at * _MS_PER_S),
         )
--- a/ragwortfield/tests/filler_world.py
+++ b/ragwortfield/tests/filler_world.py
@@ -108,12 +108,13 @@
         end_run(self.tables, task, EndKind.STOPPED, '', NOW)
         self.dispatch()
 
-    def add_worker(self, worker_id, cpu=32):
+    def add_worker(self, worker_id, cpu=32, **terms):
         """Let a worker register and report."""
         fake = FakeWorker(
             worker_id=worker_id,
             clock=lambda: NOW,
             room=Resources(cpu=cpu, memory_mb=1000, accelerators=0),
+            **terms,
         )
         intake.take_worker(self.tables, fake.listing())
         row = self.tables.worker_by_id[worker_id]
