--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -56,7 +56,9 @@
 ATTEMPTS = 2
 #: The world's time at its start, in seconds.
 _START = 100.0
-_CATALOGUE = Catalogue(
+#: Racks on which its workers stand in turn; each is also a label.
+_RACKS = 2
+CATALOGUE = Catalogue(
     version=1,
     queue_by_name={
         'queue': Queue(
@@ -83,7 +85,7 @@
             owner_since=world.now,
             bounds=Bounds(unaware_s=world.unaware_s),
             lease_before_s=lease_before_s,
-            catalogue=_CATALOGUE,
+            catalogue=world.catalogue,
         )
         self.commits = ShardCommits(
             shard=SHARD,
@@ -147,6 +149,7 @@
         self.feed_version = page.version
         self._take_inbox(page.rows)
         self._list_workers()
+        intake.take_catalogue(self.tables, self.world.catalogue)
 
     def _take_inbox(self, rows):
         take_inbox_rows(
@@ -215,6 +218,7 @@
         self.now = _START
         self.random = random.Random(seed)
         self.unaware_s = 5
+        self.catalogue = CATALOGUE
         self.store = MemoryRowStore(
             lose_answer=lambda: self.is_by_chance(self.store_loss),
             delay_commit=lambda: self.is_by_chance(self.store_delay),
@@ -237,17 +241,20 @@
     def is_by_chance(self, share):
         return share > 0 and self.random.random() < share
 
-    def add_worker(self, number):
+    def add_worker(self, number, **terms):
         worker_id = f'w{number}'
         self.workers.worker_by_id[worker_id] = FakeWorker(
             worker_id=worker_id,
             clock=lambda: self.now,
             room=Resources(cpu=4, memory_mb=100, accelerators=0),
+            labels=('kind', f'rack-{number % _RACKS}'),
+            rack=f'rack-{number % _RACKS}',
             rate=self.random.choice((0.98, 0.99, 1.0)),
             born_at=self.now - 1,
+            **terms,
         )
 
-    def submit(self, steps):
+    def submit(self, steps, **terms):
         """Hand a job in; the caller learns what is certain."""
         job_id = f'{len(self.accepted) + len(self.refused):016x}'
         job = Job(
@@ -256,6 +263,7 @@
             spec='spec',
             steps=steps,
             accepted_at=self.now,
+            **terms,
         )
         name = job_row(SHARD, job_id)
         outcome = self.store.commit(
