The random shards draw labels, limits and gangs

What workers have started is checked against the steps' terms: labels, limits on one worker, one number for members at work together, durable bindings for all members or none, no start after a gang's noted end.

--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -51,6 +51,7 @@
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.testing.row_store import MemoryRowStore
 from ragwortfield.testing.task_workers import FakeWorker, FakeWorkers
+from ragwortfield.tests.shard_checks import check_gangs, check_places
 
 SHARD = 0
 ATTEMPTS = 2
@@ -370,6 +371,19 @@
         """Whether a task runs until its job is cancelled."""
         return self.accepted[key.job_id].steps[key.step].is_long_lived
 
+    def end_lonely(self):
+        """Break off members of gangs that are not all at work."""
+        place_by_key = {
+            key: worker
+            for worker in self.workers.worker_by_id.values()
+            for key in worker.run_by_key
+        }
+        for key, worker in place_by_key.items():
+            step = self.accepted[key.job_id].steps[key.step]
+            members = {key._replace(index=one) for one in range(step.count)}
+            if step.is_gang and not members <= place_by_key.keys():
+                worker.end(key, EndKind.BROKEN)
+
     def let_work(self):
         """Let everything that runs be at work, or done with its start."""
         for worker in self.workers.worker_by_id.values():
@@ -438,6 +452,8 @@
                 done_at[key] = end
             if kind == 'failed' and is_noted:
                 failed_by_key[key] = failed + 1
+        check_places(self)
+        check_gangs(self)
 
     def _check_order(self, key, start, ended_at):
         job = self.accepted[key.job_id]
--- a/ragwortfield/tests/test_shard_machine.py
+++ b/ragwortfield/tests/test_shard_machine.py
@@ -46,6 +46,41 @@
     def submit_serving(self, count, cpu):
         self.world.submit(serving(count=count, cpu=cpu))
 
+    @precondition(lambda self: len(self.world.accepted) < _MAX_JOBS)
+    @rule(
+        count=strategies.integers(1, 4),
+        label=strategies.sampled_from(('', 'rack-0', 'rack-1')),
+        limit=strategies.integers(0, 2),
+    )
+    def submit_bound(self, count, label, limit):
+        self.world.submit(
+            one_step(
+                count=count,
+                required_label=label,
+                per_worker_limit=limit,
+            ),
+        )
+
+    @precondition(lambda self: len(self.world.accepted) < _MAX_JOBS)
+    @rule(
+        count=strategies.integers(2, 3),
+        cpu=strategies.sampled_from((1, 3)),
+        limit=strategies.integers(0, 1),
+    )
+    def submit_gang(self, count, cpu, limit):
+        self.world.submit(
+            one_step(
+                count=count,
+                cpu=cpu,
+                per_worker_limit=limit,
+                is_gang=True,
+            ),
+        )
+
+    @rule()
+    def end_lonely(self):
+        self.world.end_lonely()
+
     @rule()
     def let_work(self):
         self.world.let_work()
