--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -51,12 +51,15 @@
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.testing.row_store import MemoryRowStore
 from ragwortfield.testing.task_workers import FakeWorker, FakeWorkers
+from ragwortfield.tests.shard_checks import check_gangs, check_places
 
 SHARD = 0
 ATTEMPTS = 2
 #: The world's time at its start, in seconds.
 _START = 100.0
-_CATALOGUE = Catalogue(
+#: Racks on which its workers stand in turn; each is also a label.
+_RACKS = 2
+CATALOGUE = Catalogue(
     version=1,
     queue_by_name={
         'queue': Queue(
@@ -83,7 +86,7 @@
             owner_since=world.now,
             bounds=Bounds(unaware_s=world.unaware_s),
             lease_before_s=lease_before_s,
-            catalogue=_CATALOGUE,
+            catalogue=world.catalogue,
         )
         self.commits = ShardCommits(
             shard=SHARD,
@@ -147,6 +150,7 @@
         self.feed_version = page.version
         self._take_inbox(page.rows)
         self._list_workers()
+        intake.take_catalogue(self.tables, self.world.catalogue)
 
     def _take_inbox(self, rows):
         take_inbox_rows(
@@ -217,6 +221,7 @@
         self.now = _START
         self.random = random.Random(seed)
         self.unaware_s = 5
+        self.catalogue = CATALOGUE
         self.store = MemoryRowStore(
             lose_answer=lambda: self.is_by_chance(self.store_loss),
             delay_commit=lambda: self.is_by_chance(self.store_delay),
@@ -239,17 +244,20 @@
     def is_by_chance(self, share):
         return share > 0 and self.random.random() < share
 
-    def add_worker(self, number):
+    def add_worker(self, number, **terms):
         worker_id = f'w{number}'
         self.workers.worker_by_id[worker_id] = FakeWorker(
             worker_id=worker_id,
             clock=lambda: self.now,
             room=Resources(cpu=4, memory_mb=100, accelerators=0),
+            labels=('kind', f'rack-{number % _RACKS}'),
+            rack=f'rack-{number % _RACKS}',
             rate=self.random.choice((0.98, 0.99, 1.0)),
             born_at=self.now - 1,
+            **terms,
         )
 
-    def submit(self, steps):
+    def submit(self, steps, **terms):
         """Hand a job in; the caller learns what is certain."""
         job_id = f'{len(self.accepted) + len(self.refused):016x}'
         job = Job(
@@ -258,6 +266,7 @@
             spec='spec',
             steps=steps,
             accepted_at=self.now,
+            **terms,
         )
         name = job_row(SHARD, job_id)
         outcome = self.store.commit(
@@ -364,6 +373,19 @@
         """Whether a task runs until its job is cancelled."""
         return self.accepted[key.job_id].steps[key.step].is_long_lived
 
+    def end_lonely(self):
+        """Break off members of gangs that are not all at work."""
+        place_by_key = {
+            key: worker
+            for worker in self.workers.worker_by_id.values()
+            for key in worker.run_by_key
+        }
+        for key, worker in place_by_key.items():
+            step = self.accepted[key.job_id].steps[key.step]
+            members = {key._replace(index=one) for one in range(step.count)}
+            if step.is_gang and not members <= place_by_key.keys():
+                worker.end(key, EndKind.BROKEN)
+
     def let_work(self):
         """Let everything that runs be at work, or done with its start."""
         for worker in self.workers.worker_by_id.values():
@@ -432,6 +454,8 @@
                 done_at[key] = end
             if kind == 'failed' and is_noted:
                 failed_by_key[key] = failed + 1
+        check_places(self)
+        check_gangs(self)
 
     def _check_order(self, key, start, ended_at):
         job = self.accepted[key.job_id]
