A job keeps the terms of its queue across owners

Callers would see an accepted job that never starts, or that fails with its first failed run (LOST): an owner that took the shard after the queue had been dropped from the configuration knew neither its pool nor its attempts. The terms at acceptance are stored with the job now and serve where the configuration names no such queue; rows without them are read as before.

Red before: test_versions.OwnerTest.test_job_of_a_dropped_queue_runs_under_ the_next_owner. The stand-in for acceptance stores the terms as instances do.

--- a/ragwortfield/engine/job_desk.py
+++ b/ragwortfield/engine/job_desk.py
@@ -32,6 +32,7 @@
     TransactionDone,
     TransactionRefused,
 )
+from ragwortfield.scheduling.catalogue import Queue
 from ragwortfield.scheduling.intake import restore_progress, take_job
 from ragwortfield.scheduling.job import Job
 from ragwortfield.scheduling.records import (
@@ -130,15 +131,21 @@
         self._peers = peers
         self._empty_tables = empty_tables
 
-    def submit(self, job: Job, limit_s: Seconds) -> SubmitOutcome:
+    def submit(
+        self,
+        job: Job,
+        limit_s: Seconds,
+        queue: Queue | None = None,
+    ) -> SubmitOutcome:
         """
         Accept a job.
 
         :param job: the job.
         :param limit_s: longest time to try, in seconds.
+        :param queue: its queue in the configuration that admits it.
         :returns: whether it is stored.
         """
-        record = encode_record(JobRecord(job=job))
+        record = encode_record(JobRecord(job=job, queue=queue))
         outcome = self._persist(
             'submit',
             {'job_id': job.job_id, 'record': record},
--- a/ragwortfield/engine/shard_rows.py
+++ b/ragwortfield/engine/shard_rows.py
@@ -98,6 +98,7 @@
         job,
         now=now,
         wall=wall,
+        queue=record.queue,
         has_progress=job.job_id in started,
     )
 
--- a/ragwortfield/platform/front.py
+++ b/ragwortfield/platform/front.py
@@ -140,7 +140,11 @@
         )
         if isinstance(job, Malformed):
             return _failure(HTTPStatus.BAD_REQUEST, job.reason)
-        outcome = self._node.desk.submit(job, _limit_s(environ))
+        outcome = self._node.desk.submit(
+            job,
+            _limit_s(environ),
+            queue=target.queue,
+        )
         if isinstance(outcome, Accepted):
             return _success({})
         return _refusal(outcome)
--- a/ragwortfield/scheduling/intake.py
+++ b/ragwortfield/scheduling/intake.py
@@ -32,6 +32,7 @@
     *,
     now: Instant,
     wall: WallTime,
+    queue: Queue | None = None,
     has_progress: bool = False,
 ) -> JobRow:
     """
@@ -41,6 +42,7 @@
     :param job: the job.
     :param now: reading of the monotonic clock.
     :param wall: reading of the wall clock.
+    :param queue: its queue at acceptance, if that is stored.
     :param has_progress: whether records of its progress follow, so that
         nothing of it must start from the beginning.
     :returns: its row.
@@ -49,9 +51,8 @@
     if known is not None:
         return known
     age_s = min(max(wall - job.accepted_at, 0), _LONGEST_AGE_S)
-    queue = tables.catalogue.queue_by_name.get(job.queue)
+    queue = tables.catalogue.queue_by_name.get(job.queue, queue)
     if queue is None:
-        # The queue was dropped, or is not known here yet.
         queue = Queue(name=job.queue, host='', path_prefix='', pool='')
     row = new_job_row(job, queue, now - age_s)
     tables.job_by_id[job.job_id] = row
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ragwortfield.adapters.documents import Malformed
+from ragwortfield.scheduling.catalogue import Queue
 from ragwortfield.scheduling.job import Job
 from ragwortfield.types import InstanceId, Seconds, WorkerId
 
@@ -55,9 +56,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class JobRecord:
-    """Accepted job."""
+    """
+    Accepted job.
+
+    :param queue: its queue at acceptance, for owners that know only
+        configurations without it.
+    """
 
     job: Job
+    queue: Queue | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -275,7 +275,12 @@
                 writes=(
                     RowWrite(
                         name=name,
-                        content=encode_record(JobRecord(job=job)),
+                        content=encode_record(
+                            JobRecord(
+                                job=job,
+                                queue=CATALOGUE.queue_by_name['queue'],
+                            ),
+                        ),
                     ),
                 ),
             ),
