Contact with a worker is judged by the look under way, not by the owner's delay

Leases lapsed under a healthy owner when every second look was turned away at once, as by a worker that calls itself unhealthy or a link that is reset: any failed look stopped extensions (12 lapses in 30 s where there were none before).

One rule for all now, in WorkerRow.is_in_contact: a report younger than 1.2 s, as before; or one of at most a lease whose next look was not kept waiting for 1.2 s and did not fail.

Tests: test_shard_leases, two of them red before; the others hold.

--- a/ragwortfield/scheduling/leases.py
+++ b/ragwortfield/scheduling/leases.py
@@ -1,7 +1,7 @@
 """Keeping the leases of workers."""
 
 from ragwortfield.ports.task_worker import LeaseOrder
-from ragwortfield.scheduling.bounds import MS_PER_S, Bounds
+from ragwortfield.scheduling.bounds import MS_PER_S
 from ragwortfield.scheduling.job_rows import RunStage
 from ragwortfield.scheduling.tables import ShardTables
 from ragwortfield.scheduling.worker_rows import WorkerRow
@@ -26,11 +26,14 @@
     :returns: the order; the first one of an owner only looks.
     """
     deadline_ms: int | None = None
-    if _is_extended(tables.bounds, worker, now):
+    # A silent worker's lease is left to lapse: each extension that may have
+    # arrived would put off the moment from which its tasks can run elsewhere.
+    is_in_contact = worker.is_in_contact(tables.bounds, now)
+    if is_in_contact:
         lease_ms = tables.bounds.asked_lease_s() * MS_PER_S
         deadline_ms = int(worker.clock.earliest_ms(now) + lease_ms)
         worker.lease_end_ms = max(worker.lease_end_ms, deadline_ms)
-    is_in_contact = worker.is_in_contact(tables.bounds, now)
+    worker.asked_at = now
     acknowledged = _acknowledgement(worker) if is_in_contact else 0
     has_unacknowledged = worker.noted > worker.acknowledged
     return LeaseOrder(
@@ -50,16 +53,7 @@
     :param worker: the worker.
     """
     worker.is_answering = False
-
-
-def _is_extended(bounds: Bounds, worker: WorkerRow, now: Instant) -> bool:
-    # A silent worker's lease is left to lapse: each extension that may have
-    # arrived would put off the moment from which its tasks can run elsewhere.
-    # Only looks without an answer show silence; an old report alone may be
-    # due to an owner that is late. One that stood still for a whole lease may
-    # have been replaced meanwhile.
-    age_s = now - worker.reported_at
-    return worker.is_answering and age_s <= bounds.asked_lease_s()
+    worker.asked_at = 0
 
 
 def _acknowledgement(worker: WorkerRow) -> int:
--- a/ragwortfield/scheduling/worker_rows.py
+++ b/ragwortfield/scheduling/worker_rows.py
@@ -75,7 +75,8 @@
     :param lease_end_ms: latest end of its lease, by its own clock.
     :param known_at: first report under the present owner; 0 before it.
     :param reported_at: latest report.
-    :param is_answering: whether the latest look got a report.
+    :param is_answering: whether the latest look that ended got a report.
+    :param asked_at: when the look under way was sent; 0 while there is none.
     :param noted: last end that was taken into the tables.
     :param acknowledged: last end whose effect is durable.
     :param told: last end of which the worker knows that.
@@ -113,6 +114,7 @@
     known_at: Instant = 0
     reported_at: Instant = 0
     is_answering: bool = False
+    asked_at: Instant = 0
     report_clock_ms: float = 0
     noted: int = 0
     acknowledged: int = 0
@@ -137,13 +139,24 @@
 
     def is_in_contact(self, bounds: Bounds, now: Instant) -> bool:
         """
-        Tell whether the worker answered lately.
+        Tell whether the worker is not silent.
+
+        An old report alone may be due to an owner that is late itself; only
+        a look that waits for its answer shows silence. An owner that stood
+        still for a whole lease may have been replaced, and looks first.
 
         :param bounds: durations in force.
         :param now: reading of the monotonic clock.
-        :returns: whether it may get new runs as far as contact goes.
-        """
-        return self.known_at > 0 and now - self.reported_at <= bounds.contact_s
+        :returns: whether its lease is extended and it may get new runs.
+        """
+        if not self.known_at:
+            return False
+        age_s = now - self.reported_at
+        if age_s <= bounds.contact_s:
+            return True
+        if not self.is_answering or age_s > bounds.asked_lease_s():
+            return False
+        return not self.asked_at or now - self.asked_at <= bounds.contact_s
 
     def is_lease_over(
         self,
--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -69,6 +69,35 @@
         self.assertEqual(self.running(), [worker])
         self.assertEqual(self.first_task(self.job_id).run, 1)
 
+    # Guards against leases that lapse because single looks are turned away.
+    def test_task_runs_on_while_every_second_look_is_turned_away(self):
+        worker = self.running()[0]
+        for number in range(60):
+            worker.is_reachable = number % 2 == 0
+            self.world.owners[-1].act()
+            self.world.advance(0.5)
+        self.world.check()
+        self.assertEqual(self.running(), [worker])
+        self.assertEqual(self.first_task(self.job_id).run, 1)
+
+    # Guards against a late owner that places nothing and acknowledges nothing.
+    def test_late_owner_starts_tasks_and_acknowledges_their_ends(self):
+        owner = self.world.owners[-1]
+        job_id = self.world.submit(one_step(count=2))
+        for _ in range(8):
+            owner._hold_all()
+            self.world.advance(_LATE_S)
+            owner.act(holds=False)
+            self.world.end_some(EndKind.DONE, count=9)
+        self.assertEqual(self.world.status(job_id), JobStatus.COMPLETE)
+        ends = [
+            end
+            for worker in self.world.workers.worker_by_id.values()
+            for end in worker.ends
+            if end.key.job_id == job_id
+        ]
+        self.assertEqual(ends, [])
+
     # Guards against an owner that was stopped and extends leases which its
     # successor takes for over.
     def test_owner_that_stood_still_for_a_lease_looks_before_it_extends(self):
