A forgotten job is not taken in again

A job is forgotten 240 s after its end; until the commit that removes its row is done, a question about it or a table read anew took the row for a new job, and all its tasks ran a second time (an old fault; widened the moment, since removals got what room records left, none under a steady load).

Forgotten jobs stay known by name until their rows have been gone for a minute, and removals have room of their own in each commit.

Red before: test_shard_commits, the two new tests.

--- a/ragwortfield/engine/shard_rows.py
+++ b/ragwortfield/engine/shard_rows.py
@@ -86,13 +86,17 @@
     :param now: reading of the monotonic clock.
     :param wall: reading of the wall clock.
     :param started: jobs whose progress is taken in afterwards.
-    :returns: the job; ``None`` when the row cannot be read.
+    :returns: the job; ``None`` when the row cannot be read, or speaks of a
+        job that was forgotten.
     """
     record = decode_record(row.content or b'', JobRecord)
     if isinstance(record, Malformed):
         event('row_unreadable', key=row.name.key, reason=record.reason)
         return None
     job = record.job
+    if job.job_id in tables.forgotten_at:
+        # Its row is being removed; taken in anew, it would run again.
+        return None
     return intake.take_job(
         tables,
         job,
@@ -176,9 +180,11 @@
             event('entry_unusable', worker=worker_id, reason=listed.reason)
         else:
             intake.take_worker(tables, listed)
-    if not is_whole:
-        return
-    present = {row.name.key for row in rows}
+    if is_whole:
+        _drop_absent(tables, {row.name.key for row in rows})
+
+
+def _drop_absent(tables: ShardTables, present: Container[WorkerId]) -> None:
     for worker_id in tuple(tables.worker_by_id):
         if worker_id not in present:
             intake.drop_worker(tables, worker_id)
--- a/ragwortfield/scheduling/commits.py
+++ b/ragwortfield/scheduling/commits.py
@@ -1,5 +1,6 @@
 """What is written durably together, and what may follow a commit."""
 
+import math
 from dataclasses import dataclass
 
 from ragwortfield.scheduling.dispatch import order_start
@@ -13,13 +14,19 @@
     encode_record,
 )
 from ragwortfield.scheduling.tables import ShardTables
-from ragwortfield.types import Instant, JobId
+from ragwortfield.types import Instant, JobId, Seconds
 
 #: Rows written or removed together; the store takes 100 entries a
 #: transaction, a few of which say what is expected.
 _ROWS_A_COMMIT = 90
 #: Rows of a job beside those of its occurrences: its own, its cancellation.
 _ROWS_A_JOB = 2
+#: Part of them that is left for removals while any are due, so that a steady
+#: load of records does not put them off for good.
+_ROWS_REMOVED = 20
+#: Time for which a read of the store may still show a row that was removed,
+#: in seconds; calls are given up long before.
+_REREAD_S: Seconds = 60
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,7 +62,9 @@
     :param number: number of the commit.
     :returns: the batch; ``None`` when nothing has changed.
     """
-    keys = tuple(tables.dirty_by_key)[:_ROWS_A_COMMIT]
+    reserved = _ROWS_REMOVED if tables.forgotten else 0
+    most = _ROWS_A_COMMIT - reserved
+    keys = tuple(tables.dirty_by_key)[:most]
     if not keys and not tables.forgotten:
         return None
     rows = [tables.dirty_by_key.pop(key) for key in keys]
@@ -115,6 +124,7 @@
         job.finished_at = job.finished_at or now
     for job_id, number in batch.finished:
         _finish(tables, job_id, number, now)
+    tables.forgotten_at.update((job.job.job_id, now) for job in batch.removed)
     for task, run in batch.starts:
         if task.stage != RunStage.UNCOMMITTED or task.run != run:
             continue
@@ -143,6 +153,9 @@
     :param tables: tables of the shard.
     :param now: reading of the monotonic clock.
     """
+    for job_id, gone_at in tuple(tables.forgotten_at.items()):
+        if now - gone_at > _REREAD_S:
+            del tables.forgotten_at[job_id]
     limit_s = tables.bounds.status_s * 2
     for job_id, job in tuple(tables.job_by_id.items()):
         if not job.finished_at or now - job.finished_at <= limit_s:
@@ -152,6 +165,7 @@
         del tables.job_by_id[job_id]
         tables.cancelled_ids.discard(job_id)
         tables.forgotten.append(job)
+        tables.forgotten_at[job_id] = math.inf
 
 
 def _take_forgotten(
--- a/ragwortfield/tests/test_shard_commits.py
+++ b/ragwortfield/tests/test_shard_commits.py
@@ -2,16 +2,19 @@
 
 import unittest
 
+from ragwortfield.engine.names import job_row
 from ragwortfield.ports.task_worker import EndKind
 from ragwortfield.scheduling import commits
 from ragwortfield.scheduling.bounds import Bounds
 from ragwortfield.scheduling.status import JobStatus
 from ragwortfield.testing.row_store import MemoryRowStore
-from ragwortfield.tests.shard_world import ShardWorld, one_step
+from ragwortfield.tests.shard_world import SHARD, ShardWorld, one_step
 
 #: Entries of one call that the store takes (users' pages).
 _STORE_ENTRIES = 100
 _JOBS = 150
+#: Time after which nothing shows a removed row any more, in seconds.
+_LONG_S = 300
 
 
 class _CountingStore(MemoryRowStore):
@@ -72,3 +75,37 @@
             for _, number in batch.removed_occurrences
         ]
         self.assertEqual(numbers, list(range(2 * _STORE_ENTRIES)))
+
+    # Guards against a job that runs again because its row is read between the
+    # moment in which it is forgotten and the removal of the row.
+    def test_forgotten_job_is_not_taken_in_again(self):
+        job_id = self.world.submit(one_step(cpu=0.01))
+        self.act(20)
+        owner = self.world.owners[-1]
+        row = self.world.store.row_by_name[job_row(SHARD, job_id)]
+        self.world.advance(2 * Bounds().status_s + 1)
+        commits.forget_finished(owner.tables, self.world.now)
+        for _ in range(2):
+            owner._take_inbox((row,))
+            self.assertNotIn(job_id, owner.tables.job_by_id)
+            self.act(5)
+        self.world.check()
+        self.world.advance(_LONG_S)
+        commits.forget_finished(owner.tables, self.world.now)
+        self.assertEqual(owner.tables.forgotten_at, {})
+
+    # Guards against removals that a steady load of records puts off for good.
+    def test_removals_have_room_beside_as_many_records_as_fit(self):
+        old = self.world.submit(one_step(cpu=0.01))
+        self.act(20)
+        owner = self.world.owners[-1]
+        for _ in range(_JOBS):
+            self.world.submit(one_step(cpu=0.01))
+        owner._follow()
+        for job in owner.tables.job_by_id.values():
+            owner.tables.mark_dirty(job.occurrence_by_number[0])
+        owner.tables.forgotten.append(owner.tables.job_by_id.pop(old))
+        owner.tables.dirty_by_key.pop((old, 0))
+        batch = commits.take_batch(owner.tables, 1)
+        self.assertEqual(len(batch.removed), 1)
+        self.assertEqual(len(batch.removed_occurrences), 1)
