--- /dev/null
+++ b/ragwortfield/tests/test_operators_answers.py
@@ -0,0 +1,300 @@
+"""Answers that are lost, and what is in use again after a restart."""
+
+import io
+import unittest
+from unittest import mock
+
+import msgspec
+
+from ragwortfield.engine.cluster import Cluster
+from ragwortfield.engine.job_desk import (
+    Accepted,
+    JobDesk,
+    Rejected,
+    Uncertain,
+)
+from ragwortfield.engine.scheduler_node import SchedulerNode
+from ragwortfield.engine.shard_rows import WorkerEntries, take_worker_rows
+from ragwortfield.engine.store_health import StoreHealth
+from ragwortfield.front.http import RAW_PATH_KEY
+from ragwortfield.platform.documents import parse_catalogue, parse_worker
+from ragwortfield.platform.front import JobFront
+from ragwortfield.platform.stand_in import configuration_of, entry_of
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.row_store import RowName, StoredRow
+from ragwortfield.ports.task_worker import EndKind
+from ragwortfield.scheduling.bounds import Bounds
+from ragwortfield.scheduling.catalogue import Catalogue
+from ragwortfield.scheduling.job import Job
+from ragwortfield.scheduling.status import JobStatus
+from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.tests.shard_world import ShardWorld, one_step
+from ragwortfield.tests.story_world import (
+    STEP_S,
+    NotingWorkers,
+    StoryTest,
+)
+
+_JOB_ID = '00000000000000aa'
+_CALLER_LIMIT_S = 0.5
+#: Longer than any lease, so that a worker without an entry is given up.
+_LONG_S = 30
+_TASKS = 3
+_PREFIX = '/jobs/'
+_HOST = '127.0.0.1'
+_BODY = msgspec.json.encode({'spec': 'x', 'steps': [{'count': 1}]})
+
+
+class _Alone:
+    """An instance that owns nothing and reaches no peer."""
+
+    runner_by_shard = {}
+
+    def runner(self, shard):
+        return self.runner_by_shard.get(shard)
+
+    def call(self, *_details):
+        return Unavailable(reason='refused')
+
+
+def _desk(store, health):
+    return JobDesk(
+        instance_id='own',
+        cluster=Cluster(shards=1),
+        ownership=_Alone(),
+        store=store,
+        health=health,
+        peers=_Alone(),
+        empty_tables=lambda: ShardTables(
+            epoch=0,
+            owner_since=0,
+            bounds=Bounds(),
+            catalogue=Catalogue(version=1),
+        ),
+    )
+
+
+def _act(world, seconds):
+    for _ in range(int(seconds / STEP_S)):
+        world.owners[-1].act()
+        world.advance(STEP_S)
+        world.check()
+
+
+def _starts(world, job_id):
+    return [
+        entry
+        for worker in world.workers.worker_by_id.values()
+        for entry in worker.history
+        if entry[0] == 'start' and entry[2].job_id == job_id
+    ]
+
+
+class LostAnswerTest(unittest.TestCase):
+    """Story 4: the store's answer to a caller's change is lost."""
+
+    def setUp(self):
+        self.world = ShardWorld(workers=2)
+        self.world.take_over()
+        self.health = StoreHealth()
+        self.desk = _desk(self.world.store, self.health)
+        self.job = Job(
+            job_id=_JOB_ID,
+            queue='queue',
+            spec='spec',
+            steps=one_step(),
+            accepted_at=self.world.now,
+        )
+        self.world.accepted[_JOB_ID] = self.job
+
+    def unheard(self, change, *details):
+        """What a caller is told while every answer of the store is lost."""
+        self.world.store_loss = 1.0
+        outcome = change(*details, _CALLER_LIMIT_S)
+        self.world.store_loss = 0
+        return outcome
+
+    def hear_the_store(self):
+        """A feed gets its answer, as it does every second."""
+        self.health.note(None)
+
+    # Guards against a caller who is told "not run" of a job that runs, and
+    # against a second run after the caller has sent it again.
+    def test_submission_whose_answer_is_lost_runs_once(self):
+        outcome = self.unheard(self.desk.submit, self.job)
+        self.assertIsInstance(outcome, Uncertain)
+        _act(self.world, 1)
+        self.world.settle()
+        self.hear_the_store()
+        again = self.desk.submit(self.job, _CALLER_LIMIT_S)
+        self.assertIsInstance(again, Accepted)
+        self.world.settle()
+        self.assertEqual(len(_starts(self.world, _JOB_ID)), 1)
+        self.assertEqual(self.world.status(_JOB_ID), JobStatus.COMPLETE)
+
+    # Guards against a caller who sends a job again after a lost answer and is
+    # told "not accepted and never runs", while the first one has run.
+    def test_repeat_of_a_job_that_ran_is_not_refused(self):
+        self.unheard(self.desk.submit, self.job)
+        _act(self.world, 1)
+        self.world.settle()
+        self.assertEqual(len(_starts(self.world, _JOB_ID)), 1)
+        # No answer of the store was heard since.
+        again = self.desk.submit(self.job, _CALLER_LIMIT_S)
+        self.assertNotIsInstance(again, Rejected)
+
+    # Guards against a job that goes on, or is shown as unknown, after a
+    # cancellation whose answer was lost.
+    def test_cancel_whose_answer_is_lost_is_in_force(self):
+        self.desk.submit(self.job, _CALLER_LIMIT_S)
+        _act(self.world, 1)
+        outcome = self.unheard(self.desk.cancel, _JOB_ID)
+        self.assertIsInstance(outcome, Uncertain)
+        _act(self.world, 1)
+        self.assertEqual(self.world.status(_JOB_ID), JobStatus.CANCELLED)
+        self.hear_the_store()
+        again = self.desk.cancel(_JOB_ID, _CALLER_LIMIT_S)
+        self.assertIsInstance(again, Accepted)
+        _act(self.world, 1)
+        self.assertEqual(len(_starts(self.world, _JOB_ID)), 1)
+        for worker in self.world.workers.worker_by_id.values():
+            self.assertEqual(worker.run_by_key, {})
+
+    # Guards against an uncertain outcome that a caller reads as a refusal.
+    def test_caller_is_not_told_that_an_uncertain_job_never_runs(self):
+        for method in ('POST', 'DELETE'):
+            answer = _ask(
+                _node(parse_catalogue(configuration_of(1, _PREFIX, 'pool'))),
+                method,
+                _PREFIX + _JOB_ID,
+            )
+            self.assertEqual(answer, '504 Gateway Timeout')
+
+
+class LostOrderTest(StoryTest):
+    """Story 4: the answer of a worker is lost."""
+
+    # Guards against a second run of a task whose start took effect unheard.
+    def test_start_whose_answer_is_lost_runs_once(self):
+        job_id = self.world.submit(one_step(count=_TASKS))
+        self.world.order_loss = 1.0
+        owner = self.world.owners[-1]
+        for _ in range(5):
+            owner.act(holds=False)
+            self.world.advance(STEP_S)
+        self.world.order_loss = 0
+        self.act(1)
+        wanted = [(index, 1) for index in range(_TASKS)]
+        self.assertEqual(self.started(job_id), wanted)
+        self.world.settle()
+        self.assertEqual(self.started(job_id), wanted)
+        self.assertEqual(self.world.status(job_id), JobStatus.COMPLETE)
+
+    # Guards against a task that is started elsewhere after its start and its
+    # end both went unheard for a while.
+    def test_run_that_ended_unheard_is_not_run_again(self):
+        job_id = self.world.submit(one_step(is_checkpointed=True))
+        self.world.order_loss = 1.0
+        owner = self.world.owners[-1]
+        for _ in range(5):
+            owner.act()
+            self.world.advance(STEP_S)
+        self.world.end_some(EndKind.DONE)
+        self.act(2)
+        self.world.order_loss = 0
+        self.world.settle()
+        self.assertEqual(len(self.started(job_id)), 1)
+        self.assertEqual(self.world.status(job_id), JobStatus.COMPLETE)
+
+
+class RestartTest(unittest.TestCase):
+    """Story 6: what had left is in use again after a restart of all."""
+
+    # Guards against tasks for a worker that left while every owner was away;
+    # the rows still bind a task to it.
+    def test_worker_without_an_entry_gets_nothing_after_a_restart(self):
+        world = ShardWorld(workers=2)
+        world.take_over()
+        job_id = world.submit(one_step(count=2, cpu=3, is_long_lived=True))
+        _act(world, 1)
+        gone = world.workers.worker_by_id['w0']
+        self.assertTrue(gone.run_by_key)
+        world.owners.clear()
+        world.workers.worker_by_id.pop('w0')
+        world.advance(1)
+        world.take_over()
+        orders = []
+        start = world.workers.start
+
+        def noted(order):
+            orders.append(order.worker_id)
+            return start(order)
+
+        world.workers = NotingWorkers(workers=world.workers, start=noted)
+        world.submit(one_step())
+        _act(world, _LONG_S)
+        self.assertEqual(set(orders), {'w1'})
+        # The other task found no room, and none was lost.
+        self.assertEqual(world.status(job_id), JobStatus.ACTIVE)
+
+    # Guards against a listing that is read as a change: workers of which it
+    # says nothing would be kept.
+    def test_whole_listing_drops_workers_that_it_does_not_name(self):
+        world = ShardWorld(workers=2)
+        world.take_over()
+        world.owners[-1].load()
+        tables = world.owners[-1].tables
+        left = world.workers.worker_by_id['w1']
+        row = StoredRow(
+            name=RowName(table='servers', part='', key='w1'),
+            version=9,
+            content=entry_of(left, 'h:1', 'pool'),
+        )
+        entries = WorkerEntries(
+            table='servers',
+            parse=parse_worker,
+            is_own=lambda _worker_id: True,
+        )
+        take_worker_rows(tables, (row,), is_whole=True, entries=entries)
+        self.assertFalse(tables.worker_by_id['w0'].is_listed)
+        self.assertTrue(tables.worker_by_id['w1'].is_listed)
+
+    # Guards against a queue of an older configuration in a process that has
+    # just started, and in one that reads an older version late.
+    def test_dropped_queue_is_unknown_and_stays_so(self):
+        node = _node(None)
+        newer = configuration_of(2, '/other/', 'pool')
+        older = configuration_of(1, _PREFIX, 'pool')
+        path = _PREFIX + _JOB_ID
+        self.assertEqual(_ask(node, 'POST', path), '503 Service Unavailable')
+        for content in (newer, older, b'\xff', newer):
+            SchedulerNode._take_catalogue(node, content)
+            self.assertEqual(_ask(node, 'POST', path), '404 Not Found')
+
+
+def _node(catalogue):
+    """An instance as its front sees it, whose changes are uncertain."""
+    node = mock.MagicMock()
+    node._catalogue = catalogue
+    node._names.parse_catalogue = parse_catalogue
+    node.ownership.runner_by_shard = {}
+    node.catalogue = lambda: node._catalogue
+    node.wall.return_value = 0
+    node.is_leaving = False
+    unheard = Uncertain(reason='no answer in time')
+    node.desk.submit.return_value = unheard
+    node.desk.cancel.return_value = unheard
+    return node
+
+
+def _ask(node, method, path):
+    environ = {
+        'REQUEST_METHOD': method,
+        RAW_PATH_KEY: path,
+        'HTTP_HOST': _HOST,
+        'CONTENT_LENGTH': str(len(_BODY)),
+        'wsgi.input': io.BytesIO(_BODY),
+    }
+    told = []
+    list(JobFront(node=node)(environ, lambda *parts: told.append(parts)))
+    return told[0][0]
