A peer that is lost in a burst of calls ends no instance

Callers would see an instance gone: a peer that sent 500 calls at once and reset its connection ended the whole process (SIGABRT, libev: invalid fd). At its limit of frames read ahead, websockets stops reading by a thread that gevent makes a greenlet; the reset then takes the descriptor from under it. Frames are read without that limit now; their size stays bounded.

Red before, with the real daemon: test_malformed_processes, test_process_outlives_a_peer_that_is_lost_in_a_burst_of_calls.

--- a/ragwortfield/peering/calls.py
+++ b/ragwortfield/peering/calls.py
@@ -23,6 +23,9 @@
 _OPEN_TIMEOUT_S: Seconds = 0.8
 #: Largest frame, in bytes; a job with its specification fits several times.
 _MAX_FRAME_BYTES = 262144
+#: Frames read ahead: no limit. At a limit websockets stops reading, and a
+#: connection that is reset meanwhile ends the process (libev: invalid fd).
+_MAX_QUEUE = None
 #: A failed address is not dialled again for this long, in seconds.
 _REDIAL_S: Seconds = 0.2
 #: Keys of a frame.
@@ -84,6 +87,7 @@
             host,
             port,
             max_size=_MAX_FRAME_BYTES,
+            max_queue=_MAX_QUEUE,
             compression=None,
             ping_interval=None,
             server_header=None,
@@ -153,6 +157,7 @@
                 open_timeout=_OPEN_TIMEOUT_S,
                 close_timeout=_OPEN_TIMEOUT_S,
                 max_size=_MAX_FRAME_BYTES,
+                max_queue=_MAX_QUEUE,
                 compression=None,
                 ping_interval=None,
                 proxy=None,
