Numbers beyond every bound and documents of great depth are malformed

An entry of a worker with a processor of 401 digits ended the owner and each of its successors (OverflowError), a row or configuration nested 50,000 deep raised RecursionError, a client's job with such numbers got 500 in place of 400, and a layout of no shards replaced the one in force. Whole numbers of the wire have bounds, too deep counts as unreadable, a layout needs a shard.

Red before: six tests of test_malformed_extremes and test_malformed_rows.

--- a/ragwortfield/adapters/documents.py
+++ b/ragwortfield/adapters/documents.py
@@ -7,6 +7,9 @@
 
 _Kind = TypeVar('_Kind')
 
+#: Errors of bytes that are no document: other syntax, other types, too deep.
+UNREADABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Malformed:
--- a/ragwortfield/engine/cluster.py
+++ b/ragwortfield/engine/cluster.py
@@ -190,6 +190,13 @@
         if isinstance(record, Malformed):
             event('row_unreadable', key=row.name.key, reason=record.reason)
             return
+        if record.shards < 1:
+            event(
+                'row_unreadable',
+                key=row.name.key,
+                reason=f'{record.shards} shards, expected one or more',
+            )
+            return
         self.shards = record.shards
         self.worker_limits = record.worker_limits
 
--- a/ragwortfield/platform/documents.py
+++ b/ragwortfield/platform/documents.py
@@ -1,10 +1,11 @@
 """Bodies of the platform, decoded once into the project's own types."""
 
 import re
+from typing import Annotated
 
 import msgspec
 
-from ragwortfield.adapters.documents import Malformed
+from ragwortfield.adapters.documents import UNREADABLE, Malformed
 from ragwortfield.core.resources import Resources
 from ragwortfield.ports.task_worker import ListedWorker
 from ragwortfield.scheduling.catalogue import (
@@ -29,10 +30,15 @@
 _JOB_ID = re.compile('[0-9a-fA-F]{16}')
 
 
+#: Largest whole number that a float holds exactly.
+_LARGEST = 9_007_199_254_740_992
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=_LARGEST)]
+
+
 class _Room(msgspec.Struct):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
 
 
 class _Entry(msgspec.Struct):
@@ -57,10 +63,10 @@
 class _Step(msgspec.Struct):
     """Step of a job; fields at zero are left out on the wire."""
 
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    count: _Amount
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
     est_ms: float = 0
     after: tuple[int, ...] = ()
     saves_progress: bool = False
@@ -68,7 +74,7 @@
     same_rack: bool = False
     required_label: str = ''
     data_rack: str = ''
-    anti_affinity: int = 0
+    anti_affinity: _Amount = 0
     speculative: bool = False
     long_lived: bool = False
     image: str = ''
@@ -80,7 +86,7 @@
 class _Job(msgspec.Struct):
     spec: str
     steps: list[_Step]
-    repeat_count: int = 0
+    repeat_count: _Amount = 0
     start_at_ms: float = 0
     interval_ms: float = 0
 
@@ -131,7 +137,7 @@
     """
     try:
         entry = msgspec.json.decode(content, type=_Entry)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         return Malformed(reason=str(error))
     if entry.state not in _STATES:
         return Malformed(
@@ -166,7 +172,7 @@
     """
     try:
         config = msgspec.json.decode(content, type=_Config)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         return Malformed(reason=str(error))
     return Catalogue(
         version=config.version,
@@ -200,7 +206,7 @@
     """
     try:
         wire = msgspec.json.decode(body, type=_Job)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         return Malformed(reason=str(error))
     problem = _problem(wire)
     if problem:
