Gangs: a run fails once, and a checkpoint told in a list serves all members

Two members that fail in one run counted as two of the attempts, so a job failed after its first run; a run counts once now.

--- a/ragwortfield/scheduling/progress.py
+++ b/ragwortfield/scheduling/progress.py
@@ -106,7 +106,7 @@
     :param now: reading of the monotonic clock.
     """
     if checkpoint:
-        _keep_checkpoint(tables, task, checkpoint)
+        keep_checkpoint(tables, task, checkpoint)
     if kind == EndKind.DONE and not task.step.is_long_lived:
         _finish(tables, task)
         return
@@ -205,6 +205,25 @@
     )
 
 
+def keep_checkpoint(
+    tables: ShardTables,
+    task: TaskRow,
+    checkpoint: str,
+) -> None:
+    """
+    Keep a checkpoint; that of any member serves the whole gang.
+
+    :param tables: tables of the shard.
+    :param task: the task that it was told of.
+    :param checkpoint: the checkpoint.
+    """
+    if not task.step.is_gang:
+        task.checkpoint = checkpoint
+        return
+    for member in tables.step_of(task).tasks:
+        member.checkpoint = checkpoint
+
+
 def task_name(task: TaskRow) -> str:
     """
     Name a task in the log.
@@ -232,8 +251,12 @@
 
 
 def _count_failure(tables: ShardTables, task: TaskRow, now: Instant) -> None:
-    # A gang fails as a whole, so its first member counts for all.
+    # A gang fails as a whole, so its first member counts for all, and each
+    # run once.
     step = tables.step_of(task)
+    if task.step.is_gang and step.failed_run == task.run:
+        return
+    step.failed_run = task.run
     counted = step.tasks[0] if task.step.is_gang else task
     counted.failures += 1
     job = tables.job_by_id[task.key.job_id]
@@ -251,18 +274,6 @@
         )
 
 
-def _keep_checkpoint(
-    tables: ShardTables,
-    task: TaskRow,
-    checkpoint: str,
-) -> None:
-    if not task.step.is_gang:
-        task.checkpoint = checkpoint
-        return
-    for member in tables.step_of(task).tasks:
-        member.checkpoint = checkpoint
-
-
 def _unbind(tables: ShardTables, task: TaskRow) -> None:
     worker = tables.worker_by_id.get(task.worker_id)
     if worker is not None:
--- a/ragwortfield/scheduling/reports.py
+++ b/ragwortfield/scheduling/reports.py
@@ -20,6 +20,7 @@
 from ragwortfield.scheduling.job_rows import RunStage, TaskRow
 from ragwortfield.scheduling.progress import (
     end_run,
+    keep_checkpoint,
     release,
     request_stop,
     task_name,
@@ -296,7 +297,7 @@
         _confirm(tables, task, clock_ms, now)
     task.seen_clock_ms = max(task.seen_clock_ms, clock_ms)
     if run.checkpoint:
-        task.checkpoint = run.checkpoint
+        keep_checkpoint(tables, task, run.checkpoint)
     if run.percent != task.percent:
         task.percent = run.percent
         task.percent_changed_at = now
