A worker that comes back as another kind gets no task with the old label

Starts could reach a worker without the label that a step asks for (ROUTE): when its new life reported before its entry was renewed, and when a binding had waited for its commit meanwhile. A label counts only if the entry is of the life that reports, and is asked for again when the start goes out.

--- a/ragwortfield/scheduling/commits.py
+++ b/ragwortfield/scheduling/commits.py
@@ -7,6 +7,7 @@
 from ragwortfield.scheduling.job_rows import JobRow, RunStage, TaskRow
 from ragwortfield.scheduling.progress import (
     note_durably_done,
+    release,
     request_stop,
 )
 from ragwortfield.scheduling.records import (
@@ -14,6 +15,7 @@
     encode_record,
 )
 from ragwortfield.scheduling.tables import ShardTables
+from ragwortfield.scheduling.worker_choice import has_label
 from ragwortfield.types import Instant, JobId, Seconds
 
 #: Rows written or removed together; the store takes 100 entries a
@@ -126,12 +128,8 @@
         _finish(tables, job_id, number, now)
     tables.forgotten_at.update((job.job.job_id, now) for job in batch.removed)
     for task, run in batch.starts:
-        if task.stage != RunStage.UNCOMMITTED or task.run != run:
-            continue
-        if tables.job_by_id[task.key.job_id].is_closed():
-            request_stop(tables, task, now)
-        else:
-            order_start(tables, task, now)
+        if task.stage == RunStage.UNCOMMITTED and task.run == run:
+            _start(tables, task, now)
 
 
 def acknowledge_settled(tables: ShardTables) -> None:
@@ -168,6 +166,16 @@
         tables.forgotten_at[job_id] = math.inf
 
 
+def _start(tables: ShardTables, task: TaskRow, now: Instant) -> None:
+    worker = tables.worker_by_id.get(task.worker_id)
+    if tables.job_by_id[task.key.job_id].is_closed():
+        request_stop(tables, task, now)
+    elif worker and not has_label(worker, tables.step_of(task)):
+        release(tables, task, 'its worker has come back without the label')
+    else:
+        order_start(tables, task, now)
+
+
 def _take_forgotten(
     tables: ShardTables,
     room: int,
--- a/ragwortfield/scheduling/worker_choice.py
+++ b/ragwortfield/scheduling/worker_choice.py
@@ -322,7 +322,11 @@
     :returns: whether it has it, or none is asked for.
     """
     label = step.step.required_label
-    return not label or label in worker.listed.labels
+    if not label:
+        return True
+    # A worker may come back as one of another kind before its entry does.
+    lives = {worker.born_ms, worker.listed.born_ms} - {0}
+    return len(lives) < 2 and label in worker.listed.labels
 
 
 def has_ticket(worker: WorkerRow, step: StepRow, now: Instant) -> bool:
