Jobs that failed under an owner before are forgotten; a split that runs twice (red)

A restored failed job had no time of its end and was kept, in memory and in the store, for ever. Test red before: test_shard_takeover, test_failed_job_of_an_owner_before_is_forgotten.

--- a/ragwortfield/scheduling/intake.py
+++ b/ragwortfield/scheduling/intake.py
@@ -99,6 +99,7 @@
             if task.phase == TaskPhase.FAILED:
                 row.is_failed = True
                 row.is_durably_failed = True
+                row.finished_at = now
             elif task.phase == TaskPhase.BOUND:
                 _restore_binding(tables, task.worker_id)
                 tables.worker_by_id[task.worker_id].add(task)
--- a/ragwortfield/tests/test_shard_takeover.py
+++ b/ragwortfield/tests/test_shard_takeover.py
@@ -5,6 +5,7 @@
 from ragwortfield.core.resources import Resources
 from ragwortfield.ports.task_worker import EndKind
 from ragwortfield.scheduling import intake
+from ragwortfield.scheduling.bounds import Bounds
 from ragwortfield.scheduling.job import Job, Step
 from ragwortfield.scheduling.records import (
     ProgressRecord,
@@ -12,6 +13,8 @@
     TaskRecord,
 )
 from ragwortfield.scheduling.status import JobStatus
+from ragwortfield.testing.row_store import MemoryRowStore
+from ragwortfield.testing.task_workers import FakeWorkers
 from ragwortfield.tests.filler_world import NOW, FillerWorld
 from ragwortfield.tests.shard_world import (
     ATTEMPTS,
@@ -23,6 +26,20 @@
 _DONE = TaskRecord(phase=TaskPhase.DONE, run=1)
 
 
+class _Side:
+    """The world as one owner sees it: some workers, maybe no store."""
+
+    def __init__(self, world, worker_by_id, *, is_store_down):
+        self.world = world
+        self.workers = FakeWorkers(worker_by_id=worker_by_id)
+        self.store = world.store
+        if is_store_down:
+            self.store = MemoryRowStore(is_down=True)
+
+    def __getattr__(self, name):
+        return getattr(self.world, name)
+
+
 class TakeoverTest(unittest.TestCase):
     def setUp(self):
         self.world = ShardWorld(workers=2)
@@ -58,6 +75,45 @@
         self.replace_owner()
         self.assertEqual(self.world.status(job_id), JobStatus.FAILED)
 
+    # Guards against shards that grow: jobs that failed under an owner before
+    # were kept for ever.
+    def test_failed_job_of_an_owner_before_is_forgotten(self):
+        job_id = self.world.submit(one_step())
+        self.finish(EndKind.FAILED, rounds=ATTEMPTS)
+        self.replace_owner()
+        self.world.advance(2 * Bounds().status_s + 1)
+        self.act()
+        self.assertIsNone(self.world.status(job_id))
+
+    # Guards against two runs of one task: an owner without the store goes on
+    # extending the lease of a worker that its successor cannot reach.
+    def test_owner_without_the_store_lets_go_of_what_its_successor_lacks(self):
+        job_id = self.world.submit(one_step(is_long_lived=True))
+        self.act()
+        old = self.world.owners[-1]
+        all_workers = self.world.workers.worker_by_id
+        held = {
+            worker_id: worker
+            for worker_id, worker in all_workers.items()
+            if worker.run_by_key
+        }
+        others = {
+            worker_id: worker
+            for worker_id, worker in all_workers.items()
+            if worker_id not in held
+        }
+        self.world.take_over()
+        new = self.world.owners[-1]
+        old.world = _Side(self.world, held, is_store_down=True)
+        old.commits._store = old.world.store
+        new.world = _Side(self.world, others, is_store_down=False)
+        for _ in range(400):
+            old.act()
+            new.act()
+            self.world.advance(0.1)
+            self.world.check()
+        self.assertEqual(self.world.status(job_id), JobStatus.ACTIVE)
+
     def test_failure_is_counted_once_across_owners(self):
         """Seen on a hunted day: shown as failed after one failure of two."""
         job_id = self.world.submit(one_step())
