A repeat is not refused as never run where an earlier send may have been taken

A submission whose answer of the store was lost got 504, and ran; its repeat at the same instance got 503, which says that the job was not accepted and never runs, if the store had not answered since. Submissions without a certain outcome are remembered for two minutes, and their repeats are uncertain too. Another instance that was never asked before still knows nothing of the first send.

--- a/ragwortfield/engine/job_desk.py
+++ b/ragwortfield/engine/job_desk.py
@@ -60,6 +60,9 @@
 #: Longest time in which a caller's change is tried, in seconds, however long
 #: the caller would wait: by then the store's silence is plain.
 _PERSIST_LIMIT_S: Seconds = 1.3
+#: Time for which a submission without a certain outcome is remembered, in
+#: seconds; callers repeat for a few seconds.
+_UNCERTAIN_S: Seconds = 120
 _NO_LAYOUT = 'the division into shards is not known yet'
 #: Peers that are asked to stand in for the store.
 _STAND_INS = 2
@@ -130,6 +133,7 @@
         self._health = health
         self._peers = peers
         self._empty_tables = empty_tables
+        self._uncertain_at: dict[JobId, Instant] = {}
 
     def submit(
         self,
@@ -152,6 +156,7 @@
             lambda: self.store_job(job.job_id, record),
             limit_s,
         )
+        outcome = self._unless_sent_before(job.job_id, outcome)
         event(
             'job_submitted',
             job=job.job_id,
@@ -413,6 +418,26 @@
             return Unavailable(reason=answer['reason'])
         return int(answer['count'])
 
+    def _unless_sent_before(
+        self,
+        job_id: JobId,
+        outcome: SubmitOutcome,
+    ) -> SubmitOutcome:
+        """A refusal is untrue where an earlier send may have been accepted."""
+        now = time.monotonic()
+        for known_id, sent_at in tuple(self._uncertain_at.items()):
+            if now - sent_at < _UNCERTAIN_S:
+                break
+            del self._uncertain_at[known_id]
+        if isinstance(outcome, Accepted):
+            self._uncertain_at.pop(job_id, None)
+        elif isinstance(outcome, Uncertain):
+            self._uncertain_at.setdefault(job_id, now)
+        elif job_id in self._uncertain_at:
+            reason = f'sent before without an answer; now {outcome.reason}'
+            return Uncertain(reason=reason)
+        return outcome
+
     def _persist(
         self,
         name: str,
