--- a/ragwortfield/tests/test_shard_machine.py
+++ b/ragwortfield/tests/test_shard_machine.py
@@ -102,6 +102,19 @@
             self.world.advance(0.1)
         self.world.check()
 
+    @rule(
+        times=strategies.integers(1, 4),
+        gap_s=strategies.sampled_from((0.5, 1.5, 3.0)),
+        data=strategies.data(),
+    )
+    def act_late(self, times, gap_s, data):
+        """An owner without enough processor comes to act rarely."""
+        owner = data.draw(strategies.sampled_from(self.world.owners))
+        for _ in range(times):
+            owner.act()
+            self.world.advance(gap_s)
+        self.world.check()
+
     @rule(times=strategies.integers(1, 6))
     def all_act(self, times):
         for _ in range(times):
