--- a/ragwortfield/tests/process_world.py
+++ b/ragwortfield/tests/process_world.py
@@ -27,7 +27,7 @@
             job_document(text, counts),
         )
         self.assertIsNotNone(answer)
-        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.status, 200, answer.body)
 
     def await_state(self, instance, job_id, wanted):
         end = time.monotonic() + LIMIT_S
--- a/ragwortfield/tests/test_malformed_processes.py
+++ b/ragwortfield/tests/test_malformed_processes.py
@@ -183,12 +183,20 @@
 
         play(given(messages)(try_message), runs=runs, first_seed=_SEED)
 
+    def is_store_seen(self):
+        return 'name="store_away_s"} 0\n' in self.deployment.metrics_of(
+            self.instance,
+        )
+
     def assert_serves(self, kept):
         self.assertIsNone(self.instance.process.poll())
         log = self.deployment.log_of(self.instance)
         self.assertNotIn('event=owner_failed', log)
         self.assertEqual(log.count('event=shard_loaded'), 1)
         good = '00000000000000b2'
+        # This process serves the store as well; while it drew messages the
+        # instance may have held the store for away.
+        self.await_true(self.is_store_seen)
         self.submit(self.instance, good, 'sleep 0', (1,))
         self.await_state(self.instance, good, 'complete')
         self.await_state(self.instance, kept, 'complete')
--- a/ragwortfield/tests/test_mechanisms.py
+++ b/ragwortfield/tests/test_mechanisms.py
@@ -12,7 +12,7 @@
 from ragwortfield.tests.test_seat_machine import SeatMachine
 
 _STEPS = 40
-_RUNS = 60
+_RUNS = 150
 _transact = MemoryPlatform.transact
 
 
