Processes of tests listen on ports that no connection gets

The whole run had one red test: an instance did not start, its peer port was taken (its log: Address already in use). The port came from the range that the kernel gives to outgoing connections, and one got it between the look and the start. Ports are taken below that range now, another one each time.

--- a/ragwortfield/testing/job_deployment.py
+++ b/ragwortfield/testing/job_deployment.py
@@ -1,6 +1,5 @@
 """Small deployment of the job scheduler: real processes on stand-ins."""
 
-import socket
 import subprocess
 import sys
 import tempfile
@@ -23,6 +22,7 @@
     entry_of,
 )
 from ragwortfield.ports.row_store import RowName, RowWrite, Transaction
+from ragwortfield.testing.ports import free_port
 from ragwortfield.testing.row_store import MemoryRowStore
 from ragwortfield.testing.task_workers import FakeWorker
 from ragwortfield.types import Seconds
@@ -119,7 +119,7 @@
         :param name: its name.
         :returns: the process with its addresses.
         """
-        callers, health, peers = (_free_port() for _ in range(3))
+        callers, health, peers = (free_port() for _ in range(3))
         path = self._folder / f'{name}.toml'
         path.write_text(
             tomli_w.dumps(
@@ -281,9 +281,3 @@
         server.start()
         self._servers.append(server)
         return f'{_HOST}:{server.server_port}'
-
-
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return int(probe.getsockname()[1])
