--- a/ragwortfield/engine/owner_statistics.py
+++ b/ragwortfield/engine/owner_statistics.py
@@ -19,6 +19,8 @@
         seconds.
     :param shortest_remaining_lease_s: shortest remaining lease of a worker with
         tasks when it was renewed, in seconds; ``None`` when none was.
+    :param longest_miss_s: longest time for which a serving task missed its
+        target beside fillers, in seconds.
     :param failed_poll_count: polls of workers that got no report.
     :param last_collected: values by name from the last ``collect``.
     """
@@ -27,6 +29,7 @@
     longest_lag_s: Seconds = 0
     longest_gap_s: Seconds = 0
     shortest_remaining_lease_s: Seconds | None = None
+    longest_miss_s: Seconds = 0
     failed_poll_count: int = 0
     last_collected: dict[str, float] = field(default_factory=dict)
 
@@ -75,6 +78,14 @@
         ):
             self.shortest_remaining_lease_s = remaining_s
 
+    def record_target_miss(self, missed_s: Seconds) -> None:
+        """
+        Record for how long a serving task has missed its target.
+
+        :param missed_s: time beside fillers that used CPU, in seconds.
+        """
+        self.longest_miss_s = max(self.longest_miss_s, missed_s)
+
     def record_failed_poll(self) -> None:
         """Count a poll of a worker that got no report."""
         self.failed_poll_count += 1
@@ -89,6 +100,7 @@
             'round_s': self.longest_round_s,
             'lag_s': self.longest_lag_s,
             'look_gap_s': self.longest_gap_s,
+            'missed_s': self.longest_miss_s,
             'failed_looks': self.failed_poll_count,
         }
         if self.shortest_remaining_lease_s is not None:
@@ -98,6 +110,7 @@
         self.longest_round_s = 0
         self.longest_lag_s = 0
         self.longest_gap_s = 0
+        self.longest_miss_s = 0
         self.shortest_remaining_lease_s = None
         self.failed_poll_count = 0
         return self.last_collected
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -145,7 +145,11 @@
                     now,
                     acknowledged_to_worker=order.acknowledged_end,
                 )
-                interference_control.apply_readings(self._state, worker, now)
+                self._statistics.record_target_miss(
+                    interference_control.apply_readings(
+                        self._state, worker, now
+                    )
+                )
                 self._on_update()
                 self._await_acknowledgement(worker)
                 if (
--- a/ragwortfield/scheduling/interference_control.py
+++ b/ragwortfield/scheduling/interference_control.py
@@ -14,6 +14,7 @@
 
 from ragwortfield.log import event
 from ragwortfield.ports.task_worker import OrderDone, OrderOutcome, PaceRun
+from ragwortfield.scheduling import target_misses
 from ragwortfield.scheduling.interference_model import CpuShares
 from ragwortfield.scheduling.job_state import RunStage, TaskState
 from ragwortfield.scheduling.shard_state import ShardState
@@ -57,7 +58,7 @@
     state: ShardState,
     worker: WorkerState,
     now: MonotonicTime,
-) -> None:
+) -> Seconds:
     """
     Update the interference model from the readings of a worker's report.
 
@@ -66,12 +67,15 @@
     :param state: state of the shard.
     :param worker: worker whose report has been applied.
     :param now: monotonic time, in seconds.
+    :returns: longest time for which one of its serving tasks has missed its
+        target beside fillers, in seconds.
     """
+    longest_miss_s: Seconds = 0
     if (
         worker.report_clock_ms - worker.last_reading_clock_ms
         < _READING_INTERVAL_MS
     ):
-        return
+        return longest_miss_s
     worker.last_reading_clock_ms = worker.report_clock_ms
     shares = _compute_cpu_shares(worker)
     changes = _compute_changes(worker.cpu_share_by_filler, shares)
@@ -101,6 +105,9 @@
         worker.latency_ratio_by_image[image] = max(
             before, task.reading / target_ms
         )
+        missed_s = target_misses.record_reading(state, worker, task, now)
+        longest_miss_s = max(longest_miss_s, missed_s)
+    return longest_miss_s
 
 
 def adjust_paces(state: ShardState, now: MonotonicTime) -> None:
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -62,6 +62,10 @@
         with a latency target, otherwise CPU use in cores; ``None`` for none.
     :param own_utilisation: for a serving task, the utilisation in its latest
         reading that fillers do not explain.
+    :param target_missed_since: monotonic time of the first of the latest
+        readings of a serving task that all missed its target while fillers used
+        CPU beside it; 0 if the latest did not.
+    :param miss_logged_at: monotonic time of the latest log line about that.
     :param pace: speed at which a filler may run, in percent of its full
         speed.
     :param is_pacing: whether a change of the pace is under way.
@@ -93,6 +97,8 @@
     percent_changed_at: MonotonicTime = 0
     reading: float | None = None
     own_utilisation: float = 0
+    target_missed_since: MonotonicTime = 0
+    miss_logged_at: MonotonicTime = 0
     pace: int = 100
     is_pacing: bool = False
     slowed_at: MonotonicTime = 0
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -55,6 +55,7 @@
     task.percent_changed_at = now
     task.reading = None
     task.own_utilisation = 0
+    task.target_missed_since = 0
     task.pace = 100
     task.is_pacing = False
     task.is_stop_wanted = False
--- a/ragwortfield/tests/test_owner_statistics.py
+++ b/ragwortfield/tests/test_owner_statistics.py
@@ -28,6 +28,8 @@
         self.statistics.record_round(0.2)
         self.statistics.record_round(0.1)
         self.statistics.record_lag(0.3)
+        self.statistics.record_target_miss(1.5)
+        self.statistics.record_target_miss(0.5)
         self.statistics.record_failed_poll()
         self.statistics.record_report(
             _make_worker(), 13, lease_end_ms=9000, clock_ms=8500
@@ -36,6 +38,7 @@
             'round_s': 0.2,
             'lag_s': 0.3,
             'look_gap_s': 3,
+            'missed_s': 1.5,
             'failed_looks': 1,
             'lease_left_s': 0.5,
         }
