Show with a failing test that fillers with small weights never yield

A worker with one serving task and six fillers whose learned weight is 0.1, below the 0.15 up to which weights are ignored, while their true weight is 0.3, 0.5 or 0.8: no order is sent, and the task is over its target for the whole 40 s (bound: harm_ms, 4 s).

--- /dev/null
+++ b/ragwortfield/tests/pacing_world.py
@@ -0,0 +1,149 @@
+"""Worker with serving tasks and fillers under the owner's control of paces."""
+
+from collections import deque
+
+from ragwortfield.ports.task_worker import OrderDone, PaceRun
+from ragwortfield.scheduling import interference_control
+from ragwortfield.scheduling.interference_model import InterferenceModel
+from ragwortfield.tests.placement_world import NOW, TARGET_MS, PlacementWorld
+
+#: Tail latency of an idle serving task, in milliseconds.
+_IDLE_MS = 4
+_MAX_UTILISATION = 0.97
+_FULL_PACE = 100
+_MS_PER_S = 1000
+#: Step of the simulated time, in milliseconds.
+_TICK_MS = 50
+#: Interval of the worker's reports, and the time that a reading covers.
+_REPORT_MS = 500
+#: Interval of the owner's decisions on paces.
+_DECISION_MS = 100
+#: Time from an order on pace until it takes effect.
+_ORDER_DELAY_MS = 150
+_WORKER_CPU = 64
+
+
+class PacingWorld:
+    """
+    One worker with a serving task and fillers that work until they are paused.
+
+    :param filler_count: number of fillers.
+    :param filler_cpu: CPU that each of them uses at full pace, in cores.
+    :param load: utilisation by the users of the serving task, as a function of
+        the seconds since the start.
+    :param weight: true weight of the fillers, as a function of the seconds
+        since the start.
+    :param learned_weight: weight that the owner has learned for them.
+    """
+
+    def __init__(
+        self, *, filler_count, filler_cpu, load, weight, learned_weight
+    ):
+        world = PlacementWorld(workers=0)
+        world.add_worker('w0', cpu=_WORKER_CPU)
+        self.state = world.state
+        self.worker = self.state.worker_by_id['w0']
+        self.serving = world.add_serving_task('a', load=0, cpu=20)
+        # The fillers are bound while they count as harmless.
+        self.learn(0)
+        self.fillers = [
+            world.add_job(
+                f'filler-{number}', image='f', is_filler=True, cpu=filler_cpu
+            )[0]
+            for number in range(filler_count)
+        ]
+        assert all(task.worker_id == 'w0' for task in self.fillers)
+        self.learn(learned_weight)
+        estimate = self.state.get_step(self.serving).load
+        estimate.level = load(0)
+        estimate.long_term_level = load(0)
+        self.pace_by_key = {task.key: _FULL_PACE for task in self.fillers}
+        self.longest_miss_s = 0
+        self.filler_work_s = 0
+        self._load = load
+        self._weight = weight
+        self._now_ms = 0
+        self._missed_since_ms = None
+        self._utilisations = deque(maxlen=_REPORT_MS // _TICK_MS)
+        self._orders = []
+
+    def learn(self, amount):
+        """Replace the model by one that is certain of a weight."""
+        model = InterferenceModel()
+        model.min_tail_ms_by_image['a'] = _IDLE_MS / 0.8
+        self.state.interference_model = model
+        world = PlacementWorld(workers=0)
+        world.set_interference_weights({('a', 'f'): amount})
+        pair = world.state.interference_model.weight_by_pair['a', 'f']
+        pair.variance = 0.01
+        model.weight_by_pair['a', 'f'] = pair
+
+    def run(self, length_s):
+        """Simulate; record for how long the task missed its target on end."""
+        end_ms = self._now_ms + length_s * _MS_PER_S
+        while self._now_ms < end_ms:
+            self._now_ms += _TICK_MS
+            self._advance()
+            if self._now_ms % _REPORT_MS == 0:
+                self._report()
+            if self._now_ms % _DECISION_MS == 0:
+                interference_control.adjust_paces(self.state, self._now())
+                self._send_orders()
+
+    def _now(self):
+        return NOW + self._now_ms / _MS_PER_S
+
+    def _share(self, task):
+        pace = self.pace_by_key[task.key] / _FULL_PACE
+        return pace * task.step.need.cpu / _WORKER_CPU
+
+    def _advance(self):
+        for due_ms, order in tuple(self._orders):
+            if due_ms <= self._now_ms:
+                self._orders.remove((due_ms, order))
+                self.pace_by_key[order.key] = order.percent
+                self.confirm(order)
+        seconds = self._now_ms / _MS_PER_S
+        used = sum(self._share(task) for task in self.fillers)
+        self.filler_work_s += used * _WORKER_CPU * _TICK_MS / _MS_PER_S
+        alone = self._load(seconds)
+        utilisation = min(
+            alone + used * self._weight(seconds), _MAX_UTILISATION
+        )
+        self._utilisations.append(utilisation)
+        is_missed = _compute_tail_ms(utilisation) > TARGET_MS
+        if is_missed and _compute_tail_ms(alone) <= TARGET_MS:
+            if self._missed_since_ms is None:
+                self._missed_since_ms = self._now_ms
+            missed_ms = self._now_ms - self._missed_since_ms
+            self.longest_miss_s = max(
+                self.longest_miss_s, missed_ms / _MS_PER_S
+            )
+        else:
+            self._missed_since_ms = None
+
+    def _report(self):
+        mean = sum(self._utilisations) / len(self._utilisations)
+        self.serving.reading = round(_compute_tail_ms(mean))
+        for task in self.fillers:
+            task.reading = self._share(task) * _WORKER_CPU
+        self.worker.report_clock_ms = self._now_ms
+        interference_control.apply_readings(
+            self.state, self.worker, self._now()
+        )
+
+    def _send_orders(self):
+        for order in self.state.orders:
+            assert isinstance(order, PaceRun)
+            self._orders.append((self._now_ms + _ORDER_DELAY_MS, order))
+        self.state.orders = []
+
+    def confirm(self, order):
+        """Deliver the worker's answer to an order on pace."""
+        interference_control.apply_pace_outcome(
+            self.state, order, OrderDone(clock_ms=self._now_ms), self._now()
+        )
+
+
+def _compute_tail_ms(utilisation):
+    return _IDLE_MS / (1 - utilisation)
--- /dev/null
+++ b/ragwortfield/tests/test_pace_feedback.py
@@ -0,0 +1,83 @@
+"""
+Serving tasks that miss their targets beside fillers.
+
+Guards against fillers that work on for as long as a task misses its target
+because of them (incident 0008).
+"""
+
+import math
+import unittest
+
+from ragwortfield.tests.pacing_world import PacingWorld
+
+#: Time for which a serving task may miss its target on end because of fillers,
+#: in seconds; the shortest that the users' deployments state (``harm_ms``).
+_HARM_S = 4
+_LENGTH_S = 40
+
+
+def _steady(amount):
+    return lambda _seconds: amount
+
+
+def _swing(mean, share, period_s, phase=0):
+    return lambda seconds: (
+        mean * (1 + share * math.sin((seconds / period_s + phase) * math.tau))
+    )
+
+
+class PaceFeedbackTest(unittest.TestCase):
+    def assert_no_long_miss(self, world):
+        world.run(_LENGTH_S)
+        self.assertLess(world.longest_miss_s, _HARM_S)
+
+    def test_fillers_with_small_learned_weights_yield(self):
+        """
+        Guards against fillers that are never slowed because each of them
+        counts as harmless, while together they take a task over its target.
+        """
+        for weight in (0.3, 0.5, 0.8):
+            with self.subTest(weight=weight):
+                self.assert_no_long_miss(
+                    PacingWorld(
+                        filler_count=6,
+                        filler_cpu=7,
+                        load=_steady(0.6),
+                        weight=_steady(weight),
+                        learned_weight=0.1,
+                    )
+                )
+
+    def test_fillers_whose_interference_grows_yield(self):
+        """
+        Guards against a model that takes a growing interference for load of
+        the task's own users.
+        """
+        for period_s in (6, 10, 20):
+            with self.subTest(period_s=period_s):
+                self.assert_no_long_miss(
+                    PacingWorld(
+                        filler_count=6,
+                        filler_cpu=7,
+                        load=_swing(0.42, 0.5, 14),
+                        weight=_swing(0.5, 0.9, period_s),
+                        learned_weight=0.1,
+                    )
+                )
+
+    def test_small_reductions_of_many_paces_are_made(self):
+        """
+        Guards against many fillers that each stay a few points above the pace
+        that the target allows, because each change is too small to be sent.
+        """
+        for load in (0.6, 0.66, 0.7):
+            with self.subTest(load=load):
+                self.assert_no_long_miss(
+                    PacingWorld(
+                        filler_count=8,
+                        filler_cpu=5.5,
+                        load=_steady(load),
+                        weight=_steady(2.6),
+                        learned_weight=2.4,
+                    )
+                )
