Experiment: interference that changes within seconds, and the longest miss

The result now also gives the longest time for which a serving task misses its target on end that it would meet without fillers.

--- a/ragwortfield/experiment/loads.py
+++ b/ragwortfield/experiment/loads.py
@@ -12,6 +12,10 @@
 
 #: Name of the worker pool of every simulation.
 POOL = 'pool'
+#: Shortest period of the swing of an interference weight, in seconds, and
+#: number of different periods, which are a second apart.
+_MIN_WEIGHT_PERIOD_S: Seconds = 5
+_WEIGHT_PERIODS = 7
 #: Names of the queues of urgent tasks, fillers and serving tasks.
 URGENT = 'urgent'
 FILLERS = 'fillers'
@@ -80,10 +84,13 @@
     :param serving: distribution of the serving jobs that run from the start.
     :param serving_share: CPU requested by the serving jobs, as a fraction of
         the pool's CPU.
+    :param mean_load: utilisation of serving tasks by their users, on average.
     :param filler_images: number of filler images.
     :param serving_images: number of serving images.
     :param harsh_share: fraction of the pairs of serving and filler images that
         interfere strongly.
+    :param weight_swing: amplitude of the change of interference weights over
+        time, as a fraction of their mean.
     :param target_ms: tail-latency target of the serving tasks, in
         milliseconds.
     :param idle_ms: tail latency of an idle serving task, in milliseconds.
@@ -102,9 +109,11 @@
         ),
     )
     serving_share: float = 0.85
+    mean_load: float = 0.42
     filler_images: int = 9
     serving_images: int = 5
     harsh_share: float = 0.65
+    weight_swing: float = 0.8
     target_ms: float = 18
     idle_ms: float = 4
 
@@ -165,7 +174,7 @@
         self._workload = workload
         self._random = random.Random(seed)
         self._job_count = 0
-        self.weight_by_pair = {
+        self._mean_weight_by_pair = {
             (serving, filler): self._draw_weight()
             for serving in _list_images('s', workload.serving_images)
             for filler in _list_images('f', workload.filler_images)
@@ -229,7 +238,30 @@
         :returns: utilisation without any filler, 0 to 1.
         """
         phase = int(job_id, 16) % 7 / 7
-        return 0.42 * (1 + 0.5 * math.sin((now / 10 + phase) * math.tau))
+        return self._workload.mean_load * (
+            1 + 0.5 * math.sin((now / 10 + phase) * math.tau)
+        )
+
+    def compute_weight(
+        self, serving: str, filler: str, now: MonotonicTime
+    ) -> float:
+        """
+        Compute the interference weight of a pair of images.
+
+        It oscillates around its mean; period and phase depend on the filler.
+
+        :param serving: image of the serving task.
+        :param filler: image of the filler.
+        :param now: simulated time, in seconds.
+        :returns: utilisation added by fillers that use the whole CPU of a
+            worker.
+        """
+        number = int(filler[1:])
+        period_s = _MIN_WEIGHT_PERIOD_S + number % _WEIGHT_PERIODS
+        swing = self._workload.weight_swing * math.sin(
+            (now / period_s + number / _WEIGHT_PERIODS) * math.tau
+        )
+        return self._mean_weight_by_pair[serving, filler] * (1 + swing)
 
     def _make_job(
         self, distribution: JobDistribution, *, now: MonotonicTime
--- a/ragwortfield/experiment/main.py
+++ b/ragwortfield/experiment/main.py
@@ -36,6 +36,7 @@
 _AXIS_HEADROOM_FACTOR = 1.1
 _HEADER = (
     'workers   seed    runs  ms a run  slowest ms  urgent  fillers  serving'
+    '  longest miss s'
 )
 
 
@@ -77,7 +78,7 @@
         f'{result.workers:7} {result.seed:6} {result.runs:7} '
         f'{result.decision_ms_a_run:9.3f} {result.slowest_round_ms:11.1f} '
         f'{on_time.get(URGENT, 0):7.3f} {on_time.get(FILLERS, 0):8.3f} '
-        f'{result.serving:8.3f}'
+        f'{result.serving:8.3f} {result.longest_miss_s:15.2f}'
     )
 
 
--- a/ragwortfield/experiment/simulated_worker.py
+++ b/ragwortfield/experiment/simulated_worker.py
@@ -35,6 +35,8 @@
     :param pace: pace that the owner ordered, in percent of full speed.
     :param reading: tail latency in milliseconds of a serving task, zero until
         it serves; CPU in use, in cores, of another task.
+    :param reading_without_fillers: tail latency in milliseconds that a serving
+        task would have without the fillers beside it.
     """
 
     step: Step
@@ -43,6 +45,28 @@
     started_at: MonotonicTime
     pace: int = _FULL_PACE_PERCENT
     reading: float = 0
+    reading_without_fillers: float = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TailLatency:
+    """
+    Tail latency of a serving task.
+
+    :param tail_ms: tail latency, in milliseconds.
+    :param tail_without_fillers_ms: tail latency without the fillers beside the
+        task, in milliseconds.
+    :param target_ms: target of the tail latency, in milliseconds.
+    """
+
+    key: TaskKey
+    tail_ms: float
+    tail_without_fillers_ms: float
+    target_ms: float
+
+    def is_missed_by_fillers(self) -> bool:
+        """Return whether the target is missed because of fillers."""
+        return self.tail_without_fillers_ms <= self.target_ms < self.tail_ms
 
 
 @dataclass(kw_only=True, slots=True)
@@ -151,14 +175,19 @@
                 self._end_run(key, EndKind.DONE)
         self._update_tail_latencies(now)
 
-    def list_tail_latencies(self) -> list[tuple[TaskKey, float, float]]:
+    def list_tail_latencies(self) -> list[TailLatency]:
         """
         List the tail latencies of the serving tasks that have one.
 
-        :returns: task, tail latency and target, both in milliseconds.
+        :returns: one entry for each of these tasks.
         """
         return [
-            (key, run.reading, run.step.latency_target_ms)
+            TailLatency(
+                key=key,
+                tail_ms=run.reading,
+                tail_without_fillers_ms=run.reading_without_fillers,
+                target_ms=run.step.latency_target_ms,
+            )
             for key, run in self.run_by_key.items()
             if run.step.latency_target_ms and run.reading
         ]
@@ -234,21 +263,24 @@
                 continue
             if now - run.started_at < _STARTUP_S:
                 continue
-            utilisation = (
-                self.generator.compute_utilisation(key.job_id, now)
-                + sum(
-                    self.generator.weight_by_pair[
-                        run.step.image, filler.step.image
-                    ]
-                    * filler.reading
-                    for filler in fillers
+            own_utilisation = self.generator.compute_utilisation(
+                key.job_id, now
+            )
+            interference = sum(
+                self.generator.compute_weight(
+                    run.step.image, filler.step.image, now
                 )
-                / self.capacity.cpu
+                * filler.reading
+                for filler in fillers
             )
-            run.reading = self.idle_ms / (
-                1 - min(utilisation, _MAX_UTILISATION)
+            run.reading_without_fillers = self._compute_tail_ms(own_utilisation)
+            run.reading = self._compute_tail_ms(
+                own_utilisation + interference / self.capacity.cpu
             )
 
+    def _compute_tail_ms(self, utilisation: float) -> float:
+        return self.idle_ms / (1 - min(utilisation, _MAX_UTILISATION))
+
     def _end_run(self, key: TaskKey, kind: EndKind) -> None:
         run = self.run_by_key.pop(key)
         self.last_end += 1
--- a/ragwortfield/experiment/simulation.py
+++ b/ragwortfield/experiment/simulation.py
@@ -22,6 +22,7 @@
     worker_reports,
 )
 from ragwortfield.scheduling.catalogue import Catalogue, Pool
+from ragwortfield.scheduling.job import TaskKey
 from ragwortfield.scheduling.job_state import (
     MAX_LATENESS_FACTOR,
     JobRuntimeState,
@@ -66,6 +67,8 @@
         on time; a late job counts as part of one.
     :param serving: fraction of the tail-latency readings of serving tasks that
         met the target.
+    :param longest_miss_s: longest time for which a serving task missed its
+        target without a break because of fillers, in seconds.
     """
 
     workers: int
@@ -75,6 +78,7 @@
     slowest_round_ms: float
     on_time_by_queue: dict[str, float]
     serving: float
+    longest_miss_s: Seconds
 
     def to_document(self) -> dict[str, object]:
         """
@@ -117,6 +121,10 @@
         self._slowest_round_s: Seconds = 0
         self._latency_readings_in_target = 0
         self._latency_readings = 0
+        self._missed_since_by_task: dict[
+            tuple[str, TaskKey], MonotonicTime
+        ] = {}
+        self._longest_miss_s: Seconds = 0
         self._worker_by_id = {
             f'w{number:04}': self._create_worker(number)
             for number in range(workload.workers)
@@ -150,6 +158,7 @@
             on_time_by_queue=self._score_queues(),
             serving=self._latency_readings_in_target
             / max(self._latency_readings, 1),
+            longest_miss_s=self._longest_miss_s,
         )
 
     def _create_worker(self, number: int) -> SimulatedWorker:
@@ -259,10 +268,23 @@
         self._decision_cpu_s += time.process_time() - cpu_before_s
 
     def _count_latency_readings(self) -> None:
+        missed_since_by_task = {}
         for worker in self._worker_by_id.values():
-            for _, tail_ms, target_ms in worker.list_tail_latencies():
+            for latency in worker.list_tail_latencies():
                 self._latency_readings += 1
-                self._latency_readings_in_target += tail_ms <= target_ms
+                self._latency_readings_in_target += (
+                    latency.tail_ms <= latency.target_ms
+                )
+                if latency.is_missed_by_fillers():
+                    key = (worker.worker_id, latency.key)
+                    missed_since_by_task[key] = self._missed_since_by_task.get(
+                        key, self._now
+                    )
+        self._missed_since_by_task = missed_since_by_task
+        first_missed_at = min(missed_since_by_task.values(), default=self._now)
+        self._longest_miss_s = max(
+            self._longest_miss_s, self._now - first_missed_at
+        )
 
     def _score_queues(self) -> dict[str, float]:
         score_by_queue: Counter[str] = Counter()
--- a/ragwortfield/tests/pacing_world.py
+++ b/ragwortfield/tests/pacing_world.py
@@ -90,6 +90,12 @@
                 interference_control.adjust_paces(self.state, self._now())
                 self._send_orders()
 
+    def confirm(self, order):
+        """Deliver the worker's answer to an order on pace."""
+        interference_control.apply_pace_outcome(
+            self.state, order, OrderDone(clock_ms=self._now_ms), self._now()
+        )
+
     def _now(self):
         return NOW + self._now_ms / _MS_PER_S
 
@@ -138,12 +144,6 @@
             self._orders.append((self._now_ms + _ORDER_DELAY_MS, order))
         self.state.orders = []
 
-    def confirm(self, order):
-        """Deliver the worker's answer to an order on pace."""
-        interference_control.apply_pace_outcome(
-            self.state, order, OrderDone(clock_ms=self._now_ms), self._now()
-        )
-
 
 def _compute_tail_ms(utilisation):
     return _IDLE_MS / (1 - utilisation)
