Pause all fillers beside a serving task that keeps missing its target

Callers saw serving tasks over their latency target for long beside fillers. Cause: paces came from the interference model alone. Weights up to 0.15 are ignored, so fillers that the model holds for harmless were left, or set back, at full pace, however far the task was over its target; what the readings showed was booked as load of the task's own users. Interference changes within seconds, so a learned weight can be small at the moment at which it matters.

Now a task that misses its target in two readings in a row beside fillers that use CPU gets all of them paused, whatever their weights; they come back by half of the full pace with each reading in which no task misses its target. No filler is placed on a worker while its fillers are held back. A miss in which no filler used CPU is not their doing and holds nobody back.

--- a/ragwortfield/scheduling/interference_control.py
+++ b/ragwortfield/scheduling/interference_control.py
@@ -29,6 +29,13 @@
 #: Forecast horizon of loads, in seconds: a reading covers half a second, and a
 #: new pace takes effect only after the next report.
 _FORECAST_S: Seconds = 0.6
+#: Time for which a serving task may miss its target beside fillers before they
+#: are all paused, whatever their weights, in seconds. A single reading can be
+#: noise, or be mended by the paces that the model suggests.
+_TOLERATED_MISS_S: Seconds = 0.4
+#: Increase of the speed limit of the fillers on a worker after a pause, for
+#: each reading in which no serving task misses its target because of them.
+_LIMIT_INCREASE = 0.5
 #: Weights up to this value are ignored as noise in the readings.
 _MIN_NOTABLE_WEIGHT = 0.15
 #: A filler with a weight above this value interferes strongly.
@@ -107,6 +114,7 @@
         )
         missed_s = target_misses.record_reading(state, worker, task, now)
         longest_miss_s = max(longest_miss_s, missed_s)
+    _adapt_speed_limit(worker, longest_miss_s)
     return longest_miss_s
 
 
@@ -239,7 +247,7 @@
         and the largest utilisation that it would add at full speed.
     """
     share = cpu / worker.listed.capacity.cpu
-    speed = 1.0
+    speed = worker.filler_speed_limit
     worst: float = 0
     for serving, headroom in spare_headroom.items():
         interference = _get_notable_weight(state, serving, image) * share
@@ -259,6 +267,17 @@
     return speed >= _MIN_START_SPEED
 
 
+def _adapt_speed_limit(worker: WorkerState, longest_miss_s: Seconds) -> None:
+    worst_ratio = max(worker.latency_ratio_by_image.values(), default=0)
+    is_idle = not any(worker.cpu_share_by_filler.values())
+    if longest_miss_s >= _TOLERATED_MISS_S:
+        worker.filler_speed_limit = 0
+    elif worst_ratio <= 1 or is_idle:
+        worker.filler_speed_limit = min(
+            worker.filler_speed_limit + _LIMIT_INCREASE, 1
+        )
+
+
 def _is_pace_update_due(worker: WorkerState, now: MonotonicTime) -> bool:
     if now - worker.paced_at >= _PACE_INTERVAL_S:
         return True
@@ -355,7 +374,7 @@
         ),
         default=1.0,
     )
-    speed = min(speed, 1.0)
+    speed = min(speed, worker.filler_speed_limit)
     for serving, interference in interference_by_serving.items():
         headroom[serving] = max(headroom[serving] - speed * interference, 0)
     return speed
--- a/ragwortfield/scheduling/worker_state.py
+++ b/ragwortfield/scheduling/worker_state.py
@@ -108,6 +108,8 @@
         a share of the worker's, by image.
     :param last_reading_clock_ms: its clock at the latest evaluated readings.
     :param paced_at: monotonic time of the latest change of a filler's pace.
+    :param filler_speed_limit: highest speed of the fillers, as a share of their
+        full speed; lowered when a serving task misses its target.
     """
 
     worker_id: WorkerId
@@ -144,6 +146,7 @@
     cpu_share_by_filler: dict[str, float] = field(default_factory=dict)
     last_reading_clock_ms: float = 0
     paced_at: MonotonicTime = 0
+    filler_speed_limit: float = 1
 
     def is_in_contact(self, bounds: TimingBounds, now: MonotonicTime) -> bool:
         """
