Show with failing tests that paces are believed against the reports

The owner remembers the pace of each filler from the orders that were answered, and compares it with no report. Three tests, each red on this code: an order to resume that was carried out and whose answer was lost, and one that was carried out after a newer one, leave a serving task over its target for the whole 40 s (bound: harm_ms, 4 s), though the reports show fillers with a pace of 0 that use all of their CPU; fillers that an owner had paused stand still for 40 s under its successor, which takes them to be at full pace.

--- a/ragwortfield/tests/pacing_world.py
+++ b/ragwortfield/tests/pacing_world.py
@@ -2,9 +2,16 @@
 
 from collections import deque
 
-from ragwortfield.ports.task_worker import OrderDone, PaceRun
-from ragwortfield.scheduling import interference_control
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.task_worker import (
+    LeaseReport,
+    ListedRun,
+    OrderDone,
+    PaceRun,
+)
+from ragwortfield.scheduling import interference_control, worker_reports
 from ragwortfield.scheduling.interference_model import InterferenceModel
+from ragwortfield.scheduling.job_state import create_occurrence
 from ragwortfield.tests.placement_world import NOW, TARGET_MS, PlacementWorld
 
 #: Tail latency of an idle serving task, in milliseconds.
@@ -12,6 +19,7 @@
 _MAX_UTILISATION = 0.97
 _FULL_PACE = 100
 _MS_PER_S = 1000
+_MILLICORES = 1000
 #: Step of the simulated time, in milliseconds.
 _TICK_MS = 50
 #: Interval of the worker's reports, and the time that a reading covers.
@@ -90,12 +98,39 @@
                 interference_control.adjust_paces(self.state, self._now())
                 self._send_orders()
 
-    def confirm(self, order):
-        """Deliver the worker's answer to an order on pace."""
+    def change_load(self, load):
+        """Replace the utilisation by the users of the serving task."""
+        self._load = load
+
+    def lose_answer(self, task, percent):
+        """Send an order that is carried out, and lose the answer to it."""
+        order = PaceRun(
+            worker_id='w0',
+            address='',
+            key=task.key,
+            run=task.run,
+            percent=percent,
+            fencing_token=1,
+        )
+        self.pace_by_key[task.key] = percent
         interference_control.apply_pace_outcome(
-            self.state, order, OrderDone(clock_ms=self._now_ms), self._now()
+            self.state,
+            order,
+            Unavailable(reason='no response', is_effect_possible=True),
+            self._now(),
         )
 
+    def take_over(self):
+        """Replace the owner by one that has only read the stored rows."""
+        for number, task in enumerate(self.fillers):
+            job = self.state.job_by_id[task.key.job_id]
+            record = job.occurrence_by_number[0].to_record()
+            occurrence = create_occurrence(job.job, 0, record)
+            job.occurrence_by_number[0] = occurrence
+            self.worker.remove(task)
+            self.fillers[number] = occurrence.steps[0].tasks[0]
+            self.worker.add(self.fillers[number])
+
     def _now(self):
         return NOW + self._now_ms / _MS_PER_S
 
@@ -108,7 +143,12 @@
             if due_ms <= self._now_ms:
                 self._orders.remove((due_ms, order))
                 self.pace_by_key[order.key] = order.percent
-                self.confirm(order)
+                interference_control.apply_pace_outcome(
+                    self.state,
+                    order,
+                    OrderDone(clock_ms=self._now_ms),
+                    self._now(),
+                )
         seconds = self._now_ms / _MS_PER_S
         used = sum(self._share(task) for task in self.fillers)
         self.filler_work_s += used * _WORKER_CPU * _TICK_MS / _MS_PER_S
@@ -130,10 +170,33 @@
 
     def _report(self):
         mean = sum(self._utilisations) / len(self._utilisations)
-        self.serving.reading = round(_compute_tail_ms(mean))
-        for task in self.fillers:
-            task.reading = self._share(task) * _WORKER_CPU
-        self.worker.report_clock_ms = self._now_ms
+        runs = [
+            ListedRun(
+                key=self.serving.key,
+                run=self.serving.run,
+                checkpoint='',
+                percent=100,
+                reading=round(_compute_tail_ms(mean)),
+            )
+        ]
+        runs.extend(
+            ListedRun(
+                key=task.key,
+                run=task.run,
+                checkpoint='',
+                percent=0,
+                reading=self._share(task) * _WORKER_CPU * _MILLICORES,
+            )
+            for task in self.fillers
+        )
+        worker_reports.apply_report(
+            self.state,
+            self.worker,
+            LeaseReport(
+                clock_ms=self._now_ms, born_ms=1, runs=tuple(runs), ends=()
+            ),
+            self._now(),
+        )
         interference_control.apply_readings(
             self.state, self.worker, self._now()
         )
--- a/ragwortfield/tests/test_pace_feedback.py
+++ b/ragwortfield/tests/test_pace_feedback.py
@@ -81,3 +81,53 @@
                         learned_weight=2.4,
                     )
                 )
+
+
+class PaceBeliefTest(unittest.TestCase):
+    """The pace of a run differs from the one that the owner remembers."""
+
+    def make_world(self, load):
+        return PacingWorld(
+            filler_count=6,
+            filler_cpu=7,
+            load=load,
+            weight=_steady(2),
+            learned_weight=2,
+        )
+
+    def test_order_without_an_answer_does_not_leave_fillers_at_full_pace(self):
+        """
+        Guards against fillers that work on at a pace that their owner does not
+        know: the order to resume was carried out, and its answer was lost.
+        """
+        world = self.make_world(_steady(0.74))
+        world.run(5)
+        for task in world.fillers:
+            world.lose_answer(task, 100)
+        world.run(_LENGTH_S)
+        self.assertLess(world.longest_miss_s, _HARM_S)
+
+    def test_late_order_does_not_leave_fillers_at_full_pace(self):
+        """
+        Guards against fillers that work on at a pace that their owner does not
+        know: an old order to resume was carried out after a newer one.
+        """
+        world = self.make_world(_steady(0.74))
+        world.run(5)
+        for task in world.fillers:
+            world.pace_by_key[task.key] = 100
+        world.run(_LENGTH_S)
+        self.assertLess(world.longest_miss_s, _HARM_S)
+
+    def test_fillers_paused_by_an_earlier_owner_resume(self):
+        """
+        Guards against fillers that stand still for good: the owner that paused
+        them was replaced, and the new one takes them to be at full pace.
+        """
+        world = self.make_world(_steady(0.74))
+        world.run(5)
+        self.assertEqual(set(world.pace_by_key.values()), {0})
+        world.take_over()
+        world.change_load(_steady(0.1))
+        world.run(_LENGTH_S)
+        self.assertEqual(set(world.pace_by_key.values()), {100})
