Correct the remembered pace of a filler by its CPU use

Callers would see serving tasks over their target for as long as a filler runs, or fillers that never finish. Cause: the owner took a pace for set when its order was answered, and never compared it with a report, so the pace of a run stayed unknown after an order that was carried out without an answer, or late, and after a change of owner; an order equal to the remembered pace is never sent.

The reports give the CPU that each filler uses. 1.5 s after the last change, when readings cover the new pace only, a filler that uses over 15 points more than its pace allows, or nothing at all, or whose pace was never confirmed, is taken to have the pace that its CPU use shows; the next decision orders the right one.

--- a/ragwortfield/scheduling/interference_control.py
+++ b/ragwortfield/scheduling/interference_control.py
@@ -13,12 +13,14 @@
 from functools import partial
 
 from ragwortfield.log import event
+from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import OrderDone, OrderOutcome, PaceRun
 from ragwortfield.scheduling import target_misses
 from ragwortfield.scheduling.interference_model import CpuShares
 from ragwortfield.scheduling.job_state import RunStage, TaskState
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.step_priority import UrgencyKey, compute_urgency
+from ragwortfield.scheduling.task_lifecycle import format_task_key
 from ragwortfield.scheduling.worker_state import WorkerState
 from ragwortfield.types import MonotonicTime, Seconds
 
@@ -54,6 +56,11 @@
 #: Minimum time between two readings of a worker, in milliseconds: readings
 #: that are closer together cover the same half second.
 _READING_INTERVAL_MS = 240
+#: Time after the start of a run or a change of its pace from which on readings
+#: show the new pace only, in seconds; includes the restore from a checkpoint.
+_SETTLING_S: Seconds = 1.5
+#: Error of the pace that a reading of CPU use shows, in percentage points.
+_PACE_TOLERANCE = 15
 #: Share of its full speed that a filler must reach to be started.
 _MIN_START_SPEED = 0.9
 
@@ -84,6 +91,7 @@
     ):
         return longest_miss_s
     worker.last_reading_clock_ms = worker.report_clock_ms
+    _reconcile_paces(worker, now)
     shares = _compute_cpu_shares(worker)
     changes = _compute_changes(worker.cpu_share_by_filler, shares)
     worker.cpu_share_by_filler = shares
@@ -169,6 +177,10 @@
         if order.percent < task.pace:
             task.slowed_at = now
         task.pace = order.percent
+        task.is_pace_known = True
+    elif isinstance(outcome, Unavailable) and outcome.is_effect_possible:
+        task.is_pace_known = False
+    task.paced_at = now
     task.is_pacing = False
 
 
@@ -267,6 +279,49 @@
     return speed >= _MIN_START_SPEED
 
 
+def _reconcile_paces(worker: WorkerState, now: MonotonicTime) -> None:
+    """
+    Replace remembered paces that the CPU use of the fillers contradicts.
+
+    An order can be carried out without an answer, or after a newer one, and a
+    run that an earlier owner started can have any pace.
+    """
+    for task in worker.run_by_key.values():
+        if not _shows_pace(task, now) or task.reading is None:
+            continue
+        shown_pace = min(
+            round(task.reading / task.step.need.cpu * _FULL_PACE), _FULL_PACE
+        )
+        if task.is_pace_known and not _is_contradicted(task.pace, shown_pace):
+            continue
+        event(
+            'pace_corrected',
+            task=format_task_key(task),
+            run=task.run,
+            worker=worker.worker_id,
+            remembered=task.pace,
+            shown=shown_pace,
+            is_known=task.is_pace_known,
+        )
+        task.pace = shown_pace
+        task.is_pace_known = True
+
+
+def _shows_pace(task: TaskState, now: MonotonicTime) -> bool:
+    if not task.step.is_filler or task.stage != RunStage.RUNNING:
+        return False
+    if task.is_pacing or not task.step.need.cpu:
+        return False
+    return now - max(task.started_at, task.paced_at) >= _SETTLING_S
+
+
+def _is_contradicted(pace: int, shown_pace: int) -> bool:
+    # Fillers that compete for CPU use less than their pace allows, but none of
+    # them uses nothing.
+    is_standing_still = shown_pace == 0 and pace > _PACE_TOLERANCE
+    return is_standing_still or shown_pace > pace + _PACE_TOLERANCE
+
+
 def _adapt_speed_limit(worker: WorkerState, longest_miss_s: Seconds) -> None:
     worst_ratio = max(worker.latency_ratio_by_image.values(), default=0)
     is_idle = not any(worker.cpu_share_by_filler.values())
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -68,6 +68,10 @@
     :param miss_logged_at: monotonic time of the latest log line about that.
     :param pace: speed at which a filler may run, in percent of its full
         speed.
+    :param is_pace_known: whether the worker has confirmed the pace; not after
+        an order without an answer, nor for the run of an earlier owner.
+    :param paced_at: monotonic time of the latest answer to an order on pace, or
+        of its absence.
     :param is_pacing: whether a change of the pace is under way.
     :param is_stop_wanted: whether the run is to be stopped.
     :param stop_sent_at: monotonic time of the latest stop order.
@@ -100,6 +104,8 @@
     target_missed_since: MonotonicTime = 0
     miss_logged_at: MonotonicTime = 0
     pace: int = 100
+    is_pace_known: bool = False
+    paced_at: MonotonicTime = 0
     is_pacing: bool = False
     slowed_at: MonotonicTime = 0
     is_stop_wanted: bool = False
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -57,6 +57,8 @@
     task.own_utilisation = 0
     task.target_missed_since = 0
     task.pace = 100
+    task.is_pace_known = True
+    task.paced_at = 0
     task.is_pacing = False
     task.is_stop_wanted = False
     task.stop_sent_at = 0
