--- a/ragwortfield/tests/test_row_store_client.py
+++ b/ragwortfield/tests/test_row_store_client.py
@@ -8,6 +8,7 @@
 from gevent.server import StreamServer
 
 from ragwortfield.platform.row_store_client import RowStoreClient
+from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import RowPage
 
 #: Number of pieces in which the response is sent.
@@ -37,14 +38,38 @@
         gevent.sleep(_PIECE_INTERVAL_S)
 
 
+def _serve_half(connection, _address):
+    connection.recv(4096)
+    response = _build_response()
+    connection.sendall(response[: len(response) // 2])
+    gevent.sleep(10 * _WAIT_S)
+
+
 class SlowResponseTest(unittest.TestCase):
     # Guards against a stale configuration as in incident 0007: the request for
     # a large configuration times out although its response keeps arriving, and
     # is repeated endlessly.
     def test_response_that_keeps_arriving_does_not_time_out(self):
-        server = StreamServer(('127.0.0.1', 0), _serve)
-        server.start()
-        self.addCleanup(server.stop)
-        store = RowStoreClient(address=f'127.0.0.1:{server.server_port}')
+        store = self.make_client(_serve)
         page = store.wait_for_changes('op', 1, _WAIT_S)
         self.assertIsInstance(page, RowPage)
+
+    # Guards against a link that stays full (incident 0009): instances that
+    # start read a large configuration, give it up while it arrives and begin
+    # again.
+    def test_read_whose_response_keeps_arriving_does_not_time_out(self):
+        page = self.make_client(_serve).read('op', '')
+        self.assertIsInstance(page, RowPage)
+
+    # Guards against a read that waits endlessly for a connection that went
+    # silent in the middle of a response.
+    def test_response_that_stops_arriving_times_out(self):
+        with gevent.Timeout(5 * _WAIT_S):
+            page = self.make_client(_serve_half).read('op', '')
+        self.assertIsInstance(page, Unavailable)
+
+    def make_client(self, serve):
+        server = StreamServer(('127.0.0.1', 0), serve)
+        server.start()
+        self.addCleanup(server.stop)
+        return RowStoreClient(address=f'127.0.0.1:{server.server_port}')
