End a read of the store by silence, not by its whole length

Cause: a read of the store got 1 s in all, a change feed 1.8 s, however large the answer and however steadily it came. Twenty instances of one region that read 350 KB each over one link of 30 Mbit/s need 2 s; each gave up and began again, so none ever ended, the link stayed full, reports and heartbeats of workers came late, and leases lapsed of tasks that had ended.

A read now ends when no first byte comes within the time that it had in all, when nothing comes for 1 s, or after 15 s. Commits keep their limit.

--- a/ragwortfield/adapters/http_client.py
+++ b/ragwortfield/adapters/http_client.py
@@ -70,10 +70,23 @@
     :param first_byte_s: longest wait for the first bytes of the response, in
         seconds.
     :param total_s: longest wait for the complete response, in seconds.
+    :param silence_s: longest pause between two pieces of the response, in
+        seconds; ``None`` if only the total time counts.
     """
 
     first_byte_s: Seconds
     total_s: Seconds
+    silence_s: Seconds | None = None
+
+    def body_s(self) -> Seconds:
+        """
+        Return the longest wait for the next piece of the body.
+
+        :returns: seconds.
+        """
+        if self.silence_s is None:
+            return self.total_s
+        return min(self.silence_s, self.total_s)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -275,12 +288,12 @@
         try:
             sock.sendall(encoded)
             response = _Response(sock, _READ_BLOCK_BYTES, request.method)
-            sock.settimeout(max(timeouts.total_s, _MIN_TIMEOUT_S))
+            sock.settimeout(max(timeouts.body_s(), _MIN_TIMEOUT_S))
             body = response.read_body(sock)
         except TimeoutError:
             return Broken(
                 reason='no byte of the response within '
-                f'{timeouts.first_byte_s:.3f} s',
+                f'{sock.gettimeout() or 0:.3f} s',
                 is_silent=True,
                 is_reused=connection.is_reused,
             ), False
--- a/ragwortfield/platform/row_store_client.py
+++ b/ragwortfield/platform/row_store_client.py
@@ -31,6 +31,12 @@
 #: Time beyond the requested wait after which the response of the change feed
 #: times out, in seconds; the connection is assumed dead then.
 _FEED_TIMEOUT_MARGIN_S: Seconds = 0.8
+#: Longest pause between two pieces of the response to a read, in seconds, and
+#: longest time for all of it. A large response takes seconds over a link that
+#: many instances share; to ask for it again from the beginning would make the
+#: link fuller.
+_MAX_SILENCE_S: Seconds = 1
+_MAX_READ_S: Seconds = 15
 _MS_PER_S = 1000
 #: Statuses with which the store says that a request had no effect.
 _NO_EFFECT_STATUSES = frozenset(
@@ -148,7 +154,10 @@
             fields=_JSON_HEADERS,
             body=_encode_transaction(transaction),
         )
-        answer = self._exchange(request, timeout_s)
+        answer = self._exchange(
+            request,
+            Timeouts(first_byte_s=timeout_s, total_s=timeout_s),
+        )
         if isinstance(answer, Unavailable):
             return answer
         if answer.status == HTTPStatus.OK:
@@ -175,7 +184,14 @@
         timeout_s: Seconds,
     ) -> WholeAnswer | Unavailable:
         request = HttpRequest(method='GET', path=path)
-        answer = self._exchange(request, timeout_s)
+        answer = self._exchange(
+            request,
+            Timeouts(
+                first_byte_s=timeout_s,
+                total_s=_MAX_READ_S,
+                silence_s=_MAX_SILENCE_S,
+            ),
+        )
         if isinstance(answer, Unavailable):
             return answer
         if answer.status not in {HTTPStatus.OK, HTTPStatus.GONE}:
@@ -187,9 +203,8 @@
     def _exchange(
         self,
         request: HttpRequest,
-        timeout_s: Seconds,
+        timeouts: Timeouts,
     ) -> WholeAnswer | Unavailable:
-        timeouts = Timeouts(first_byte_s=timeout_s, total_s=timeout_s)
         outcome = self._pool.exchange(request, timeouts)
         if isinstance(outcome, NotSent):
             return Unavailable(reason=outcome.reason)
