Read damaged rows by one rule: they cost their own job or entry only

Known red since the reading of rows was tested: an owner's row that could not be read, or with a fencing token that no higher one can follow, left its shard without an owner; one in the part of no shard hid the rows after it; a job row with an unknown step ended its owner; a job whose progress could not be read was run again, though it had run.

Rule: a row that cannot be read is logged and costs its own job or entry. An unreadable owner's row counts as one without an owner: the owner before cannot commit, as commits expect the row as it wrote it, and the token before stands in the row of the last commit too. Tokens over 2**53 count as damage. An occurrence whose progress is unreadable, or does not fit its job, is held back: it may have run. It stays active until it is cancelled.

The check of all progress rows leaves out the row that the test has damaged, and no other.

--- a/ragwortfield/engine/cluster_view.py
+++ b/ragwortfield/engine/cluster_view.py
@@ -104,7 +104,9 @@
         record = decode_record(row.content or b'', OwnerRecord)
         if isinstance(record, Malformed):
             event('row_unreadable', key=row.name.key, reason=record.reason)
-            return
+            # Whoever owned the shard can no longer commit, since commits
+            # expect the row as the owner wrote it.
+            record = OwnerRecord(instance_id='', incarnation='', epoch=0)
         self.owner_by_shard[shard] = KnownOwner(
             record=record,
             version=row.version,
--- a/ragwortfield/engine/row_names.py
+++ b/ragwortfield/engine/row_names.py
@@ -18,6 +18,7 @@
 #: Partition of a table for rows that belong to no shard.
 COMMON_PARTITION = ''
 
+_SHARD_PREFIX = 's'
 _OWNER_KEY = 'owner'
 _LAYOUT_KEY = 'layout'
 _MEMBER_PREFIX = 'member/'
@@ -72,7 +73,7 @@
     :param shard: number of the shard.
     :returns: name of the partition.
     """
-    return f's{shard}'
+    return f'{_SHARD_PREFIX}{shard}'
 
 
 def inbox_table(shard: int) -> str:
@@ -185,6 +186,20 @@
     )
 
 
+def parse_progress_key(key: str) -> tuple[tuple[JobId, int], ...]:
+    """
+    Parse the key of a progress row.
+
+    :param key: key of the row.
+    :returns: the job and the number of the occurrence; empty if the key has
+        another format.
+    """
+    job_id, _, number = key.rpartition('/')
+    if not job_id or not number.isdecimal():
+        return ()
+    return ((job_id, int(number)),)
+
+
 def is_owner_row(name: RowName) -> bool:
     """
     Tell whether a row is the owner row of a shard.
@@ -192,7 +207,9 @@
     :param name: name of a row of the cluster table.
     :returns: whether it is.
     """
-    return name.key == _OWNER_KEY
+    number = name.partition.removeprefix(_SHARD_PREFIX)
+    is_shard = name.partition.startswith(_SHARD_PREFIX) and number.isdecimal()
+    return name.key == _OWNER_KEY and is_shard
 
 
 def is_layout_row(name: RowName) -> bool:
--- a/ragwortfield/engine/shard_loading.py
+++ b/ragwortfield/engine/shard_loading.py
@@ -6,11 +6,15 @@
 from typing import TypeVar
 
 from ragwortfield.adapters.json_codec import Malformed
-from ragwortfield.engine.row_names import cancelled_job_of
+from ragwortfield.engine.row_names import (
+    cancelled_job_of,
+    parse_progress_key,
+)
 from ragwortfield.log import event
 from ragwortfield.ports.row_store import StoredRow
 from ragwortfield.ports.task_worker import ListedWorker
 from ragwortfield.scheduling import shard_updates
+from ragwortfield.scheduling.job import has_valid_order
 from ragwortfield.scheduling.job_state import JobRuntimeState
 from ragwortfield.scheduling.records import (
     JobRecord,
@@ -101,6 +105,13 @@
         event('row_unreadable', key=row.name.key, reason=record.reason)
         return None
     job = record.job
+    if not has_valid_order(job.steps):
+        event(
+            'row_unreadable',
+            key=row.name.key,
+            reason='a step depends on one that does not come before it',
+        )
+        return None
     if job.job_id in state.removed_at_by_id:
         # The job has expired and its row is being removed; if it were
         # registered again, it would run a second time.
@@ -138,14 +149,18 @@
         between its steps.
     """
     records_by_job: dict[JobId, list[ProgressRecord]] = {}
+    unreadable: list[tuple[JobId, int]] = []
     for rows in _batched(progress, _ROWS_PER_STEP):
         for row in rows:
             record = decode_record(row.content or b'', ProgressRecord)
             if isinstance(record, Malformed):
                 event('row_unreadable', key=row.name.key, reason=record.reason)
-                continue
-            records_by_job.setdefault(record.job_id, []).append(record)
+                unreadable.extend(parse_progress_key(row.name.key))
+            else:
+                records_by_job.setdefault(record.job_id, []).append(record)
         yield
+    for job_id, _ in unreadable:
+        records_by_job.setdefault(job_id, [])
     for rows in _batched(inbox, _ROWS_PER_STEP):
         apply_inbox_rows(
             state,
@@ -159,6 +174,8 @@
         for record in chain.from_iterable(records):
             shard_updates.restore_progress(state, record, now)
         yield
+    for job_id, number in unreadable:
+        shard_updates.hold_unreadable_occurrence(state, job_id, number)
 
 
 def apply_worker_rows(
--- a/ragwortfield/scheduling/job.py
+++ b/ragwortfield/scheduling/job.py
@@ -101,6 +101,20 @@
         return self.first_due_at + occurrence * self.interval_s
 
 
+def has_valid_order(steps: tuple[Step, ...]) -> bool:
+    """
+    Return whether each step depends on earlier steps only.
+
+    :param steps: steps of a job.
+    :returns: whether all numbers in ``after`` name an earlier step.
+    """
+    return all(
+        0 <= earlier < number
+        for number, step in enumerate(steps)
+        for earlier in step.after
+    )
+
+
 def compute_critical_paths(steps: tuple[Step, ...]) -> tuple[Seconds, ...]:
     """
     Compute the critical path from each step to the end of the job.
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -219,6 +219,8 @@
     :param accepted_at_monotonic: time of acceptance on the owner's monotonic
         clock.
     :param occurrence_by_number: occurrences that have been created.
+    :param unreadable_occurrences: occurrences whose stored progress could not
+        be read; they may have run, so they are never created again.
     :param next_occurrence: number of the next occurrence to create.
     :param has_run: whether any of its tasks has had a run.
     :param is_durably_failed: whether its failure is stored.
@@ -236,6 +238,7 @@
     occurrence_by_number: dict[int, OccurrenceState] = field(
         default_factory=dict,
     )
+    unreadable_occurrences: set[int] = field(default_factory=set)
     next_occurrence: int = 0
     has_run: bool = False
     is_cancelled: bool = False
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -3,9 +3,10 @@
 They outlive every instance, so an owner can continue where another stopped.
 """
 
+import sys
 from dataclasses import dataclass, field
 from enum import IntEnum
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -14,7 +15,12 @@
 from ragwortfield.scheduling.job import Job
 from ragwortfield.types import InstanceId, Seconds, WorkerId
 
+#: Upper bound of fencing tokens. They grow by one with each change of owner,
+#: so a higher one is damaged; and JSON numbers are exact up to here.
+_MAX_EPOCH = 1 << sys.float_info.mant_dig
+
 _RecordT = TypeVar('_RecordT')
+_Epoch = Annotated[int, msgspec.Meta(ge=0, le=_MAX_EPOCH)]
 
 
 class TaskPhase(IntEnum):
@@ -92,7 +98,7 @@
 
     instance_id: InstanceId
     incarnation: str
-    epoch: int
+    epoch: _Epoch
     address: str = ''
     lease_s: Seconds = 0
 
@@ -105,7 +111,7 @@
     It shows whether a commit without an answer took effect.
     """
 
-    epoch: int
+    epoch: _Epoch
     number: int
 
 
--- a/ragwortfield/scheduling/shard_updates.py
+++ b/ragwortfield/scheduling/shard_updates.py
@@ -94,6 +94,9 @@
         event('progress_without_job', job=record.job_id)
         return
     occurrence = _restore_occurrence(job_state.job, record)
+    if occurrence is None:
+        hold_unreadable_occurrence(state, record.job_id, record.occurrence)
+        return
     job_state.occurrence_by_number[record.occurrence] = occurrence
     job_state.has_run = job_state.has_run or occurrence.has_run
     for step in occurrence.steps:
@@ -111,6 +114,22 @@
         stop_job(state, job_state, now)
 
 
+def hold_unreadable_occurrence(
+    state: ShardState, job_id: JobId, number: int
+) -> None:
+    """
+    Hold back an occurrence whose stored progress cannot be read.
+
+    :param state: state of the shard.
+    :param job_id: its job; nothing happens if it is not known.
+    :param number: number of the occurrence.
+    """
+    job_state = state.job_by_id.get(job_id)
+    if job_state is not None:
+        job_state.unreadable_occurrences.add(number)
+        job_state.has_run = True
+
+
 def cancel_job(state: ShardState, job_id: JobId, now: MonotonicTime) -> None:
     """
     Apply a cancellation that is durable.
@@ -141,7 +160,10 @@
     for job_id in tuple(state.repeating_job_ids):
         job_state = state.job_by_id[job_id]
         # A later occurrence may have been restored although this one was not.
-        while job_state.next_occurrence in job_state.occurrence_by_number:
+        known_numbers = job_state.unreadable_occurrences.union(
+            job_state.occurrence_by_number
+        )
+        while job_state.next_occurrence in known_numbers:
             job_state.next_occurrence += 1
         if (
             job_state.is_closed()
@@ -227,7 +249,9 @@
             work_by_filler[image] = work_by_filler.get(image, 0) + work
 
 
-def _restore_occurrence(job: Job, record: ProgressRecord) -> OccurrenceState:
+def _restore_occurrence(
+    job: Job, record: ProgressRecord
+) -> OccurrenceState | None:
     counts = tuple(len(step) for step in record.steps)
     expected = tuple(step.count for step in job.steps)
     if counts != expected:
@@ -237,7 +261,7 @@
             occurrence=record.occurrence,
             reason=f'record has {counts} tasks per step, expected {expected}',
         )
-        return create_occurrence(job, record.occurrence)
+        return None
     is_done = all(
         task.phase == TaskPhase.DONE for step in record.steps for task in step
     )
--- a/ragwortfield/tests/shard_checks.py
+++ b/ragwortfield/tests/shard_checks.py
@@ -80,6 +80,8 @@
     for row in world.store.row_by_name.values():
         if row.name.table != PROGRESS_TABLE or row.content is None:
             continue
+        if row.name in world.damaged_rows:
+            continue
         record = decode_record(row.content, ProgressRecord)
         steps = world.accepted_job_by_id[record.job_id].steps
         for step, tasks in zip(steps, record.steps, strict=True):
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -262,6 +262,8 @@
         self.order_delay_probability = 0
         self.owners = []
         self.accepted_job_by_id = {}
+        # Rows that a test has overwritten with bytes that nothing can decode.
+        self.damaged_rows = set()
         self.cancelled_job_ids = set()
         self.refused_job_ids = set()
         for number in range(workers):
--- a/ragwortfield/tests/test_malformed_extremes.py
+++ b/ragwortfield/tests/test_malformed_extremes.py
@@ -229,5 +229,6 @@
     # completion cannot be decoded.
     def test_job_with_unreadable_progress_is_not_run_again(self):
         self.complete_job()
+        self.world.damaged_rows.add(progress_row(0, self.job_id, 0))
         self.replace_progress(b'\xff')
         self.world.check()
