Suspend an expired seat of an isolated holder that can read but not write

Known red: a holder whose writes are refused, whose reads pass, whose peers are cut off and which the list leaves out held its seat beside its successor for a moment, so a request with a key could run twice. Cause: each read of the row ended the suspension, though the lease had expired and another instance may take the seat right after the read. Now a read ends it only while the lease runs or a peer is heard; a renewal ends it as before. Nothing twice goes before availability: the cost stands in design 0001.

The job scheduler does not import these modules.

--- a/ragwortfield/engine/entry_node.py
+++ b/ragwortfield/engine/entry_node.py
@@ -27,8 +27,8 @@
     is_link_required,
     remove_silent_peers,
 )
-from ragwortfield.policies.seat_leases import (
-    drop_superseded_seats,
+from ragwortfield.policies.seat_leases import drop_superseded_seats
+from ragwortfield.policies.seat_suspension import (
     resume_on_peer_evidence,
     suspend_after_pause,
     suspend_if_isolated,
--- a/ragwortfield/engine/platform_sync.py
+++ b/ragwortfield/engine/platform_sync.py
@@ -115,11 +115,17 @@
         if isinstance(found, Unavailable):
             return False
         now = self._clock.monotonic()
-        apply_seat_rows(self._instance_state, _parse_seat_rows(found), now)
+        wall_time = self._clock.wall_time()
+        apply_seat_rows(
+            self._instance_state,
+            _parse_seat_rows(found),
+            now=now,
+            wall_time=wall_time,
+        )
         writes = plan_seat_writes(
             self._instance_state,
             now=now,
-            wall_time=self._clock.wall_time(),
+            wall_time=wall_time,
             is_flushed=not self._claim_store.count_dirty(),
         )
         for write in writes:
--- a/ragwortfield/policies/seat_leases.py
+++ b/ragwortfield/policies/seat_leases.py
@@ -16,6 +16,10 @@
     SeatRowWatch,
 )
 from ragwortfield.core.seats import Seat, SeatId, SeatRow
+from ragwortfield.policies.seat_suspension import (
+    compute_max_silence_s,
+    is_isolated,
+)
 from ragwortfield.types import MonotonicTime, TargetId, WallTime
 
 
@@ -127,18 +131,24 @@
 def apply_seat_rows(
     instance_state: InstanceState,
     rows: tuple[SeatRow, ...],
+    *,
     now: MonotonicTime,
+    wall_time: WallTime,
 ) -> None:
     """
     Update the held seats from the rows of the platform's table.
 
     Seats that this instance no longer holds are dropped; the others are
-    verified, which ends their suspension.
+    verified, which ends their suspension. A seat of an isolated instance stays
+    suspended once it has expired: others may take it right after the read.
 
     :param instance_state: state of this instance.
     :param rows: all seat rows of the own data centre.
     :param now: monotonic time, in seconds.
+    :param wall_time: wall-clock time, in seconds.
     """
+    max_silence_s = compute_max_silence_s(instance_state)
+    is_alone = is_isolated(instance_state, max_silence_s, now)
     _update_watches(instance_state, rows, now)
     instance_state.seat_row_by_key = {
         row.seat_id.row_key(): row for row in rows
@@ -152,7 +162,8 @@
             held,
             version=row.version,
             expires_at=row.seat.expires_at,
-            is_suspended=False,
+            is_suspended=is_alone
+            and wall_time > row.seat.expires_at + max_silence_s,
         )
 
 
@@ -229,100 +240,6 @@
     )
 
 
-def suspend_after_pause(
-    instance_state: InstanceState, now: MonotonicTime
-) -> bool:
-    """
-    Suspend all seats if the process was paused since the last tick.
-
-    :param instance_state: state of this instance.
-    :param now: monotonic time, in seconds.
-    :returns: whether the process was paused.
-    """
-    if not instance_state.last_tick_at or not instance_state.is_paused(now):
-        return False
-    for key, held in tuple(instance_state.held_seat_by_key.items()):
-        instance_state.held_seat_by_key[key] = replace(held, is_suspended=True)
-    return True
-
-
-def suspend_if_isolated(
-    instance_state: InstanceState,
-    *,
-    now: MonotonicTime,
-    wall_time: WallTime,
-) -> bool:
-    """
-    Suspend expired seats of an instance without contact to its peers.
-
-    An instance that reaches neither the platform nor any peer cannot learn of a
-    takeover, so it stops using its seats before one may happen.
-
-    :param instance_state: state of this instance.
-    :param now: monotonic time, in seconds.
-    :param wall_time: wall-clock time, in seconds.
-    :returns: whether this call suspended any seat.
-    """
-    configuration = instance_state.configuration()
-    if configuration is None or not _is_any_other_known(instance_state):
-        return False
-    max_silence_s = configuration.timing.takeover_after_s / 2
-    is_heard = any(
-        now - peer.heard_at <= max_silence_s
-        for peer in instance_state.peer_by_id.values()
-    )
-    is_suspended_now = False
-    for key, held in tuple(instance_state.held_seat_by_key.items()):
-        is_expired = wall_time > held.expires_at + max_silence_s
-        if is_expired and not is_heard and not held.is_suspended:
-            instance_state.held_seat_by_key[key] = replace(
-                held, is_suspended=True
-            )
-            is_suspended_now = True
-    return is_suspended_now
-
-
-def _is_any_other_known(instance_state: InstanceState) -> bool:
-    if instance_state.peer_by_id:
-        return True
-    listing = instance_state.listing
-    return listing is not None and any(
-        entry.kind == 'entry'
-        and entry.instance_id != instance_state.identity.instance_id
-        for entry in listing.instances
-    )
-
-
-def resume_on_peer_evidence(
-    instance_state: InstanceState,
-    *,
-    suspended_at: MonotonicTime,
-    now: MonotonicTime,
-) -> None:
-    """
-    Resume suspended seats if peers confirm that the store is unavailable.
-
-    A peer of the same data centre that was heard after the suspension and does
-    not reach the store either is evidence of an outage of the store.
-
-    :param instance_state: state of this instance.
-    :param suspended_at: time at which a pause or isolation of this instance was
-        detected.
-    :param now: monotonic time, in seconds.
-    """
-    confirming_peers = [
-        peer
-        for peer in instance_state.peer_by_id.values()
-        if peer.data_centre == instance_state.identity.data_centre
-        and peer.heard_at > suspended_at
-        and not peer.is_store_reachable
-    ]
-    if not confirming_peers or instance_state.is_paused(now):
-        return
-    for key, held in tuple(instance_state.held_seat_by_key.items()):
-        instance_state.held_seat_by_key[key] = replace(held, is_suspended=False)
-
-
 def drop_superseded_seats(instance_state: InstanceState) -> tuple[str, ...]:
     """
     Drop seats that a peer holds with a higher generation.
--- a/ragwortfield/tests/seat_world.py
+++ b/ragwortfield/tests/seat_world.py
@@ -14,8 +14,8 @@
 from ragwortfield.engine.platform_sync import CONFIGURATION_KEY, PlatformSync
 from ragwortfield.peering.messages import Heartbeat
 from ragwortfield.policies.configuration import apply_configuration
-from ragwortfield.policies.seat_leases import (
-    drop_superseded_seats,
+from ragwortfield.policies.seat_leases import drop_superseded_seats
+from ragwortfield.policies.seat_suspension import (
     resume_on_peer_evidence,
     suspend_after_pause,
     suspend_if_isolated,
