Log a violated invariant instead of raising a TypeError

The name of the invariant was passed to event() under the key that event() uses for its own name, so a violation raised a TypeError in place of the count and the log line. The job scheduler does not import the module.

--- a/ragwortfield/invariants.py
+++ b/ragwortfield/invariants.py
@@ -38,7 +38,10 @@
             return
         self.count_by_name[name] = self.count_by_name.get(name, 0) + 1
         event(
-            'invariant_violated', level=logging.ERROR, name=name, detail=detail
+            'invariant_violated',
+            level=logging.ERROR,
+            invariant=name,
+            detail=detail,
         )
         if self.is_raising:
             raise InvariantError(f'{name}: {detail}')
