--- a/ragwortfield/tests/test_row_store_client.py
+++ b/ragwortfield/tests/test_row_store_client.py
@@ -15,6 +15,8 @@
 _PIECE_COUNT = 14
 #: Time between two pieces, in seconds.
 _PIECE_INTERVAL_S = 0.2
+#: Pause in a response while others read over the same link, in seconds.
+_LONG_PAUSE_S = 1.5
 #: Time that the store is asked to wait for a change, in seconds.
 _WAIT_S = 1
 
@@ -38,6 +40,14 @@
         gevent.sleep(_PIECE_INTERVAL_S)
 
 
+def _serve_with_a_long_pause(connection, _address):
+    connection.recv(4096)
+    response = _build_response()
+    connection.sendall(response[: len(response) // 2])
+    gevent.sleep(_LONG_PAUSE_S)
+    connection.sendall(response[len(response) // 2 :])
+
+
 def _serve_half(connection, _address):
     connection.recv(4096)
     response = _build_response()
@@ -61,6 +71,13 @@
         page = self.make_client(_serve).read('op', '')
         self.assertIsInstance(page, RowPage)
 
+    # Guards against an old configuration and a full link (incident 0009): all
+    # instances of a region read a configuration of twice the size at once, so
+    # that a response pauses for longer than a second.
+    def test_response_that_pauses_on_a_full_link_does_not_time_out(self):
+        client = self.make_client(_serve_with_a_long_pause)
+        self.assertIsInstance(client.read('op', ''), RowPage)
+
     # Guards against a read that waits endlessly for a connection that went
     # silent in the middle of a response.
     def test_response_that_stops_arriving_times_out(self):
