Name what the control of paces asks for in several places

The running fillers of a worker were picked out by the same condition in three functions of interference_control, whether fillers used CPU was computed in two modules, and whether a serving task is over its target stood in target_misses and once more in the summary of a shard. Each is one function now. The search for the next occurrence of a repeating job made a set of all its occurrences in every slow round; it looks into the two collections instead.

--- a/ragwortfield/scheduling/interference_control.py
+++ b/ragwortfield/scheduling/interference_control.py
@@ -286,7 +286,7 @@
     An order can be carried out without an answer, or after a newer one, and a
     run that an earlier owner started can have any pace.
     """
-    for task in worker.run_by_key.values():
+    for task in _list_running_fillers(worker):
         if not _shows_pace(task, now) or task.reading is None:
             continue
         shown_pace = min(
@@ -308,8 +308,6 @@
 
 
 def _shows_pace(task: TaskState, now: MonotonicTime) -> bool:
-    if not task.step.is_filler or task.stage != RunStage.RUNNING:
-        return False
     if task.is_pacing or not task.step.need.cpu:
         return False
     return now - max(task.started_at, task.paced_at) >= _SETTLING_S
@@ -324,10 +322,9 @@
 
 def _adapt_speed_limit(worker: WorkerState, longest_miss_s: Seconds) -> None:
     worst_ratio = max(worker.latency_ratio_by_image.values(), default=0)
-    is_idle = not any(worker.cpu_share_by_filler.values())
     if longest_miss_s >= _TOLERATED_MISS_S:
         worker.filler_speed_limit = 0
-    elif worst_ratio <= 1 or is_idle:
+    elif worst_ratio <= 1 or not worker.are_fillers_working():
         worker.filler_speed_limit = min(
             worker.filler_speed_limit + _LIMIT_INCREASE, 1
         )
@@ -364,11 +361,17 @@
     return weight if weight > _MIN_NOTABLE_WEIGHT else 0
 
 
+def _list_running_fillers(worker: WorkerState) -> list[TaskState]:
+    return [
+        task
+        for task in worker.run_by_key.values()
+        if task.step.is_filler and task.stage == RunStage.RUNNING
+    ]
+
+
 def _compute_cpu_shares(worker: WorkerState) -> CpuShares:
     share_by_image: CpuShares = {}
-    for task in worker.run_by_key.values():
-        if not task.step.is_filler or task.stage != RunStage.RUNNING:
-            continue
+    for task in _list_running_fillers(worker):
         used = task.reading
         if used is None:
             used = task.step.need.cpu * task.pace / _FULL_PACE
@@ -391,11 +394,7 @@
     worker: WorkerState,
     now: MonotonicTime,
 ) -> list[tuple[TaskState, int]]:
-    fillers = [
-        task
-        for task in worker.run_by_key.values()
-        if task.step.is_filler and task.stage == RunStage.RUNNING
-    ]
+    fillers = _list_running_fillers(worker)
     headroom = compute_headroom(state, worker, is_long_term=False)
     for serving, latency_ratio in worker.latency_ratio_by_image.items():
         if latency_ratio > _OVERLOAD_LIMIT and serving in headroom:
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -115,6 +115,10 @@
     may_run_until: MonotonicTime = 0
     avoided_workers: set[WorkerId] = field(default_factory=set)
 
+    def is_over_target(self) -> bool:
+        """Return whether a serving task's latest reading misses its target."""
+        return (self.reading or 0) > self.step.latency_target_ms
+
     def to_record(self) -> TaskRecord:
         """Return the part of the state that is stored."""
         return TaskRecord(
@@ -253,6 +257,17 @@
         """Return the number of occurrences; 1 for a job that runs once."""
         return max(self.job.repeat_count, 1)
 
+    def is_occurrence_known(self, number: int) -> bool:
+        """
+        Return whether an occurrence was created, by this owner or another.
+
+        :param number: number of the occurrence.
+        """
+        return (
+            number in self.occurrence_by_number
+            or number in self.unreadable_occurrences
+        )
+
     def is_closed(self) -> bool:
         """Tell whether the job was cancelled, has failed or is done."""
         return self.is_cancelled or self.is_failed or self.finished_at > 0
--- a/ragwortfield/scheduling/job_status.py
+++ b/ragwortfield/scheduling/job_status.py
@@ -64,10 +64,7 @@
             for step in state.ready_step_by_key.values()
         ),
         'serving': len(serving),
-        'over_target': sum(
-            (task.reading or 0) > task.step.latency_target_ms
-            for task in serving
-        ),
+        'over_target': sum(task.is_over_target() for task in serving),
         'fillers': len(fillers),
         'slowed': sum(task.pace < _FULL_PACE_PERCENT for task in fillers),
         'still': sum(task.pace == 0 for task in fillers),
--- a/ragwortfield/scheduling/shard_updates.py
+++ b/ragwortfield/scheduling/shard_updates.py
@@ -160,10 +160,7 @@
     for job_id in tuple(state.repeating_job_ids):
         job_state = state.job_by_id[job_id]
         # A later occurrence may have been restored although this one was not.
-        known_numbers = job_state.unreadable_occurrences.union(
-            job_state.occurrence_by_number
-        )
-        while job_state.next_occurrence in known_numbers:
+        while job_state.is_occurrence_known(job_state.next_occurrence):
             job_state.next_occurrence += 1
         if (
             job_state.is_closed()
--- a/ragwortfield/scheduling/target_misses.py
+++ b/ragwortfield/scheduling/target_misses.py
@@ -27,8 +27,7 @@
     :returns: time for which each reading has missed the target, in seconds; 0
         if the latest one has not, or if no filler used CPU.
     """
-    is_missed = (task.reading or 0) > task.step.latency_target_ms
-    if not is_missed or not any(worker.cpu_share_by_filler.values()):
+    if not task.is_over_target() or not worker.are_fillers_working():
         task.target_missed_since = 0
         return 0
     if not task.target_missed_since:
--- a/ragwortfield/scheduling/worker_state.py
+++ b/ragwortfield/scheduling/worker_state.py
@@ -208,6 +208,10 @@
         """Record a change that matters to tasks that wait for capacity."""
         self.change_number = self.change_counter.advance()
 
+    def are_fillers_working(self) -> bool:
+        """Return whether fillers used CPU at the latest reading."""
+        return any(self.cpu_share_by_filler.values())
+
     def free_cpu(self) -> float:
         """Return the CPU that is not allocated, in cores."""
         return self.listed.capacity.cpu - self.allocated_cpu
