Check the order of steps by one function, on submission and on loading

The check that a step depends on earlier steps only stood in the parser of submissions; the incident work wrote it again for stored rows. Both call depends_on_earlier_steps now. The log line of such a row names the step and what it depends on; which rows are refused has not changed.

--- a/ragwortfield/engine/shard_loading.py
+++ b/ragwortfield/engine/shard_loading.py
@@ -14,7 +14,7 @@
 from ragwortfield.ports.row_store import StoredRow
 from ragwortfield.ports.task_worker import ListedWorker
 from ragwortfield.scheduling import shard_updates
-from ragwortfield.scheduling.job import has_valid_order
+from ragwortfield.scheduling.job import depends_on_earlier_steps
 from ragwortfield.scheduling.job_state import JobRuntimeState
 from ragwortfield.scheduling.records import (
     JobRecord,
@@ -105,13 +105,14 @@
         event('row_unreadable', key=row.name.key, reason=record.reason)
         return None
     job = record.job
-    if not has_valid_order(job.steps):
-        event(
-            'row_unreadable',
-            key=row.name.key,
-            reason='a step depends on one that does not come before it',
-        )
-        return None
+    for number, step in enumerate(job.steps):
+        if not depends_on_earlier_steps(number, step.after):
+            event(
+                'row_unreadable',
+                key=row.name.key,
+                reason=f'step {number} is after {step.after}',
+            )
+            return None
     if job.job_id in state.removed_at_by_id:
         # The job has expired and its row is being removed; if it were
         # registered again, it would run a second time.
--- a/ragwortfield/platform/document_parsing.py
+++ b/ragwortfield/platform/document_parsing.py
@@ -14,7 +14,11 @@
     Pool,
     Queue,
 )
-from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.job import (
+    Job,
+    Step,
+    depends_on_earlier_steps,
+)
 from ragwortfield.settings.instance import split_address
 from ragwortfield.types import WallTime
 
@@ -252,7 +256,7 @@
     for number, step in enumerate(wire.steps):
         if step.count < 1:
             return f'step {number} has count {step.count}, expected 1 or more'
-        if any(not 0 <= index < number for index in step.after):
+        if not depends_on_earlier_steps(number, step.after):
             return (
                 f'step {number} is after {step.after}, '
                 'expected only earlier steps'
--- a/ragwortfield/scheduling/job.py
+++ b/ragwortfield/scheduling/job.py
@@ -101,18 +101,14 @@
         return self.first_due_at + occurrence * self.interval_s
 
 
-def has_valid_order(steps: tuple[Step, ...]) -> bool:
+def depends_on_earlier_steps(number: int, after: tuple[int, ...]) -> bool:
     """
-    Return whether each step depends on earlier steps only.
+    Return whether a step depends on earlier steps of its job only.
 
-    :param steps: steps of a job.
-    :returns: whether all numbers in ``after`` name an earlier step.
+    :param number: number of the step.
+    :param after: numbers of the steps that it depends on.
     """
-    return all(
-        0 <= earlier < number
-        for number, step in enumerate(steps)
-        for earlier in step.after
-    )
+    return all(0 <= earlier < number for earlier in after)
 
 
 def compute_critical_paths(steps: tuple[Step, ...]) -> tuple[Seconds, ...]:
