--- a/ragwortfield/adapters/http_client.py
+++ b/ragwortfield/adapters/http_client.py
@@ -4,6 +4,7 @@
 the response is complete, so that callers can decide whether a retry is safe.
 """
 
+import math
 import select
 import socket as stdlib_socket
 import time
@@ -71,22 +72,12 @@
         seconds.
     :param total_s: longest wait for the complete response, in seconds.
     :param silence_s: longest pause between two pieces of the response, in
-        seconds; ``None`` if only the total time counts.
+        seconds.
     """
 
     first_byte_s: Seconds
     total_s: Seconds
-    silence_s: Seconds | None = None
-
-    def body_s(self) -> Seconds:
-        """
-        Return the longest wait for the next piece of the body.
-
-        :returns: seconds.
-        """
-        if self.silence_s is None:
-            return self.total_s
-        return min(self.silence_s, self.total_s)
+    silence_s: Seconds = math.inf
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -284,11 +275,12 @@
             return NotSent(reason=f'request cannot be encoded: {error}'), True
         started_at = time.monotonic()
         sock = connection.sock
+        silence_s = min(timeouts.silence_s, timeouts.total_s)
         sock.settimeout(max(timeouts.first_byte_s, _MIN_TIMEOUT_S))
         try:
             sock.sendall(encoded)
             response = _Response(sock, _READ_BLOCK_BYTES, request.method)
-            sock.settimeout(max(timeouts.body_s(), _MIN_TIMEOUT_S))
+            sock.settimeout(max(silence_s, _MIN_TIMEOUT_S))
             body = response.read_body(sock)
         except TimeoutError:
             return Broken(
