--- a/ragwortfield/policies/seat_leases.py
+++ b/ragwortfield/policies/seat_leases.py
@@ -16,10 +16,7 @@
     SeatRowWatch,
 )
 from ragwortfield.core.seats import Seat, SeatId, SeatRow
-from ragwortfield.policies.seat_suspension import (
-    compute_max_silence_s,
-    is_isolated,
-)
+from ragwortfield.policies.seat_suspension import may_be_taken_over
 from ragwortfield.types import MonotonicTime, TargetId, WallTime
 
 
@@ -147,8 +144,6 @@
     :param now: monotonic time, in seconds.
     :param wall_time: wall-clock time, in seconds.
     """
-    max_silence_s = compute_max_silence_s(instance_state)
-    is_alone = is_isolated(instance_state, max_silence_s, now)
     _update_watches(instance_state, rows, now)
     instance_state.seat_row_by_key = {
         row.seat_id.row_key(): row for row in rows
@@ -162,8 +157,12 @@
             held,
             version=row.version,
             expires_at=row.seat.expires_at,
-            is_suspended=is_alone
-            and wall_time > row.seat.expires_at + max_silence_s,
+            is_suspended=may_be_taken_over(
+                instance_state,
+                row.seat.expires_at,
+                now=now,
+                wall_time=wall_time,
+            ),
         )
 
 
--- a/ragwortfield/policies/seat_suspension.py
+++ b/ragwortfield/policies/seat_suspension.py
@@ -4,11 +4,10 @@
 its absence a peer, shows that no other instance can have taken it.
 """
 
-import math
 from dataclasses import replace
 
 from ragwortfield.core.instance_state import InstanceState
-from ragwortfield.types import MonotonicTime, Seconds, WallTime
+from ragwortfield.types import MonotonicTime, WallTime
 
 
 def suspend_after_pause(
@@ -45,13 +44,11 @@
     :param wall_time: wall-clock time, in seconds.
     :returns: whether this call suspended any seat.
     """
-    max_silence_s = compute_max_silence_s(instance_state)
-    if not is_isolated(instance_state, max_silence_s, now):
-        return False
     is_suspended_now = False
     for key, held in tuple(instance_state.held_seat_by_key.items()):
-        is_expired = wall_time > held.expires_at + max_silence_s
-        if is_expired and not held.is_suspended:
+        if not held.is_suspended and may_be_taken_over(
+            instance_state, held.expires_at, now=now, wall_time=wall_time
+        ):
             instance_state.held_seat_by_key[key] = replace(
                 held, is_suspended=True
             )
@@ -89,31 +86,29 @@
         instance_state.held_seat_by_key[key] = replace(held, is_suspended=False)
 
 
-def compute_max_silence_s(instance_state: InstanceState) -> Seconds:
-    """
-    Return how long the peers may be silent before an instance is isolated.
-
-    :param instance_state: state of the instance.
-    :returns: seconds; infinite without a configuration.
-    """
-    configuration = instance_state.configuration()
-    if configuration is None:
-        return math.inf
-    return configuration.timing.takeover_after_s / 2
-
-
-def is_isolated(
-    instance_state: InstanceState, max_silence_s: Seconds, now: MonotonicTime
+def may_be_taken_over(
+    instance_state: InstanceState,
+    expires_at: WallTime,
+    *,
+    now: MonotonicTime,
+    wall_time: WallTime,
 ) -> bool:
     """
-    Return whether an instance hears none of the instances that it knows of.
+    Return whether a held seat may be taken over without a sign of it.
+
+    That is so once its lease has expired and this instance has not heard any of
+    the instances that it knows of for half of the takeover time.
 
-    :param instance_state: state of the instance.
-    :param max_silence_s: time without a heartbeat after which a peer counts
-        as not heard, in seconds.
+    :param instance_state: state of this instance.
+    :param expires_at: wall-clock time at which the lease expires.
     :param now: monotonic time, in seconds.
+    :param wall_time: wall-clock time, in seconds.
     """
-    return _is_any_other_known(instance_state) and not any(
+    configuration = instance_state.configuration()
+    if configuration is None or not _is_any_other_known(instance_state):
+        return False
+    max_silence_s = configuration.timing.takeover_after_s / 2
+    return wall_time > expires_at + max_silence_s and not any(
         now - peer.heard_at <= max_silence_s
         for peer in instance_state.peer_by_id.values()
     )
