--- a/ragwortfield/tests/pacing_world.py
+++ b/ragwortfield/tests/pacing_world.py
@@ -10,7 +10,6 @@
     PaceRun,
 )
 from ragwortfield.scheduling import interference_control, worker_reports
-from ragwortfield.scheduling.interference_model import InterferenceModel
 from ragwortfield.scheduling.job_state import create_occurrence
 from ragwortfield.tests.placement_world import NOW, TARGET_MS, PlacementWorld
 
@@ -49,7 +48,10 @@
     ):
         world = PlacementWorld(workers=0)
         world.add_worker('w0', cpu=_WORKER_CPU)
+        self._placement = world
         self.state = world.state
+        model = self.state.interference_model
+        model.min_tail_ms_by_image['a'] = _IDLE_MS / 0.8
         self.worker = self.state.worker_by_id['w0']
         self.serving = world.add_serving_task('a', load=0, cpu=20)
         # The fillers are bound while they count as harmless.
@@ -76,15 +78,10 @@
         self._orders = []
 
     def learn(self, amount):
-        """Replace the model by one that is certain of a weight."""
-        model = InterferenceModel()
-        model.min_tail_ms_by_image['a'] = _IDLE_MS / 0.8
-        self.state.interference_model = model
-        world = PlacementWorld(workers=0)
-        world.set_interference_weights({('a', 'f'): amount})
-        pair = world.state.interference_model.weight_by_pair['a', 'f']
-        pair.variance = 0.01
-        model.weight_by_pair['a', 'f'] = pair
+        """Make the owner certain of the weight of the fillers."""
+        self._placement.set_interference_weights({('a', 'f'): amount})
+        model = self.state.interference_model
+        model.weight_by_pair['a', 'f'].variance = 0.01
 
     def run(self, length_s):
         """Simulate; record for how long the task missed its target on end."""
