A cancellation holds for submissions that are still under way

Cause: a cancellation of a job without a row wrote nothing, and the transaction that stores a job expected only that the job has no row. Ruled out: an owner that does not apply the cancellation (the store had no row of it, and owners keep cancellations of jobs that they have not read); a submission that recognises its own age (HTTP and sockets do not tell it).

Change: the cancellation is written in any case, in one transaction that expects neither the job nor an earlier cancellation; a job is stored only where there is none. Such a submission gets 503 without Retry-After. Rows of jobs that were cancelled after their end stayed for good and are removed now, too.

--- a/ragwortfield/engine/job_request_handler.py
+++ b/ragwortfield/engine/job_request_handler.py
@@ -88,17 +88,31 @@
     reason: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cancelled:
+    """The job was cancelled before it was stored, so it never runs."""
+
+    reason: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Unknown:
     """The job does not exist."""
 
 
-SubmitOutcome = Accepted | Rejected | Uncertain
+SubmitOutcome = Accepted | Rejected | Uncertain | Cancelled
 CancelOutcome = Accepted | Rejected | Uncertain | Unknown
 StatusOutcome = JobStatus | Unknown | Unavailable
 
+_WriteOutcome = SubmitOutcome | CancelOutcome
+_CommitOutcome = Accepted | Rejected | Uncertain | TransactionRefused
+
+#: Outcomes that no later attempt at the same write can change.
+_DEFINITE_OUTCOMES = Accepted | Unknown | Cancelled
+
 _OUTCOME_BY_NAME = {
-    kind.__name__: kind for kind in (Accepted, Rejected, Uncertain, Unknown)
+    kind.__name__: kind
+    for kind in (Accepted, Rejected, Uncertain, Cancelled, Unknown)
 }
 
 
@@ -244,8 +258,8 @@
 
     def write_for_peer(
         self,
-        write: Callable[[], CancelOutcome],
-    ) -> CancelOutcome:
+        write: Callable[[], _WriteOutcome],
+    ) -> _WriteOutcome:
         """
         Write for a peer if the store is reachable from this instance.
 
@@ -262,23 +276,38 @@
 
     def write_job_row(self, job_id: JobId, record: bytes) -> SubmitOutcome:
         """
-        Write the row of a job unless it exists.
+        Write the row of a job unless it exists or the job was cancelled.
+
+        A submission can arrive long after the caller has cancelled the job, for
+        example at an instance that was paused.
 
         :param job_id: the job.
         :param record: its encoded record.
         :returns: the outcome; accepted also if the row exists already.
         """
-        name = job_row(self._find_shard(job_id), job_id)
-        return self._commit(
+        shard = self._find_shard(job_id)
+        name = job_row(shard, job_id)
+        outcome = self._commit(
             Transaction(
-                expected=(ExpectedVersion(name=name, version=0),),
+                expected=(
+                    ExpectedVersion(name=name, version=0),
+                    ExpectedVersion(name=cancel_row(shard, job_id), version=0),
+                ),
                 writes=(RowWrite(name=name, content=record),),
             ),
         )
+        if not isinstance(outcome, TransactionRefused):
+            return outcome
+        if _is_row_present(outcome, name):
+            return Accepted()
+        return Cancelled(reason=f'job {job_id} was cancelled before')
 
     def write_cancel_row(self, job_id: JobId) -> CancelOutcome:
         """
-        Write the row of a cancellation if the job exists.
+        Write the row of a cancellation.
+
+        It is also written for a job that does not exist: its submission may
+        still be under way, and must not be stored after this answer.
 
         :param job_id: the job.
         :returns: the outcome.
@@ -288,15 +317,21 @@
         if isinstance(page, Unavailable):
             return Rejected(reason=page.reason)
         if not page.rows:
-            return Unknown()
-        content = encode_record(CancellationRecord(job_id=job_id))
-        outcome = self._commit(
-            Transaction(
-                writes=(
-                    RowWrite(name=cancel_row(shard, job_id), content=content),
+            outcome = self._commit_cancellation(
+                job_id,
+                expected=(
+                    ExpectedVersion(name=job_row(shard, job_id), version=0),
+                    ExpectedVersion(name=cancel_row(shard, job_id), version=0),
                 ),
-            ),
-        )
+            )
+            if isinstance(outcome, Rejected | Uncertain):
+                return outcome
+            is_stored_meanwhile = isinstance(
+                outcome, TransactionRefused
+            ) and _is_row_present(outcome, job_row(shard, job_id))
+            if not is_stored_meanwhile:
+                return Unknown()
+        outcome = self._commit_cancellation(job_id)
         runner = self._ownership.runner(shard)
         if isinstance(outcome, Accepted) and runner is not None:
             runner.cancel(job_id)
@@ -453,7 +488,7 @@
             if now - attempted_at < _UNCERTAIN_RETENTION_S:
                 break
             del self._uncertain_at[known_id]
-        if isinstance(outcome, Accepted):
+        if isinstance(outcome, _DEFINITE_OUTCOMES):
             self._uncertain_at.pop(job_id, None)
         elif isinstance(outcome, Uncertain):
             self._uncertain_at.setdefault(job_id, now)
@@ -466,9 +501,9 @@
         self,
         name: str,
         body: CallBody,
-        write: Callable[[], CancelOutcome],
+        write: Callable[[], _WriteOutcome],
         timeout_s: Seconds,
-    ) -> CancelOutcome:
+    ) -> _WriteOutcome:
         """
         Write to the store, and relay to peers if it does not answer in time.
 
@@ -513,14 +548,14 @@
         address: str,
         name: str,
         body: CallBody,
-    ) -> CancelOutcome:
+    ) -> _WriteOutcome:
         answer = self._peers.call(address, name, body, _RELAY_TIMEOUT_S)
         if isinstance(answer, Unavailable):
             if answer.is_effect_possible:
                 return Uncertain(reason=answer.reason)
             return Rejected(reason=answer.reason)
         kind = _OUTCOME_BY_NAME[answer['outcome']]
-        if kind in {Rejected, Uncertain}:
+        if kind in {Rejected, Uncertain, Cancelled}:
             return kind(reason=answer['reason'])
         return kind()
 
@@ -531,12 +566,25 @@
             if member.instance_id != self._instance_id
         ][:_BACKUP_PEERS]
 
-    def _commit(self, transaction: Transaction) -> SubmitOutcome:
+    def _commit_cancellation(
+        self, job_id: JobId, expected: tuple[ExpectedVersion, ...] = ()
+    ) -> _CommitOutcome:
+        name = cancel_row(self._find_shard(job_id), job_id)
+        content = encode_record(CancellationRecord(job_id=job_id))
+        return self._commit(
+            Transaction(
+                expected=expected,
+                writes=(RowWrite(name=name, content=content),),
+            ),
+        )
+
+    def _commit(self, transaction: Transaction) -> _CommitOutcome:
         outcome = self._store.commit(transaction, COMMIT_TIMEOUT_S)
         failure = outcome if isinstance(outcome, Unavailable) else None
         self._health.record_outcome(failure)
-        if isinstance(outcome, TransactionDone | TransactionRefused):
-            # A refusal means that the row exists already.
+        if isinstance(outcome, TransactionRefused):
+            return outcome
+        if isinstance(outcome, TransactionDone):
             return Accepted()
         if outcome.is_effect_possible:
             return Uncertain(reason=outcome.reason)
@@ -554,7 +602,13 @@
         return shard_of(job_id, self._cluster.shards)
 
 
-def _collect_outcomes(attempts: list[gevent.Greenlet]) -> list[CancelOutcome]:
+def _is_row_present(refused: TransactionRefused, name: RowName) -> bool:
+    return any(
+        row.name == name and row.content is not None for row in refused.rows
+    )
+
+
+def _collect_outcomes(attempts: list[gevent.Greenlet]) -> list[_WriteOutcome]:
     return [
         Uncertain(reason='no answer in time')
         if attempt.value is None
@@ -565,7 +619,7 @@
 
 def _has_definite_outcome(attempts: list[gevent.Greenlet]) -> bool:
     return any(
-        isinstance(outcome, Accepted | Unknown)
+        isinstance(outcome, _DEFINITE_OUTCOMES)
         for outcome in _collect_outcomes(attempts)
     )
 
@@ -582,9 +636,9 @@
         pending = [attempt for attempt in pending if not attempt.ready()]
 
 
-def _combine_outcomes(attempts: list[gevent.Greenlet]) -> CancelOutcome:
+def _combine_outcomes(attempts: list[gevent.Greenlet]) -> _WriteOutcome:
     outcomes = _collect_outcomes(attempts)
-    for kinds in (Accepted | Unknown, Uncertain):
+    for kinds in (_DEFINITE_OUTCOMES, Uncertain):
         for outcome in outcomes:
             if isinstance(outcome, kinds):
                 return outcome
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent.event import Event
 
+from ragwortfield.engine.cancellation_expiry import CancellationExpiry
 from ragwortfield.engine.change_feed import ChangeFeed, read_all_rows
 from ragwortfield.engine.learned_model_store import LearnedModelStore
 from ragwortfield.engine.owner_statistics import OwnerStatistics
@@ -74,6 +75,8 @@
 #: Time without a scheduling round after which the runner checks that it still
 #: owns the shard, in seconds; the process may have been paused.
 _OWNERSHIP_CHECK_S: Seconds = 0.7
+#: Interval of the removal of expired cancellations, in seconds.
+_CANCELLATION_EXPIRY_INTERVAL_S: Seconds = 10
 #: Interval of the log line with the state of the shard, in seconds.
 _STATE_LOG_INTERVAL_S: Seconds = 2
 
@@ -308,6 +311,10 @@
             name='request_approvals', shard=self.shard
         )
         self._spawn(approval_supervisor.run, self._request_approvals)
+        expiry_supervisor = Supervisor(
+            name='expire_cancellations', shard=self.shard
+        )
+        self._spawn(expiry_supervisor.run, self._expire_cancellations)
         self._spawn(
             self._model_store.save_periodically, self.state.interference_model
         )
@@ -511,6 +518,17 @@
             approvals.apply_approval(self.state, approval_request, answer, now)
             self._round_due.set()
 
+    def _expire_cancellations(self) -> None:
+        expiry = CancellationExpiry(
+            shard=self.shard,
+            state=self.state,
+            store=self._store,
+            owner_version=self._committer.owner_version,
+        )
+        while True:
+            gevent.sleep(_CANCELLATION_EXPIRY_INTERVAL_S)
+            expiry.remove_expired()
+
     def _run_commits(self) -> None:
         while True:
             self._commit_due.wait()
--- a/ragwortfield/platform/job_api.py
+++ b/ragwortfield/platform/job_api.py
@@ -14,6 +14,7 @@
 from ragwortfield.engine.job_request_handler import (
     RETRY_AFTER_S,
     Accepted,
+    Cancelled,
     Rejected,
     Uncertain,
     Unknown,
@@ -158,6 +159,8 @@
         )
         if isinstance(outcome, Accepted):
             return _make_success_response({})
+        if isinstance(outcome, Cancelled):
+            return _make_final_refusal(outcome.reason)
         return _make_unaccepted_response(outcome)
 
     def _get_status(
@@ -218,6 +221,15 @@
     return _make_error_response(HTTPStatus.SERVICE_UNAVAILABLE, outcome.reason)
 
 
+def _make_final_refusal(reason: str) -> Response:
+    # Without Retry-After, because the same request would be refused again.
+    return Response(
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        fields=_JSON_HEADERS,
+        body=msgspec.json.encode({'error': reason}),
+    )
+
+
 def _make_success_response(body: dict[str, Any]) -> Response:
     return Response(
         status=HTTPStatus.OK,
--- a/ragwortfield/scheduling/commits.py
+++ b/ragwortfield/scheduling/commits.py
@@ -167,7 +167,7 @@
     for job_id, removed_at in tuple(state.removed_at_by_id.items()):
         if now - removed_at > _STALE_READ_S:
             del state.removed_at_by_id[job_id]
-    retention_s = state.bounds.status_s * 2
+    retention_s = state.bounds.retention_s()
     for job_id, job in tuple(state.job_by_id.items()):
         if not job.finished_at or now - job.finished_at <= retention_s:
             continue
@@ -177,11 +177,23 @@
         ):
             continue
         del state.job_by_id[job_id]
-        state.cancelled_job_ids.discard(job_id)
+        _release_cancellation(state, job, now)
         state.expired_jobs.append(job)
         state.removed_at_by_id[job_id] = math.inf
 
 
+def _release_cancellation(
+    state: ShardState, job: JobRuntimeState, now: MonotonicTime
+) -> None:
+    job_id = job.job.job_id
+    if job.is_cancelled:
+        state.cancelled_job_ids.discard(job_id)
+    elif job_id in state.cancelled_job_ids:
+        # It was cancelled after its end. Only the row of a cancellation that
+        # had an effect is removed together with the job.
+        state.unmatched_since_by_id[job_id] = now
+
+
 def _order_committed_start(
     state: ShardState, task: TaskState, now: MonotonicTime
 ) -> None:
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -51,6 +51,8 @@
         run numbers.
     :param repeating_job_ids: jobs that have occurrences left to create.
     :param cancelled_job_ids: cancelled jobs, including jobs not read yet.
+    :param unmatched_since_by_id: cancelled jobs that are not known, with the
+        monotonic time at which the cancellation was read; oldest first.
     :param expired_jobs: jobs whose rows are to be removed.
     :param removed_at_by_id: monotonic time at which the row of an expired job
         was certainly removed; infinite before that. Until some time after it,
@@ -89,6 +91,9 @@
     )
     repeating_job_ids: set[JobId] = field(default_factory=set)
     cancelled_job_ids: set[JobId] = field(default_factory=set)
+    unmatched_since_by_id: dict[JobId, MonotonicTime] = field(
+        default_factory=dict,
+    )
     expired_jobs: list[JobRuntimeState] = field(default_factory=list)
     removed_at_by_id: dict[JobId, MonotonicTime] = field(default_factory=dict)
     work_by_filler: dict[str, float] = field(default_factory=dict)
--- a/ragwortfield/scheduling/shard_updates.py
+++ b/ragwortfield/scheduling/shard_updates.py
@@ -60,6 +60,7 @@
     state.job_by_id[job.job_id] = job_state
     _add_filler_work(state, job)
     if job.job_id in state.cancelled_job_ids:
+        state.unmatched_since_by_id.pop(job.job_id, None)
         job_state.is_cancelled = True
         job_state.finished_at = now
         return job_state
@@ -140,7 +141,10 @@
     """
     state.cancelled_job_ids.add(job_id)
     job_state = state.job_by_id.get(job_id)
-    if job_state is None or job_state.is_closed():
+    if job_state is None:
+        state.unmatched_since_by_id.setdefault(job_id, now)
+        return
+    if job_state.is_closed():
         return
     job_state.is_cancelled = True
     job_state.finished_at = now
--- a/ragwortfield/scheduling/timing_bounds.py
+++ b/ragwortfield/scheduling/timing_bounds.py
@@ -43,6 +43,15 @@
         """Return the longest lease that workers grant, in seconds."""
         return self.longest_lease_ms / MS_PER_S
 
+    def retention_s(self) -> Seconds:
+        """
+        Return how long the rows of a finished job are kept.
+
+        :returns: seconds from its end; more than its status has to stay
+            available, because the instances' clocks and feeds lag.
+        """
+        return self.status_s * 2
+
     def longest_order_effect_s(self) -> Seconds:
         """
         Return how long a start order may have an effect in a restarted worker.
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -3,6 +3,7 @@
 import random
 
 from ragwortfield.core.resources import Resources
+from ragwortfield.engine.cancellation_expiry import CancellationExpiry
 from ragwortfield.engine.row_names import (
     PROGRESS_TABLE,
     cancel_row,
@@ -165,6 +166,14 @@
         self._send_orders()
         self._check_ownership()
 
+    def make_cancellation_expiry(self):
+        return CancellationExpiry(
+            shard=SHARD,
+            state=self.state,
+            store=self.world.store,
+            owner_version=self.committer.owner_version,
+        )
+
     def _check_ownership(self):
         """Leave the shard if a refusal is confirmed by the owner row."""
         if not self.state.is_newer_owner_claimed:
