Orders with a deadline reach only the worker process that they are for

A worker that restarts keeps its identifier and its address, and its clock starts anew. An owner that has not noticed the restart names deadlines by the old clock, which the new process shortens to the longest lease that workers grant (10 s), and a start under way can begin a run under such a lease.

Change: a connection always leads to the process that accepted it, and reports name the process. The client sends starts and extensions of leases only over connections on which that process has answered. A new connection first gets a poll without a deadline; a start on one that does not answer was certainly not sent, so its task is free at once. Cost: one poll per new connection to a worker, none on reused ones.

--- a/ragwortfield/adapters/http_client.py
+++ b/ragwortfield/adapters/http_client.py
@@ -88,16 +88,22 @@
         the connection is not reused once the pool has a newer one.
     :param idle_since: when the connection was opened or its last exchange
         ended.
+    :param peer: identity of the process at the other end; empty if it is not
+        known. A connection always leads to the process that accepted it.
     """
 
     sock: socket.socket
     generation: int
     idle_since: MonotonicTime
     is_reused: bool
+    peer: str = ''
 
 
 #: Function that returns whether a request may still be sent.
 SendGuard = Callable[[], bool]
+#: Function that returns the identity of the process that sent a response; empty
+#: if the response does not tell it.
+PeerReader = Callable[[WholeAnswer], str]
 
 
 def allow_always() -> bool:
@@ -109,6 +115,16 @@
     return True
 
 
+def ignore_peer(answer: WholeAnswer) -> str:
+    """
+    Leave the peer of a connection unknown.
+
+    :param answer: a response.
+    :returns: no identity.
+    """
+    return ''
+
+
 class HttpConnectionPool:
     """
     Pool of HTTP connections to one address.
@@ -135,6 +151,7 @@
         request: HttpRequest,
         timeouts: Timeouts,
         guard: SendGuard = allow_always,
+        read_peer: PeerReader = ignore_peer,
     ) -> ExchangeOutcome:
         """
         Send a request and wait for the complete response.
@@ -143,33 +160,72 @@
         :param timeouts: time-outs of the exchange.
         :param guard: called right before the first byte is written; the
             request is not sent when it returns false.
+        :param read_peer: reads from the response which process has sent it.
         :returns: the response, or what is known about the failed exchange.
         """
         connection = self._acquire()
         if isinstance(connection, NotSent):
             return connection
         if not guard():
-            self._release(connection, is_reusable=True)
+            self._release(connection, is_reusable=True, peer=connection.peer)
             return NotSent(reason='request may no longer be sent')
-        return self._exchange_on(connection, request, timeouts)
+        return self._exchange_on(connection, request, timeouts, read_peer)
 
     def exchange_on_new_connection(
         self,
         request: HttpRequest,
         timeouts: Timeouts,
+        read_peer: PeerReader = ignore_peer,
     ) -> ExchangeOutcome:
         """
         Send a request over a new connection and wait for the response.
 
         :param request: the request.
         :param timeouts: time-outs of the exchange.
+        :param read_peer: reads from the response which process has sent it.
         :returns: the response, or what is known about the failed exchange.
         """
         connection = self._connect()
         if isinstance(connection, NotSent):
             return connection
+        return self._exchange_on(connection, request, timeouts, read_peer)
+
+    def exchange_with_peer(
+        self, peer: str, request: HttpRequest, timeouts: Timeouts
+    ) -> ExchangeOutcome:
+        """
+        Send a request over an idle connection to a certain process.
+
+        No other process can get the request: if it has ended, the connection
+        has ended as well.
+
+        :param peer: identity of the process.
+        :param request: the request.
+        :param timeouts: time-outs of the exchange.
+        :returns: the response, or what is known about the failed exchange; not
+            sent if there is no idle connection to the process.
+        """
+        connection = self._acquire_idle(peer) if peer else None
+        if connection is None:
+            return NotSent(
+                reason=f'no idle connection to process {peer!r} at '
+                f'{self.address}'
+            )
         return self._exchange_on(connection, request, timeouts)
 
+    def has_idle(self, peer: str) -> bool:
+        """
+        Tell whether there is an idle connection to a certain process.
+
+        :param peer: identity of the process; empty for one that is not known.
+        :returns: whether ``exchange_with_peer`` would send a request now.
+        """
+        connection = self._acquire_idle(peer) if peer else None
+        if connection is None:
+            return False
+        self._idle.append(connection)
+        return True
+
     def retire_connections(self) -> None:
         """Close idle connections now and those in use after their exchange."""
         self.generation += 1
@@ -190,15 +246,20 @@
         return len(self._idle)
 
     def _acquire(self) -> _Connection | NotSent:
+        return self._acquire_idle() or self._connect()
+
+    def _acquire_idle(self, peer: str = '') -> _Connection | None:
         now = time.monotonic()
-        while self._idle:
-            connection = self._idle.pop()
+        for connection in reversed(tuple(self._idle)):
+            if peer and connection.peer != peer:
+                continue
+            self._idle.remove(connection)
             is_old = now - connection.idle_since > _MAX_IDLE_S
             if is_old or _is_readable(connection.sock):
                 self._close(connection)
                 continue
             return connection
-        return self._connect()
+        return None
 
     def _connect(self) -> _Connection | NotSent:
         try:
@@ -223,14 +284,18 @@
         connection: _Connection,
         request: HttpRequest,
         timeouts: Timeouts,
+        read_peer: PeerReader = ignore_peer,
     ) -> ExchangeOutcome:
         is_reusable = False
+        peer = connection.peer
         outcome: ExchangeOutcome
         try:
             with gevent.Timeout(max(timeouts.total_s, _MIN_TIMEOUT_S)):
                 outcome, is_reusable = self._send_and_receive(
                     connection, request, timeouts
                 )
+            if isinstance(outcome, WholeAnswer):
+                peer = peer or read_peer(outcome)
         except gevent.Timeout:
             outcome = Broken(
                 reason=f'no complete response within {timeouts.total_s:.3f} s',
@@ -238,7 +303,7 @@
                 is_reused=connection.is_reused,
             )
         finally:
-            self._release(connection, is_reusable=is_reusable)
+            self._release(connection, is_reusable=is_reusable, peer=peer)
         return outcome
 
     def _release(
@@ -246,6 +311,7 @@
         connection: _Connection,
         *,
         is_reusable: bool,
+        peer: str,
     ) -> None:
         if not is_reusable or connection.generation != self.generation:
             self._close(connection)
@@ -256,6 +322,7 @@
                 generation=connection.generation,
                 idle_since=time.monotonic(),
                 is_reused=True,
+                peer=peer,
             ),
         )
 
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -11,6 +11,7 @@
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
+    LeaseOrder,
     LeaseReport,
     OrderOutcome,
     OrderRefused,
@@ -145,7 +146,9 @@
                     worker,
                     report,
                     now,
-                    acknowledged_to_worker=order.acknowledged_end,
+                    acknowledged_to_worker=_get_sent_acknowledgement(
+                        order, report
+                    ),
                 )
                 self._statistics.record_target_miss(
                     interference_control.apply_readings(
@@ -154,12 +157,12 @@
                 )
                 self._on_update()
                 self._await_acknowledgement(worker)
-                if (
+                is_held_back = (
                     not order.acknowledged_end
                     and worker.acknowledged_end > worker.acknowledged_to_worker
-                ):
-                    # The acknowledgement was held back, so the next report
-                    # would list the same ended runs at once.
+                )
+                if is_held_back or not report.is_order_applied:
+                    # The next report would list the same ended runs at once.
                     gevent.sleep(_HELD_BACK_PAUSE_S)
                 continue
             self._handle_failed_poll(worker, report, now)
@@ -223,3 +226,7 @@
             if worker.first_reported_at
             else -1,
         )
+
+
+def _get_sent_acknowledgement(order: LeaseOrder, report: LeaseReport) -> int:
+    return order.acknowledged_end if report.is_order_applied else 0
--- a/ragwortfield/platform/task_worker_client.py
+++ b/ragwortfield/platform/task_worker_client.py
@@ -12,7 +12,12 @@
     Timeouts,
 )
 from ragwortfield.adapters.json_codec import DECODE_ERRORS
-from ragwortfield.core.outcomes import Broken, NotSent, WholeAnswer
+from ragwortfield.core.outcomes import (
+    Broken,
+    ExchangeOutcome,
+    NotSent,
+    WholeAnswer,
+)
 from ragwortfield.platform.bounded_types import (
     MAX_EXACT_INTEGER,
     Amount,
@@ -98,8 +103,20 @@
     born: WholeNumber = 0
 
 
+class _WireBirth(msgspec.Struct):
+    """Part of a report that names the process; see ``_WireReport``."""
+
+    born: WholeNumber = 0
+
+
 class TaskWorkerClient:
-    """HTTP client that sends orders to workers and polls their reports."""
+    """
+    HTTP client that sends orders to workers and polls their reports.
+
+    A worker that restarts keeps its identifier and its address, while its clock
+    starts anew. So an order with a deadline is only sent over a connection that
+    leads to the process for whose clock the deadline was computed.
+    """
 
     def __init__(self) -> None:
         """Create a client; it connects to a worker on the first order."""
@@ -112,29 +129,26 @@
         """
         Extend the lease, and read the running and the ended runs.
 
+        Without an idle connection to the process that the order is for, the
+        lease is not extended and nothing is acknowledged; the report then tells
+        which process has answered.
+
         :param order: new expiry of the lease and acknowledged ends.
         :returns: the worker's report, or why there is none.
         """
-        body: dict[str, Any] = {
-            'fence_token': order.fencing_token,
-            'ack_cursor': order.acknowledged_end,
-        }
+        answer: WholeAnswer | Unavailable | None = None
         if order.deadline_ms is not None:
-            body['deadline_ms'] = order.deadline_ms
-        if order.wait_ms:
-            body['wait_ms'] = order.wait_ms
-        answer = self._post(
-            order.address,
-            '/hold',
-            body,
-            order.worker_id,
-            _ORDER_TIMEOUT_S + order.wait_ms / _MS_PER_S,
-        )
+            answer = self._extend_lease(order, order.deadline_ms)
+        is_applied = answer is not None
+        if answer is None:
+            answer = self._poll(
+                order.address, order.worker_id, order.fencing_token
+            )
         if isinstance(answer, Unavailable):
             return answer
         if answer.status != HTTPStatus.OK:
             return _parse_refusal(answer)
-        return _parse_report(answer)
+        return _parse_report(answer, is_order_applied=is_applied)
 
     def start(self, order: StartRun) -> OrderOutcome:
         """
@@ -144,6 +158,9 @@
         :returns: whether the worker carried out or refused the order, as far
             as known.
         """
+        failure = self._connect_to_process(order)
+        if failure is not None:
+            return failure
         body: dict[str, Any] = {
             'task': _format_task_name(order.key),
             'run': order.run,
@@ -155,8 +172,11 @@
             body['last_checkpoint'] = order.checkpoint
         if order.ticket:
             body['ticket'] = order.ticket
-        return self._send_order(
-            order.address, '/run-start', body, order.worker_id
+        return _parse_order_answer(
+            self._post_to_process(
+                order,
+                _make_request('/run-start', body, order.worker_id),
+            )
         )
 
     def stop(self, order: StopRun) -> OrderOutcome:
@@ -209,47 +229,100 @@
         body: dict[str, Any],
         worker_id: str,
     ) -> OrderOutcome:
-        answer = self._post(address, path, body, worker_id, _ORDER_TIMEOUT_S)
+        pool = self._get_pool(address)
+        outcome = pool.exchange(
+            _make_request(path, body, worker_id), _make_timeouts()
+        )
+        return _parse_order_answer(_convert_outcome(pool, outcome))
+
+    def _extend_lease(
+        self, order: LeaseOrder, deadline_ms: int
+    ) -> WholeAnswer | Unavailable | None:
+        """
+        Extend the lease over an idle connection to the worker's process.
+
+        :returns: the answer; ``None`` if there is no such connection.
+        """
+        pool = self._get_pool(order.address)
+        body: dict[str, Any] = {
+            'fence_token': order.fencing_token,
+            'ack_cursor': order.acknowledged_end,
+            'deadline_ms': deadline_ms,
+        }
+        if order.wait_ms:
+            body['wait_ms'] = order.wait_ms
+        outcome = pool.exchange_with_peer(
+            _format_process(order.born_ms),
+            _make_request('/hold', body, order.worker_id),
+            _make_timeouts(order.wait_ms / _MS_PER_S),
+        )
+        if isinstance(outcome, NotSent):
+            return None
+        return _convert_outcome(pool, outcome)
+
+    def _poll(
+        self, address: str, worker_id: str, fencing_token: int
+    ) -> WholeAnswer | Unavailable:
+        """Read a report, and learn to which process a connection leads."""
+        pool = self._get_pool(address)
+        body = {'fence_token': fencing_token, 'ack_cursor': 0}
+        outcome = pool.exchange(
+            _make_request('/hold', body, worker_id),
+            _make_timeouts(),
+            read_peer=_read_process,
+        )
+        return _convert_outcome(pool, outcome)
+
+    def _connect_to_process(
+        self, order: StartRun
+    ) -> OrderRefused | Unavailable | None:
+        """
+        Have an idle connection to the process that a start is for.
+
+        :returns: why there is none; ``None`` if there is one.
+        """
+        pool = self._get_pool(order.address)
+        process = _format_process(order.born_ms)
+        if pool.has_idle(process):
+            return None
+        outcome = pool.exchange_on_new_connection(
+            _make_request(
+                '/hold',
+                {'fence_token': order.fencing_token, 'ack_cursor': 0},
+                order.worker_id,
+            ),
+            _make_timeouts(),
+            read_peer=_read_process,
+        )
+        answer = _convert_outcome(pool, outcome)
         if isinstance(answer, Unavailable):
-            return answer
+            return Unavailable(reason=answer.reason)
         if answer.status != HTTPStatus.OK:
             return _parse_refusal(answer)
-        clock_ms = _parse_clock_ms(answer)
-        if clock_ms is None:
-            return _make_malformed_error(answer)
-        return OrderDone(clock_ms=clock_ms)
+        if pool.has_idle(process):
+            return None
+        return Unavailable(
+            reason=f'process {_read_process(answer)!r} answers at '
+            f'{order.address}, expected {process!r}'
+        )
 
-    def _post(
-        self,
-        address: str,
-        path: str,
-        body: dict[str, Any],
-        worker_id: str,
-        timeout_s: Seconds,
+    def _post_to_process(
+        self, order: StartRun, request: HttpRequest
     ) -> WholeAnswer | Unavailable:
+        pool = self._get_pool(order.address)
+        outcome = pool.exchange_with_peer(
+            _format_process(order.born_ms),
+            request,
+            _make_timeouts(),
+        )
+        return _convert_outcome(pool, outcome)
+
+    def _get_pool(self, address: str) -> HttpConnectionPool:
         pool = self._pool_by_address.get(address)
         if pool is None:
             pool = HttpConnectionPool(address=address)
             self._pool_by_address[address] = pool
-        request = HttpRequest(
-            method='POST',
-            path=path,
-            fields=(_JSON_HEADER, (INCARNATION_HEADER, worker_id)),
-            body=msgspec.json.encode(body),
-        )
-        timeouts = Timeouts(first_byte_s=timeout_s, total_s=timeout_s)
-        outcome = pool.exchange(request, timeouts)
-        if isinstance(outcome, NotSent):
-            return Unavailable(reason=outcome.reason)
-        if isinstance(outcome, Broken):
-            # The other idle connections to the worker may be dead as well.
-            pool.retire_connections()
-            return Unavailable(
-                reason=outcome.reason,
-                is_effect_possible=True,
-                is_known_connection=outcome.is_reused,
-            )
-        return outcome
+        return pool
 
 
 @lru_cache(maxsize=_MAX_CACHED_TASK_NAMES)
@@ -269,6 +342,63 @@
     return TaskKey(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
 
+def _make_request(
+    path: str, body: dict[str, Any], worker_id: str
+) -> HttpRequest:
+    return HttpRequest(
+        method='POST',
+        path=path,
+        fields=(_JSON_HEADER, (INCARNATION_HEADER, worker_id)),
+        body=msgspec.json.encode(body),
+    )
+
+
+def _make_timeouts(wait_s: Seconds = 0) -> Timeouts:
+    timeout_s = _ORDER_TIMEOUT_S + wait_s
+    return Timeouts(first_byte_s=timeout_s, total_s=timeout_s)
+
+
+def _convert_outcome(
+    pool: HttpConnectionPool, outcome: ExchangeOutcome
+) -> WholeAnswer | Unavailable:
+    if isinstance(outcome, NotSent):
+        return Unavailable(reason=outcome.reason)
+    if isinstance(outcome, Broken):
+        # The other idle connections to the worker may be dead as well.
+        pool.retire_connections()
+        return Unavailable(
+            reason=outcome.reason,
+            is_effect_possible=True,
+            is_known_connection=outcome.is_reused,
+        )
+    return outcome
+
+
+def _format_process(born_ms: int) -> str:
+    return str(born_ms) if born_ms else ''
+
+
+def _read_process(answer: WholeAnswer) -> str:
+    if answer.status != HTTPStatus.OK:
+        return ''
+    try:
+        birth = msgspec.json.decode(answer.body, type=_WireBirth)
+    except DECODE_ERRORS:
+        return ''
+    return _format_process(birth.born)
+
+
+def _parse_order_answer(answer: WholeAnswer | Unavailable) -> OrderOutcome:
+    if isinstance(answer, Unavailable):
+        return answer
+    if answer.status != HTTPStatus.OK:
+        return _parse_refusal(answer)
+    clock_ms = _parse_clock_ms(answer)
+    if clock_ms is None:
+        return _make_malformed_error(answer)
+    return OrderDone(clock_ms=clock_ms)
+
+
 def _format_task_name(key: TaskKey) -> str:
     return f'{key.job_id}.{key.occurrence}.{key.step}.{key.index}'
 
@@ -320,7 +450,9 @@
     return OrderRefused(refusal=refusal_of_status, clock_ms=clock_ms)
 
 
-def _parse_report(answer: WholeAnswer) -> LeaseReport | Unavailable:
+def _parse_report(
+    answer: WholeAnswer, *, is_order_applied: bool
+) -> LeaseReport | Unavailable:
     try:
         body = msgspec.json.decode(answer.body, type=_WireReport)
         return LeaseReport(
@@ -328,6 +460,7 @@
             born_ms=body.born,
             runs=tuple(_parse_run(row) for row in body.running),
             ends=tuple(_parse_end(row) for row in body.ended),
+            is_order_applied=is_order_applied,
         )
     except _REPORT_ERRORS:
         # The rest of the report could be read, but it would neither say which
--- a/ragwortfield/ports/task_worker.py
+++ b/ragwortfield/ports/task_worker.py
@@ -106,6 +106,9 @@
     :param deadline_ms: expiry of the lease by the worker's clock; ``None``
         leaves the lease unchanged.
     :param wait_ms: how long the worker may delay the report until a run ends.
+    :param born_ms: start of the worker's process for whose clock the deadline
+        was computed, as Unix time in milliseconds; no other process gets the
+        deadline or the acknowledgement.
     """
 
     worker_id: WorkerId
@@ -114,16 +117,23 @@
     acknowledged_end: int
     deadline_ms: int | None
     wait_ms: int
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LeaseReport:
-    """Runs of a worker, and ended runs that are not acknowledged yet."""
+    """
+    Runs of a worker, and ended runs that are not acknowledged yet.
+
+    :param is_order_applied: whether the deadline and the acknowledgement of the
+        order were sent with it; otherwise the worker was only polled.
+    """
 
     clock_ms: int
     born_ms: int
     runs: tuple[ListedRun, ...]
     ends: tuple[ListedEnd, ...]
+    is_order_applied: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -135,7 +145,7 @@
     :param deadline_ms: the worker refuses the order after this time by its
         own clock.
     :param born_ms: start of the worker's process for which the order was made,
-        as Unix time in milliseconds; it is not sent.
+        as Unix time in milliseconds; no other process gets the order.
     :param ticket: proof that the worker is approved for the step; empty when
         the step needs no approval.
     """
--- a/ragwortfield/scheduling/leases.py
+++ b/ragwortfield/scheduling/leases.py
@@ -50,6 +50,7 @@
         wait_ms=0
         if has_unacknowledged or not worker.first_reported_at
         else _MAX_REPORT_WAIT_MS,
+        born_ms=worker.born_ms,
     )
 
 
--- a/ragwortfield/testing/fake_task_workers.py
+++ b/ragwortfield/testing/fake_task_workers.py
@@ -1,7 +1,7 @@
 """In-memory fakes of task workers and of the port to them."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ragwortfield.core.resources import Resources
 from ragwortfield.ports.platform import Unavailable
@@ -293,6 +293,8 @@
         true loses its response.
     :param is_order_delayed: called at each order; true delays the order until
         ``apply_delayed`` and gives no response.
+    :param is_process_checked: whether an order with a deadline only reaches the
+        process that it is for, as with the client of the platform's workers.
     :param delayed_orders: orders that are delayed, each with the start time of
         its worker.
     """
@@ -300,6 +302,7 @@
     worker_by_id: dict[WorkerId, FakeTaskWorker] = field(default_factory=dict)
     is_order_answer_lost: Callable[[], bool] = field(default=bool)
     is_order_delayed: Callable[[], bool] = field(default=bool)
+    is_process_checked: bool = False
     delayed_orders: list[tuple[_Order, MonotonicTime]] = field(
         default_factory=list
     )
@@ -314,7 +317,16 @@
         :param order: the lease order.
         :returns: the worker's report, a refusal, or why there is none.
         """
-        return self._carry_out(order, 'renew_lease')
+        worker = self.worker_by_id.get(order.worker_id)
+        is_sent = order.deadline_ms is None or self._is_for_process(
+            worker, order.born_ms
+        )
+        if not is_sent:
+            order = replace(order, deadline_ms=None, acknowledged_end=0)
+        report = self._carry_out(order, 'renew_lease')
+        if isinstance(report, LeaseReport) and not is_sent:
+            return replace(report, is_order_applied=False)
+        return report
 
     def start(self, order: StartRun) -> OrderOutcome:
         """
@@ -323,6 +335,9 @@
         :param order: the start order.
         :returns: outcome as the caller sees it.
         """
+        worker = self.worker_by_id.get(order.worker_id)
+        if not self._is_for_process(worker, order.born_ms):
+            return Unavailable(reason='another process answers')
         return self._carry_out(order, 'start')
 
     def stop(self, order: StopRun) -> OrderOutcome:
@@ -353,6 +368,13 @@
             if worker is not None and worker.born_at == born_at:
                 _apply(worker, order)
 
+    def _is_for_process(
+        self, worker: FakeTaskWorker | None, born_ms: int
+    ) -> bool:
+        if worker is None or not self.is_process_checked:
+            return True
+        return int(worker.born_at * _MS_PER_S) == born_ms
+
     def _carry_out(self, order, name: str):
         worker = self.worker_by_id.get(order.worker_id)
         if worker is None or not worker.is_reachable:
