--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -57,8 +57,8 @@
 #: Time-out of a ping to the owner, in seconds.
 _PING_TIMEOUT_S: Seconds = 0.4
 #: Time without an answer of the owner after which the first successor takes
-#: over, in seconds.
-_OWNER_TIMEOUT_S: Seconds = 0.7
+#: over, in seconds. ``TimingBounds.unaware_s`` relies on it.
+OWNER_TIMEOUT_S: Seconds = 0.7
 #: Additional wait per rank of a successor, in seconds, so that successors do
 #: not compete.
 _WAIT_PER_RANK_S: Seconds = 0.25
@@ -319,7 +319,7 @@
         failing_since = self._failing_since.setdefault(shard, now)
         wait_s = min(rank, _MAX_WAIT_RANK) * _WAIT_PER_RANK_S
         if answer == _OwnerAnswer.SILENT:
-            wait_s += _OWNER_TIMEOUT_S
+            wait_s += OWNER_TIMEOUT_S
         if now - failing_since < wait_s - _PING_TIMEOUT_S:
             return
         is_owner_reachable: bool | None = False
--- a/ragwortfield/tests/test_odd_entries.py
+++ b/ragwortfield/tests/test_odd_entries.py
@@ -288,8 +288,8 @@
         self.assertEqual(response.status, 200, response.body)
 
     def assert_no_second_run(self):
-        # A binding whose start was not sent counts as a run, so the one run that
-        # a worker has started need not have number 1.
+        # A binding whose start was not sent counts as a run, so the one run
+        # that a worker has started need not have number 1.
         started = Counter(
             entry[2]
             for worker in self.deployment.worker_by_id.values()
