Do not wait for the longest lease where no process can have got one

- A worker restarts, gets its tasks again and is lost within 12 s: they waited for the longest lease from its restart.
- The answer to a start is overtaken by a report, shows an earlier clock and was taken for that of a restarted worker: the task waited for 12 s if its worker was lost then.
- A start is under way to a lost worker when its owner hands the shard over: the next owner waited for 12 s.

Orders with a deadline do not reach another process any more, so in all three the requested lease bounds the run.

--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -89,15 +89,15 @@
         were written together by the takeover.
     :param previous_lease_s: longest lease that earlier owners granted to
         workers, in seconds; 0 if it is not known.
-    :param is_previous_lease_bound: whether that holds on restarted workers,
-        too.
+    :param is_process_bound: whether this and all earlier owners send deadlines
+        only to the worker process for whose clock they were computed.
     """
 
     shard: int
     epoch: int
     version: int
     previous_lease_s: Seconds
-    is_previous_lease_bound: bool
+    is_process_bound: bool
 
 
 RunnerFactory = Callable[[OwnershipTerm], ShardRunner]
@@ -474,7 +474,7 @@
                 epoch=epoch,
                 version=outcome.version,
                 previous_lease_s=previous_lease_s,
-                is_previous_lease_bound=is_bound,
+                is_process_bound=is_bound,
             ),
         )
         former_runner = self.runner_by_shard.get(shard)
@@ -583,7 +583,7 @@
                 runner.state.epoch,
                 runner.state.previous_lease_s,
             ),
-            is_process_bound=runner.state.is_previous_lease_bound,
+            is_process_bound=runner.state.is_process_bound,
             address=self._identity.address,
             departed_id=self._identity.instance_id,
             departed_incarnation=self._identity.incarnation,
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -447,7 +447,7 @@
             state=self._make_shard_state(
                 term.epoch,
                 previous_lease_s=term.previous_lease_s,
-                is_previous_lease_bound=term.is_previous_lease_bound,
+                is_process_bound=term.is_process_bound,
             ),
             committer=ShardCommitter(
                 shard=term.shard,
@@ -474,14 +474,14 @@
         epoch: int,
         *,
         previous_lease_s: Seconds = 0,
-        is_previous_lease_bound: bool = False,
+        is_process_bound: bool = False,
     ) -> ShardState:
         return ShardState(
             epoch=epoch,
             owner_since=time.monotonic(),
             bounds=self._bounds,
             previous_lease_s=previous_lease_s,
-            is_previous_lease_bound=is_previous_lease_bound,
+            is_process_bound=is_process_bound,
             wall_offset_s=self._wall_clock.now() - time.monotonic(),
             catalogue=self._catalogue or Catalogue(version=-1),
         )
--- a/ragwortfield/scheduling/former_owner.py
+++ b/ragwortfield/scheduling/former_owner.py
@@ -68,6 +68,9 @@
     state: ShardState, worker: WorkerState, now: MonotonicTime
 ) -> Seconds:
     """Return for how long starts may have an effect in a restarted worker."""
+    if state.is_process_bound:
+        # Only the process that the lease is for can carry them out.
+        return 0
     tasks = worker.run_by_key.values()
     if any(task.pending_start_calls for task in tasks):
         return state.bounds.longest_order_effect_s()
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -39,8 +39,9 @@
     :param owner_since: monotonic time at which the owner took over the shard.
     :param previous_lease_s: longest lease that previous owners requested from
         workers, in seconds; 0 when it is not known.
-    :param is_previous_lease_bound: whether no lease of previous owners is
-        longer than that, also on workers that have restarted.
+    :param is_process_bound: whether this owner and all before it send deadlines
+        only to the worker process for whose clock they were computed, so that
+        no lease is longer than requested, also after a restart.
     :param wall_offset_s: wall-clock time minus monotonic time when the shard
         was taken over, in seconds.
     :param ready_step_by_key: steps whose dependencies are done and that have
@@ -80,7 +81,7 @@
     bounds: TimingBounds
     catalogue: Catalogue
     previous_lease_s: Seconds = 0
-    is_previous_lease_bound: bool = False
+    is_process_bound: bool = False
     wall_offset_s: Seconds = 0
     job_by_id: dict[JobId, JobRuntimeState] = field(default_factory=dict)
     worker_by_id: dict[WorkerId, WorkerState] = field(default_factory=dict)
@@ -130,7 +131,7 @@
         if known_end is not None:
             return known_end
         lease_s = self.bounds.longest_lease_s()
-        if self.is_previous_lease_bound:
+        if self.is_process_bound:
             lease_s = self._previous_order_effect_s()
         return self.former_owner_until + lease_s / (1 - MAX_CLOCK_DRIFT)
 
@@ -148,7 +149,7 @@
         :param now: monotonic time, in seconds.
         :returns: seconds from the last order of the previous owner.
         """
-        if self.is_previous_lease_bound:
+        if self.is_process_bound:
             return self._previous_order_effect_s()
         longest_lease_s = self.bounds.longest_lease_s()
         age_s = now + self.wall_offset_s - born_ms / MS_PER_S
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -134,7 +134,7 @@
     task.pending_start_calls = max(task.pending_start_calls - 1, 0)
     if order.born_ms != worker.born_ms:
         outcome = _FORMER_PROCESS_ANSWER
-    if _may_have_reached_restarted_worker(worker, outcome):
+    if _may_have_reached_restarted_worker(state, worker, outcome):
         task.may_run_until = now + state.bounds.longest_order_effect_s()
     if isinstance(outcome, OrderDone):
         worker.observe_clock(outcome.clock_ms, now)
@@ -210,8 +210,10 @@
 
 
 def _may_have_reached_restarted_worker(
-    worker: WorkerState, outcome: OrderOutcome
+    state: ShardState, worker: WorkerState, outcome: OrderOutcome
 ) -> bool:
+    if state.is_process_bound:
+        return False
     if isinstance(outcome, Unavailable):
         # A restart ends the connections of the process before it.
         is_same_process = (
@@ -229,12 +231,12 @@
     *,
     is_restarted: bool,
 ) -> float:
-    if is_restarted:
+    if is_restarted and not state.is_process_bound:
         # Deadlines of orders under way refer to the clock before the restart
         # and lie far in the future of the new one.
         bounds = state.bounds
         longest_lease_s = bounds.longest_lease_s() + bounds.start_window_s
-    elif state.epoch == 1:
+    elif state.epoch == 1 and not is_restarted:
         return 0
     else:
         # The previous owner may have extended the lease up to this moment;
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -101,7 +101,7 @@
         epoch,
         version,
         previous_lease_s,
-        is_previous_lease_bound,
+        is_process_bound,
     ):
         self.world = world
         self.state = ShardState(
@@ -109,7 +109,7 @@
             owner_since=world.now,
             bounds=TimingBounds(unaware_s=world.unaware_s),
             previous_lease_s=previous_lease_s,
-            is_previous_lease_bound=is_previous_lease_bound,
+            is_process_bound=is_process_bound,
             catalogue=world.catalogue,
         )
         self.committer = ShardCommitter(
@@ -505,7 +505,7 @@
                     epoch=epoch,
                     version=outcome.version,
                     previous_lease_s=previous_lease_s,
-                    is_previous_lease_bound=is_bound,
+                    is_process_bound=is_bound,
                 ),
             )
 
--- a/ragwortfield/tests/test_former_owner.py
+++ b/ragwortfield/tests/test_former_owner.py
@@ -42,7 +42,12 @@
 
 class FormerOwnerTest(unittest.TestCase):
     def setUp(self):
-        self.world = ShardWorld(workers=3, is_process_checked=True)
+        self.set_up_world(is_process_checked=True)
+
+    def set_up_world(self, *, is_process_checked):
+        self.world = ShardWorld(
+            workers=3, is_process_checked=is_process_checked
+        )
         self.world.take_over()
         self.act(1)
         self.job_id = self.world.submit(build_single_step(is_long_lived=True))
@@ -125,6 +130,7 @@
     # Guards against two runs of one task: a start that was under way when the
     # former owner stopped may still have an effect in a restarted worker.
     def test_start_under_way_at_a_handover_is_waited_for(self):
+        self.set_up_world(is_process_checked=False)
         worker = self.lose_worker()
         state = self.world.owners[-1].state
         (task,) = state.worker_by_id[worker.worker_id].run_by_key.values()
@@ -135,6 +141,19 @@
         self.act(2)
         self.assertEqual(len(self.list_runs()), 1)
 
+    # Guards against a lasting task without a run for 12 s in the same case: the
+    # start can only have reached the process whose lease is waited for.
+    def test_start_to_its_process_is_waited_for_like_a_lease(self):
+        worker = self.lose_worker()
+        state = self.world.owners[-1].state
+        (task,) = state.worker_by_id[worker.worker_id].run_by_key.values()
+        task.pending_start_calls = 1
+        self.world.hand_over()
+        self.act(state.bounds.requested_lease_s() - 0.5)
+        self.assertEqual(self.list_runs(), [])
+        self.act(_MAX_WAIT_S - state.bounds.requested_lease_s() + 0.5)
+        self.assertEqual(len(self.list_runs()), 1)
+
     # Guards against a second run of a task that is done: the former owner had
     # seen the end and could not store it, and the worker, on which nothing runs
     # any more, has not reported to the new owner yet.
--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -297,6 +297,52 @@
         self.assertEqual(world.status(job_id), JobStatus.COMPLETE)
 
 
+class ProcessBoundLeaseTest(unittest.TestCase):
+    """Orders with a deadline only reach the process that they are for."""
+
+    def setUp(self):
+        self.world = ShardWorld(workers=2, is_process_checked=True)
+        self.world.take_over()
+        self.job_id = self.world.submit(build_single_step(is_long_lived=True))
+        _act(self.world, _SETTLING_S)
+
+    def find_busy_worker(self):
+        (worker,) = (
+            worker
+            for worker in self.world.workers.worker_by_id.values()
+            if worker.run_by_key
+        )
+        return worker
+
+    # Guards against a lasting task without a run for 12 s: its worker restarts,
+    # gets it again and is lost soon after that.
+    def test_task_of_a_worker_lost_after_its_restart_runs_in_time(self):
+        self.world.workers.worker_by_id['w0'].is_reachable = False
+        _act(self.world, _MAX_RERUN_S)
+        worker = self.find_busy_worker()
+        worker.restart()
+        _act(self.world, 1)
+        self.assertIs(self.find_busy_worker(), worker)
+        self.world.workers.worker_by_id['w0'].is_reachable = True
+        worker.is_reachable = False
+        _act(self.world, _MAX_RERUN_S)
+        self.assertEqual(
+            len(self.world.workers.worker_by_id['w0'].run_by_key), 1
+        )
+
+    # Guards against the same after a start whose answer is overtaken by a
+    # report: it shows an earlier clock, but no restart.
+    def test_overtaken_answer_is_no_sign_of_a_restart(self):
+        owner = self.world.owners[-1]
+        job_id = self.world.submit(build_single_step(is_long_lived=True))
+        for worker_state in owner.state.worker_by_id.values():
+            worker_state.report_clock_ms += 1_000_000
+        owner.act(is_renewing_leases=False)
+        owner.act(is_renewing_leases=False)
+        step = owner.state.find_step((job_id, 0, 0))
+        self.assertEqual(step.tasks[0].may_run_until, 0)
+
+
 class InheritedLeaseTest(unittest.TestCase):
     """A new owner waits for leases that the previous owner may have renewed."""
 
