Cancellations: one check of refused rows, for the handler and for the expiry

A refusal that names neither the job nor its cancellation is uncertain now instead of "no such job".

--- a/ragwortfield/engine/cancellation_expiry.py
+++ b/ragwortfield/engine/cancellation_expiry.py
@@ -87,11 +87,10 @@
     ) -> bool:
         # The row of a stored job can be unreadable, or not have been read yet.
         # Its cancellation is removed together with it.
-        present_rows = {row.name for row in refused.rows if row.version}
         stored = [
             job_id
             for job_id in job_ids
-            if job_row(self._shard, job_id) in present_rows
+            if refused.is_present(job_row(self._shard, job_id))
         ]
         for job_id in stored:
             self._state.unmatched_since_by_id.pop(job_id, None)
--- a/ragwortfield/engine/job_request_handler.py
+++ b/ragwortfield/engine/job_request_handler.py
@@ -298,7 +298,7 @@
         )
         if not isinstance(outcome, TransactionRefused):
             return outcome
-        if _is_row_present(outcome, name):
+        if outcome.is_present(name):
             return Accepted()
         return Cancelled(reason=f'job {job_id} was cancelled before')
 
@@ -317,25 +317,16 @@
         if isinstance(page, Unavailable):
             return Rejected(reason=page.reason)
         if not page.rows:
-            outcome = self._commit_cancellation(
-                job_id,
-                expected=(
-                    ExpectedVersion(name=job_row(shard, job_id), version=0),
-                    ExpectedVersion(name=cancel_row(shard, job_id), version=0),
-                ),
-            )
-            if isinstance(outcome, Rejected | Uncertain):
+            outcome = self._cancel_missing_job(job_id)
+            if outcome is not None:
                 return outcome
-            is_stored_meanwhile = isinstance(
-                outcome, TransactionRefused
-            ) and _is_row_present(outcome, job_row(shard, job_id))
-            if not is_stored_meanwhile:
-                return Unknown()
-        outcome = self._commit_cancellation(job_id)
+        committed = self._commit_cancellation(job_id)
+        if isinstance(committed, TransactionRefused):
+            return Rejected(reason='the store refused a cancellation')
         runner = self._ownership.runner(shard)
-        if isinstance(outcome, Accepted) and runner is not None:
+        if isinstance(committed, Accepted) and runner is not None:
             runner.cancel(job_id)
-        return outcome
+        return committed
 
     def get_owned_status(self, job_id: JobId) -> StatusOutcome:
         """
@@ -566,6 +557,31 @@
             if member.instance_id != self._instance_id
         ][:_BACKUP_PEERS]
 
+    def _cancel_missing_job(self, job_id: JobId) -> CancelOutcome | None:
+        """
+        Write the row of a cancellation if neither it nor the job exists.
+
+        :returns: the outcome; ``None`` if the job has been stored meanwhile.
+        """
+        shard = self._find_shard(job_id)
+        job, cancellation = job_row(shard, job_id), cancel_row(shard, job_id)
+        outcome = self._commit_cancellation(
+            job_id,
+            expected=(
+                ExpectedVersion(name=job, version=0),
+                ExpectedVersion(name=cancellation, version=0),
+            ),
+        )
+        if isinstance(outcome, Rejected | Uncertain):
+            return outcome
+        if isinstance(outcome, Accepted):
+            return Unknown()
+        if outcome.is_present(job):
+            return None
+        if outcome.is_present(cancellation):
+            return Unknown()
+        return Uncertain(reason='the store refused a row that it does not have')
+
     def _commit_cancellation(
         self, job_id: JobId, expected: tuple[ExpectedVersion, ...] = ()
     ) -> _CommitOutcome:
@@ -602,12 +618,6 @@
         return shard_of(job_id, self._cluster.shards)
 
 
-def _is_row_present(refused: TransactionRefused, name: RowName) -> bool:
-    return any(
-        row.name == name and row.content is not None for row in refused.rows
-    )
-
-
 def _collect_outcomes(attempts: list[gevent.Greenlet]) -> list[_WriteOutcome]:
     return [
         Uncertain(reason='no answer in time')
--- a/ragwortfield/ports/row_store.py
+++ b/ragwortfield/ports/row_store.py
@@ -99,6 +99,17 @@
 
     rows: tuple[StoredRow, ...]
 
+    def is_present(self, name: RowName) -> bool:
+        """
+        Tell whether a row existed when the transaction was aborted.
+
+        :param name: a row in ``expected``.
+        :returns: whether it did.
+        """
+        return any(
+            row.name == name and row.content is not None for row in self.rows
+        )
+
 
 class RowStore(Protocol):
     """Store of rows with transactions and a change feed."""
--- a/ragwortfield/tests/test_late_submissions.py
+++ b/ragwortfield/tests/test_late_submissions.py
@@ -141,6 +141,25 @@
         self.assert_never_started()
         self.assertEqual(self.world.status(JOB_ID), JobStatus.CANCELLED)
 
+    # Guards against "no such job" for one that is stored and was cancelled, also
+    # by another caller, while the cancellation looked for it.
+    def test_job_cancelled_by_two_callers_is_cancelled_for_both(self):
+        read_row = JobRequestHandler._read_row
+        pages = []
+
+        def read_before_submission(handler, name):
+            pages.append(read_row(handler, name))
+            if len(pages) == 1:
+                self.submit()
+                self.cancel()
+            return pages[-1]
+
+        with mock.patch.object(
+            JobRequestHandler, '_read_row', read_before_submission
+        ):
+            self.assertIsInstance(self.cancel(), Accepted)
+        self.assert_never_started()
+
     # Guards against a refusal of a job that is stored and was cancelled then.
     def test_repeated_submission_of_a_cancelled_job_is_accepted(self):
         self.submit()
