--- a/ragwortfield/tests/test_late_submissions.py
+++ b/ragwortfield/tests/test_late_submissions.py
@@ -141,8 +141,8 @@
         self.assert_never_started()
         self.assertEqual(self.world.status(JOB_ID), JobStatus.CANCELLED)
 
-    # Guards against "no such job" for one that is stored and was cancelled, also
-    # by another caller, while the cancellation looked for it.
+    # Guards against "no such job" for one that is stored and was cancelled by
+    # another caller, too, while the cancellation looked for it.
     def test_job_cancelled_by_two_callers_is_cancelled_for_both(self):
         read_row = JobRequestHandler._read_row
         pages = []
