Do not judge a run by a clock that its start cannot have had

Seen in test_odd_answers_of_workers_cost_only_themselves, in 3 of some 190 runs: a task ran twice. The log shows run_started and, 1 ms later, run_released "worker no longer reports the run".

Cause: the answer to the start was odd and showed 1 ms as the worker's clock. A report that was made before the start and arrived after its answer counted as later than that, so the run that it did not list was given up. Ruled out: the check of processes itself (the start had reached the right process, and was answered).

Change: a reading that is earlier than the clock was when the order was created is replaced by the time until which the order could be carried out.

Measured: test_report_overtaken_by_an_odd_answer_ends_no_run, red before.

--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -138,7 +138,9 @@
         task.may_run_until = now + state.bounds.longest_order_effect_s()
     if isinstance(outcome, OrderDone):
         worker.observe_clock(outcome.clock_ms, now)
-        _confirm_run(state, task, outcome.clock_ms, now)
+        _confirm_run(
+            state, task, _get_start_clock_ms(state, order, outcome), now
+        )
     elif isinstance(outcome, OrderRefused):
         worker.observe_clock(outcome.clock_ms, now)
         _apply_refusal(state, worker, task, outcome, now)
@@ -209,6 +211,25 @@
                 request_stop(state, task, now)
 
 
+def _get_start_clock_ms(
+    state: ShardState, order: StartRun, done: OrderDone
+) -> int:
+    """
+    Return the latest reading of the worker's clock at which a run started.
+
+    :param state: state of the shard.
+    :param order: the start order.
+    :param done: answer of the worker.
+    :returns: milliseconds of the worker's clock.
+    """
+    window_ms = state.bounds.start_window_s * MS_PER_S
+    if done.clock_ms < order.deadline_ms - window_ms:
+        # The clock was later than that when the order was created, so the
+        # reading cannot tell which reports are from before the start.
+        return order.deadline_ms
+    return done.clock_ms
+
+
 def _may_have_reached_restarted_worker(
     state: ShardState, worker: WorkerState, outcome: OrderOutcome
 ) -> bool:
--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -1,16 +1,20 @@
 """Leases: tasks of an unreachable worker run again soon and never twice."""
 
 import unittest
+from dataclasses import replace
+from unittest import mock
 
 from ragwortfield.engine.ownership import OWNER_TIMEOUT_S
 from ragwortfield.ports.task_worker import EndKind, OrderDone, StopRun
-from ragwortfield.scheduling import leases
+from ragwortfield.scheduling import leases, worker_reports
+from ragwortfield.scheduling.job_state import RunStage
 from ragwortfield.scheduling.job_status import JobStatus
 from ragwortfield.scheduling.timing_bounds import (
     MAX_CLOCK_DRIFT,
     TimingBounds,
 )
 from ragwortfield.scheduling.worker_state import WorkerClock
+from ragwortfield.testing.fake_task_workers import FakeTaskWorkerControl
 from ragwortfield.tests.shard_world import ShardWorld, build_single_step
 
 #: Longest time from the loss of a worker to the next run of its tasks, in
@@ -182,6 +186,37 @@
                 self.assertNotIn(key, worker.run_by_key)
                 self.assertEqual(self.find_first_task(key.job_id).run, 2)
 
+    # Guards against two runs of one task: the answer to a start shows a clock
+    # that cannot be right, and a report from before the start comes after it.
+    def test_report_overtaken_by_an_odd_answer_ends_no_run(self):
+        owner = self.world.owners[-1]
+        _act(self.world, 5)
+        job_id = self.world.submit(build_single_step(cpu=0.5))
+        reports = {}
+        for worker_id, worker in owner.state.worker_by_id.items():
+            order = leases.create_lease_order(
+                owner.state, worker, self.world.now
+            )
+            reports[worker_id] = self.world.workers.renew_lease(order)
+        start = self.world.workers.start
+        with mock.patch.object(
+            FakeTaskWorkerControl,
+            'start',
+            lambda _control, order: replace(start(order), clock_ms=1),
+        ):
+            owner.act(is_renewing_leases=False)
+            owner.act(is_renewing_leases=False)
+        task = self.find_first_task(job_id)
+        self.assertEqual(task.stage, RunStage.RUNNING)
+        worker_reports.apply_report(
+            owner.state,
+            owner.state.worker_by_id[task.worker_id],
+            reports[task.worker_id],
+            self.world.now,
+        )
+        _act(self.world, 3)
+        self.assertEqual((task.stage, task.run), (RunStage.RUNNING, 1))
+
     def test_end_is_not_acknowledged_before_it_is_durable(self):
         worker = self.list_busy_workers()[0]
         key = next(iter(worker.run_by_key))
