--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import TypeVar
 
 import gevent
 
@@ -101,6 +102,7 @@
 
 
 RunnerFactory = Callable[[OwnershipTerm], ShardRunner]
+_Record = TypeVar('_Record', OwnerRecord, SequenceRecord)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -633,11 +635,19 @@
     )
 
 
+def _decode_row(
+    row: StoredRow | None, record_type: type[_Record]
+) -> _Record | None:
+    """Return the record in a row; ``None`` without one that can be read."""
+    if row is None:
+        return None
+    record = decode_record(row.content or b'', record_type)
+    return None if isinstance(record, Malformed) else record
+
+
 def _read_recorded_lease_s(owner: StoredRow | None) -> Seconds:
-    if owner is None:
-        return 0
-    record = decode_record(owner.content or b'', OwnerRecord)
-    return 0 if isinstance(record, Malformed) else record.lease_s
+    record = _decode_row(owner, OwnerRecord)
+    return 0 if record is None else record.lease_s
 
 
 def _is_recorded_lease_bound(
@@ -646,22 +656,15 @@
     if owner is None:
         # Without any owner before there is no lease.
         return sequence is None
-    record = decode_record(owner.content or b'', OwnerRecord)
-    if isinstance(record, Malformed):
-        return False
-    return record.is_process_bound and record.lease_s > 0
+    record = _decode_row(owner, OwnerRecord)
+    return record is not None and record.is_process_bound and record.lease_s > 0
 
 
 def _find_highest_epoch(
     owner: StoredRow | None, sequence: StoredRow | None
 ) -> int:
-    epoch = 0
-    if owner is not None:
-        record = decode_record(owner.content or b'', OwnerRecord)
-        if not isinstance(record, Malformed):
-            epoch = record.epoch
-    if sequence is not None:
-        last = decode_record(sequence.content or b'', SequenceRecord)
-        if not isinstance(last, Malformed):
-            epoch = max(epoch, last.epoch)
-    return epoch
+    former = _decode_row(owner, OwnerRecord)
+    last = _decode_row(sequence, SequenceRecord)
+    return max(
+        0 if record is None else record.epoch for record in (former, last)
+    )
