One piece each for a refusal, for the rows of a new job, and for sent acknowledgements

No change of behaviour. The response without Retry-After is one of the error responses; the versions that a job and an early cancellation expect stood twice; the number of the end that an order has acknowledged was computed in the loops and again in the simulated owner.

--- a/ragwortfield/engine/cancellation_expiry.py
+++ b/ragwortfield/engine/cancellation_expiry.py
@@ -52,11 +52,9 @@
 
     def remove_expired(self) -> None:
         """Remove the rows that are due; what fails is due again."""
-        job_ids = self._list_due()
-        while job_ids:
+        while job_ids := self._list_due():
             if not self._remove(job_ids):
                 return
-            job_ids = self._list_due()
 
     def _list_due(self) -> tuple[JobId, ...]:
         return list_expired_cancellations(
--- a/ragwortfield/engine/job_request_handler.py
+++ b/ragwortfield/engine/job_request_handler.py
@@ -285,14 +285,10 @@
         :param record: its encoded record.
         :returns: the outcome; accepted also if the row exists already.
         """
-        shard = self._find_shard(job_id)
-        name = job_row(shard, job_id)
+        name = job_row(self._find_shard(job_id), job_id)
         outcome = self._commit(
             Transaction(
-                expected=(
-                    ExpectedVersion(name=name, version=0),
-                    ExpectedVersion(name=cancel_row(shard, job_id), version=0),
-                ),
+                expected=self._expect_neither_row(job_id),
                 writes=(RowWrite(name=name, content=record),),
             ),
         )
@@ -564,24 +560,27 @@
         :returns: the outcome; ``None`` if the job has been stored meanwhile.
         """
         shard = self._find_shard(job_id)
-        job, cancellation = job_row(shard, job_id), cancel_row(shard, job_id)
         outcome = self._commit_cancellation(
-            job_id,
-            expected=(
-                ExpectedVersion(name=job, version=0),
-                ExpectedVersion(name=cancellation, version=0),
-            ),
+            job_id, expected=self._expect_neither_row(job_id)
         )
         if isinstance(outcome, Rejected | Uncertain):
             return outcome
         if isinstance(outcome, Accepted):
             return Unknown()
-        if outcome.is_present(job):
+        if outcome.is_present(job_row(shard, job_id)):
             return None
-        if outcome.is_present(cancellation):
+        if outcome.is_present(cancel_row(shard, job_id)):
             return Unknown()
         return Uncertain(reason='the store refused a row that it does not have')
 
+    def _expect_neither_row(self, job_id: JobId) -> tuple[ExpectedVersion, ...]:
+        """Return the versions of a job that is neither stored nor cancelled."""
+        shard = self._find_shard(job_id)
+        return (
+            ExpectedVersion(name=job_row(shard, job_id), version=0),
+            ExpectedVersion(name=cancel_row(shard, job_id), version=0),
+        )
+
     def _commit_cancellation(
         self, job_id: JobId, expected: tuple[ExpectedVersion, ...] = ()
     ) -> _CommitOutcome:
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -11,7 +11,6 @@
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
-    LeaseOrder,
     LeaseReport,
     OrderOutcome,
     OrderRefused,
@@ -146,7 +145,7 @@
                     worker,
                     report,
                     now,
-                    acknowledged_to_worker=_get_sent_acknowledgement(
+                    acknowledged_to_worker=leases.get_sent_acknowledgement(
                         order, report
                     ),
                 )
@@ -226,7 +225,3 @@
             if worker.first_reported_at
             else -1,
         )
-
-
-def _get_sent_acknowledgement(order: LeaseOrder, report: LeaseReport) -> int:
-    return order.acknowledged_end if report.is_order_applied else 0
--- a/ragwortfield/platform/job_api.py
+++ b/ragwortfield/platform/job_api.py
@@ -160,7 +160,12 @@
         if isinstance(outcome, Accepted):
             return _make_success_response({})
         if isinstance(outcome, Cancelled):
-            return _make_final_refusal(outcome.reason)
+            # The same request would be refused again.
+            return _make_error_response(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                outcome.reason,
+                is_retry_useful=False,
+            )
         return _make_unaccepted_response(outcome)
 
     def _get_status(
@@ -221,15 +226,6 @@
     return _make_error_response(HTTPStatus.SERVICE_UNAVAILABLE, outcome.reason)
 
 
-def _make_final_refusal(reason: str) -> Response:
-    # Without Retry-After, because the same request would be refused again.
-    return Response(
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-        fields=_JSON_HEADERS,
-        body=msgspec.json.encode({'error': reason}),
-    )
-
-
 def _make_success_response(body: dict[str, Any]) -> Response:
     return Response(
         status=HTTPStatus.OK,
@@ -238,11 +234,14 @@
     )
 
 
-def _make_error_response(status: int, message: str) -> Response:
+def _make_error_response(
+    status: int, message: str, *, is_retry_useful: bool = True
+) -> Response:
+    is_retry_advised = (
+        is_retry_useful and status == HTTPStatus.SERVICE_UNAVAILABLE
+    )
     return Response(
         status=status,
-        fields=_RETRY_HEADERS
-        if status == HTTPStatus.SERVICE_UNAVAILABLE
-        else _JSON_HEADERS,
+        fields=_RETRY_HEADERS if is_retry_advised else _JSON_HEADERS,
         body=msgspec.json.encode({'error': message}),
     )
--- a/ragwortfield/scheduling/leases.py
+++ b/ragwortfield/scheduling/leases.py
@@ -1,6 +1,6 @@
 """Extension of the leases of workers."""
 
-from ragwortfield.ports.task_worker import LeaseOrder
+from ragwortfield.ports.task_worker import LeaseOrder, LeaseReport
 from ragwortfield.scheduling.job_state import RunStage
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.timing_bounds import MS_PER_S
@@ -54,6 +54,17 @@
     )
 
 
+def get_sent_acknowledgement(order: LeaseOrder, report: LeaseReport) -> int:
+    """
+    Return the number of the last run end that an order has acknowledged.
+
+    :param order: the order.
+    :param report: the worker's answer to it.
+    :returns: the number; 0 if the worker was only polled.
+    """
+    return order.acknowledged_end if report.is_order_applied else 0
+
+
 def record_missing_report(worker: WorkerState) -> None:
     """Record that a poll of a worker ended without a report."""
     worker.is_responding = False
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -255,9 +255,9 @@
                     worker,
                     report,
                     self.world.now,
-                    acknowledged_to_worker=order.acknowledged_end
-                    if report.is_order_applied
-                    else 0,
+                    acknowledged_to_worker=leases.get_sent_acknowledgement(
+                        order, report
+                    ),
                 )
                 interference_control.apply_readings(
                     self.state, worker, self.world.now
