Tests: one builder of request handlers, one search for the busy worker

The two tests of submissions and cancellations built the same handler with twins of the same fakes, and three tests looked for the one worker with a run. Assertions are unchanged.

--- a/ragwortfield/tests/job_request_world.py
+++ b/ragwortfield/tests/job_request_world.py
@@ -26,14 +26,14 @@
         return Unavailable(reason='refused')
 
 
-def build_job_request_handler(store, health=None):
+def build_job_request_handler(store, health=None, cluster=None, peers=None):
     return JobRequestHandler(
         instance_id='own',
-        cluster=ClusterView(shards=1),
+        cluster=cluster or ClusterView(shards=1),
         ownership=IsolatedInstance(),
         store=store,
         health=health or StoreHealth(),
-        peers=IsolatedInstance(),
+        peers=peers or IsolatedInstance(),
         make_empty_state=lambda: ShardState(
             epoch=0,
             owner_since=0,
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -369,6 +369,15 @@
             **options,
         )
 
+    def find_busy_worker(self):
+        """Return the only worker on which anything runs."""
+        (worker,) = (
+            worker
+            for worker in self.workers.worker_by_id.values()
+            if worker.run_by_key
+        )
+        return worker
+
     def submit(self, steps, **options):
         """
         Submit a job.
--- a/ragwortfield/tests/test_former_owner.py
+++ b/ragwortfield/tests/test_former_owner.py
@@ -62,11 +62,7 @@
 
     def lose_worker(self):
         """Lose the worker of the task for good."""
-        (worker,) = (
-            worker
-            for worker in self.world.workers.worker_by_id.values()
-            if worker.run_by_key
-        )
+        worker = self.world.find_busy_worker()
         worker.restart()
         worker.is_reachable = False
         return worker
@@ -115,11 +111,7 @@
     # Guards against the same while a worker of which nothing is heard lives on,
     # and its former owner, too, which has not noticed its replacement.
     def test_task_of_a_worker_that_lives_on_is_not_run_twice(self):
-        (worker,) = (
-            worker
-            for worker in self.world.workers.worker_by_id.values()
-            if worker.run_by_key
-        )
+        worker = self.world.find_busy_worker()
         self.world.take_over()
         self.world.owners[-1].unreachable_worker_ids = {worker.worker_id}
         # ``act`` checks that nothing runs twice.
--- a/ragwortfield/tests/test_job_request_handler.py
+++ b/ragwortfield/tests/test_job_request_handler.py
@@ -8,7 +8,6 @@
 from ragwortfield.engine.cluster_view import ClusterView
 from ragwortfield.engine.job_request_handler import (
     Accepted,
-    JobRequestHandler,
     Rejected,
     Uncertain,
     Unknown,
@@ -16,15 +15,16 @@
 from ragwortfield.engine.row_names import cancel_row, job_row
 from ragwortfield.engine.store_health import StoreHealth
 from ragwortfield.ports.platform import Unavailable
-from ragwortfield.scheduling.catalogue import Catalogue
-from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.job import Step
 from ragwortfield.scheduling.job_status import JobStatus
 from ragwortfield.scheduling.records import MemberRecord
-from ragwortfield.scheduling.shard_state import ShardState
-from ragwortfield.scheduling.timing_bounds import TimingBounds
 from ragwortfield.testing.fake_row_store import FakeRowStore
+from ragwortfield.tests.job_request_world import (
+    JOB_ID,
+    build_job,
+    build_job_request_handler,
+)
 
-_JOB_ID = '00000000000000aa'
 #: How long a silent store blocks, in seconds; tests must not wait that long.
 _SILENCE_S = 120
 #: Time-out of a test that must not wait for a silent store, in seconds.
@@ -33,15 +33,6 @@
 _CALLER_TIMEOUT_S = 1.3
 
 
-class _NoOwnership:
-    """Ownership of an instance that owns no shard."""
-
-    runner_by_shard = {}
-
-    def runner(self, shard):
-        return self.runner_by_shard.get(shard)
-
-
 class _Peers:
     """Peers that return a fixed answer and record the calls."""
 
@@ -66,15 +57,6 @@
 _CONNECTION_REFUSED = Unavailable(reason='refused')
 
 
-def _build_empty_state():
-    return ShardState(
-        epoch=0,
-        owner_since=0,
-        bounds=TimingBounds(),
-        catalogue=Catalogue(version=1),
-    )
-
-
 class JobRequestHandlerTest(unittest.TestCase):
     def setUp(self):
         self.store = FakeRowStore()
@@ -88,25 +70,13 @@
             data_centre='dc',
             cores=1,
         )
-        self.request_handler = JobRequestHandler(
-            instance_id='own',
-            cluster=self.cluster,
-            ownership=_NoOwnership(),
-            store=self.store,
-            health=self.health,
-            peers=self.peers,
-            make_empty_state=_build_empty_state,
-        )
-        self.job = Job(
-            job_id=_JOB_ID,
-            queue='queue',
-            spec='spec',
-            steps=(Step(count=1),),
-            accepted_at=0,
+        self.request_handler = build_job_request_handler(
+            self.store, self.health, self.cluster, self.peers
         )
+        self.job = build_job(steps=(Step(count=1),))
 
     def is_job_stored(self):
-        return job_row(0, _JOB_ID) in self.store.row_by_name
+        return job_row(0, JOB_ID) in self.store.row_by_name
 
     def test_accepted_means_stored(self):
         self.assertIsInstance(
@@ -120,16 +90,16 @@
             self.request_handler.submit(self.job, _CALLER_TIMEOUT_S), Rejected
         )
         self.assertIsInstance(
-            self.request_handler.cancel(_JOB_ID, _CALLER_TIMEOUT_S), Rejected
+            self.request_handler.cancel(JOB_ID, _CALLER_TIMEOUT_S), Rejected
         )
         self.assertIsInstance(
-            self.request_handler.status(_JOB_ID, 0), Unavailable
+            self.request_handler.status(JOB_ID, 0), Unavailable
         )
         for query in (
             self.request_handler.get_owned_status,
             self.request_handler.read_stored_status,
         ):
-            self.assertIsInstance(query(_JOB_ID), Unavailable)
+            self.assertIsInstance(query(JOB_ID), Unavailable)
         outcome = self.request_handler.write_for_peer(Accepted)
         self.assertIsInstance(outcome, Rejected)
         self.assertEqual(self.store.commits, 0)
@@ -213,25 +183,25 @@
     def test_cancel_of_an_unknown_job_writes_only_its_cancellation(self):
         for _ in range(2):
             self.assertIsInstance(
-                self.request_handler.cancel(_JOB_ID, _CALLER_TIMEOUT_S),
+                self.request_handler.cancel(JOB_ID, _CALLER_TIMEOUT_S),
                 Unknown,
             )
         self.assertEqual(self.store.version, 1)
-        self.assertEqual(list(self.store.row_by_name), [cancel_row(0, _JOB_ID)])
+        self.assertEqual(list(self.store.row_by_name), [cancel_row(0, JOB_ID)])
         self.assertFalse(self.is_job_stored())
 
     def test_state_is_derived_from_rows_without_an_owner(self):
         self.request_handler.submit(self.job, _CALLER_TIMEOUT_S)
         self.assertEqual(
-            self.request_handler.status(_JOB_ID, 1), JobStatus.PENDING
+            self.request_handler.status(JOB_ID, 1), JobStatus.PENDING
         )
-        self.request_handler.cancel(_JOB_ID, _CALLER_TIMEOUT_S)
+        self.request_handler.cancel(JOB_ID, _CALLER_TIMEOUT_S)
         self.assertEqual(
-            self.request_handler.status(_JOB_ID, 1), JobStatus.CANCELLED
+            self.request_handler.status(JOB_ID, 1), JobStatus.CANCELLED
         )
 
     def test_job_is_unknown_only_if_the_store_says_so(self):
-        self.assertIsInstance(self.request_handler.status(_JOB_ID, 1), Unknown)
+        self.assertIsInstance(self.request_handler.status(JOB_ID, 1), Unknown)
         self.store.is_down = True
-        status = self.request_handler.status(_JOB_ID, 0)
+        status = self.request_handler.status(JOB_ID, 0)
         self.assertIsInstance(status, Unavailable)
--- a/ragwortfield/tests/test_shard_leases.py
+++ b/ragwortfield/tests/test_shard_leases.py
@@ -341,23 +341,15 @@
         self.job_id = self.world.submit(build_single_step(is_long_lived=True))
         _act(self.world, _SETTLING_S)
 
-    def find_busy_worker(self):
-        (worker,) = (
-            worker
-            for worker in self.world.workers.worker_by_id.values()
-            if worker.run_by_key
-        )
-        return worker
-
     # Guards against a lasting task without a run for 12 s: its worker restarts,
     # gets it again and is lost soon after that.
     def test_task_of_a_worker_lost_after_its_restart_runs_in_time(self):
         self.world.workers.worker_by_id['w0'].is_reachable = False
         _act(self.world, _MAX_RERUN_S)
-        worker = self.find_busy_worker()
+        worker = self.world.find_busy_worker()
         worker.restart()
         _act(self.world, 1)
-        self.assertIs(self.find_busy_worker(), worker)
+        self.assertIs(self.world.find_busy_worker(), worker)
         self.world.workers.worker_by_id['w0'].is_reachable = True
         worker.is_reachable = False
         _act(self.world, _MAX_RERUN_S)
