Count jobs by queue, size and outcome, and what the others wait for

No log line or metric told how many jobs of a kind and size were served, nor where the time of the others went; a mean over all jobs hid that the large ones were not.

The owner logs job_outcomes every 4 s: for each queue and size class (largest tenth, next fifth, rest) jobs accepted, done in time, late, open and overdue, and for those not done the time by cause (CPU, memory, worker state, placement, round, commit, start, run, owner) and rank. The counts are cumulative, so a dropped line loses nothing. The same numbers are metrics; submissions are counted by queue, size and outcome on each instance.

--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -10,7 +10,11 @@
 from ragwortfield.adapters.json_codec import Malformed
 from ragwortfield.engine.change_feed import ChangeFeed, read_all_rows
 from ragwortfield.engine.cluster_view import ClusterView
-from ragwortfield.engine.job_request_handler import JobRequestHandler, Unknown
+from ragwortfield.engine.job_request_handler import (
+    JobRequestHandler,
+    SubmitOutcome,
+    Unknown,
+)
 from ragwortfield.engine.ownership import (
     OwnershipManager,
     OwnershipTerm,
@@ -52,6 +56,9 @@
 from ragwortfield.ports.task_worker import TaskWorkerControl
 from ragwortfield.report.scheduler_metrics import SchedulerMetrics
 from ragwortfield.scheduling.catalogue import Catalogue
+from ragwortfield.scheduling.job import Job
+from ragwortfield.scheduling.job_outcomes import count_outcomes
+from ragwortfield.scheduling.job_sizes import RecentSizes
 from ragwortfield.scheduling.job_status import summarise_shard
 from ragwortfield.scheduling.records import (
     LayoutRecord,
@@ -132,6 +139,7 @@
         self.is_leaving = False
         self.active_requests = 0
         self.metrics = SchedulerMetrics()
+        self._recent_sizes = RecentSizes()
         self._identity = identity
         self._data_centre = data_centre
         self._cores = cores
@@ -244,6 +252,19 @@
             )
             for name, value in values.items():
                 self.metrics.state(f'shard_{runner.shard}_{name}', value)
+            for counts in count_outcomes(runner.state, time.monotonic()):
+                self.metrics.record_outcomes(counts)
+
+    def record_submission(self, job: Job, outcome: SubmitOutcome) -> None:
+        """
+        Record the outcome of a submission for the metrics.
+
+        :param job: the job.
+        :param outcome: outcome that its caller is told.
+        """
+        self.metrics.record_submission(
+            job.queue, self._recent_sizes.add(job), type(outcome).__name__
+        )
 
     @contextmanager
     def track_request(self) -> Iterator[None]:
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -42,6 +42,7 @@
     ignore_refusals,
     take_claiming_workers,
 )
+from ragwortfield.scheduling.job_outcomes import log_outcomes
 from ragwortfield.scheduling.job_state import JobRuntimeState
 from ragwortfield.scheduling.job_status import (
     JobStatus,
@@ -79,6 +80,8 @@
 _CANCELLATION_EXPIRY_INTERVAL_S: Seconds = 10
 #: Interval of the log line with the state of the shard, in seconds.
 _STATE_LOG_INTERVAL_S: Seconds = 2
+#: Interval of the log lines with the outcomes of its jobs, in seconds.
+_OUTCOME_LOG_INTERVAL_S: Seconds = 4
 
 
 class ShardRunner:
@@ -139,6 +142,7 @@
         self._rounds = SchedulingRounds()
         self._last_round_at: MonotonicTime = 0
         self._state_logged_at: MonotonicTime = 0
+        self._outcomes_logged_at: MonotonicTime = 0
         self._last_suspended_s = _total_suspended_s()
 
     def start(self) -> None:
@@ -470,6 +474,9 @@
         if now - self._state_logged_at > _STATE_LOG_INTERVAL_S:
             self._state_logged_at = now
             self._log_state(now)
+        if now - self._outcomes_logged_at > _OUTCOME_LOG_INTERVAL_S:
+            self._outcomes_logged_at = now
+            log_outcomes(self.state, self.shard, now)
         if (
             state.dirty_occurrence_by_key
             or state.expired_jobs
--- a/ragwortfield/platform/job_api.py
+++ b/ragwortfield/platform/job_api.py
@@ -157,6 +157,7 @@
             _compute_timeout_s(environ),
             queue=resource.queue,
         )
+        self._node.record_submission(job, outcome)
         if isinstance(outcome, Accepted):
             return _make_success_response({})
         if isinstance(outcome, Cancelled):
--- a/ragwortfield/report/scheduler_metrics.py
+++ b/ragwortfield/report/scheduler_metrics.py
@@ -2,6 +2,9 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from ragwortfield.scheduling.job_outcomes import JobOutcome, OutcomeCounts
+from ragwortfield.scheduling.job_sizes import SizeClass
+from ragwortfield.scheduling.wait_causes import WaitCause
 from ragwortfield.types import Seconds
 
 #: Upper bounds of the latency histogram, in seconds.
@@ -36,6 +39,21 @@
             buckets=list(_LATENCY_BOUNDS_S),
             registry=self.registry,
         )
+        self._submissions = Counter(
+            'ragwortfield_submissions_total',
+            'Submitted jobs by queue, size among recent ones, and outcome.',
+            registry=self.registry,
+        )
+        self._outcomes = Gauge(
+            'ragwortfield_jobs',
+            'Jobs that owners on this instance know, by their outcome so far.',
+            registry=self.registry,
+        )
+        self._waits = Gauge(
+            'ragwortfield_unfinished_job_seconds',
+            'Time of the unfinished ones of these jobs by what they wait for.',
+            registry=self.registry,
+        )
         self._gauge = Gauge(
             'ragwortfield_scheduler_state',
             'State of the scheduler by name.',
@@ -55,6 +73,38 @@
         self._requests.inc({'kind': kind, 'status': str(int(status))})
         self._latency.observe({'kind': kind}, duration_s)
 
+    def record_submission(
+        self, queue: str, size: SizeClass, outcome: str
+    ) -> None:
+        """
+        Record the outcome of a submission.
+
+        :param queue: queue of the job.
+        :param size: size of the job among the latest ones submitted here.
+        :param outcome: value of the ``outcome`` label.
+        """
+        self._submissions.inc(
+            {'queue': queue, 'size': size.value, 'outcome': outcome}
+        )
+
+    def record_outcomes(self, counts: OutcomeCounts) -> None:
+        """
+        Record the outcomes of the jobs of one queue and size class.
+
+        :param counts: the present counts.
+        """
+        labels = {'queue': counts.queue, 'size': counts.size.value}
+        for outcome in JobOutcome:
+            self._outcomes.set(
+                labels | {'outcome': outcome.value},
+                counts.count_by_outcome[outcome],
+            )
+        wait_s_by_cause = counts.sum_waits()
+        for cause in WaitCause:
+            self._waits.set(
+                labels | {'cause': cause.value}, wait_s_by_cause[cause]
+            )
+
     def state(self, name: str, amount: float) -> None:
         """
         Set a gauge of the state.
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -238,6 +238,10 @@
     :param finished_at: monotonic time at which it reached its final state; 0
         before that.
     :param is_removed: whether its own rows are removed from the store.
+    :param is_finish_restored: whether it finished under a former owner, so
+        that ``finished_at`` is later than its end.
+    :param wait_s_by_cause: time for which it has waited or run, in seconds, by
+        name of the cause.
     :param critical_path_s_by_step: critical path from each step on, in
         seconds, by number of the step.
     """
@@ -257,6 +261,8 @@
     is_durably_done: bool = False
     finished_at: MonotonicTime = 0
     is_removed: bool = False
+    is_finish_restored: bool = False
+    wait_s_by_cause: dict[str, Seconds] = field(default_factory=dict)
     critical_path_s_by_step: tuple[Seconds, ...] = ()
 
     def occurrence_count(self) -> int:
--- a/ragwortfield/scheduling/scheduling_rounds.py
+++ b/ragwortfield/scheduling/scheduling_rounds.py
@@ -1,6 +1,6 @@
 """Rounds of scheduling decisions on an owner's shard."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ragwortfield.scheduling import (
     commits,
@@ -14,6 +14,7 @@
     worker_reports,
 )
 from ragwortfield.scheduling.shard_state import ShardState
+from ragwortfield.scheduling.wait_causes import WaitRecorder
 from ragwortfield.types import MonotonicTime, Seconds, WallTime
 
 #: Interval of the decisions that need not be made in every round, in seconds.
@@ -30,10 +31,12 @@
     :param last_slow_round_at: monotonic time of the latest round that included
         the slower decisions.
     :param last_expiry_at: monotonic time of the latest search for expired jobs.
+    :param waits: records what the jobs wait for.
     """
 
     last_slow_round_at: MonotonicTime = 0
     last_expiry_at: MonotonicTime = 0
+    waits: WaitRecorder = field(default_factory=WaitRecorder)
 
     def decide(
         self,
@@ -69,3 +72,4 @@
             dispatch.dispatch(state, now)
             # Tasks that still wait have found no free capacity in this round.
             defragmentation.defragment(state, now)
+        self.waits.sample(state, now)
--- a/ragwortfield/scheduling/shard_updates.py
+++ b/ragwortfield/scheduling/shard_updates.py
@@ -17,6 +17,7 @@
     stop_job,
     update_ready_steps,
 )
+from ragwortfield.scheduling.wait_causes import WaitCause
 from ragwortfield.scheduling.worker_state import WorkerState
 from ragwortfield.types import JobId, MonotonicTime, Seconds, WallTime, WorkerId
 
@@ -58,6 +59,7 @@
         queue = Queue(name=job.queue, host='', path_prefix='', pool='')
     job_state = create_job_state(job, queue, now - age_s)
     state.job_by_id[job.job_id] = job_state
+    job_state.wait_s_by_cause[WaitCause.OWNER] = age_s
     _add_filler_work(state, job)
     if job.job_id in state.cancelled_job_ids:
         state.unmatched_since_by_id.pop(job.job_id, None)
@@ -111,6 +113,7 @@
                 state.worker_by_id[task.worker_id].add(task)
     update_ready_steps(state, job_state, occurrence)
     complete_if_durably_done(job_state, now)
+    job_state.is_finish_restored = job_state.is_durably_done
     if job_state.is_closed():
         stop_job(state, job_state, now)
 
--- a/ragwortfield/scheduling/step_priority.py
+++ b/ragwortfield/scheduling/step_priority.py
@@ -26,6 +26,13 @@
 _LONG_LIVED = 2
 _LATE = 3
 _MISSED = 4
+_NAME_BY_RANK = {
+    _STARVED: 'starved',
+    _ON_TIME: 'on_time',
+    _LONG_LIVED: 'long_lived',
+    _LATE: 'late',
+    _MISSED: 'missed',
+}
 
 #: Priority of the queue, rank within it, and slack or negative age in seconds.
 UrgencyKey = tuple[int, int, float]
@@ -73,6 +80,20 @@
     return job.queue.priority, _MISSED, -age_s
 
 
+def describe_rank(
+    job: JobRuntimeState, step: StepState, now: MonotonicTime
+) -> str:
+    """
+    Name the rank of a step within its priority, for the log.
+
+    :param job: job of the step.
+    :param step: the step.
+    :param now: monotonic time, in seconds.
+    :returns: name of the rank.
+    """
+    return _NAME_BY_RANK[compute_urgency(job, step, now)[1]]
+
+
 def _rank_long_lived(step: StepState, now: MonotonicTime) -> int:
     since = step.unplaced_since
     is_starved = since > 0 and now - since > _STARVATION_S
