Long-lived jobs grow only beside the room that short tasks need

Cause: short tasks give their CPU back within a second and need it again a moment later; a long-lived task keeps what it gets. Each freed core could go to a waiting long-lived task, which after 2.5 s came before all urgent steps, and always before those that were late. Nothing came back, so the pool filled with long-lived tasks, and the widest tasks found no worker first. Of the time of the jobs not done, 1,329 s were waits for CPU, 993 s of it past three times their objective; 15 s they ran, 4 s were anything else.

Ruled out by the same line: memory, labels and limits (placement), worker state, approvals, commits, starts and the owner (together 4 s of 1,348 s). Contributed: the order, by which late urgent steps came after long-lived ones. Fragments alone do not explain it: by the users' figures 700 cores were free in sum and 8,705 were waited for (not measured here).

Tasks that make a long-lived job grow are bound after the short tasks of their priority and only where these places remain; pieces too small for a short task are free to them.

--- a/ragwortfield/scheduling/defragmentation.py
+++ b/ragwortfield/scheduling/defragmentation.py
@@ -106,11 +106,15 @@
 def _iterate_large_steps(
     state: ShardState, now: MonotonicTime
 ) -> Iterator[StepState]:
-    """Yield waiting steps that reserve CPU, except gangs, most urgent first."""
+    """
+    Yield waiting steps that reserve CPU, most urgent first.
+
+    Gangs, and steps whose tasks are held back, are left out.
+    """
     for step in sort_by_urgency(state, now):
         definition = step.step
         if definition.need.cpu and not (
-            definition.is_filler or definition.is_gang
+            definition.is_filler or definition.is_gang or step.is_held_back
         ):
             yield step
 
--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -1,5 +1,8 @@
 """Binds waiting tasks to workers and queues their start orders."""
 
+from collections.abc import Iterable
+from itertools import groupby
+
 from ragwortfield.ports.task_worker import StartRun
 from ragwortfield.scheduling.job_state import (
     JobRuntimeState,
@@ -7,12 +10,13 @@
     StepState,
     TaskState,
 )
+from ragwortfield.scheduling.long_lived_growth import LongLivedGrowth
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.step_priority import sort_by_urgency
 from ragwortfield.scheduling.task_lifecycle import (
     bind_task,
     request_stop,
-    update_ready_steps,
+    update_waiting_step,
 )
 from ragwortfield.scheduling.timing_bounds import MS_PER_S
 from ragwortfield.scheduling.worker_selection import WorkerSelector
@@ -47,17 +51,14 @@
         return 0
     selector = WorkerSelector(state=state, now=now)
     bound_count = 0
-    for step in sort_by_urgency(state, now):
-        job = state.job_by_id[step.job_id]
-        if step.step.is_gang:
-            bound_count += _bind_gang(state, selector, job, step, now)
-        else:
-            bound_count += _bind_tasks(state, selector, job, step, now)
-        step.unplaced_since = (
-            (step.unplaced_since or now) if step.waiting_indexes else 0
+    by_priority = groupby(
+        sort_by_urgency(state, now),
+        key=lambda step: state.job_by_id[step.job_id].queue.priority,
+    )
+    for _, steps in by_priority:
+        bound_count += _bind_steps(
+            state, selector, steps, now, _MAX_BINDINGS_PER_ROUND - bound_count
         )
-        occurrence = job.occurrence_by_number[step.occurrence]
-        update_ready_steps(state, job, occurrence)
         if bound_count >= _MAX_BINDINGS_PER_ROUND:
             break
     return bound_count
@@ -140,16 +141,64 @@
     return _START_ANSWER_TIMEOUT_S
 
 
+def _bind_steps(
+    state: ShardState,
+    selector: WorkerSelector,
+    steps: Iterable[StepState],
+    now: MonotonicTime,
+    max_count: int,
+) -> int:
+    """
+    Bind the waiting tasks of one priority.
+
+    :param steps: the steps, most urgent first.
+    :param max_count: number of bindings after which the remaining steps wait
+        for the next round.
+    :returns: number of tasks bound.
+    """
+    growth = LongLivedGrowth(state=state, selector=selector, now=now)
+    bound_count = 0
+    for step in steps:
+        if step.is_held_back and now < state.growth_retry_at:
+            continue
+        bound_count += _bind_step(state, selector, growth, step, now)
+        if bound_count >= max_count:
+            return bound_count
+    if now >= state.growth_retry_at:
+        bound_count += growth.bind(max_count - bound_count)
+    return bound_count
+
+
+def _bind_step(
+    state: ShardState,
+    selector: WorkerSelector,
+    growth: LongLivedGrowth,
+    step: StepState,
+    now: MonotonicTime,
+) -> int:
+    job = state.job_by_id[step.job_id]
+    if step.step.is_gang:
+        bound_count = _bind_gang(state, selector, job, step, now)
+    else:
+        bound_count = _bind_tasks(state, selector, growth, step, now)
+    update_waiting_step(state, step, now)
+    return bound_count
+
+
 def _bind_tasks(
     state: ShardState,
     selector: WorkerSelector,
-    job: JobRuntimeState,
+    growth: LongLivedGrowth,
     step: StepState,
     now: MonotonicTime,
 ) -> int:
+    job = state.job_by_id[step.job_id]
     bound_count = 0
+    step.is_held_back = False
     for index in tuple(step.waiting_indexes):
         task = step.tasks[index]
+        if growth.is_deferred(job, step, task):
+            continue
         worker = selector.select_worker(job, step, task)
         if worker is None and task.avoided_workers:
             # Other tasks of the step may have fewer workers to avoid.
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -166,6 +166,7 @@
     :param last_failed_run: latest run of a gang that failed; 0 for none.
     :param unplaced_since: monotonic time since which some tasks have found no
         worker; 0 when all have one.
+    :param is_held_back: whether its waiting tasks leave room for short ones.
     """
 
     job_id: JobId
@@ -183,6 +184,7 @@
     denied_workers: set[WorkerId] = field(default_factory=set)
     last_failed_run: int = 0
     unplaced_since: MonotonicTime = 0
+    is_held_back: bool = False
 
     def is_done(self) -> bool:
         return self.done_count == self.step.count
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -4,6 +4,7 @@
 
 from ragwortfield.ports.task_worker import PaceRun, StartRun, StopRun
 from ragwortfield.scheduling.catalogue import Catalogue
+from ragwortfield.scheduling.headroom import DemandHistory
 from ragwortfield.scheduling.interference_model import InterferenceModel
 from ragwortfield.scheduling.job import TaskKey
 from ragwortfield.scheduling.job_state import (
@@ -62,6 +63,9 @@
         the row may still be read and must be ignored.
     :param work_by_filler: work of the fillers submitted so far, in
         core-seconds, by image.
+    :param short_demand: short steps of the latest jobs.
+    :param growth_retry_at: monotonic time from which on long-lived tasks that
+        found no worker beside the room for short ones are considered again.
     :param change_counter: numbers the changes of the workers.
     :param unmet_needs: resource requirements that no worker met.
     :param consolidated_at: monotonic time of the latest consolidation of
@@ -103,6 +107,8 @@
     expired_jobs: list[JobRuntimeState] = field(default_factory=list)
     removed_at_by_id: dict[JobId, MonotonicTime] = field(default_factory=dict)
     work_by_filler: dict[str, float] = field(default_factory=dict)
+    short_demand: DemandHistory = field(default_factory=DemandHistory)
+    growth_retry_at: MonotonicTime = 0
     change_counter: ChangeCounter = field(default_factory=ChangeCounter)
     unmet_needs: UnmetNeeds = field(default_factory=UnmetNeeds)
     consolidated_at: MonotonicTime = 0
--- a/ragwortfield/scheduling/shard_updates.py
+++ b/ragwortfield/scheduling/shard_updates.py
@@ -61,6 +61,8 @@
     state.job_by_id[job.job_id] = job_state
     job_state.wait_s_by_cause[WaitCause.OWNER] = age_s
     _add_filler_work(state, job)
+    if not job.repeat_count:
+        _add_short_demand(state, job_state, job_state.accepted_at_monotonic)
     if job.job_id in state.cancelled_job_ids:
         state.unmatched_since_by_id.pop(job.job_id, None)
         job_state.is_cancelled = True
@@ -184,6 +186,8 @@
             is_below_limit
             and job_state.job.due_at(job_state.next_occurrence) <= wall_time
         ):
+            due_at = job_state.job.due_at(job_state.next_occurrence)
+            _add_short_demand(state, job_state, due_at - state.wall_offset_s)
             _add_occurrence(state, job_state, job_state.next_occurrence, None)
 
 
@@ -253,6 +257,17 @@
             work_by_filler[image] = work_by_filler.get(image, 0) + work
 
 
+def _add_short_demand(
+    state: ShardState, job_state: JobRuntimeState, due_at: MonotonicTime
+) -> None:
+    state.short_demand.add(
+        job_state.job.steps,
+        pool=job_state.queue.pool,
+        priority=job_state.queue.priority,
+        accepted_at=due_at,
+    )
+
+
 def _restore_occurrence(
     job: Job, record: ProgressRecord
 ) -> OccurrenceState | None:
--- a/ragwortfield/scheduling/step_priority.py
+++ b/ragwortfield/scheduling/step_priority.py
@@ -4,11 +4,13 @@
 urgent job is never behind a less urgent one. Within a priority the order is:
 steps that can still meet their latency objective, least slack first;
 long-lived tasks, which earn for each second that they run; steps that still
-earn if they finish late; all others. A continuous stream of urgent jobs must
-not starve long-lived tasks, so a long-lived step that has waited too long
-comes before all others of its priority.
+earn if they finish late; all others; long-lived steps that only grow. A
+continuous stream of urgent jobs must not starve long-lived tasks, so a
+long-lived step that has waited too long comes before all others of its
+priority, unless it only grows.
 """
 
+from ragwortfield.scheduling.headroom import is_growth
 from ragwortfield.scheduling.job_state import (
     MAX_LATENESS_FACTOR,
     JobRuntimeState,
@@ -26,12 +28,14 @@
 _LONG_LIVED = 2
 _LATE = 3
 _MISSED = 4
+_GROWING = 5
 _NAME_BY_RANK = {
     _STARVED: 'starved',
     _ON_TIME: 'on_time',
     _LONG_LIVED: 'long_lived',
     _LATE: 'late',
     _MISSED: 'missed',
+    _GROWING: 'growing',
 }
 
 #: Priority of the queue, rank within it, and slack or negative age in seconds.
@@ -80,6 +84,19 @@
     return job.queue.priority, _MISSED, -age_s
 
 
+def can_still_earn(
+    job: JobRuntimeState, step: StepState, now: MonotonicTime
+) -> bool:
+    """
+    Tell whether a short step can end while its caller still waits.
+
+    :param job: job of the step.
+    :param step: the step.
+    :param now: monotonic time, in seconds.
+    """
+    return compute_urgency(job, step, now)[1] in {_ON_TIME, _LATE}
+
+
 def describe_rank(
     job: JobRuntimeState, step: StepState, now: MonotonicTime
 ) -> str:
@@ -95,6 +112,10 @@
 
 
 def _rank_long_lived(step: StepState, now: MonotonicTime) -> int:
+    if all(
+        is_growth(step, step.tasks[index]) for index in step.waiting_indexes
+    ):
+        return _GROWING
     since = step.unplaced_since
     is_starved = since > 0 and now - since > _STARVATION_S
     return _STARVED if is_starved else _LONG_LIVED
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -6,6 +6,7 @@
     JobRuntimeState,
     OccurrenceState,
     RunStage,
+    StepState,
     TaskState,
 )
 from ragwortfield.scheduling.records import TaskPhase
@@ -95,6 +96,7 @@
     task.phase = TaskPhase.WAITING
     step = state.get_step(task)
     step.waiting_indexes[task.key.index] = None
+    step.is_held_back = False
     job = state.job_by_id[task.key.job_id]
     state.mark_occurrence_dirty(state.get_occurrence(task))
     update_ready_steps(state, job, state.get_occurrence(task))
@@ -163,6 +165,23 @@
             state.ready_step_by_key.pop(key, None)
 
 
+def update_waiting_step(
+    state: ShardState, step: StepState, now: MonotonicTime
+) -> None:
+    """
+    Update since when a step waits, after a search for workers.
+
+    :param state: state of the shard.
+    :param step: the step.
+    :param now: monotonic time, in seconds.
+    """
+    job = state.job_by_id[step.job_id]
+    step.unplaced_since = (
+        (step.unplaced_since or now) if step.waiting_indexes else 0
+    )
+    update_ready_steps(state, job, job.occurrence_by_number[step.occurrence])
+
+
 def stop_job(
     state: ShardState, job: JobRuntimeState, now: MonotonicTime
 ) -> None:
--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -16,6 +16,7 @@
     compute_waiting_level,
     is_slow_start_allowed,
 )
+from ragwortfield.scheduling.headroom import Headroom
 from ragwortfield.scheduling.interference_control import (
     HeadroomByImage,
     compute_spare_headroom,
@@ -100,6 +101,7 @@
         step: StepState,
         task: TaskState,
         excluded_ids: Container[WorkerId] = (),
+        headroom: Headroom | None = None,
     ) -> WorkerState | None:
         """
         Select a worker for one task.
@@ -108,6 +110,7 @@
         :param step: step of the task.
         :param task: the task.
         :param excluded_ids: workers that must not be selected.
+        :param headroom: room that the task has to leave; ``None`` for none.
         :returns: the worker; ``None`` if no worker has room at present.
         """
         key = self._build_ranking_key(job, step)
@@ -119,6 +122,10 @@
             lambda worker: (
                 worker.worker_id not in excluded_ids
                 and self._is_admitted(job, worker, step=step)
+                and (
+                    headroom is None
+                    or headroom.is_start_allowed(worker, step.step.need)
+                )
             ),
             task.avoided_workers,
         )
