--- a/ragwortfield/experiment/loads.py
+++ b/ragwortfield/experiment/loads.py
@@ -63,6 +63,7 @@
     :param width: mean number of tasks of a step.
     :param cpu: mean CPU of a task, as a fraction of a worker's CPU.
     :param work_s: mean duration of a task at full speed, in seconds.
+    :param is_gang: whether the tasks of a step must run at the same time.
     """
 
     queue: str
@@ -71,6 +72,7 @@
     width: float
     cpu: float
     work_s: Seconds = 0
+    is_gang: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -304,6 +306,7 @@
             count=count,
             need=need,
             estimate_s=distribution.work_s * self._random.uniform(0.5, 1.5),
+            is_gang=distribution.is_gang,
             is_filler=is_filler,
             is_checkpointed=is_filler,
             image=self._choose_image('f', workload.filler_images)
@@ -344,6 +347,7 @@
         estimate_s=step.estimate_s,
         after=(number - 1,),
         is_checkpointed=step.is_checkpointed,
+        is_gang=step.is_gang,
         image=step.image,
         is_filler=step.is_filler,
     )
