--- a/ragwortfield/scheduling/wait_causes.py
+++ b/ragwortfield/scheduling/wait_causes.py
@@ -48,7 +48,9 @@
     tasks; ``HEADROOM``: room is kept for short tasks; ``ROUND``: a worker has
     room and gets the task in a later round; ``COMMIT``: the binding is being
     stored; ``START``: the worker has not confirmed the start; ``STOP``: the
-    end of a run that is being stopped; ``RUN``: the tasks run.
+    end of a run that is being stopped; ``RUN``: the tasks run;
+    ``NOT_EXAMINED``: some worker has enough of each resource, and too many
+    steps wait to find out more.
     """
 
     OWNER = 'owner'
@@ -67,6 +69,7 @@
     START = 'start'
     STOP = 'stop'
     RUN = 'run'
+    NOT_EXAMINED = 'not_examined'
 
 
 #: Causes of bound tasks, the one that is furthest behind first.
@@ -200,7 +203,7 @@
         if step.step.is_gang:
             return WaitCause.GANG
         if self.examined_count == _MAX_STEPS_EXAMINED:
-            return WaitCause.ROUND
+            return WaitCause.NOT_EXAMINED
         self.examined_count += 1
         return self._examine_workers(step, self.workers_by_pool[pool])
 
--- a/ragwortfield/tests/test_job_outcomes.py
+++ b/ragwortfield/tests/test_job_outcomes.py
@@ -110,6 +110,14 @@
         self.sample(0.5)
         self.assertIn('worker_state/late', self.get_waits('small'))
 
+    def test_steps_beyond_the_examined_ones_are_told_apart(self):
+        self.world.state.worker_by_id['w0'].quarantined_until = NOW + 9
+        for number in range(17):
+            self.world.add_job(f'small{number}', cpu=1)
+        self.sample(0.5)
+        self.assertIn('worker_state/late', self.get_waits('small15'))
+        self.assertIn('not_examined/late', self.get_waits('small16'))
+
     def test_limit_for_each_worker_is_told_apart(self):
         self.world.add_job('spread', cpu=1, count=2, per_worker_limit=1)
         self.sample(0.5)
