--- a/ragwortfield/scheduling/wait_causes.py
+++ b/ragwortfield/scheduling/wait_causes.py
@@ -39,7 +39,7 @@
     """
     What a job waits for.
 
-    ``OWNER``: an owner that knows the job; ``CPU``, ``MEMORY``,
+    ``OWNER``: the present owner to know the job; ``CPU``, ``MEMORY``,
     ``ACCELERATORS``: no worker has enough of it free; ``COMBINATION``: no
     worker has enough of all together; ``WORKER_STATE``: only workers have room
     that get no starts now; ``PLACEMENT``: only workers have room that the step
