Metrics of job outcomes name the shard and end with its ownership

Two shards on one instance wrote the same gauge, and an instance that had lost its shard went on showing the last counts. Found when reading the change; metrics only.

--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -246,6 +246,7 @@
             if not runner.is_stopped
         ]
         self.metrics.state('shards_owned', len(owned))
+        self.metrics.clear_outcomes()
         for runner in owned:
             values = (
                 summarise_shard(runner.state) | runner.statistics.last_collected
@@ -253,7 +254,7 @@
             for name, value in values.items():
                 self.metrics.state(f'shard_{runner.shard}_{name}', value)
             for counts in count_outcomes(runner.state, time.monotonic()):
-                self.metrics.record_outcomes(counts)
+                self.metrics.record_outcomes(runner.shard, counts)
 
     def record_submission(self, job: Job, outcome: SubmitOutcome) -> None:
         """
--- a/ragwortfield/report/scheduler_metrics.py
+++ b/ragwortfield/report/scheduler_metrics.py
@@ -87,13 +87,23 @@
             {'queue': queue, 'size': size.value, 'outcome': outcome}
         )
 
-    def record_outcomes(self, counts: OutcomeCounts) -> None:
+    def clear_outcomes(self) -> None:
+        """Remove the outcomes of jobs, as the shards owned here may change."""
+        self._outcomes.values.clear()
+        self._waits.values.clear()
+
+    def record_outcomes(self, shard: int, counts: OutcomeCounts) -> None:
         """
         Record the outcomes of the jobs of one queue and size class.
 
+        :param shard: number of the shard.
         :param counts: the present counts.
         """
-        labels = {'queue': counts.queue, 'size': counts.size.value}
+        labels = {
+            'shard': str(shard),
+            'queue': counts.queue,
+            'size': counts.size.value,
+        }
         for outcome in JobOutcome:
             self._outcomes.set(
                 labels | {'outcome': outcome.value},
