A worker joins the rankings of its own pool only

After a binding the worker was added to the rankings of all pools in that round, so a task of another pool with the same need could be bound to it.

test_task_is_bound_to_a_worker_of_its_pool_only failed before (two tasks of pool "other" on the only worker of "pool").

--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -174,7 +174,8 @@
             # detects that when the worker comes first.
             return
         for key, ranking in self._ranking_by_key.items():
-            if not _is_for_fillers(key):
+            pool = key[0][0]
+            if pool == worker.listed.pool and not _is_for_fillers(key):
                 ranking.refresh(worker)
 
     def list_eligible_workers(self, job: JobRuntimeState) -> list[WorkerState]:
--- a/ragwortfield/tests/test_worker_ranking.py
+++ b/ragwortfield/tests/test_worker_ranking.py
@@ -7,6 +7,8 @@
 from ragwortfield.core.resources import Resources
 from ragwortfield.scheduling import worker_selection
 from ragwortfield.scheduling.dispatch import dispatch
+from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.shard_updates import register_job
 from ragwortfield.scheduling.worker_ranking import UnmetNeeds, WorkerRanking
 from ragwortfield.scheduling.worker_selection import WorkerSelector
 from ragwortfield.tests.placement_world import (
@@ -202,3 +204,34 @@
         state.bounds = replace(state.bounds, contact_s=1)
         bound_counts = [dispatch(state, NOW) for _ in range(3)]
         self.assertEqual(bound_counts, [600, 200, 0])
+
+
+class PoolTest(unittest.TestCase):
+    """Two pools whose workers have room for tasks of the same need."""
+
+    # Guards against a task on a worker of another pool: the worker was added to
+    # the rankings of all pools once a task had been bound to it.
+    def test_task_is_bound_to_a_worker_of_its_pool_only(self):
+        world = PlacementWorld(workers=1)
+        world.add_worker('other0', cpu=4, pool='other')
+        catalogue = world.state.catalogue
+        other = replace(
+            catalogue.queue_by_name['queue'], name='other', pool='other'
+        )
+        world.state.catalogue = replace(
+            catalogue,
+            queue_by_name={**catalogue.queue_by_name, 'other': other},
+        )
+        for job_id, queue in (('a', 'other'), ('b', 'queue'), ('c', 'other')):
+            step = Step(count=2, need=_build_need(4), estimate_s=1)
+            job = Job(
+                job_id=job_id,
+                queue=queue,
+                spec='',
+                steps=(step,),
+                accepted_at=0,
+            )
+            register_job(world.state, job, now=NOW, wall_time=0)
+        dispatch(world.state, NOW)
+        keys = world.state.worker_by_id['w0'].run_by_key
+        self.assertEqual({key.job_id for key in keys}, {'b'})
