--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -86,6 +86,10 @@
                     worker
                 )
         self._ranking_by_key: dict[_RankingKey, WorkerRanking] = {}
+        # Workers that got tasks in this round, in order, and how many of them
+        # each ranking has taken into account.
+        self._bound_workers: list[WorkerState] = []
+        self._seen_count_by_key: dict[_RankingKey, int] = {}
         # The interference model does not change within a round.
         self._filler_capacity = build_filler_capacity(state)
         self._sensitivity_by_image: dict[str, float] = {}
@@ -114,10 +118,7 @@
         :returns: the worker; ``None`` if no worker has room at present.
         """
         key = self._build_ranking_key(job, step)
-        ranking = self._ranking_by_key.get(key)
-        if ranking is None:
-            ranking = self._build_ranking(job, step)
-            self._ranking_by_key[key] = ranking
+        ranking = self._get_ranking(key, job, step)
         worker = ranking.find_best(
             lambda worker: (
                 worker.worker_id not in excluded_ids
@@ -164,19 +165,15 @@
         self, worker: WorkerState, step: StepState
     ) -> None:
         """
-        Update the rankings after a task was bound in this round.
+        Note that a task was bound in this round.
 
         :param worker: worker of the task.
         :param step: step of the task.
         """
-        if step.step.is_filler:
-            # A filler can only make its worker rank lower, and a ranking
-            # detects that when the worker comes first.
-            return
-        for key, ranking in self._ranking_by_key.items():
-            pool = key[0][0]
-            if pool == worker.listed.pool and not _is_for_fillers(key):
-                ranking.refresh(worker)
+        # A filler can only make its worker rank lower, and a ranking detects
+        # that when the worker comes first.
+        if not step.step.is_filler:
+            self._bound_workers.append(worker)
 
     def list_eligible_workers(self, job: JobRuntimeState) -> list[WorkerState]:
         """
@@ -263,6 +260,27 @@
         worker.was_usable = is_usable
         return is_usable
 
+    def _get_ranking(
+        self, key: _RankingKey, job: JobRuntimeState, step: StepState
+    ) -> WorkerRanking:
+        """Return the up-to-date ranking of a key, built at its first use."""
+        ranking = self._ranking_by_key.get(key)
+        if ranking is None:
+            ranking = self._build_ranking(job, step)
+            self._ranking_by_key[key] = ranking
+        elif not _is_for_fillers(key):
+            changed_by_id = {
+                worker.worker_id: worker
+                for worker in self._bound_workers[
+                    self._seen_count_by_key[key] :
+                ]
+                if worker.listed.pool == job.queue.pool
+            }
+            for worker in changed_by_id.values():
+                ranking.refresh(worker)
+        self._seen_count_by_key[key] = len(self._bound_workers)
+        return ranking
+
     def _build_ranking(
         self, job: JobRuntimeState, step: StepState
     ) -> WorkerRanking:
