--- a/ragwortfield/scheduling/wait_causes.py
+++ b/ragwortfield/scheduling/wait_causes.py
@@ -17,7 +17,7 @@
 )
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.step_priority import describe_rank
-from ragwortfield.scheduling.worker_health import is_on_trial, is_start_allowed
+from ragwortfield.scheduling.worker_health import is_usable
 from ragwortfield.scheduling.worker_selection import (
     compute_free_filler_cpu,
     has_free_resources,
@@ -217,7 +217,10 @@
                 WaitCause.COMBINATION,
                 lambda worker: has_free_resources(worker, step),
             ),
-            (WaitCause.WORKER_STATE, self._is_usable),
+            (
+                WaitCause.WORKER_STATE,
+                lambda worker: is_usable(worker, self.state.bounds, self.now),
+            ),
             (
                 WaitCause.PLACEMENT,
                 lambda worker: is_placement_allowed(worker, step),
@@ -231,8 +234,3 @@
         return (
             WaitCause.INTERFERENCE if step.step.is_filler else WaitCause.ROUND
         )
-
-    def _is_usable(self, worker: WorkerState) -> bool:
-        return is_start_allowed(
-            worker, self.state.bounds, self.now
-        ) and not is_on_trial(worker, self.now, is_attempt_limited=False)
--- a/ragwortfield/scheduling/worker_health.py
+++ b/ragwortfield/scheduling/worker_health.py
@@ -108,6 +108,22 @@
     )
 
 
+def is_usable(
+    worker: WorkerState, bounds: TimingBounds, now: MonotonicTime
+) -> bool:
+    """
+    Tell whether a worker can get a task of any kind.
+
+    :param worker: the worker.
+    :param bounds: durations in force.
+    :param now: monotonic time, in seconds.
+    :returns: whether starts are allowed and it is not on trial.
+    """
+    return is_start_allowed(worker, bounds, now) and not is_on_trial(
+        worker, now, is_attempt_limited=False
+    )
+
+
 def record_run_result(
     state: ShardState,
     worker: WorkerState,
--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -29,7 +29,7 @@
     TaskState,
 )
 from ragwortfield.scheduling.shard_state import ShardState
-from ragwortfield.scheduling.worker_health import is_on_trial, is_start_allowed
+from ragwortfield.scheduling.worker_health import is_on_trial, is_usable
 from ragwortfield.scheduling.worker_ranking import (
     NeedGroup,
     Rank,
@@ -80,7 +80,7 @@
         ] = {}
         self._eligible_workers_by_pool: dict[str, list[WorkerState]] = {}
         for worker in state.worker_by_id.values():
-            if self._is_usable(worker):
+            if self._check_usable(worker):
                 pool = worker.listed.pool
                 self._eligible_workers_by_pool.setdefault(pool, []).append(
                     worker
@@ -251,14 +251,13 @@
             and self._now - task.not_running_since < _AVOIDED_WORKER_DELAY_S
         )
 
-    def _is_usable(self, worker: WorkerState) -> bool:
-        is_usable = is_start_allowed(
-            worker, self._state.bounds, self._now
-        ) and not is_on_trial(worker, self._now, is_attempt_limited=False)
-        if is_usable and not worker.was_usable:
+    def _check_usable(self, worker: WorkerState) -> bool:
+        """Tell whether a worker can get tasks; record when that begins."""
+        was_usable = worker.was_usable
+        worker.was_usable = is_usable(worker, self._state.bounds, self._now)
+        if worker.was_usable and not was_usable:
             worker.record_change()
-        worker.was_usable = is_usable
-        return is_usable
+        return worker.was_usable
 
     def _get_ranking(
         self, key: _RankingKey, job: JobRuntimeState, step: StepState
