Review case 7: lost owners use up the connections of the workers

Cause: an owner opens connections to a worker without a bound and keeps them, so those of machines that are gone fill the 64 that a worker accepts.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -167,7 +167,31 @@
         self.refused_calls = []
         self._changed = asyncio.Event()
         self._parts = {}
+        self.mode_by_entry = {}
         self.server = HttpServer(self._handle)
+        self._servers = [self.server]
+
+    async def listen_for(self, entry):
+        """Return an address whose calls count as those of one machine."""
+
+        async def handle(method, path, fields, body):
+            mode = self.mode_by_entry.get(entry)
+            if mode is not None:
+                return (503, {}) if mode == 'busy' else mode
+            answer = await self._handle(method, path, fields, body)
+            mode = self.mode_by_entry.get(entry)
+            if mode is not None and path.startswith('/rows-feed'):
+                return (503, {}) if mode == 'busy' else mode
+            return answer
+
+        server = HttpServer(handle)
+        await server.start()
+        self._servers.append(server)
+        return server.address
+
+    def stop(self):
+        for server in self._servers:
+            server.stop()
 
     def put(self, table, part, key, content):
         """Write a row as the operator or a worker does."""
@@ -688,9 +712,8 @@
         self.configure(3, routes)
         for number in range(entries):
             name = f'edge-bergamo-{number}'
-            entry = Entry(
-                self.folder, name, self.store.server.address, self.bounds
-            )
+            address = await self.store.listen_for(name)
+            entry = Entry(self.folder, name, address, self.bounds)
             self.entries[name] = entry
             entry.start()
         deadline = time.monotonic() + 20
@@ -761,6 +784,6 @@
             for loop in getattr(worker, 'loops', ()):
                 loop.cancel()
             worker.server.stop()
-        self.store.server.stop()
+        self.store.stop()
         if not os.environ.get('KEEP'):
             shutil.rmtree(self.folder, ignore_errors=True)
