--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -568,6 +568,12 @@
             'ended': self.ends[:500],
         }
 
+    def lose(self):
+        """Crash for good: nothing answers any more."""
+        self.is_up = False
+        self.runs.clear()
+        self.server.stop()
+
     def _saved(self, run):
         done_ms = int((time.monotonic() - run.started_at) * 2) * 500
         return f'{done_ms:016x}' if done_ms else run.saved
@@ -695,7 +701,16 @@
         self.prefix = '/jobs/'
         self.host = 'jobs.example'
 
-    async def start(self, entries, workers, spec_time, routes=None, **options):
+    async def start(
+        self,
+        entries,
+        workers,
+        spec_time,
+        *,
+        routes=None,
+        prepare=lambda deployment: None,
+        **options,
+    ):
         await self.store.server.start()
         for number in range(workers):
             worker = Worker(
@@ -707,6 +722,8 @@
                 **options,
             )
             self.workers[worker.worker_id] = worker
+        prepare(self)
+        for number, worker in enumerate(self.workers.values()):
             # The heartbeats of the workers are spread evenly.
             await worker.start(number / workers)
         self.configure(3, routes)
