--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -9,6 +9,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -28,6 +29,8 @@
 MAX_ROW_BYTES = 65536
 MAX_PAGE_ROWS = 500
 TRANSACTION_S = 0.005
+#: Descriptors of a process in the small sites.
+MAX_DESCRIPTORS = 4100
 #: Answers of a handler that are no responses.
 SILENT = 'silent'
 RESET = 'reset'
@@ -48,6 +51,13 @@
         self._file.flush()
 
 
+def _limit_descriptors():
+    """Apply the `max_fds` of the small sites to a process of the system."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    limit = min(MAX_DESCRIPTORS, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
+
 def free_port():
     with socket.socket() as sock:
         sock.bind((HOST, 0))
@@ -56,7 +66,7 @@
 
 def _reset(writer):
     sock = writer.get_extra_info('socket')
-    if sock is not None:
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
         )
@@ -112,6 +122,9 @@
         for writer in tuple(self._writers):
             _reset(writer)
 
+    def count_connections(self):
+        return len(self._writers)
+
     async def _serve(self, reader, writer):
         if 0 < self._max_connections <= len(self._writers):
             self.over_cap += 1
@@ -382,6 +395,7 @@
         self.labels = options.get('labels', ['a', 'r1'])
         self.fault = lambda path, call: None
         self.state = 'ready'
+        self.seq = 0
         self.starts = []
         self.all_ends = []
         self.server = HttpServer(
@@ -411,17 +425,16 @@
         ]
 
     async def _beat(self, phase):
-        seq = 0
         await asyncio.sleep(phase * self.heartbeat_s)
         while True:
-            if self.is_up:
-                seq += 1
-                if self.store.mode == 'up':
-                    self.store.put(
-                        'servers', '', self.worker_id, self._entry(seq)
-                    )
+            if self.is_up and self.store.mode == 'up':
+                self._beat_now()
             await asyncio.sleep(self.heartbeat_s)
 
+    def _beat_now(self):
+        self.seq += 1
+        self.store.put('servers', '', self.worker_id, self._entry(self.seq))
+
     def _entry(self, seq):
         return json.dumps(
             {
@@ -431,6 +444,11 @@
                 'version': '1',
                 'slots': 8,
                 'state': self.state,
+                **(
+                    {'remaining_ms': 2500}
+                    if self.state == 'draining'
+                    else {}
+                ),
                 'cold_remaining_ms': 0,
                 'seq': seq,
                 'born': self.born_ms,
@@ -568,6 +586,18 @@
             'ended': self.ends[:500],
         }
 
+    async def leave(self, drain_s):
+        """Say that it drains, and exit a while after the store accepted it."""
+        self.state = 'draining'
+        self._beat_now()
+        await asyncio.sleep(drain_s)
+        self.is_up = False
+        self.runs.clear()
+        self.server.stop()
+        self.store.put('servers', '', self.worker_id, None)
+        for loop in self.loops:
+            loop.cancel()
+
     def lose(self):
         """Crash for good: nothing answers any more."""
         self.is_up = False
@@ -642,6 +672,7 @@
                 env=environment,
                 stdout=log,
                 stderr=log,
+                preexec_fn=_limit_descriptors,
             )
 
     def signal(self, number):
@@ -689,6 +720,7 @@
 class Deployment:
     """Store, workers and processes of a small deployment."""
 
+    worker_class = Worker
     #: Bounds of the small sites.
     bounds = {'grace_s': 6, 'hold_max_ms': 10000, 'status_s': 120}
 
@@ -698,6 +730,8 @@
         self.store = Store(record)
         self.workers = {}
         self.entries = {}
+        #: Processes of machines that are gone, and not asked any more.
+        self.lost = []
         self.prefix = '/jobs/'
         self.host = 'jobs.example'
 
@@ -712,16 +746,8 @@
         **options,
     ):
         await self.store.server.start()
-        for number in range(workers):
-            worker = Worker(
-                self.store,
-                self.record,
-                f'i-{number:08x}',
-                'turni',
-                spec_time,
-                **options,
-            )
-            self.workers[worker.worker_id] = worker
+        for _ in range(workers):
+            self.add_worker(spec_time, **options)
         prepare(self)
         for number, worker in enumerate(self.workers.values()):
             # The heartbeats of the workers are spread evenly.
@@ -751,6 +777,19 @@
             await asyncio.sleep(0.1)
         self.record.write('deployment is ready')
 
+    def add_worker(self, spec_time, **options):
+        """Return a new worker that has not been started yet."""
+        worker = self.worker_class(
+            self.store,
+            self.record,
+            f'i-{len(self.workers):08x}',
+            'turni',
+            spec_time,
+            **options,
+        )
+        self.workers[worker.worker_id] = worker
+        return worker
+
     def configure(self, version, routes=None):
         routes = routes or [self.route()]
         document = {
@@ -795,7 +834,7 @@
         return ''
 
     def stop(self):
-        for entry in self.entries.values():
+        for entry in (*self.entries.values(), *self.lost):
             entry.stop()
         for worker in self.workers.values():
             for loop in getattr(worker, 'loops', ()):
