--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -732,6 +732,7 @@
         self.entries = {}
         #: Processes of machines that are gone, and not asked any more.
         self.lost = []
+        self.services = ('turni',)
         self.prefix = '/jobs/'
         self.host = 'jobs.example'
 
@@ -795,7 +796,10 @@
         document = {
             'version': version,
             'routes': routes,
-            'services': [{'name': 'turni', 'enforces_capacity': True}],
+            'services': [
+                {'name': name, 'enforces_capacity': True}
+                for name in self.services
+            ],
             'limits': {},
         }
         self.store.put('op', '', 'config', json.dumps(document).encode())
