An owner acts only for 3.5 s after its ownership was last confirmed

Cause: a replaced owner that reached neither the store nor its peers went on extending the leases of the workers that it still reached, for as long as it lived. Its successor allowed it 3.5 s and a lease, and then started elsewhere what ran on a worker that it did not reach itself. Nothing bounded the former owner but what it might learn.

Change: the owner counts, by its own clock, from when the latest call to the store was sent that found its row unchanged. Later than 3.5 s after it, less the clock drift, it extends no lease, acknowledges no end, binds nothing and sends no order, also after a pause between commit, creation and sending of an order, or a suspension of the machine.

An outage of the store for all must not end the runs. So an owner records in the store which processes of workers it counts. While more than half of them accept its fencing token, nobody can have fenced half of them; a successor takes the leases of workers that it does not reach for over only when it has fenced half of the recorded ones, plus 3.5 s, plus a lease, unless the former owner answers or its process has ended. An owner records its own workers only when no owner before it can act any more, so the record is always that of the oldest one, however quickly owners follow one another.

--- a/ragwortfield/engine/former_owner_calls.py
+++ b/ragwortfield/engine/former_owner_calls.py
@@ -14,6 +14,7 @@
     apply_remaining_run_times,
     compute_remaining_run_times,
     record_ended_owner,
+    record_stopped_owner,
 )
 from ragwortfield.types import InstanceId, Seconds, WorkerId
 
@@ -113,8 +114,11 @@
     )
     if remaining is not None:
         apply_remaining_run_times(runner.state, _check_times(remaining), now)
+        record_stopped_owner(runner.state, former.record.epoch)
     elif not is_same_process:
-        record_ended_owner(runner.state, former.seen_at, now)
+        record_ended_owner(
+            runner.state, former.record.epoch, former.seen_at, now
+        )
 
 
 def _check_times(
--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -91,6 +91,8 @@
     Term in which this instance owns a shard.
 
     :param epoch: fencing token of the term.
+    :param requested_at: monotonic time at which the takeover was sent to the
+        store.
     :param version: version of the owner row and of the sequence row, which
         were written together by the takeover.
     :param previous_lease_s: longest lease that earlier owners granted to
@@ -101,6 +103,7 @@
 
     shard: int
     epoch: int
+    requested_at: MonotonicTime
     version: int
     previous_lease_s: Seconds
     is_process_bound: bool
@@ -482,15 +485,15 @@
         )
         epoch = _find_highest_epoch(owner, sequence) + 1
         previous_lease_s = _read_recorded_lease_s(owner)
-        is_bound = _is_recorded_lease_bound(owner, sequence)
         record = OwnerRecord(
             instance_id=self._identity.instance_id,
             incarnation=self._identity.incarnation,
             epoch=epoch,
             address=self._identity.address,
             lease_s=self._compute_longest_lease_s(epoch, previous_lease_s),
-            is_process_bound=is_bound,
+            is_process_bound=_is_recorded_lease_bound(owner, sequence),
         )
+        requested_at = time.monotonic()
         outcome = self._store.commit(
             _build_takeover_transaction(
                 shard,
@@ -513,9 +516,10 @@
             OwnershipTerm(
                 shard=shard,
                 epoch=epoch,
+                requested_at=requested_at,
                 version=outcome.version,
                 previous_lease_s=previous_lease_s,
-                is_process_bound=is_bound,
+                is_process_bound=record.is_process_bound,
             ),
         )
         former_runner = self.runner_by_shard.get(shard)
--- a/ragwortfield/engine/row_names.py
+++ b/ragwortfield/engine/row_names.py
@@ -13,6 +13,8 @@
 SEQUENCE_TABLE = 'sequences'
 #: Table of the progress of jobs.
 PROGRESS_TABLE = 'progress'
+#: Table of the electorates of shard owners.
+ELECTORATE_TABLE = 'electorates'
 #: Table of the models that shard owners learn.
 LEARNED_TABLE = 'learned'
 #: Partition of a table for rows that belong to no shard.
@@ -111,6 +113,20 @@
     )
 
 
+def electorate_row(shard: int) -> RowName:
+    """
+    Return the name of the row with the electorate of a shard's owner.
+
+    :param shard: number of the shard.
+    :returns: the row.
+    """
+    return RowName(
+        table=ELECTORATE_TABLE,
+        partition=partition_of_shard(shard),
+        key='workers',
+    )
+
+
 def interference_row(shard: int) -> RowName:
     """
     Return the name of the row with the interference model of a shard.
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -464,13 +464,15 @@
                 self.ownership.handle_owner_change(shard)
 
     def _make_runner(self, term: OwnershipTerm) -> ShardRunner:
+        state = self._make_shard_state(
+            term.epoch,
+            previous_lease_s=term.previous_lease_s,
+            is_process_bound=term.is_process_bound,
+        )
+        state.confirmation.stored_at = term.requested_at
         return ShardRunner(
             shard=term.shard,
-            state=self._make_shard_state(
-                term.epoch,
-                previous_lease_s=term.previous_lease_s,
-                is_process_bound=term.is_process_bound,
-            ),
+            state=state,
             committer=ShardCommitter(
                 shard=term.shard,
                 store=self._store,
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -10,12 +10,12 @@
 from ragwortfield.engine.change_feed import ChangeFeed, read_all_rows
 from ragwortfield.engine.learned_model_store import LearnedModelStore
 from ragwortfield.engine.owner_statistics import OwnerStatistics
+from ragwortfield.engine.ownership_keeper import OwnershipKeeper
 from ragwortfield.engine.row_names import (
     COMMON_PARTITION,
     PROGRESS_TABLE,
     inbox_table,
     job_row,
-    owner_row,
     partition_of_shard,
 )
 from ragwortfield.engine.shard_committer import CommitResult, ShardCommitter
@@ -27,7 +27,10 @@
     load_rows,
 )
 from ragwortfield.engine.supervisor import Supervisor
-from ragwortfield.engine.wall_clock import WallClock
+from ragwortfield.engine.wall_clock import (
+    WallClock,
+    get_total_suspended_s,
+)
 from ragwortfield.engine.worker_loops import WorkerLoops
 from ragwortfield.log import event
 from ragwortfield.ports.approvals import ApprovalService
@@ -123,6 +126,13 @@
         self._approval_service = approval_service
         self._registry = registry
         self._wall_clock = wall_clock
+        self._keeper = OwnershipKeeper(
+            shard=shard,
+            state=state,
+            store=store,
+            owner_version=committer.owner_version,
+            on_replaced=lambda: self.stop('replaced by another owner'),
+        )
         self._model_store = LearnedModelStore(
             shard=shard,
             store=store,
@@ -143,7 +153,8 @@
         self._last_round_at: MonotonicTime = 0
         self._state_logged_at: MonotonicTime = 0
         self._outcomes_logged_at: MonotonicTime = 0
-        self._last_suspended_s = _total_suspended_s()
+        self._last_suspended_s = get_total_suspended_s()
+        state.confirmation.suspended_s = self._last_suspended_s
 
     def start(self) -> None:
         """Load the shard and run it in the background."""
@@ -280,6 +291,7 @@
             PROGRESS_TABLE, partition_of_shard(self.shard)
         )
         listing = self._read_all_rows(self._registry.table, COMMON_PARTITION)
+        self._keeper.load(self._record_store_outcome)
         now = time.monotonic()
         self._apply_worker_rows(listing.rows, is_complete=True)
         steps = load_rows(
@@ -311,6 +323,10 @@
             duration_s=time.monotonic() - started_at,
         )
         self._spawn(self._run_commits)
+        keeper_supervisor = Supervisor(
+            name='confirm_ownership', shard=self.shard
+        )
+        self._spawn(keeper_supervisor.run, self._keeper.run)
         approval_supervisor = Supervisor(
             name='request_approvals', shard=self.shard
         )
@@ -426,7 +442,7 @@
     def _confirm_ownership(self) -> bool:
         now = time.monotonic()
         elapsed_s = now - self._last_round_at if self._last_round_at else 0
-        suspended_s = _total_suspended_s() - self._last_suspended_s
+        suspended_s = get_total_suspended_s() - self._last_suspended_s
         self._last_suspended_s += suspended_s
         self._last_round_at = now
         is_check_due = self.state.is_newer_owner_claimed or (
@@ -443,21 +459,18 @@
         return self._check_owner_row()
 
     def _check_owner_row(self) -> bool:
-        name = owner_row(self.shard)
         is_newer_owner_claimed = self.state.is_newer_owner_claimed
         claiming_workers = take_claiming_workers(self.state)
-        page = self._store.read(name.table, name.partition)
-        if isinstance(page, Unavailable):
-            self._record_store_outcome(page)
+        is_owner = self._keeper.read_owner_row()
+        if isinstance(is_owner, Unavailable):
+            self._record_store_outcome(is_owner)
             if is_newer_owner_claimed:
                 self.stop('a worker has seen a newer owner')
                 return False
             # The store may be away for all, and then nobody can replace this
             # owner.
             return True
-        versions = [row.version for row in page.rows if row.name == name]
-        if versions != [self._committer.owner_version]:
-            self.stop('replaced by another owner')
+        if not is_owner:
             return False
         self._last_round_at = time.monotonic()
         ignore_refusals(self.state, claiming_workers, self._last_round_at)
@@ -560,10 +573,12 @@
 
     def _commit(self, batch: CommitBatch) -> bool:
         started_at = time.monotonic()
+        sent_at = started_at
         result = self._committer.try_commit(batch)
         while result == CommitResult.RETRY:
             self._record_store_outcome(self._committer.last_failure)
             gevent.sleep(_RETRY_S)
+            sent_at = time.monotonic()
             result = self._committer.try_commit(batch)
         self._record_store_outcome(None)
         if result == CommitResult.FENCED:
@@ -578,7 +593,7 @@
             starts=len(batch.starts),
             duration_s=now - started_at,
         )
-        commits.apply_committed(self.state, batch, now)
+        commits.apply_committed(self.state, batch, now, sent_at=sent_at)
         self._worker_loops.send_orders()
         return True
 
@@ -590,8 +605,3 @@
         elif not self.failing_since:
             self.failing_since = time.monotonic()
             event('store_lost', shard=self.shard, reason=failure.reason)
-
-
-def _total_suspended_s() -> Seconds:
-    """Return how long the machine has been suspended since boot."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- a/ragwortfield/engine/wall_clock.py
+++ b/ragwortfield/engine/wall_clock.py
@@ -4,7 +4,7 @@
 from collections import deque
 from statistics import median
 
-from ragwortfield.types import WallTime
+from ragwortfield.types import Seconds, WallTime
 
 #: Samples of the offset that the median is taken over, one per second.
 _OFFSET_SAMPLES = 31
@@ -38,3 +38,12 @@
 
 def _steady() -> float:
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def get_total_suspended_s() -> Seconds:
+    """
+    Return how long the machine has been suspended since its start.
+
+    :returns: seconds, which the monotonic clock does not count.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -8,6 +8,7 @@
 
 from ragwortfield.engine.owner_statistics import OwnerStatistics
 from ragwortfield.engine.supervisor import Supervisor
+from ragwortfield.engine.wall_clock import get_total_suspended_s
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
@@ -97,7 +98,15 @@
     def _send(self, order: Order) -> None:
         if self._is_stopped:
             return
-        outcome = self._order_supervisor.run_once(self._send_to_worker, order)
+        # The process may have been paused since the order was created.
+        is_confirmed = self._state.confirmation.is_valid(
+            self._state.bounds, time.monotonic()
+        )
+        outcome = worker_reports.WITHHELD_ORDER
+        if is_confirmed:
+            outcome = self._order_supervisor.run_once(
+                self._send_to_worker, order
+            )
         if self._is_stopped:
             return
         self._order_supervisor.run_once(self._apply_outcome, order, outcome)
@@ -127,6 +136,7 @@
             if worker is None:
                 return
             lease_end_ms = worker.lease_end_ms
+            self._state.confirmation.record_suspension(get_total_suspended_s())
             order = leases.create_lease_order(
                 self._state, worker, time.monotonic()
             )
--- a/ragwortfield/experiment/simulation.py
+++ b/ragwortfield/experiment/simulation.py
@@ -230,7 +230,9 @@
         batch = commits.collect_batch(self.state, self._commits + 1)
         while batch is not None:
             self._commits += 1
-            commits.apply_committed(self.state, batch, self._now)
+            commits.apply_committed(
+                self.state, batch, self._now, sent_at=self._now
+            )
             batch = commits.collect_batch(self.state, self._commits + 1)
         commits.acknowledge_if_clean(self.state)
 
--- a/ragwortfield/scheduling/commits.py
+++ b/ragwortfield/scheduling/commits.py
@@ -164,9 +164,22 @@
 
 
 def apply_committed(
-    state: ShardState, batch: CommitBatch, now: MonotonicTime
+    state: ShardState,
+    batch: CommitBatch,
+    now: MonotonicTime,
+    *,
+    sent_at: MonotonicTime,
 ) -> None:
-    """Apply the effects of a batch that was committed."""
+    """
+    Apply the effects of a batch that was committed.
+
+    :param state: state of the shard.
+    :param batch: the batch.
+    :param now: monotonic time, in seconds.
+    :param sent_at: monotonic time at which the transaction was sent that the
+        store has committed or found committed.
+    """
+    state.confirmation.record_store_call(sent_at)
     if is_term_sufficient(batch.sequence.term_ms / MS_PER_S, state.bounds):
         state.is_term_recorded = True
     for worker_id, (
@@ -261,6 +274,8 @@
 
     :returns: the reason; empty if there is none.
     """
+    if not state.confirmation.is_valid(state.bounds, now):
+        return 'ownership is not confirmed'
     worker = state.worker_by_id.get(task.worker_id)
     if worker is None:
         return ''
--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -107,9 +107,13 @@
     """
     Queue unanswered start orders again; stop runs that get no answer.
 
+    Does nothing while the ownership is in doubt.
+
     :param state: state of the shard.
     :param now: monotonic time, in seconds.
     """
+    if not state.confirmation.is_valid(state.bounds, now):
+        return
     unanswered = [
         (worker, task)
         for worker in state.worker_by_id.values()
--- a/ragwortfield/scheduling/former_owner.py
+++ b/ragwortfield/scheduling/former_owner.py
@@ -7,7 +7,8 @@
 knows better.
 """
 
-from ragwortfield.scheduling.records import SequenceRecord
+from ragwortfield.scheduling.ownership_confirmation import FormerElectorate
+from ragwortfield.scheduling.records import ElectorateRecord, SequenceRecord
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.timing_bounds import (
     MAX_CLOCK_DRIFT,
@@ -17,6 +18,10 @@
 from ragwortfield.scheduling.worker_state import WorkerState
 from ragwortfield.types import MonotonicTime, Seconds, WorkerId
 
+#: Stands for a record that cannot be read: no worker is known whose fencing
+#: would keep earlier owners from a majority.
+UNREADABLE_ELECTORATE = ElectorateRecord(epoch=0, born_ms_by_worker={'': 0})
+
 
 def compute_remaining_run_times(
     state: ShardState, now: MonotonicTime
@@ -29,7 +34,7 @@
     :returns: seconds until the lease of each worker has certainly ended unless
         another owner extends it. That counts also where nothing runs any more:
         until then, a run that is done may be listed, and its end may not be
-        stored yet.
+        stored yet. Workers of which this owner cannot tell are left out.
     """
     return {
         worker.worker_id: max(
@@ -38,6 +43,7 @@
             0,
         )
         for worker in state.worker_by_id.values()
+        if _is_run_end_known(state, worker)
     }
 
 
@@ -88,24 +94,62 @@
 
 
 def record_ended_owner(
-    state: ShardState, term_start: MonotonicTime, now: MonotonicTime
+    state: ShardState,
+    epoch: int,
+    term_start: MonotonicTime,
+    now: MonotonicTime,
 ) -> None:
     """
     Use that the process of the former owner has ended.
 
-    The owner before it may not have noticed its own replacement for a while
-    after the term of the former one had begun.
+    The owner before it may not know of its own replacement for a while after
+    the term of the former one had begun. If its workers may confirm it, the
+    electorate that it has recorded is still the latest.
 
     :param state: state of the new owner.
+    :param epoch: fencing token of the former owner.
     :param term_start: latest time at which that term can have begun.
     :param now: monotonic time, in seconds.
     """
+    record_stopped_owner(state, epoch)
     state.former_owner_until = min(
         state.former_owner_until,
         max(now, term_start + state.bounds.unaware_s),
     )
 
 
+def record_stopped_owner(state: ShardState, epoch: int) -> None:
+    """
+    Use that a former owner gives no more orders.
+
+    :param state: state of the new owner.
+    :param epoch: fencing token of the former owner.
+    """
+    state.ended_owner_epoch = epoch
+    state.former_electorate.record_ended(epoch)
+
+
+def load_former_electorate(state: ShardState, record: ElectorateRecord) -> None:
+    """
+    Use the workers that an earlier owner has recorded as its electorate.
+
+    :param state: state of the new owner, before it polls workers.
+    :param record: the record.
+    """
+    state.former_electorate = FormerElectorate(
+        epoch=record.epoch, electorate=record.born_ms_by_worker
+    )
+    state.former_electorate.record_ended(state.ended_owner_epoch)
+
+
+def _is_run_end_known(state: ShardState, worker: WorkerState) -> bool:
+    return (
+        bool(worker.first_reported_at)
+        or worker.worker_id in state.former_run_end_by_worker
+        or state.former_electorate.fenced_at is not None
+    )
+
+
 def _compute_remaining_lease_s(
     state: ShardState, worker: WorkerState, now: MonotonicTime
 ) -> Seconds:
--- a/ragwortfield/scheduling/leases.py
+++ b/ragwortfield/scheduling/leases.py
@@ -21,7 +21,8 @@
     Create the order that polls a worker and extends its lease.
 
     The first order of an owner only polls: the lease is extended once the
-    worker has reported.
+    worker has reported. So does each order of an owner that may have been
+    replaced: its successor counts on the end of the lease.
 
     :param state: state of the shard.
     :param worker: the worker; the poll and the new end of the lease are
@@ -33,13 +34,15 @@
     # The lease of a silent worker is left to expire: an extension that may
     # have arrived would delay the moment from which its tasks can run
     # elsewhere.
-    is_in_contact = worker.is_in_contact(state.bounds, now)
-    if is_in_contact:
+    is_extended = worker.is_in_contact(
+        state.bounds, now
+    ) and state.confirmation.is_valid(state.bounds, now)
+    if is_extended:
         lease_ms = state.bounds.requested_lease_s() * MS_PER_S
         deadline_ms = int(worker.clock.earliest_ms(now) + lease_ms)
         worker.lease_end_ms = max(worker.lease_end_ms, deadline_ms)
     worker.poll_sent_at = now
-    acknowledged_end = _select_acknowledgement(worker) if is_in_contact else 0
+    acknowledged_end = _select_acknowledgement(worker) if is_extended else 0
     has_unacknowledged = worker.processed_end > worker.acknowledged_end
     return LeaseOrder(
         worker_id=worker.worker_id,
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -138,6 +138,20 @@
     term_ms: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ElectorateRecord:
+    """
+    Workers whose majority confirms an owner while the store is away.
+
+    :param epoch: fencing token of the owner.
+    :param born_ms_by_worker: start of the process of each worker, as Unix time
+        in milliseconds.
+    """
+
+    epoch: _Epoch
+    born_ms_by_worker: dict[WorkerId, int] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class InterferenceWeightRecord:
     """
--- a/ragwortfield/scheduling/scheduling_rounds.py
+++ b/ragwortfield/scheduling/scheduling_rounds.py
@@ -68,7 +68,8 @@
         if now - self.last_expiry_at > _EXPIRY_INTERVAL_S:
             self.last_expiry_at = now
             commits.expire_finished_jobs(state, now)
-        if is_binding_allowed:
+        is_confirmed = state.confirmation.is_valid(state.bounds, now)
+        if is_binding_allowed and is_confirmed:
             dispatch.dispatch(state, now)
             # Tasks that still wait have found no free capacity in this round.
             defragmentation.defragment(state, now)
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -13,6 +13,10 @@
     StepState,
     TaskState,
 )
+from ragwortfield.scheduling.ownership_confirmation import (
+    FormerElectorate,
+    OwnershipConfirmation,
+)
 from ragwortfield.scheduling.timing_bounds import (
     MAX_CLOCK_DRIFT,
     MS_PER_S,
@@ -73,8 +77,13 @@
     :param defragmented_at: monotonic time of the latest defragmentation.
     :param is_term_recorded: whether the store shows that this owner has been
         the owner for so long that all owners before it have noticed it.
+    :param confirmation: evidence that this owner has not been replaced.
     :param former_owner_until: monotonic time until which a former owner may
-        extend leases because it has not noticed its replacement.
+        extend leases because the store has confirmed its ownership.
+    :param former_electorate: workers that may have confirmed it later than
+        that.
+    :param ended_owner_epoch: fencing token of a former owner that certainly
+        gives no more orders; 0 if none is known.
     :param former_run_end_by_worker: monotonic time at which all that former
         owners started on a worker has certainly ended, as far as the former
         owner has told it.
@@ -113,7 +122,12 @@
     unmet_needs: UnmetNeeds = field(default_factory=UnmetNeeds)
     consolidated_at: MonotonicTime = 0
     defragmented_at: MonotonicTime = 0
+    confirmation: OwnershipConfirmation = field(init=False)
     former_owner_until: MonotonicTime = 0
+    former_electorate: FormerElectorate = field(
+        default_factory=FormerElectorate
+    )
+    ended_owner_epoch: int = 0
     former_run_end_by_worker: dict[WorkerId, MonotonicTime] = field(
         default_factory=dict,
     )
@@ -125,8 +139,20 @@
 
     def __post_init__(self) -> None:
         """Assume the worst about a former owner that has not answered."""
+        self.confirmation = OwnershipConfirmation(stored_at=self.owner_since)
         self.former_owner_until = self.owner_since + self.bounds.unaware_s
 
+    def former_authority_end(self) -> MonotonicTime:
+        """
+        Return until when earlier owners may extend leases and start runs.
+
+        :returns: monotonic time, in seconds.
+        """
+        fenced_at = self.former_electorate.fenced_at
+        if fenced_at is None:
+            return self.owner_since + self.bounds.longest_outage_s
+        return max(self.former_owner_until, fenced_at + self.bounds.unaware_s)
+
     def former_run_end(self, worker_id: WorkerId) -> MonotonicTime:
         """
         Return when all that former owners started on a worker has ended.
@@ -142,7 +168,7 @@
         lease_s = self.bounds.longest_lease_s()
         if self.is_process_bound:
             lease_s = self._previous_order_effect_s()
-        return self.former_owner_until + lease_s / (1 - MAX_CLOCK_DRIFT)
+        return self.former_authority_end() + lease_s / (1 - MAX_CLOCK_DRIFT)
 
     def inherited_lease_s(self, born_ms: int, now: MonotonicTime) -> Seconds:
         """
--- a/ragwortfield/scheduling/timing_bounds.py
+++ b/ragwortfield/scheduling/timing_bounds.py
@@ -26,11 +26,12 @@
     :param status_s: seconds for which the status of a finished job stays
         available.
     :param unaware_s: longest time, in seconds, for which a replaced owner may
-        still extend leases because it has not noticed its replacement. One that
-        reaches the store notices it within 3 s, also after a connection has
-        died. One that was paused had been silent for a while when it was
-        replaced, and once a whole lease has passed since the pause began, it
-        finds all leases expired that it could extend.
+        still extend leases and start runs because it does not know of its
+        replacement. It does neither later than that after its ownership was
+        last confirmed; see ``OwnershipConfirmation``.
+    :param longest_outage_s: longest time, in seconds, for which an owner goes
+        on without the store, confirmed by its workers alone. Its successor
+        waits for that time if it reaches too few of these workers.
     :param late_order_s: longest time, in seconds, after which a worker carries
         out an order that it has received and not answered.
     """
@@ -41,6 +42,7 @@
     contact_s: Seconds = 1.2
     status_s: Seconds = 120
     unaware_s: Seconds = 3.5
+    longest_outage_s: Seconds = 3600
     late_order_s: Seconds = 15
 
     def longest_lease_s(self) -> Seconds:
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -52,6 +52,10 @@
     is_effect_possible=True,
 )
 
+#: Stands for the answer to an order that was not sent because the ownership was
+#: in doubt.
+WITHHELD_ORDER = Unavailable(reason='the ownership is not confirmed')
+
 
 def apply_report(
     state: ShardState,
@@ -81,6 +85,7 @@
     worker.born_ms = report.born_ms
     worker.clock.observe(report.clock_ms, now)
     if not worker.first_reported_at:
+        state.former_electorate.record_fenced(worker.worker_id, now)
         worker.first_reported_at = now
         worker.lease_end_ms = _estimate_inherited_lease_end_ms(
             state,
@@ -88,6 +93,10 @@
             now,
             is_restarted=is_restarted,
         )
+    if worker.poll_sent_at:
+        state.confirmation.record_poll(
+            worker.worker_id, report.born_ms, worker.poll_sent_at
+        )
     worker.reported_at = now
     worker.is_responding = True
     worker.poll_sent_at = 0
@@ -146,7 +155,7 @@
         _apply_refusal(state, worker, task, outcome, now)
     else:
         _log_missing_answer(task, outcome)
-        if outcome is not _FORMER_PROCESS_ANSWER:
+        if outcome not in {_FORMER_PROCESS_ANSWER, WITHHELD_ORDER}:
             _avoid_after_failed_start(worker, task, now)
         if not _record_missing_answer(task, outcome):
             release_task(state, task, outcome.reason)
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -4,6 +4,7 @@
 
 from ragwortfield.core.resources import Resources
 from ragwortfield.engine.cancellation_expiry import CancellationExpiry
+from ragwortfield.engine.electorate_store import ElectorateStore
 from ragwortfield.engine.row_names import (
     PROGRESS_TABLE,
     cancel_row,
@@ -46,6 +47,7 @@
 from ragwortfield.scheduling.former_owner import (
     apply_remaining_run_times,
     compute_remaining_run_times,
+    record_stopped_owner,
 )
 from ragwortfield.scheduling.job import Job, Step
 from ragwortfield.scheduling.job_status import JobStatus, get_job_status
@@ -118,6 +120,9 @@
             owner_version=version,
             sequence_version=version,
         )
+        self.electorate_store = ElectorateStore(
+            shard=SHARD, store=world.store, owner_version=version
+        )
         self.batch = None
         self.is_loaded = False
         self.is_fenced_off = False
@@ -145,6 +150,7 @@
             wall_time=self.world.now,
         )
         self.load_step_count = len(list(steps))
+        self.electorate_store.load(self.state)
         self.feed_version = inbox.version
         self.is_loaded = True
 
@@ -157,12 +163,13 @@
 
         :param is_renewing_leases: whether the round renews leases.
         """
-        self._notice_replacement()
         if self.is_fenced_off:
             return
+        self._confirm_ownership()
         if not self.is_loaded:
             self.load()
             return
+        self.electorate_store.save_if_changed(self.state, self.world.now)
         self._poll_changes()
         if is_renewing_leases:
             self._renew_leases()
@@ -191,16 +198,11 @@
             return Unavailable(reason='cut off', is_effect_possible=True)
         return method(order)
 
-    def _notice_replacement(self):
-        # Earlier versions are not modelled here, as their owners' leases are
-        # waited for much longer.
-        is_noticed = (
-            self.world.workers.is_process_checked
-            and self.replaced_at is not None
-            and self.world.now > self.replaced_at + self.world.unaware_s
-        )
-        if is_noticed:
-            self.is_fenced_off = True
+    def _confirm_ownership(self):
+        # A replaced owner does not reach the store, so it does not learn of its
+        # replacement.
+        if self.replaced_at is None and not self.world.store.is_down:
+            self.state.confirmation.record_store_call(self.world.now)
 
     def _check_ownership(self):
         """Leave the shard if a refusal is confirmed by the owner row."""
@@ -285,7 +287,9 @@
         if result == CommitResult.DONE:
             batch = self.batch
             self.batch = None
-            commits.apply_committed(self.state, batch, self.world.now)
+            commits.apply_committed(
+                self.state, batch, self.world.now, sent_at=self.world.now
+            )
 
     def _send_orders(self):
         orders = self.state.orders
@@ -452,6 +456,7 @@
                 compute_remaining_run_times(former.state, self.now),
                 self.now,
             )
+            record_stopped_owner(self.owners[-1].state, former.state.epoch)
 
     def take_over(self):
         """Try to replace the current owner by a new one."""
--- a/ragwortfield/tests/test_former_owner.py
+++ b/ragwortfield/tests/test_former_owner.py
@@ -16,6 +16,7 @@
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import RowWrite, Transaction
 from ragwortfield.ports.task_worker import EndKind, ListedWorker
+from ragwortfield.scheduling.former_owner import record_ended_owner
 from ragwortfield.scheduling.job_status import JobStatus
 from ragwortfield.scheduling import shard_updates
 from ragwortfield.scheduling.records import (
@@ -97,7 +98,12 @@
         former = self.world.owners[-1]
         former.is_fenced_off = True
         self.world.take_over()
-        self.world.owners[-1].state.former_owner_until = self.world.now
+        record_ended_owner(
+            self.world.owners[-1].state,
+            former.state.epoch,
+            former.state.owner_since,
+            self.world.now,
+        )
         self.act(_MAX_WAIT_S - 0.8)
         self.assertEqual(len(self.list_runs()), 1)
 
--- a/ragwortfield/tests/test_shard_commits.py
+++ b/ragwortfield/tests/test_shard_commits.py
@@ -135,7 +135,7 @@
         batch = self.collect(4)
         self.assertEqual(batch.sequence.term_ms, 4000)
         self.assertEqual(batch.record_by_key, {})
-        commits.apply_committed(self.owner.state, batch, 0)
+        commits.apply_committed(self.owner.state, batch, 0, sent_at=0)
         self.assertIsNone(self.collect(60))
 
     def test_each_commit_has_the_age_of_the_term(self):
--- a/ragwortfield/tests/test_shard_takeover.py
+++ b/ragwortfield/tests/test_shard_takeover.py
@@ -108,6 +108,7 @@
             self.world, reachable_by_previous, is_store_down=True
         )
         previous_owner.committer._store = previous_owner.world.store
+        previous_owner.electorate_store._store = previous_owner.world.store
         successor.world = _PartialWorld(
             self.world, reachable_by_successor, is_store_down=False
         )
--- a/ragwortfield/tests/test_takeover_machine.py
+++ b/ragwortfield/tests/test_takeover_machine.py
@@ -101,7 +101,9 @@
             former.state.epoch,
             self.world.now,
         )
-        record_ended_owner(successor.state, term_start, self.world.now)
+        record_ended_owner(
+            successor.state, former.state.epoch, term_start, self.world.now
+        )
         self.act_in_turn(seconds)
 
     def act_in_turn(self, seconds):
--- a/ragwortfield/tests/test_worker_loops.py
+++ b/ragwortfield/tests/test_worker_loops.py
@@ -22,6 +22,7 @@
 )
 from ragwortfield.scheduling.catalogue import Catalogue
 from ragwortfield.scheduling.job_status import JobStatus
+from ragwortfield.scheduling.records import TaskPhase
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.timing_bounds import TimingBounds
 from ragwortfield.testing.fake_task_workers import (
@@ -198,6 +199,9 @@
         self.world.check()
 
     def send_orders_once(self):
+        # The loops use the real clock, the world a simulated one.
+        confirmation = self.owner.state.confirmation
+        confirmation.record_store_call(time.monotonic())
         self.loops.send_orders()
         gevent.sleep(0.05)
 
@@ -216,6 +220,21 @@
         worker = self.world.workers.worker_by_id['w0']
         self.assertIn(self.find_task(job_id).key, worker.run_by_key)
 
+    # Guards against two runs of one task: the process is paused after it has
+    # created a start order, and sends it when the shard has another owner.
+    def test_order_is_withheld_while_the_ownership_is_in_doubt(self):
+        job_id = self.world.submit(build_single_step(is_long_lived=True))
+        self.act_until_order_is_queued()
+        confirmation = self.owner.state.confirmation
+        confirmation.stored_at = time.monotonic() - 10
+        self.loops.send_orders()
+        gevent.sleep(0.05)
+        worker = self.world.workers.worker_by_id['w0']
+        self.assertEqual(worker.history, [])
+        task = self.find_task(job_id)
+        self.assertEqual(task.phase, TaskPhase.WAITING)
+        self.assertEqual(task.avoided_workers, set())
+
     # Guards against a start that has taken effect, raises, and is then treated
     # as if it had no effect.
     def test_start_that_raised_may_have_taken_effect(self):
