Status that no owner answered gets a log line of its own

Callers' view: the users' record shows job_taken with age_s=0 for one job at four instances within 0.3 s, which reads like four owners.

Cause: a status that is derived from the store's rows registers the job in an empty state, and register_job logs job_taken.

Change: add_job does not log; register_job logs job_taken, now with epoch and whether the cancellation was read before. A status without an answer of the owner logs status_unowned: job, shard, owner and epoch as known, age of that knowledge, why the owner gave no answer, who was asked instead, the answer; at most 20 lines a second, the rest is counted in the next line.

--- a/ragwortfield/engine/job_request_handler.py
+++ b/ragwortfield/engine/job_request_handler.py
@@ -19,6 +19,7 @@
 )
 from ragwortfield.engine.shard_committer import COMMIT_TIMEOUT_S
 from ragwortfield.engine.store_health import StoreHealth
+from ragwortfield.engine.unowned_status_log import UnownedStatusLog
 from ragwortfield.log import event
 from ragwortfield.peering.rpc import CallBody, PeerRpc
 from ragwortfield.ports.platform import Unavailable
@@ -43,7 +44,7 @@
     encode_record,
 )
 from ragwortfield.scheduling.shard_state import ShardState
-from ragwortfield.scheduling.shard_updates import register_job, restore_progress
+from ragwortfield.scheduling.shard_updates import add_job, restore_progress
 from ragwortfield.types import InstanceId, JobId, MonotonicTime, Seconds
 
 #: Time-out of a call to the owner of a shard, in seconds.
@@ -110,6 +111,27 @@
 #: Outcomes that no later attempt at the same write can change.
 _DEFINITE_OUTCOMES = Accepted | Unknown | Cancelled
 
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _FoundStatus:
+    """
+    Status of a job, or why there is none, and who has answered.
+
+    :param source: who was asked last: ``owner``, ``store`` or ``peers``.
+    :param owner_failure: why the owner gave no answer; empty if it did.
+    """
+
+    status: StatusOutcome
+    source: str
+    owner_failure: str = ''
+
+    def format_answer(self) -> str:
+        """Return the status for the log."""
+        if isinstance(self.status, JobStatus):
+            return self.status.value
+        return type(self.status).__name__.lower()
+
+
 _OUTCOME_BY_NAME = {
     kind.__name__: kind
     for kind in (Accepted, Rejected, Uncertain, Cancelled, Unknown)
@@ -142,6 +164,7 @@
         make_empty_state: Callable[[], ShardState],
     ) -> None:
         """Create without a call to the store."""
+        self.unowned_statuses = UnownedStatusLog()
         self._instance_id = instance_id
         self._cluster = cluster
         self._ownership = ownership
@@ -218,20 +241,11 @@
             return Unavailable(reason=_NO_LAYOUT)
         deadline = time.monotonic() + timeout_s
         while True:
-            source = 'owner'
-            status = self._ask_owner(job_id)
-            if isinstance(status, Unavailable):
-                source = 'store'
-                status = self.read_stored_status(job_id)
-            if isinstance(status, Unavailable):
-                source = 'peers'
-                status = self._ask_backup_peers(job_id)
-            if isinstance(status, Unknown):
-                event('job_unknown', job=job_id, source=source)
-            if not isinstance(status, Unavailable):
-                return status
-            if time.monotonic() + _RETRY_S > deadline:
-                return status
+            found = self._find_status(job_id)
+            is_final = not isinstance(found.status, Unavailable)
+            if is_final or time.monotonic() + _RETRY_S > deadline:
+                self._log_status(job_id, found)
+                return found.status
             gevent.sleep(_RETRY_S)
 
     def count_waiting(
@@ -400,7 +414,7 @@
                 f'{record.reason}',
             )
         state = self._make_empty_state()
-        derived_job = register_job(
+        derived_job = add_job(
             state, record.job, now=0, wall_time=record.job.accepted_at
         )
         for row in progress.rows:
@@ -414,6 +428,35 @@
         derived_job.is_cancelled = bool(cancelled.rows)
         return get_job_status(derived_job)
 
+    def _find_status(self, job_id: JobId) -> _FoundStatus:
+        status = self._ask_owner(job_id)
+        if not isinstance(status, Unavailable):
+            return _FoundStatus(status=status, source='owner')
+        owner_failure = status.reason
+        source = 'store'
+        status = self.read_stored_status(job_id)
+        if isinstance(status, Unavailable):
+            source = 'peers'
+            status = self._ask_backup_peers(job_id)
+        return _FoundStatus(
+            status=status, source=source, owner_failure=owner_failure
+        )
+
+    def _log_status(self, job_id: JobId, found: _FoundStatus) -> None:
+        if isinstance(found.status, Unknown):
+            event('job_unknown', job=job_id, source=found.source)
+        if not found.owner_failure:
+            return
+        shard = self._find_shard(job_id)
+        self.unowned_statuses.record(
+            job_id,
+            shard,
+            self._cluster.owner_by_shard.get(shard),
+            reason=found.owner_failure,
+            source=found.source,
+            answer=found.format_answer(),
+        )
+
     def _ask_owner(self, job_id: JobId) -> StatusOutcome:
         shard = self._find_shard(job_id)
         if self._ownership.runner(shard) is not None:
--- a/ragwortfield/scheduling/shard_updates.py
+++ b/ragwortfield/scheduling/shard_updates.py
@@ -38,7 +38,9 @@
     has_stored_progress: bool = False,
 ) -> JobRuntimeState:
     """
-    Add an accepted job to the shard; a job that is already known is unchanged.
+    Add an accepted job to the shard of this owner, and log that.
+
+    A job that is already known is unchanged.
 
     :param state: state of the shard.
     :param job: the job.
@@ -53,6 +55,46 @@
     known = state.job_by_id.get(job.job_id)
     if known is not None:
         return known
+    job_state = add_job(
+        state,
+        job,
+        now=now,
+        wall_time=wall_time,
+        queue=queue,
+        has_stored_progress=has_stored_progress,
+    )
+    event(
+        'job_taken',
+        job=job.job_id,
+        queue=job.queue,
+        epoch=state.epoch,
+        age_s=now - job_state.accepted_at_monotonic,
+        tasks=sum(step.count for step in job.steps),
+        is_cancelled=job_state.is_cancelled,
+    )
+    return job_state
+
+
+def add_job(
+    state: ShardState,
+    job: Job,
+    *,
+    now: MonotonicTime,
+    wall_time: WallTime,
+    queue: Queue | None = None,
+    has_stored_progress: bool = False,
+) -> JobRuntimeState:
+    """
+    Add a job to a state that need not be an owner's.
+
+    :param state: the state, which does not have the job yet.
+    :param job: the job.
+    :param now: monotonic time, in seconds.
+    :param wall_time: wall-clock time, in seconds.
+    :param queue: see ``register_job``.
+    :param has_stored_progress: see ``register_job``.
+    :returns: the runtime state of the job.
+    """
     age_s = min(max(wall_time - job.accepted_at, 0), _MAX_ACCEPTANCE_AGE_S)
     queue = state.catalogue.queue_by_name.get(job.queue, queue)
     if queue is None:
@@ -72,13 +114,6 @@
         state.repeating_job_ids.add(job.job_id)
     elif not has_stored_progress:
         _add_occurrence(state, job_state, 0, None)
-    event(
-        'job_taken',
-        job=job.job_id,
-        queue=job.queue,
-        age_s=age_s,
-        tasks=sum(step.count for step in job.steps),
-    )
     return job_state
 
 
--- a/ragwortfield/tests/test_job_request_handler.py
+++ b/ragwortfield/tests/test_job_request_handler.py
@@ -5,7 +5,8 @@
 
 import gevent
 
-from ragwortfield.engine.cluster_view import ClusterView
+from ragwortfield.engine import unowned_status_log
+from ragwortfield.engine.cluster_view import ClusterView, KnownOwner
 from ragwortfield.engine.job_request_handler import (
     Accepted,
     Rejected,
@@ -17,8 +18,9 @@
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.scheduling.job import Step
 from ragwortfield.scheduling.job_status import JobStatus
-from ragwortfield.scheduling.records import MemberRecord
+from ragwortfield.scheduling.records import MemberRecord, OwnerRecord
 from ragwortfield.testing.fake_row_store import FakeRowStore
+from ragwortfield.testing.log_capture import capture_log_lines
 from ragwortfield.tests.job_request_world import (
     JOB_ID,
     build_job,
@@ -208,3 +210,73 @@
         self.store.is_down = True
         status = self.request_handler.status(JOB_ID, 0)
         self.assertIsInstance(status, Unavailable)
+
+
+class UnownedStatusTest(unittest.TestCase):
+    def setUp(self):
+        self.store = FakeRowStore()
+        self.cluster = ClusterView(shards=1)
+        self.peers = _Peers(_CONNECTION_REFUSED)
+        self.request_handler = build_job_request_handler(
+            self.store, None, self.cluster, self.peers
+        )
+        self.request_handler.submit(build_job(steps=(Step(count=1),)), 1)
+        self.cluster.owner_by_shard[0] = KnownOwner(
+            record=OwnerRecord(
+                instance_id='lost', incarnation='1', epoch=7, address='lost:1'
+            ),
+            version=1,
+        )
+
+    def ask(self, count=1):
+        """Ask for the status of the job; return the lines of the log."""
+        with capture_log_lines() as lines:
+            for _ in range(count):
+                self.request_handler.status(JOB_ID, 0)
+        return lines
+
+    # Guards against a log in which an instance that answers from the store
+    # looks like an owner that has taken the job just after its acceptance.
+    def test_status_without_an_owner_is_not_logged_as_taken(self):
+        lines = self.ask()
+        self.assertNotIn('event=job_taken', ' '.join(lines))
+
+    # Guards against a log that does not tell which owner was asked, and why it
+    # gave no answer.
+    def test_status_without_an_owner_names_the_owner_and_the_reason(self):
+        (line,) = self.ask()
+        self.assertIn('event=status_unowned', line)
+        for part in (
+            f'job={JOB_ID}',
+            'shard=0',
+            'owner=lost',
+            'epoch=7',
+            'known_s=',
+            'reason=refused',
+            'source=store',
+            'answer=pending',
+        ):
+            self.assertIn(part, line)
+
+    def test_status_without_a_known_owner_is_logged(self):
+        self.cluster.owner_by_shard.clear()
+        (line,) = self.ask()
+        self.assertIn('owner="" epoch=0 known_s=-1', line)
+        self.assertIn('reason="shard 0 has no owner"', line)
+
+    def test_status_that_nobody_knows_is_logged(self):
+        self.store.is_down = True
+        (line,) = self.ask()
+        self.assertIn('source=peers answer=unavailable', line)
+
+    # Guards against a log that is filled by callers who keep asking.
+    def test_lines_are_bounded_and_the_rest_is_counted(self):
+        with mock.patch.object(
+            unowned_status_log, 'time', mock.Mock(monotonic=lambda: self.now)
+        ):
+            self.now = 100.0
+            self.assertEqual(len(self.ask(60)), 20)
+            self.now += 1
+            (line,) = self.ask()
+        self.assertIn('unlogged_before=40', line)
+        self.assertEqual(self.request_handler.unowned_statuses.count, 61)
--- a/ragwortfield/tests/test_shard_updates.py
+++ b/ragwortfield/tests/test_shard_updates.py
@@ -11,6 +11,7 @@
     TaskPhase,
     TaskRecord,
 )
+from ragwortfield.testing.log_capture import capture_log_lines
 from ragwortfield.tests.placement_world import NOW, PlacementWorld
 
 _OCCURRENCES = 40
@@ -68,3 +69,39 @@
         )
         shard_updates.create_due_occurrences(self.state, 2)
         self.assertEqual(self.list_occurrences(), [0, 1, 2])
+
+
+class TakenJobTest(unittest.TestCase):
+    def setUp(self):
+        self.state = PlacementWorld(workers=1).state
+        self.state.epoch = 7
+        self.job = Job(
+            job_id='job',
+            queue='queue',
+            spec='',
+            steps=(Step(count=2, need=Resources(cpu=1)),),
+            accepted_at=10,
+        )
+
+    def register(self):
+        """Register the job 3 s after its acceptance; return the log."""
+        with capture_log_lines() as lines:
+            shard_updates.register_job(
+                self.state, self.job, now=NOW, wall_time=13
+            )
+        return lines
+
+    # Guards against a log from which it cannot be told which of several owners
+    # in succession has read a job.
+    def test_taken_job_is_logged_once_with_the_epoch(self):
+        (line,) = self.register()
+        self.assertIn('event=job_taken job=job queue=queue epoch=7', line)
+        self.assertIn('age_s=3 tasks=2 is_cancelled=False', line)
+        self.assertEqual(self.register(), [])
+
+    # Guards against a log that does not tell whether an owner had read the
+    # cancellation of a job when it took the job.
+    def test_cancellation_that_is_read_first_shows_in_the_line(self):
+        shard_updates.cancel_job(self.state, 'job', NOW)
+        (line,) = self.register()
+        self.assertIn('is_cancelled=True', line)
