Free addresses of tests come from the range of find_free_port

Seen: a server on an address of find_free_address could not listen (address in use) in 9 of 9 runs of test_peer_connections behind new tests of peers' links.

Cause: the probe's socket was closed only in the next turn of the event loop, as gevent does while an earlier connection's watcher holds the same descriptor, and it was bound without SO_REUSEADDR.

Change: find_free_address uses find_free_port, whose probe sets it and whose range lies below the ephemeral ports.

--- a/ragwortfield/testing/entry_deployment.py
+++ b/ragwortfield/testing/entry_deployment.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -27,6 +26,7 @@
 from ragwortfield.policies.admission import hash_token
 from ragwortfield.ports.platform import ListedInstance
 from ragwortfield.testing.fake_http_servers import InstanceListChange
+from ragwortfield.testing.free_ports import find_free_port
 from ragwortfield.types import Seconds
 
 #: Secret that all entry instances of a deployment share.
@@ -555,9 +555,7 @@
 
     :returns: host and port.
     """
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return f'{_HOST}:{probe.getsockname()[1]}'
+    return f'{_HOST}:{find_free_port()}'
 
 
 def _make_fake_command(kind: str, address: str) -> list[str]:
