Ends of links between instances: cause, silence, age, waiting calls

Callers' view: in the users' record peer_link_broken has neither cause nor silence, so a peer that was paused or cut off and one whose process ended look alike.

Change: peer_link_broken comes once a link, also after a time-out: cause (call_timeout, reset, ended_by_peer, closed_by_peer, ...), reason, silent_s since the latest frame, link_s, calls that waited. peer_link_closed of the answering end has the same and the number of calls, and comes also after an orderly end. peer_unreachable and peer_reached tell when an address is lost and back. The link events of the entries have cause and ages too; calls do not wait there.

--- a/ragwortfield/peering/connections.py
+++ b/ragwortfield/peering/connections.py
@@ -2,6 +2,7 @@
 
 import hmac
 import secrets
+import time
 from collections.abc import Callable
 from typing import Protocol, TypeVar
 
@@ -14,6 +15,7 @@
 from ragwortfield.adapters.http_client import set_socket_options
 from ragwortfield.adapters.json_codec import Malformed
 from ragwortfield.log import event
+from ragwortfield.peering.link_record import LinkRecord, classify_link_end
 from ragwortfield.peering.messages import (
     MAX_FRAME_BYTES,
     Challenge,
@@ -57,6 +59,10 @@
     """A connection must be closed; the text says why."""
 
 
+#: Errors that end a connection.
+_LINK_ERRORS = (OSError, WebSocketException, PeerConnectionError)
+
+
 class PeerConnections:
     """
     Accepted and dialled connections between this instance and its peers.
@@ -138,13 +144,18 @@
 
     def _redial_forever(self, address: str) -> None:
         while True:
+            link = LinkRecord()
             try:
-                self._dial_once(address)
-            except (OSError, WebSocketException, PeerConnectionError) as error:
-                event('peer_link_failed', address=address, reason=error)
+                self._dial_once(address, link)
+            except _LINK_ERRORS as error:
+                event(
+                    'peer_link_failed',
+                    address=address,
+                    **_describe_end(link, error),
+                )
             gevent.sleep(_REDIAL_DELAY_S)
 
-    def _dial_once(self, address: str) -> None:
+    def _dial_once(self, address: str, link: LinkRecord) -> None:
         with connect(
             f'ws://{address}/',
             open_timeout=_HANDSHAKE_TIMEOUT_S,
@@ -155,6 +166,7 @@
             proxy=None,
             user_agent_header=None,
         ) as connection:
+            link.opened_at = time.monotonic()
             set_socket_options(connection.socket)
             challenge = _receive_type(connection, Challenge)
             nonce = secrets.token_hex(_NONCE_BYTES)
@@ -170,18 +182,25 @@
             connection.send(encode_message(hello))
             welcome = _receive_type(connection, Welcome)
             self._verify_peer(welcome.proof, nonce, welcome.instance_id)
-            self._exchange_messages(connection, welcome.instance_id)
+            self._exchange_messages(connection, welcome.instance_id, link)
 
     def _accept(self, connection: ServerConnection) -> None:
         # Read first: a closed socket no longer knows its remote address.
         remote = connection.remote_address
+        link = LinkRecord(opened_at=time.monotonic())
         try:
             set_socket_options(connection.socket)
-            self._accept_hello(connection)
-        except (OSError, WebSocketException, PeerConnectionError) as error:
-            event('peer_link_closed', remote=remote, reason=error)
+            self._accept_hello(connection, link)
+        except _LINK_ERRORS as error:
+            event(
+                'peer_link_closed',
+                remote=remote,
+                **_describe_end(link, error),
+            )
 
-    def _accept_hello(self, connection: ServerConnection) -> None:
+    def _accept_hello(
+        self, connection: ServerConnection, link: LinkRecord
+    ) -> None:
         nonce = secrets.token_hex(_NONCE_BYTES)
         connection.send(encode_message(Challenge(nonce=nonce)))
         hello = _receive_type(connection, Hello)
@@ -191,7 +210,7 @@
             proof=compute_proof(self._token, hello.nonce, self._instance_id),
         )
         connection.send(encode_message(welcome))
-        self._exchange_messages(connection, hello.instance_id)
+        self._exchange_messages(connection, hello.instance_id, link)
 
     def _verify_peer(self, proof: str, nonce: str, peer_id: InstanceId) -> None:
         expected = compute_proof(self._token, nonce, peer_id)
@@ -205,7 +224,10 @@
             )
 
     def _exchange_messages(
-        self, connection: Connection, peer_id: InstanceId
+        self,
+        connection: Connection,
+        peer_id: InstanceId,
+        link: LinkRecord,
     ) -> None:
         self._connection_by_peer[peer_id] = connection
         heartbeat_greenlet = gevent.spawn(
@@ -214,6 +236,7 @@
         try:
             while True:
                 message = _receive_message(connection, _RECEIVE_TIMEOUT_S)
+                link.received_at = time.monotonic()
                 response = self._handler.receive(peer_id, message)
                 if response is not None:
                     connection.send(encode_message(response))
@@ -230,6 +253,14 @@
             gevent.sleep(_HEARTBEAT_INTERVAL_S)
 
 
+def _describe_end(link: LinkRecord, error: Exception) -> dict[str, object]:
+    return {
+        'cause': classify_link_end(error).value,
+        'reason': error,
+        **link.format_ages(time.monotonic()),
+    }
+
+
 def _receive_type(
     connection: Connection, expected_type: type[_MessageType]
 ) -> _MessageType:
--- a/ragwortfield/peering/rpc.py
+++ b/ragwortfield/peering/rpc.py
@@ -15,6 +15,11 @@
 
 from ragwortfield.adapters.http_client import set_socket_options
 from ragwortfield.log import event
+from ragwortfield.peering.link_record import (
+    LinkEnd,
+    LinkRecord,
+    classify_link_end,
+)
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.settings.instance import split_address
 from ragwortfield.types import MonotonicTime, Seconds
@@ -55,13 +60,18 @@
 
 @dataclass(kw_only=True, slots=True)
 class _PeerConnection:
-    """Connection to one peer, with the calls that wait for its responses."""
+    """
+    Connection to one peer, with the calls that wait for its responses.
+
+    :param is_discarded: whether it is no longer used.
+    """
 
     websocket: Connection
     pending_response_by_number: dict[int, AsyncResult] = field(
         default_factory=dict
     )
-    last_received_at: MonotonicTime = 0
+    link: LinkRecord = field(default_factory=LinkRecord)
+    is_discarded: bool = False
 
 
 class PeerRpc:
@@ -81,7 +91,7 @@
         self._connection_by_address: dict[str, _PeerConnection] = {}
         self._connect_lock_by_address: dict[str, BoundedSemaphore] = {}
         self._connect_failed_at_by_address: dict[str, MonotonicTime] = {}
-        self._unreachable_addresses: set[str] = set()
+        self._unreachable_since_by_address: dict[str, MonotonicTime] = {}
         self._last_call_number = 0
 
     def listen(self, address: str, handler: CallHandler) -> Callable[[], None]:
@@ -94,7 +104,9 @@
         """
         host, port = split_address(address) or ('', 0)
         server = serve(
-            lambda websocket: _serve_connection(websocket, handler),
+            lambda websocket: _serve_connection(
+                websocket, handler, self._monotonic
+            ),
             host,
             port,
             max_size=_MAX_FRAME_BYTES,
@@ -113,7 +125,7 @@
         :param address: host and port of the peer.
         :returns: whether it has, and nothing came from the peer since.
         """
-        return address in self._unreachable_addresses
+        return address in self._unreachable_since_by_address
 
     def call(
         self,
@@ -148,15 +160,18 @@
             connection.websocket.send(frame)
             return pending_response.get(timeout=timeout_s)
         except gevent.Timeout:
-            if connection.last_received_at < called_at:
-                self._unreachable_addresses.add(address)
-                self._discard(address, connection)
+            if connection.link.received_at < called_at:
+                reason = f'{call_name} not answered within {timeout_s:.2f} s'
+                self._discard(address, connection, LinkEnd.CALL_TIMEOUT, reason)
+                self._mark_unreachable(address, reason)
             return Unavailable(
                 reason=f'{address} did not answer within {timeout_s:.2f} s',
                 is_effect_possible=True,
             )
         except (OSError, WebSocketException) as error:
-            self._discard(address, connection)
+            self._discard(
+                address, connection, classify_link_end(error), repr(error)
+            )
             return Unavailable(
                 reason=f'connection to {address} broke: {error}',
                 is_effect_possible=True,
@@ -195,12 +210,14 @@
             )
         except (OSError, WebSocketException) as error:
             self._connect_failed_at_by_address[address] = self._monotonic()
-            self._unreachable_addresses.add(address)
+            self._mark_unreachable(address, f'connecting failed: {error}')
             return Unavailable(
                 reason=f'connecting to {address} failed: {error}'
             )
         set_socket_options(websocket.socket)
-        connection = _PeerConnection(websocket=websocket)
+        connection = _PeerConnection(
+            websocket=websocket, link=LinkRecord(opened_at=self._monotonic())
+        )
         self._connection_by_address[address] = connection
         gevent.spawn(self._read_responses, address, connection)
         return connection
@@ -208,10 +225,12 @@
     def _read_responses(
         self, address: str, connection: _PeerConnection
     ) -> None:
+        end = LinkEnd.CLOSED_BY_PEER
+        reason = ''
         try:
             for frame in connection.websocket:
-                connection.last_received_at = self._monotonic()
-                self._unreachable_addresses.discard(address)
+                connection.link.received_at = self._monotonic()
+                self._mark_reached(address)
                 response = cbor2.loads(frame)
                 pending_response = connection.pending_response_by_number.get(
                     response[_NUMBER_KEY]
@@ -219,10 +238,42 @@
                 if pending_response is not None:
                     pending_response.set(response[_BODY_KEY])
         except _CONNECTION_ERRORS as error:
-            event('peer_link_broken', address=address, reason=repr(error))
-        self._discard(address, connection)
+            end = classify_link_end(error)
+            reason = repr(error)
+        self._discard(address, connection, end, reason)
+
+    def _mark_unreachable(self, address: str, reason: str) -> None:
+        if address in self._unreachable_since_by_address:
+            return
+        self._unreachable_since_by_address[address] = self._monotonic()
+        event('peer_unreachable', address=address, reason=reason)
+
+    def _mark_reached(self, address: str) -> None:
+        since = self._unreachable_since_by_address.pop(address, None)
+        if since is not None:
+            event(
+                'peer_reached',
+                address=address,
+                unreachable_s=self._monotonic() - since,
+            )
 
-    def _discard(self, address: str, connection: _PeerConnection) -> None:
+    def _discard(
+        self,
+        address: str,
+        connection: _PeerConnection,
+        end: LinkEnd,
+        reason: str,
+    ) -> None:
+        if not connection.is_discarded:
+            connection.is_discarded = True
+            event(
+                'peer_link_broken',
+                address=address,
+                cause=end.value,
+                reason=reason,
+                waiting=len(connection.pending_response_by_number),
+                **connection.link.format_ages(self._monotonic()),
+            )
         if self._connection_by_address.get(address) is connection:
             del self._connection_by_address[address]
         for pending_response in tuple(
@@ -246,14 +297,34 @@
 
 
 def _serve_connection(
-    websocket: ServerConnection, handler: CallHandler
+    websocket: ServerConnection,
+    handler: CallHandler,
+    monotonic: Callable[[], MonotonicTime],
 ) -> None:
+    link = LinkRecord(opened_at=monotonic())
+    call_count = 0
+    remote = None
+    end = LinkEnd.CLOSED_BY_PEER
+    reason = ''
     try:
+        # Read first: a closed socket no longer knows its remote address.
+        remote = websocket.remote_address
         set_socket_options(websocket.socket)
         for frame in websocket:
+            link.received_at = monotonic()
+            call_count += 1
             gevent.spawn(_handle_call, websocket, handler, frame)
     except (OSError, WebSocketException) as error:
-        event('peer_link_closed', reason=error)
+        end = classify_link_end(error)
+        reason = repr(error)
+    event(
+        'peer_link_closed',
+        remote=remote,
+        cause=end.value,
+        reason=reason,
+        calls=call_count,
+        **link.format_ages(monotonic()),
+    )
 
 
 def _handle_call(
--- a/ragwortfield/tests/test_peer_connections.py
+++ b/ragwortfield/tests/test_peer_connections.py
@@ -1,5 +1,6 @@
 """Tests of connections between instances over real sockets."""
 
+import socket
 from unittest import TestCase
 
 import gevent
@@ -16,6 +17,7 @@
     encode_message,
 )
 from ragwortfield.testing.entry_deployment import find_free_address
+from ragwortfield.testing.log_capture import capture_log_lines
 
 _TOKEN = 'token-of-the-peers'
 
@@ -99,3 +101,30 @@
         gevent.sleep(1.5)
         self.assertIn('entry-2', self.handler.received)
         self.assertEqual(self.connections.count_connections(), 1)
+
+    # Guards against a log that does not tell a peer that fell silent from one
+    # whose process has ended.
+    def test_silent_peer_and_ended_peer_are_told_apart(self):
+        with capture_log_lines() as lines, self.dial() as connection:
+            self.complete_handshake(connection)
+            gevent.sleep(3.5)
+        self.assertIn('event=peer_link_closed', lines[0])
+        self.assertIn('cause=silence', lines[0])
+        self.assertIn('silent_s=3', lines[0])
+        with capture_log_lines() as lines:
+            connection = self.dial()
+            self.complete_handshake(connection)
+            gevent.sleep(0.2)
+            connection.socket.shutdown(socket.SHUT_RDWR)
+            gevent.sleep(0.2)
+        self.assertIn('cause=ended_by_peer', lines[0])
+        self.assertIn('link_s=0.2', lines[0])
+
+    def test_address_that_was_never_reached_has_no_ages(self):
+        with capture_log_lines() as lines:
+            self.connections.dial(frozenset((find_free_address(),)))
+            gevent.sleep(0.3)
+            self.connections.dial(frozenset())
+        self.assertIn('event=peer_link_failed', lines[0])
+        self.assertIn('cause=refused', lines[0])
+        self.assertIn('silent_s=-1 link_s=-1', lines[0])
