Doubts about an owner are logged with what is decided

Callers' view: in the users' record nothing tells why a shard changed its owner, nor what other instances saw of the one before.

Change: owner_doubted tells shard, owner, epoch, what failed (time-out, refused connection, denied ownership), for how long, what each witness said, and the decision: wait, wait_isolated, keep, taken_over, dropped. Each decision comes once until an owner confirms again, which owner_confirmed tells. takeover tells the owner before it, its epoch and the age of its term. No decision changes.

--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -21,6 +21,7 @@
     ask_former_owner,
     use_answer,
 )
+from ragwortfield.engine.owner_doubts import DoubtDecision, OwnerDoubts
 from ragwortfield.engine.owner_watchers import (
     MAX_NAMED_WATCHERS,
     OwnerWatchers,
@@ -159,6 +160,7 @@
         self._lease_s = lease_s
         self._make_runner = make_runner
         self._failing_since: dict[int, MonotonicTime] = {}
+        self._doubts = OwnerDoubts()
         self._watchers = OwnerWatchers(instance_id=identity.instance_id)
         self._takeover_supervisor = Supervisor(name='take_vacancy')
 
@@ -335,6 +337,7 @@
         answer = self._ask_owner(shard, owner.record.address)
         if answer == _OwnerAnswer.OWNS:
             self._failing_since.pop(shard, None)
+            self._doubts.clear(shard, owner)
         else:
             self._consider_takeover(shard, owner, answer)
 
@@ -350,25 +353,41 @@
         wait_s = rank * _WAIT_PER_RANK_S
         if answer == _OwnerAnswer.SILENT:
             wait_s += OWNER_TIMEOUT_S
-        if now - failing_since < wait_s - _PING_TIMEOUT_S:
+        doubted_s = now - failing_since
+        if doubted_s < wait_s - _PING_TIMEOUT_S:
+            self._doubts.record_decision(
+                shard, owner, DoubtDecision.WAIT, doubted_s
+            )
             return
         is_owner_reachable: bool | None = False
         if answer == _OwnerAnswer.SILENT:
             is_owner_reachable = self._ask_witnesses(shard, owner)
         if is_owner_reachable is True:
             self._failing_since.pop(shard, None)
+            self._doubts.record_decision(
+                shard, owner, DoubtDecision.KEEP, doubted_s
+            )
             return
         if (
             is_owner_reachable is None
-            and now - failing_since < wait_s + _ISOLATION_WAIT_S
+            and doubted_s < wait_s + _ISOLATION_WAIT_S
         ):
+            self._doubts.record_decision(
+                shard, owner, DoubtDecision.WAIT_ISOLATED, doubted_s
+            )
             return
-        self._take_over(
+        is_taken = self._take_over(
             shard,
-            f'owner not confirmed for {now - failing_since:.2f} s',
+            f'owner not confirmed for {doubted_s:.2f} s',
             known_version=owner.version,
         )
         self._failing_since.pop(shard, None)
+        self._doubts.record_decision(
+            shard,
+            owner,
+            DoubtDecision.TAKEN_OVER if is_taken else DoubtDecision.DROPPED,
+            doubted_s,
+        )
 
     def _ask_witnesses(self, shard: int, owner: KnownOwner) -> bool | None:
         """
@@ -389,6 +408,13 @@
             for member in witnesses[: _WITNESSES * 2]
         ]
         gevent.joinall(requests, timeout=2 * _PING_TIMEOUT_S)
+        self._doubts.record_witnesses(
+            shard,
+            {
+                member.instance_id: request.value
+                for member, request in zip(witnesses, requests, strict=False)
+            },
+        )
         answers = [
             request.value for request in requests if request.value is not None
         ]
@@ -432,8 +458,10 @@
             _PING_TIMEOUT_S,
         )
         if isinstance(answer, Unavailable):
+            self._doubts.record_failure(shard, answer.reason)
             return _OwnerAnswer.SILENT
         if not answer['owns']:
+            self._doubts.record_failure(shard, 'it denies ownership')
             return _OwnerAnswer.DISOWNS
         self._watchers.record_watchers(shard, answer.get('watchers', ()))
         return _OwnerAnswer.OWNS
@@ -506,6 +534,7 @@
             epoch=epoch,
             reason=reason,
             outcome=type(outcome).__name__,
+            **_describe_former(former, time.monotonic()),
         )
         if not isinstance(outcome, TransactionDone):
             return False
@@ -696,6 +725,19 @@
     return replace(owner, seen_at=min(owner.seen_at, term_start))
 
 
+def _describe_former(
+    former: KnownOwner | None, now: MonotonicTime
+) -> dict[str, str | float]:
+    """Return the owner before a takeover for the log."""
+    if former is None:
+        return {'former': '', 'former_epoch': 0}
+    return {
+        'former': former.record.last_holder()[0],
+        'former_epoch': former.record.epoch,
+        'former_term_s': now - former.seen_at,
+    }
+
+
 def _read_recorded_lease_s(owner: StoredRow | None) -> Seconds:
     record = _decode_row(owner, OwnerRecord)
     return 0 if record is None else record.lease_s
