Soak: cuts between single instances and workers, also one way

The soak could not cut two instances from each other, nor one instance from one worker, because its stand-ins did not know who called.

Each instance now reads rows in which workers and peers have a host of its own (127.N.M.1), so the local address of a connection tells who calls. Workers listen on all loopback addresses; a forwarder in front of each instance passes the websocket frames of its peers on, and exchanges the addresses in them (`hears` names the owner's). Two kinds of faults are new: HELD calls are carried out when the fault ends, UNANSWERED ones are carried out and get no response. The workers record the fencing token of each start and the last lease order under each token.

--- a/ragwortfield/platform/faulty_servers.py
+++ b/ragwortfield/platform/faulty_servers.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -41,6 +42,10 @@
     THROTTLED = 'many'
     RESET = 'reset'
     SILENT = 'silent'
+    #: Calls wait for the end of the fault and are carried out then.
+    HELD = 'held'
+    #: Calls are carried out and get no response.
+    UNANSWERED = 'unanswered'
 
 
 _STATUS_BY_FAULT = {
@@ -148,11 +153,13 @@
                 Response(status=status, fields=(), body=b'{}'), start_response
             )
         gevent.sleep(self._faults.delay_s)
+        if not self._is_sent_to_this_life():
+            return _reset_connection(environ)
         path = get_raw_path(environ)
         if path in _WRITE_PATHS and self._is_unanswered():
             return self._carry_out_unanswered(environ, start_response)
         chunks = self._application(environ, start_response)
-        if self._is_silent(environ):
+        if self._is_answer_lost(environ):
             return self._stay_silent(environ)
         return chunks
 
@@ -161,6 +168,17 @@
             return True
         return self._faults.kind == FaultKind.SILENT
 
+    def _is_answer_lost(self, environ: dict[str, Any]) -> bool:
+        is_unanswered = self._faults.kind == FaultKind.UNANSWERED
+        return is_unanswered or self._is_silent(environ)
+
+    def _is_sent_to_this_life(self) -> bool:
+        """Wait while calls are held; return whether the server has lived on."""
+        life = self._life()
+        while self._faults.kind == FaultKind.HELD:
+            gevent.sleep(_CHECK_INTERVAL_S)
+        return life == self._life()
+
     def _is_unanswered(self) -> bool:
         return self._random.random() < self._faults.unanswered_share
 
@@ -176,14 +194,69 @@
 
     def _stay_silent(self, environ: dict[str, Any]) -> Iterable[bytes]:
         waited_s: Seconds = 0
-        while waited_s < _SILENCE_S and self._is_silent(environ):
+        while waited_s < _SILENCE_S and self._is_answer_lost(environ):
             gevent.sleep(_CHECK_INTERVAL_S)
             waited_s += _CHECK_INTERVAL_S
         return _reset_connection(environ)
 
 
-def _reset_connection(environ: dict[str, Any]) -> Iterable[bytes]:
-    connection = environ[_SOCKET_KEY]
+class CallerFaults:
+    """
+    WSGI application that applies the faults of each caller to another one.
+
+    Callers are told apart by the local address of their connections.
+
+    :param application: the server without these faults.
+    :param random: decides which calls get no response.
+    :param life: value that changes with each restart of the server.
+    :ivar faults_by_host: faults of the calls to each local address.
+    """
+
+    def __init__(
+        self, *, application: Any, random: Random, life: Callable[[], object]
+    ) -> None:
+        """Create the application."""
+        self.faults_by_host: defaultdict[str, CallFaults] = defaultdict(
+            CallFaults
+        )
+        self._application = application
+        self._random = random
+        self._life = life
+        self._server_by_host: dict[str, FaultyServer] = {}
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """
+        Handle one call.
+
+        :param environ: WSGI environment.
+        :param start_response: WSGI function that starts the response.
+        :returns: chunks of the response body.
+        """
+        host = environ[_SOCKET_KEY].getsockname()[0]
+        if host not in self._server_by_host:
+            self._server_by_host[host] = FaultyServer(
+                application=self._application,
+                faults=self.faults_by_host[host],
+                random=self._random,
+                life=self._life,
+            )
+        return self._server_by_host[host](environ, start_response)
+
+
+def reset_on_close(connection: socket.socket) -> None:
+    """
+    Close a connection with a reset.
+
+    :param connection: the connection.
+    """
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
     connection.close()
+
+
+def _reset_connection(environ: dict[str, Any]) -> Iterable[bytes]:
+    reset_on_close(environ[_SOCKET_KEY])
     raise ConnectionResetError('connection reset by a fault')
--- a/ragwortfield/soak/deployment.py
+++ b/ragwortfield/soak/deployment.py
@@ -16,7 +16,13 @@
 )
 from ragwortfield.platform.table_names import OPERATOR_TABLE
 from ragwortfield.ports.row_store import RowName, RowWrite, Transaction
+from ragwortfield.soak.address_view import (
+    AddressView,
+    StoreView,
+    make_caller_host,
+)
 from ragwortfield.soak.jobs import JobBook
+from ragwortfield.soak.peer_links import PeerLinks
 from ragwortfield.soak.processes import HOST, DeployedRole, InstanceProcess
 from ragwortfield.soak.site import BOUNDS, POOL, Site
 from ragwortfield.soak.timeline import Timeline
@@ -41,6 +47,9 @@
     :param folder: folder for settings files and logs.
     :param store_faults_by_instance: faults of the store as each instance sees
         it.
+    :param view_by_host: addresses as each instance sees them, by the host
+        under which it sees others.
+    :param links_by_instance: links of peers to each instance.
     :param is_log_read: whether the output of the instances goes to files.
     :param departed: instances that were removed for good.
     """
@@ -59,6 +68,8 @@
     store_faults_by_instance: dict[str, CallFaults] = field(
         default_factory=dict,
     )
+    view_by_host: dict[str, AddressView] = field(default_factory=dict)
+    links_by_instance: dict[str, PeerLinks] = field(default_factory=dict)
     _version: int = 0
     _queues: dict[str, str] = field(default_factory=dict)
     _servers: list[FaultyHttpServer] = field(default_factory=list)
@@ -117,29 +128,18 @@
         """
         number = len(self.instances) + len(self.departed)
         name = f'edge-{data_centre}-{number}'
-        faults = CallFaults(delay_s=_STORE_DELAY_S)
-        self.store_faults_by_instance[name] = faults
-        server = FaultyHttpServer(
-            address=(HOST, 0),
-            application=FaultyServer(
-                application=FakeStoreServer(store=self.store),
-                faults=faults,
-                random=self.random,
-                life=lambda: self.store,
-            ),
-            max_connections=_MAX_CONNECTIONS,
-        )
-        server.start()
-        self._servers.append(server)
         instance = InstanceProcess(
             name=name,
             data_centre=data_centre,
             role=self.role,
-            store_address=f'{HOST}:{server.server_port}',
+            caller_host=make_caller_host(number),
             bounds=BOUNDS,
             folder=self.folder,
             is_log_read=self.is_log_read,
         )
+        instance.store_address = self._serve_store(
+            name, self._start_links(instance)
+        )
         self.instances.append(instance)
         return instance
 
@@ -171,7 +171,7 @@
             instance
             for instance in self.instances
             if any(
-                instance.peer_address().encode() in content
+                self._find_link_address(instance) in content
                 for content in contents
             )
         ]
@@ -198,9 +198,43 @@
             instance.close_log()
         for host in self.workers:
             host.stop()
-        for server in self._servers:
+        for server in (*self._servers, *self.links_by_instance.values()):
             server.stop()
 
+    def _start_links(self, instance: InstanceProcess) -> AddressView:
+        links = PeerLinks(view_by_host=self.view_by_host)
+        links.view = AddressView(
+            host=instance.caller_host,
+            own_address=instance.peer_address(),
+            link_address=f'{HOST}:{links.start()}',
+        )
+        self.view_by_host[instance.caller_host] = links.view
+        self.links_by_instance[instance.name] = links
+        return links.view
+
+    def _serve_store(self, name: str, view: AddressView) -> str:
+        """Start a server of the store for one instance."""
+        faults = CallFaults(delay_s=_STORE_DELAY_S)
+        self.store_faults_by_instance[name] = faults
+        server = FaultyHttpServer(
+            address=(HOST, 0),
+            application=FaultyServer(
+                application=FakeStoreServer(
+                    store=StoreView(store=self.store, view=view)
+                ),
+                faults=faults,
+                random=self.random,
+                life=lambda: self.store,
+            ),
+            max_connections=_MAX_CONNECTIONS,
+        )
+        server.start()
+        self._servers.append(server)
+        return f'{HOST}:{server.server_port}'
+
+    def _find_link_address(self, instance: InstanceProcess) -> bytes:
+        return self.view_by_host[instance.caller_host].link_address.encode()
+
     def _supervise(self) -> None:
         while True:
             gevent.sleep(_SUPERVISION_INTERVAL_S)
--- a/ragwortfield/soak/processes.py
+++ b/ragwortfield/soak/processes.py
@@ -98,7 +98,9 @@
     """
     Instance of the scheduler over all starts of its process.
 
-    :param store_address: host and port of the store for this instance.
+    :param store_address: host and port of the store for this instance; set
+        before ``start``.
+    :param caller_host: host under which the instance sees others.
     :param bounds: timing bounds, by their names in the template.
     :param folder: folder for the settings file and the log.
     :param is_log_read: whether the output goes to a file; otherwise it goes to
@@ -110,9 +112,10 @@
     name: str
     data_centre: str
     role: DeployedRole
-    store_address: str
     bounds: Mapping[str, Any]
     folder: Path
+    caller_host: str = HOST
+    store_address: str = ''
     callers_port: int = field(default_factory=find_free_port)
     health_port: int = field(default_factory=find_free_port)
     peer_port: int = field(default_factory=find_free_port)
--- /dev/null
+++ b/ragwortfield/soak/run_history.py
@@ -0,0 +1,91 @@
+"""Runs of tasks as the workers have recorded them."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from ragwortfield.scheduling.job import TaskKey
+from ragwortfield.soak.workers import WorkerHost
+from ragwortfield.types import MonotonicTime, WorkerId
+
+_ENDINGS = frozenset(('end', 'lost'))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecordedRun:
+    """
+    Run of a task on a worker.
+
+    :param number: number of the run.
+    :param fencing_token: token of the owner that started it.
+    :param ended_at: its end; infinite while it goes on.
+    :param how: how it ended; empty while it goes on.
+    """
+
+    key: TaskKey
+    worker_id: WorkerId
+    number: int
+    fencing_token: int
+    started_at: MonotonicTime
+    ended_at: MonotonicTime = float('inf')
+    how: str = ''
+
+
+def list_runs(hosts: Iterable[WorkerHost]) -> dict[TaskKey, list[RecordedRun]]:
+    """
+    List the runs of all tasks.
+
+    :param hosts: all workers.
+    :returns: the runs of each task in the order of their starts.
+    """
+    runs_by_key: dict[TaskKey, list[RecordedRun]] = defaultdict(list)
+    for host in hosts:
+        for run in _list_runs_of_worker(host):
+            runs_by_key[run.key].append(run)
+    for runs in runs_by_key.values():
+        runs.sort(key=lambda run: run.started_at)
+    return runs_by_key
+
+
+def list_overlaps(
+    hosts: Iterable[WorkerHost],
+) -> list[tuple[RecordedRun, RecordedRun]]:
+    """
+    List runs of one task that went on at the same time.
+
+    :param hosts: all workers.
+    :returns: the earlier and the later run of each case.
+    """
+    overlaps = []
+    for runs in list_runs(hosts).values():
+        latest = runs[0]
+        for run in runs[1:]:
+            if run.started_at < latest.ended_at:
+                overlaps.append((latest, run))
+            latest = max(latest, run, key=lambda known: known.ended_at)
+    return overlaps
+
+
+def _list_runs_of_worker(host: WorkerHost) -> list[RecordedRun]:
+    worker = host.worker
+    runs: list[RecordedRun] = []
+    # A restarted worker may carry out an order for an earlier run again.
+    position_by_number: dict[tuple[TaskKey, int], int] = {}
+    for kind, at, key, number, detail in worker.history:
+        if kind == 'start':
+            position_by_number[key, number] = len(runs)
+            runs.append(
+                RecordedRun(
+                    key=key,
+                    worker_id=worker.worker_id,
+                    number=number,
+                    fencing_token=worker.token_by_run[key, number],
+                    started_at=at,
+                )
+            )
+        elif kind in _ENDINGS:
+            position = position_by_number[key, number]
+            runs[position] = replace(
+                runs[position], ended_at=at, how=detail or kind
+            )
+    return runs
--- a/ragwortfield/soak/workers.py
+++ b/ragwortfield/soak/workers.py
@@ -13,6 +13,7 @@
     encode_worker_entry,
 )
 from ragwortfield.platform.faulty_servers import (
+    CallerFaults,
     CallFaults,
     FaultKind,
     FaultyHttpServer,
@@ -20,13 +21,21 @@
 )
 from ragwortfield.platform.table_names import WORKER_TABLE
 from ragwortfield.ports.row_store import RowName, RowWrite, Transaction
-from ragwortfield.ports.task_worker import OrderOutcome, Refusal, StartRun
+from ragwortfield.ports.task_worker import (
+    LeaseOrder,
+    LeaseReport,
+    OrderOutcome,
+    OrderRefused,
+    Refusal,
+    StartRun,
+)
 from ragwortfield.scheduling.job import TaskKey
+from ragwortfield.soak.address_view import listen_on_loopback
 from ragwortfield.soak.processes import HOST
 from ragwortfield.soak.site import POOL
 from ragwortfield.testing.fake_row_store import FakeRowStore
 from ragwortfield.testing.fake_task_workers import FakeTaskWorker
-from ragwortfield.types import Seconds
+from ragwortfield.types import MonotonicTime, Seconds
 
 #: Interval between heartbeats of a worker, in seconds.
 _HEARTBEAT_INTERVAL_S: Seconds = 1.1
@@ -51,9 +60,16 @@
     Fake worker that refuses starts beyond its capacity.
 
     :param find_resources: finds what a task uses.
+    :param token_by_run: fencing token under which each run was started.
+    :param last_lease_at_by_token: time of the last lease order that was
+        carried out under each fencing token.
     """
 
     find_resources: Callable[[TaskKey], Resources]
+    token_by_run: dict[tuple[TaskKey, int], int] = field(default_factory=dict)
+    last_lease_at_by_token: dict[int, MonotonicTime] = field(
+        default_factory=dict
+    )
 
     def start(self, order: StartRun) -> OrderOutcome:
         """
@@ -71,7 +87,24 @@
         )
         if order.key not in self.run_by_key and not is_room:
             return self._refuse(Refusal.INSUFFICIENT_CAPACITY)
-        return FakeTaskWorker.start(self, order)
+        recorded = len(self.history)
+        outcome = FakeTaskWorker.start(self, order)
+        # Leases that have expired are recorded by the same call.
+        if any(entry[0] == 'start' for entry in self.history[recorded:]):
+            self.token_by_run[order.key, order.run] = order.fencing_token
+        return outcome
+
+    def renew_lease(self, order: LeaseOrder) -> LeaseReport | OrderRefused:
+        """
+        Extend the lease and drop the acknowledged ends.
+
+        :param order: fencing token, new deadline and acknowledged ends.
+        :returns: running tasks and ends not acknowledged yet, or a refusal.
+        """
+        report = FakeTaskWorker.renew_lease(self, order)
+        if isinstance(report, LeaseReport) and order.deadline_ms is not None:
+            self.last_lease_at_by_token[order.fencing_token] = self.clock()
+        return report
 
 
 @dataclass(kw_only=True, slots=True)
@@ -80,6 +113,7 @@
     Worker with its server and its entry in the store.
 
     :param store: store in which the worker registers.
+    :param faults: faults of the calls of all instances.
     :param is_up: whether the worker runs.
     :param entry_expires_at: time at which the entry of a worker that is down
         is removed; ``None`` once it is removed.
@@ -92,19 +126,23 @@
     is_up: bool = True
     address: str = ''
     application: FakeTaskWorkerServer = field(init=False)
+    caller_faults: CallerFaults = field(init=False)
     _server: FaultyHttpServer = field(init=False)
     _greenlets: list[gevent.Greenlet] = field(default_factory=list)
 
     def start(self) -> None:
         """Serve orders and register."""
         self.application = FakeTaskWorkerServer(worker=self.worker)
+        self.caller_faults = CallerFaults(
+            application=self.application, random=self.random, life=self._life
+        )
         self._server = FaultyHttpServer(
-            address=(HOST, 0),
+            address=listen_on_loopback(),
             application=FaultyServer(
-                application=self.application,
+                application=self.caller_faults,
                 faults=self.faults,
                 random=self.random,
-                life=lambda: (self.worker.born_at, self.is_up),
+                life=self._life,
             ),
             max_connections=_MAX_CONNECTIONS,
         )
@@ -149,6 +187,9 @@
         gevent.killall(self._greenlets)
         self._server.stop()
 
+    def _life(self) -> tuple[MonotonicTime, bool]:
+        return self.worker.born_at, self.is_up
+
     def _send_heartbeats(self) -> None:
         gevent.sleep(self.random.uniform(0, _HEARTBEAT_INTERVAL_S))
         while True:
