Starts are held back until cancellations are known

Cause: an owner learns of a cancellation by the change feed of the inbox, and nothing tied a start to how recent that is. A new owner reads the inbox first, then the progress and the workers, and decides as soon as all are loaded; the feed's first answer comes later. Over a link that is full the load takes seconds, and the answer another one.

Change: the feed records up to when the inbox is known (the time of the call; of an empty answer, the end of its wait). A start is ordered, and ordered again, only if that is at most 1.8 s ago (inbox_age_s; the platform allows 3 s). Starts whose bindings are durable are held until then, and the owner asks the store at once, beside the call that the feed waits for. A start that is ordered still expires after the start window.

--- a/ragwortfield/engine/change_feed.py
+++ b/ragwortfield/engine/change_feed.py
@@ -1,5 +1,6 @@
 """Change feed of a table of the store, without gaps."""
 
+import time
 from collections.abc import Callable
 
 import gevent
@@ -12,7 +13,7 @@
     RowStore,
     StoredRow,
 )
-from ragwortfield.types import Seconds
+from ragwortfield.types import MonotonicTime, Seconds
 
 #: Longest time that the store waits for a change before it answers a poll, in
 #: seconds. It also bounds, with a margin, how late a dead connection is found.
@@ -25,6 +26,8 @@
 RowHandler = Callable[[tuple[StoredRow, ...], bool], None]
 #: Called after each call with its failure, or with ``None`` on success.
 OutcomeHandler = Callable[[Unavailable | None], None]
+#: Called with the monotonic time up to which all changes were delivered.
+ProgressHandler = Callable[[MonotonicTime], None]
 
 
 def read_all_rows(
@@ -70,6 +73,8 @@
         to be read as a whole.
     :param on_rows: called with the changed rows.
     :param on_outcome: called with the outcome of each call to the store.
+    :param on_progress: called after each delivery; ``None`` if nobody needs to
+        know how recent the rows are.
     """
 
     def __init__(
@@ -80,14 +85,17 @@
         list_partitions: Callable[[], tuple[str, ...]],
         on_rows: RowHandler,
         on_outcome: OutcomeHandler,
+        on_progress: ProgressHandler | None = None,
     ) -> None:
         """Create; ``run`` starts the feed."""
         self._on_outcome = on_outcome
+        self._on_progress = on_progress
         self._store = store
         self._table = table
         self._list_partitions = list_partitions
         self._on_rows = on_rows
         self._is_reachable = True
+        self._version = 0
 
     def run(self, version: int = 0) -> None:
         """
@@ -96,26 +104,47 @@
         :param version: version up to which the rows are known; 0 if the table
             has to be read first.
         """
+        self._version = version
         while True:
-            if not version:
-                version = self._read_table()
-                continue
-            page = self._store.wait_for_changes(
-                self._table, version, _LONG_POLL_S
-            )
-            if isinstance(page, HistoryGone):
-                event('feed_history_gone', table=self._table, after=version)
-                version = 0
-            elif isinstance(page, Unavailable):
-                self._report_outcome(page)
+            if not self._version:
+                self._version = self._read_table()
+            elif not self._poll(_LONG_POLL_S) and self._version:
                 gevent.sleep(_RETRY_S)
-            else:
-                self._report_outcome(None)
-                version = max(page.version, version)
-                if page.rows:
-                    self._on_rows(page.rows, False)
+
+    def catch_up(self) -> bool:
+        """
+        Deliver what has changed up to now, beside the loop.
+
+        The call of the loop may wait for a change, or for an answer that is
+        lost. Rows may be delivered again by the loop.
+
+        :returns: whether the store has answered.
+        """
+        return self._version > 0 and self._poll(0)
+
+    def _poll(self, wait_s: Seconds) -> bool:
+        after = self._version
+        called_at = time.monotonic()
+        page = self._store.wait_for_changes(self._table, after, wait_s)
+        if isinstance(page, HistoryGone):
+            event('feed_history_gone', table=self._table, after=after)
+            self._version = 0
+            return False
+        if isinstance(page, Unavailable):
+            self._report_outcome(page)
+            return False
+        self._report_outcome(None)
+        self._version = max(page.version, self._version)
+        if page.rows:
+            self._on_rows(page.rows, False)
+            self._report_progress(called_at)
+        else:
+            # Without a change, the store answers after the wait.
+            self._report_progress(min(called_at + wait_s, time.monotonic()))
+        return True
 
     def _read_table(self) -> int:
+        called_at = time.monotonic()
         rows: list[StoredRow] = []
         version = 0
         for partition in self._list_partitions():
@@ -128,8 +157,13 @@
             version = min(version or page.version, page.version)
         self._report_outcome(None)
         self._on_rows(tuple(rows), True)
+        self._report_progress(called_at)
         return version
 
+    def _report_progress(self, known_until: MonotonicTime) -> None:
+        if self._on_progress is not None:
+            self._on_progress(known_until)
+
     def _report_outcome(self, failure: Unavailable | None) -> None:
         self._on_outcome(failure)
         is_reachable = failure is None
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -8,6 +8,7 @@
 
 from ragwortfield.engine.cancellation_expiry import CancellationExpiry
 from ragwortfield.engine.change_feed import ChangeFeed, read_all_rows
+from ragwortfield.engine.inbox_follower import InboxFollower
 from ragwortfield.engine.learned_model_store import LearnedModelStore
 from ragwortfield.engine.owner_statistics import OwnerStatistics
 from ragwortfield.engine.row_names import (
@@ -21,7 +22,6 @@
 from ragwortfield.engine.shard_committer import CommitResult, ShardCommitter
 from ragwortfield.engine.shard_loading import (
     WorkerRegistry,
-    apply_inbox_rows,
     apply_job_row,
     apply_worker_rows,
     load_rows,
@@ -139,6 +139,14 @@
             statistics=self.statistics,
             on_update=self._round_due.set,
         )
+        self._inbox = InboxFollower(
+            shard=shard,
+            state=state,
+            store=store,
+            wall_clock=wall_clock,
+            on_update=self._round_due.set,
+            on_outcome=self._record_store_outcome,
+        )
         self._rounds = SchedulingRounds()
         self._last_round_at: MonotonicTime = 0
         self._state_logged_at: MonotonicTime = 0
@@ -273,6 +281,7 @@
 
     def _load_and_run(self) -> None:
         started_at = time.monotonic()
+        self.state.inbox_known_until = started_at
         inbox = self._read_all_rows(
             inbox_table(self.shard), partition_of_shard(self.shard)
         )
@@ -322,7 +331,8 @@
         self._spawn(
             self._model_store.save_periodically, self.state.interference_model
         )
-        self._spawn(self._follow_inbox, inbox_table(self.shard), inbox.version)
+        self._spawn(self._inbox.follow, inbox.version)
+        self._spawn(self._inbox.catch_up_when_due)
         self._spawn(self._follow_workers, listing.version)
         self._run_rounds()
 
@@ -335,15 +345,6 @@
             self._record_store_outcome(page)
             gevent.sleep(_RETRY_S)
 
-    def _follow_inbox(self, table: str, version: int) -> None:
-        ChangeFeed(
-            store=self._store,
-            table=table,
-            list_partitions=lambda: (partition_of_shard(self.shard),),
-            on_rows=self._on_inbox_rows,
-            on_outcome=self._record_store_outcome,
-        ).run(version)
-
     def _follow_workers(self, version: int) -> None:
         ChangeFeed(
             store=self._store,
@@ -353,19 +354,6 @@
             on_outcome=self._record_store_outcome,
         ).run(version)
 
-    def _on_inbox_rows(
-        self,
-        rows: tuple[StoredRow, ...],
-        _is_complete: bool,
-    ) -> None:
-        apply_inbox_rows(
-            self.state,
-            rows,
-            now=time.monotonic(),
-            wall_time=self._wall_clock.now(),
-        )
-        self._round_due.set()
-
     def _fetch_job(self, job_id: JobId) -> JobRuntimeState | None | Unavailable:
         name = job_row(self.shard, job_id)
         page = self._store.read(
@@ -579,6 +567,8 @@
             duration_s=now - started_at,
         )
         commits.apply_committed(self.state, batch, now)
+        if self.state.held_starts:
+            self._inbox.request_catch_up()
         self._worker_loops.send_orders()
         return True
 
--- a/ragwortfield/scheduling/commits.py
+++ b/ragwortfield/scheduling/commits.py
@@ -186,7 +186,25 @@
     state.removed_at_by_id.update(
         (job.job.job_id, now) for job in batch.removed
     )
-    for task, run in batch.starts:
+    state.held_starts.extend(batch.starts)
+    order_held_starts(state, now)
+
+
+def order_held_starts(state: ShardState, now: MonotonicTime) -> None:
+    """
+    Order the starts whose bindings are durable, once cancellations are known.
+
+    A commit can go through long after its bindings were made, and while the
+    change feed does not answer.
+
+    :param state: state of the shard.
+    :param now: monotonic time, in seconds.
+    """
+    if not state.is_inbox_current(now):
+        return
+    starts = state.held_starts
+    state.held_starts = []
+    for task, run in starts:
         if task.stage == RunStage.UNCOMMITTED and task.run == run:
             _order_committed_start(state, task, now)
 
--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -107,9 +107,12 @@
     """
     Queue unanswered start orders again; stop runs that get no answer.
 
+    No start is repeated while cancellations may be unknown.
+
     :param state: state of the shard.
     :param now: monotonic time, in seconds.
     """
+    is_inbox_current = state.is_inbox_current(now)
     unanswered = [
         (worker, task)
         for worker in state.worker_by_id.values()
@@ -121,7 +124,7 @@
         waited_s = now - task.start_sent_at
         if waited_s > _get_answer_timeout_s(worker, task):
             request_stop(state, task, now)
-        elif waited_s > _START_RETRY_INTERVAL_S:
+        elif waited_s > _START_RETRY_INTERVAL_S and is_inbox_current:
             queue_start_order(state, task, now)
 
 
--- a/ragwortfield/scheduling/scheduling_rounds.py
+++ b/ragwortfield/scheduling/scheduling_rounds.py
@@ -55,6 +55,7 @@
         :param is_binding_allowed: whether waiting tasks may be bound to
             workers.
         """
+        commits.order_held_starts(state, now)
         if now - self.last_slow_round_at > _SLOW_ROUND_INTERVAL_S:
             self.last_slow_round_at = now
             shard_updates.create_due_occurrences(state, wall_time)
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -1,5 +1,6 @@
 """In-memory state of one shard, held by its owner."""
 
+import math
 from dataclasses import dataclass, field
 
 from ragwortfield.ports.task_worker import PaceRun, StartRun, StopRun
@@ -53,6 +54,10 @@
         them.
     :param uncommitted_bindings: bindings that are not durable yet, with their
         run numbers.
+    :param held_starts: durable bindings whose starts are held back until
+        cancellations are known, with their run numbers.
+    :param inbox_known_until: monotonic time up to which all accepted jobs and
+        cancellations are known; infinite for a state that follows no store.
     :param repeating_job_ids: jobs that have occurrences left to create.
     :param cancelled_job_ids: cancelled jobs, including jobs not read yet.
     :param unmatched_since_by_id: cancelled jobs that are not known, with the
@@ -99,6 +104,8 @@
     uncommitted_bindings: list[tuple[TaskState, int]] = field(
         default_factory=list
     )
+    held_starts: list[tuple[TaskState, int]] = field(default_factory=list)
+    inbox_known_until: MonotonicTime = math.inf
     repeating_job_ids: set[JobId] = field(default_factory=set)
     cancelled_job_ids: set[JobId] = field(default_factory=set)
     unmatched_since_by_id: dict[JobId, MonotonicTime] = field(
@@ -127,6 +134,15 @@
         """Assume the worst about a former owner that has not answered."""
         self.former_owner_until = self.owner_since + self.bounds.unaware_s
 
+    def is_inbox_current(self, now: MonotonicTime) -> bool:
+        """
+        Check whether a job that counts as not cancelled may be started.
+
+        :param now: monotonic time, in seconds.
+        :returns: whether all cancellations are known but the latest ones.
+        """
+        return now - self.inbox_known_until <= self.bounds.inbox_age_s
+
     def former_run_end(self, worker_id: WorkerId) -> MonotonicTime:
         """
         Return when all that former owners started on a worker has ended.
--- a/ragwortfield/scheduling/timing_bounds.py
+++ b/ragwortfield/scheduling/timing_bounds.py
@@ -31,6 +31,10 @@
         died. One that was paused had been silent for a while when it was
         replaced, and once a whole lease has passed since the pause began, it
         finds all leases expired that it could extend.
+    :param inbox_age_s: longest time, in seconds, since which cancellations may
+        be unknown when a start is ordered. An owner that learns of them later
+        holds its starts back. The platform allows 3 s and more from the
+        acknowledgement of a cancellation to the last start.
     :param late_order_s: longest time, in seconds, after which a worker carries
         out an order that it has received and not answered.
     """
@@ -41,6 +45,7 @@
     contact_s: Seconds = 1.2
     status_s: Seconds = 120
     unaware_s: Seconds = 3.5
+    inbox_age_s: Seconds = 1.8
     late_order_s: Seconds = 15
 
     def longest_lease_s(self) -> Seconds:
--- a/ragwortfield/settings/scheduler.py
+++ b/ragwortfield/settings/scheduler.py
@@ -127,7 +127,13 @@
         if split_address(address) is None
     ]
     bounds = settings.bounds
-    for key in ('lease_s', 'longest_lease_ms', 'start_window_s', 'status_s'):
+    for key in (
+        'lease_s',
+        'longest_lease_ms',
+        'start_window_s',
+        'status_s',
+        'inbox_age_s',
+    ):
         if getattr(bounds, key) <= 0:
             problems.append(
                 f"key 'bounds.{key}' is {getattr(bounds, key)}, "
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -146,6 +146,7 @@
         )
         self.load_step_count = len(list(steps))
         self.feed_version = inbox.version
+        self.state.inbox_known_until = self.world.now
         self.is_loaded = True
 
     def act(self, is_renewing_leases=True):
@@ -227,6 +228,7 @@
         if isinstance(page, Unavailable):
             return
         self.feed_version = page.version
+        self.state.inbox_known_until = self.world.now
         self._apply_inbox(page.rows)
         self._update_workers()
         shard_updates.update_catalogue(self.state, self.world.catalogue)
