An owner stops once a successor has taken its shard

What callers could see: orders of a replaced owner beside those of its successor, until the change feed or the successor's call stops it.

Cause: an owner that does not reach the store offers its shard. When the store was back before the answer, it returned without reading the answer, also if that says that the shard was taken.

Change: the answer is read first.

Failed before: test_owner_stops_once_its_shard_is_taken: Expected 'stop' to have been called once. Called 0 times.

--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -594,14 +594,14 @@
                 {'shard': shard, 'version': runner.owner_version()},
                 _OFFER_TIMEOUT_S,
             )
+            if not isinstance(answer, Unavailable) and answer['taken']:
+                runner.stop(f'handed over to {member.instance_id}')
+                return
             if (
                 runner.store_outage_s() <= _STORE_OUTAGE_LIMIT_S
                 or runner.is_stopped
             ):
                 return
-            if not isinstance(answer, Unavailable) and answer['taken']:
-                runner.stop(f'handed over to {member.instance_id}')
-                return
 
     def _is_store_healthy(self, shard: int) -> bool:
         started_at = time.monotonic()
