A replaced owner does not call an offered shard taken

What callers could see: a shard without an owner for a second.

Cause: a member that has a runner of the shard answered each offer with "taken", also if it had not noticed yet that the offering owner had replaced it. The owner then stopped, and nobody owned the shard.

Change: it says so only if its owner row is newer than the offered one.

Failed before: test_replaced_owner_does_not_call_an_offered_shard_taken: True is not false.

--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -252,12 +252,14 @@
         :returns: whether the shard was taken over.
         """
         shard = int(body['shard'])
+        version = int(body['version'])
+        runner = self.runner(shard)
+        if runner is not None:
+            return {'taken': runner.owner_version() > version}
         if self.is_leaving or not self._is_store_healthy(shard):
             return {'taken': False}
         is_taken = self._take_over(
-            shard,
-            'offered by its owner',
-            known_version=int(body['version']),
+            shard, 'offered by its owner', known_version=version
         )
         return {'taken': is_taken}
 
--- a/ragwortfield/tests/test_shard_offers.py
+++ b/ragwortfield/tests/test_shard_offers.py
@@ -69,3 +69,15 @@
     def test_owner_that_reaches_the_store_again_asks_no_other(self):
         self.assertEqual(self.offer(is_taken=False, is_store_back=True), 1)
         self.runner.stop.assert_not_called()
+
+    # Guards against a shard without an owner: the owner stops because a member
+    # calls it taken, which has not noticed that this owner had replaced it.
+    def test_replaced_owner_does_not_call_an_offered_shard_taken(self):
+        self.runner.owner_version.return_value = 3
+        answer = self.ownership.answer_shard_offer({'shard': 0, 'version': 7})
+        self.assertFalse(answer['taken'])
+
+    def test_repeated_offer_of_a_taken_shard_is_answered_alike(self):
+        self.runner.owner_version.return_value = 8
+        answer = self.ownership.answer_shard_offer({'shard': 0, 'version': 7})
+        self.assertTrue(answer['taken'])
