--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -257,12 +257,14 @@
         :returns: whether the shard was taken over.
         """
         shard = int(body['shard'])
+        version = int(body['version'])
+        runner = self.runner(shard)
+        if runner is not None:
+            return {'taken': runner.owner_version() > version}
         if self.is_leaving or not self._is_store_healthy(shard):
             return {'taken': False}
         is_taken = self._take_over(
-            shard,
-            'offered by its owner',
-            known_version=int(body['version']),
+            shard, 'offered by its owner', known_version=version
         )
         return {'taken': is_taken}
 
@@ -627,14 +629,14 @@
                 {'shard': shard, 'version': runner.owner_version()},
                 _OFFER_TIMEOUT_S,
             )
+            if not isinstance(answer, Unavailable) and answer['taken']:
+                runner.stop(f'handed over to {member.instance_id}')
+                return
             if (
                 runner.store_outage_s() <= _STORE_OUTAGE_LIMIT_S
                 or runner.is_stopped
             ):
                 return
-            if not isinstance(answer, Unavailable) and answer['taken']:
-                runner.stop(f'handed over to {member.instance_id}')
-                return
 
     def _is_store_healthy(self, shard: int) -> bool:
         started_at = time.monotonic()
