Invariants of the change of owners in the running program

Until now only tests checked that a successor waits for the former owner and that no task runs twice. former_owner_over is asked from what the owner has seen, apart from the computed end of the lease, before runs of a worker are given up that has not reported: a violation is logged and counted, and the runs are kept. task_runs_once logs an earlier run that a worker reports while the task runs elsewhere; that run is stopped, as before.

--- a/ragwortfield/scheduling/ownership_confirmation.py
+++ b/ragwortfield/scheduling/ownership_confirmation.py
@@ -184,6 +184,14 @@
         if 2 * len(self._fenced_worker_ids) >= len(self.electorate):
             self.fenced_at = now
 
+    def count_unfenced(self) -> int:
+        """
+        Count the workers that may still accept an earlier owner's token.
+
+        :returns: number of workers.
+        """
+        return len(set(self.electorate) - self._fenced_worker_ids)
+
     def record_ended(self, epoch: int) -> None:
         """
         Record that the process of an earlier owner has ended.
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -16,6 +16,10 @@
 )
 from ragwortfield.scheduling.fence_refusals import record_fence_refusal
 from ragwortfield.scheduling.job_state import RunStage, TaskState
+from ragwortfield.scheduling.ownership_invariants import (
+    check_former_owner,
+    check_single_run,
+)
 from ragwortfield.scheduling.records import TaskPhase
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.task_lifecycle import (
@@ -206,9 +210,7 @@
         if not worker.is_listed and not worker.run_by_key:
             del state.worker_by_id[worker.worker_id]
             continue
-        if not worker.run_by_key or worker.is_in_contact(state.bounds, now):
-            continue
-        if worker.is_lease_expired(now, state.former_run_end(worker.worker_id)):
+        if worker.run_by_key and _is_lease_over(state, worker, now):
             _release_expired_runs(state, worker, now)
 
 
@@ -220,6 +222,19 @@
                 request_stop(state, task, now)
 
 
+def _is_lease_over(
+    state: ShardState, worker: WorkerState, now: MonotonicTime
+) -> bool:
+    former_run_end = state.former_run_end(worker.worker_id)
+    if worker.is_in_contact(state.bounds, now):
+        return False
+    if not worker.is_lease_expired(now, former_run_end):
+        return False
+    return bool(worker.first_reported_at) or check_former_owner(
+        state, worker, now
+    )
+
+
 def _get_start_clock_ms(
     state: ShardState, order: StartRun, done: OrderDone
 ) -> int:
@@ -360,6 +375,8 @@
     )
     if task is None or not is_bound:
         _stop_unexpected_run(state, worker, run)
+        if task is not None:
+            check_single_run(state, task, worker, run)
         return
     if task.stage != RunStage.STOPPING:
         _confirm_run(state, task, clock_ms, now)
