--- a/ragwortfield/platform/faulty_servers.py
+++ b/ragwortfield/platform/faulty_servers.py
@@ -4,6 +4,7 @@
 import struct
 from collections import defaultdict
 from collections.abc import Callable, Iterable
+from contextvars import ContextVar
 from dataclasses import dataclass, field
 from enum import StrEnum
 from http import HTTPStatus
@@ -33,6 +34,9 @@
 #: Calls that change something.
 _WRITE_PATHS = frozenset(('/rows-tx', '/run-start', '/run-stop', '/pace'))
 
+#: Local address of the connection on which the current call has arrived.
+CALLED_HOST: ContextVar[str] = ContextVar('called_host', default='')
+
 
 class FaultKind(StrEnum):
     """What happens to all calls of a server."""
@@ -237,6 +241,7 @@
         :returns: chunks of the response body.
         """
         host = environ[_SOCKET_KEY].getsockname()[0]
+        CALLED_HOST.set(host)
         if host not in self._server_by_host:
             self._server_by_host[host] = FaultyServer(
                 application=self._application,
--- a/ragwortfield/soak/callers.py
+++ b/ragwortfield/soak/callers.py
@@ -146,14 +146,17 @@
 
     def cancel(self, job: SubmittedJob) -> None:
         """
-        Cancel a job, with repeats.
+        Cancel a job, with repeats, unless somebody has done so.
 
         :param job: the job.
         """
+        if job.cancelled_at is not None:
+            return
         job.cancelled_at = time.monotonic()
         for _ in range(_RETRIES + 1):
             exchange = self.request(self._choose_caller(), 'DELETE', job)
             if exchange.status in {_STATUS_OK, _STATUS_GONE}:
+                job.cancel_answered_at = exchange.ended_at
                 return
             gevent.sleep(_RETRY_S)
 
--- a/ragwortfield/soak/checks.py
+++ b/ragwortfield/soak/checks.py
@@ -11,6 +11,12 @@
 from ragwortfield.soak.callers import CallerPool, Exchange
 from ragwortfield.soak.deployment import SoakDeployment
 from ragwortfield.soak.jobs import SubmittedJob
+from ragwortfield.soak.run_history import (
+    RecordedRun,
+    list_overlaps,
+    list_runs,
+    list_starts_after_end,
+)
 from ragwortfield.soak.timeline import Timeline
 from ragwortfield.types import JobId, MonotonicTime, Seconds
 
@@ -28,9 +34,10 @@
 _MAX_IDLE_S: Seconds = 3
 #: Attempts of a task after which its job fails.
 _ATTEMPTS = 2
-#: Time after the acknowledgement of an end in which a start may still be under
-#: way, in seconds.
-_START_SLACK_S: Seconds = 1
+#: Time from the answer to a cancellation in which tasks of the job may still
+#: be started, and time that a stop takes, in seconds.
+_CANCEL_S: Seconds = 3
+_STOP_S: Seconds = 0.4
 _WATCH_INTERVAL_S: Seconds = 0.1
 #: Number of requests for the state of a job at the end.
 _FINAL_REQUESTS = 3
@@ -87,6 +94,7 @@
                 if count > 1:
                     self._report(key, 'TWICE: two runs at a time', task=key)
             self._check_lasting_tasks(runs)
+            self._check_cancelled_jobs(runs)
             self._update_idle_jobs(runs)
 
     def check_end(self, callers: CallerPool) -> None:
@@ -100,7 +108,7 @@
             for job in self.deployment.jobs.list_accepted()
         ]
         gevent.joinall(requests)
-        self._check_starts_after_end()
+        self._check_runs()
 
     def _check_cut(self, exchange: Exchange) -> None:
         sent_at = exchange.sent_at or 0
@@ -236,16 +244,62 @@
                 idle_s=round(idle_s, 3),
             )
 
-    def _check_starts_after_end(self) -> None:
-        noted_at: dict[TaskKey, MonotonicTime] = {}
-        for kind, at, key, _, detail in self._list_history():
-            if kind == 'noted' and detail == EndKind.DONE:
-                noted_at[key] = min(at, noted_at.get(key, at))
-        for kind, at, key, run, _ in self._list_history():
-            is_late = at > noted_at.get(key, at) + _START_SLACK_S
-            if kind == 'start' and is_late:
+    def _check_runs(self) -> None:
+        """Check the runs of the workers."""
+        hosts = self.deployment.workers
+        for earlier, later in list_overlaps(hosts):
+            self._report(
+                earlier.key,
+                'TWICE: two runs at a time',
+                task=earlier.key,
+                runs=self._describe(earlier, later),
+            )
+        for done, later in list_starts_after_end(hosts):
+            self._report(
+                done.key,
+                'TWICE: start after its end',
+                task=done.key,
+                runs=self._describe(done, later),
+            )
+        runs_by_key = list_runs(hosts)
+        job_by_id = self.deployment.jobs.job_by_id
+        for key, runs in runs_by_key.items():
+            for run in runs:
+                self._check_asked(run, job_by_id[key.job_id])
+
+    def _describe(self, *runs: RecordedRun) -> list[str]:
+        return [run.text(self.timeline.started_at) for run in runs]
+
+    def _check_asked(self, run: RecordedRun, job: SubmittedJob) -> None:
+        answered_at = job.cancel_answered_at
+        if answered_at is None or run.started_at < answered_at + _CANCEL_S:
+            return
+        starter = self.deployment.find_caller(run.caller_host)
+        # Orders that were held up do not count, nor those of an instance that
+        # may not have heard of the cancellation.
+        if all(
+            self.timeline.is_in_touch(name, run.started_at, run.started_at)
+            for name in (starter, run.worker_id, '')
+        ):
+            self.timeline.violate(
+                'UNASKED: start after a cancellation',
+                task=run.key,
+                runs=self._describe(run),
+                starter=starter,
+                after_s=round(run.started_at - answered_at, 3),
+            )
+
+    def _check_cancelled_jobs(self, runs: Counter[TaskKey]) -> None:
+        calm_since = self.timeline.calm_since()
+        running = {key.job_id for key in runs}
+        for job in self.deployment.jobs.list_cancelled():
+            since = max(calm_since, job.cancel_answered_at or 0)
+            late_s = time.monotonic() - since - _CANCEL_S - _STOP_S
+            if job.job_id in running and late_s > _WATCH_INTERVAL_S:
                 self._report(
-                    key, 'TWICE: start after its end', task=key, run=run
+                    job.job_id,
+                    'UNASKED: a cancelled job runs on',
+                    job=job.job_id,
                 )
 
     def _list_history(self) -> list[tuple[str, float, TaskKey, int, str]]:
--- a/ragwortfield/soak/cuts.py
+++ b/ragwortfield/soak/cuts.py
@@ -61,6 +61,19 @@
             for host in hosts
         ]
 
+    def calls(self, caller: InstanceProcess) -> list[CallFaults]:
+        """
+        Find the links on which an instance calls the store and its peers.
+
+        :param caller: the instance.
+        :returns: the faults of each link.
+        """
+        return self.store(caller) + [
+            fault
+            for peer in self.deployment.instances
+            for fault in self.peers([caller], peer)
+        ]
+
     def around(self, centre: InstanceProcess) -> list[CallFaults]:
         """
         Find all links between an instance, the store and its peers.
@@ -68,11 +81,8 @@
         :param centre: the instance.
         :returns: the faults of each link.
         """
-        peers = self.deployment.instances
-        from_centre = [
-            fault for peer in peers for fault in self.peers([centre], peer)
-        ]
-        return self.store(centre) + self.peers(peers, centre) + from_centre
+        called = self.peers(self.deployment.instances, centre)
+        return self.calls(centre) + called
 
     def isolation(
         self, centre: InstanceProcess, kept: Iterable[WorkerHost]
@@ -102,6 +112,8 @@
     """
     Cut links until the context ends.
 
+    Links that another fault has struck meanwhile are left to that one.
+
     :param faults: faults of the links.
     :param kind: what happens to the calls.
     """
@@ -109,4 +121,5 @@
         fault.kind = kind
     yield
     for fault in faults:
-        fault.kind = FaultKind.NONE
+        if fault.kind == kind:
+            fault.kind = FaultKind.NONE
--- a/ragwortfield/soak/deployment.py
+++ b/ragwortfield/soak/deployment.py
@@ -176,6 +176,19 @@
             )
         ]
 
+    def find_caller(self, host: str) -> str:
+        """
+        Find an instance by the host under which it sees others.
+
+        :param host: the host.
+        :returns: name of the instance.
+        """
+        return next(
+            instance.name
+            for instance in (*self.instances, *self.departed)
+            if instance.caller_host == host
+        )
+
     def wait_until_serving(self, timeout_s: Seconds) -> bool:
         """
         Wait until a shard has an owner.
--- a/ragwortfield/soak/jobs.py
+++ b/ragwortfield/soak/jobs.py
@@ -25,6 +25,7 @@
     :param is_impossible: whether all its tasks fail.
     :param accepted_at: first time of a response that accepted it.
     :param cancelled_at: time at which its caller first sent a cancellation.
+    :param cancel_answered_at: time of the first response to a cancellation.
     :param shown_state: last state that a response showed.
     """
 
@@ -34,6 +35,7 @@
     is_impossible: bool
     accepted_at: MonotonicTime | None = None
     cancelled_at: MonotonicTime | None = None
+    cancel_answered_at: MonotonicTime | None = None
     shown_state: str = ''
 
     @property
@@ -106,6 +108,18 @@
             if job.accepted_at is not None and job.cancelled_at is None
         ]
 
+    def list_cancelled(self) -> list[SubmittedJob]:
+        """
+        List the jobs whose cancellation was answered.
+
+        :returns: the jobs in the order of their creation.
+        """
+        return [
+            job
+            for job in self.job_by_id.values()
+            if job.cancel_answered_at is not None
+        ]
+
     def find_resources(self, key: TaskKey) -> Resources:
         """
         Find what a task uses.
--- a/ragwortfield/soak/run.py
+++ b/ragwortfield/soak/run.py
@@ -11,6 +11,7 @@
 
 from ragwortfield.soak.callers import CallerPool
 from ragwortfield.soak.checks import Checker
+from ragwortfield.soak.cut_faults import CutFaults
 from ragwortfield.soak.deployment import SoakDeployment
 from ragwortfield.soak.instance_faults import InstanceFaults
 from ragwortfield.soak.jobs import JobBook
@@ -21,9 +22,10 @@
 from ragwortfield.types import Seconds
 
 #: Kinds of faults that a run draws from: planned work only, one fault after
-#: another, faults that overlap, the loss of all instances at one moment, and
-#: the loss of owners in series, at last together with workers.
-THEMES = ('planned', 'series', 'overlapping', 'power', 'owners')
+#: another, faults that overlap, the loss of all instances at one moment, the
+#: loss of owners in series, at last together with workers, and cuts between
+#: single instances and workers while jobs are cancelled.
+THEMES = ('planned', 'series', 'overlapping', 'power', 'owners', 'cuts')
 #: Faults of owners, and longest pause between two of them, in seconds.
 _OWNER_FAULTS = ('owner_gone', 'owner_kill', 'owner_power', 'owner_term')
 _OWNER_PAUSE_S: Seconds = 5
@@ -195,12 +197,22 @@
             callers=self._callers,
         )
         return {
+            **self._list_cuts(),
             **instances.planned(),
             **instances.unplanned(),
             **platform.planned(),
             **platform.unplanned(),
         }
 
+    def _list_cuts(self) -> dict[str, Callable[[], None]]:
+        cuts = CutFaults(
+            deployment=self._deployment,
+            timeline=self._timeline,
+            random=self._random,
+            callers=self._callers,
+        )
+        return cuts.unplanned()
+
     def _draw_kinds(
         self, strike_by_kind: dict[str, Callable[[], None]]
     ) -> tuple[str, ...]:
@@ -216,15 +228,20 @@
         )
         if self._plan.theme == 'planned':
             return tuple(self._random.choices(planned, k=4))
+        if self._plan.theme == 'cuts':
+            cuts = self._random.choices(sorted(self._list_cuts()), k=2)
+            other = self._random.choice(sorted(strike_by_kind))
+            return ('cancel_wave', *cuts, other)
         if self._plan.theme == 'owners':
             count = self._random.randint(0, 3)
             series = self._random.choices(_OWNER_FAULTS, k=count)
             return (*series, 'srv_gone', self._random.choice(_OWNER_FAULTS))
+        uncut = sorted(strike_by_kind.keys() - self._list_cuts().keys())
         if self._plan.theme == 'power':
             herd = self._random.choice(('herd_kill', 'herd_power'))
-            other = self._random.choice(sorted(strike_by_kind))
+            other = self._random.choice(uncut)
             return self._random.choice(((other, herd), ('srv_gone', herd)))
-        return tuple(self._random.choices(sorted(strike_by_kind), k=4))
+        return tuple(self._random.choices(uncut, k=4))
 
     def _draw_times(self, count: int, window_s: Seconds) -> list[Seconds]:
         if self._plan.theme not in {'owners', 'power'}:
--- a/ragwortfield/soak/run_history.py
+++ b/ragwortfield/soak/run_history.py
@@ -1,9 +1,11 @@
 """Runs of tasks as the workers have recorded them."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from ragwortfield.ports.task_worker import EndKind
 from ragwortfield.scheduling.job import TaskKey
 from ragwortfield.soak.workers import WorkerHost
 from ragwortfield.types import MonotonicTime, WorkerId
@@ -18,6 +20,9 @@
 
     :param number: number of the run.
     :param fencing_token: token of the owner that started it.
+    :param caller_host: host under which that owner sees others.
+    :param noted_at: time at which its end was acknowledged before the lease of
+        the worker had expired; infinite if it was not.
     :param ended_at: its end; infinite while it goes on.
     :param how: how it ended; empty while it goes on.
     """
@@ -26,9 +31,27 @@
     worker_id: WorkerId
     number: int
     fencing_token: int
+    caller_host: str
     started_at: MonotonicTime
-    ended_at: MonotonicTime = float('inf')
+    ended_at: MonotonicTime = math.inf
     how: str = ''
+    noted_at: MonotonicTime = math.inf
+
+    def text(self, since: MonotonicTime) -> str:
+        """
+        Describe the run in one line.
+
+        :param since: time from which times are counted.
+        :returns: number, worker, token, times in seconds and end.
+        """
+        times = ' to '.join(
+            f'{at - since:.2f}'
+            for at in (self.started_at, self.ended_at, self.noted_at)
+        )
+        return (
+            f'run {self.number} on {self.worker_id} under {self.fencing_token} '
+            f'from {times} {self.how}'
+        )
 
 
 def list_runs(hosts: Iterable[WorkerHost]) -> dict[TaskKey, list[RecordedRun]]:
@@ -66,6 +89,33 @@
     return overlaps
 
 
+def list_starts_after_end(
+    hosts: Iterable[WorkerHost],
+) -> list[tuple[RecordedRun, RecordedRun]]:
+    """
+    List runs that began after another run of their task had ended as done.
+
+    Ends count that were acknowledged, at any time, before the lease of their
+    worker had expired.
+
+    :param hosts: all workers.
+    :returns: the run that was done and the later one of each case.
+    """
+    repeats = []
+    for runs in list_runs(hosts).values():
+        noted = [
+            run
+            for run in runs
+            if run.how == EndKind.DONE and run.noted_at < math.inf
+        ]
+        if noted:
+            first = min(noted, key=lambda run: run.ended_at)
+            repeats.extend(
+                (first, run) for run in runs if run.started_at > first.ended_at
+            )
+    return repeats
+
+
 def _list_runs_of_worker(host: WorkerHost) -> list[RecordedRun]:
     worker = host.worker
     runs: list[RecordedRun] = []
@@ -79,7 +129,8 @@
                     key=key,
                     worker_id=worker.worker_id,
                     number=number,
-                    fencing_token=worker.token_by_run[key, number],
+                    fencing_token=worker.starter_by_run[key, number][0],
+                    caller_host=worker.starter_by_run[key, number][1],
                     started_at=at,
                 )
             )
@@ -88,4 +139,7 @@
             runs[position] = replace(
                 runs[position], ended_at=at, how=detail or kind
             )
+        elif kind == 'noted':
+            position = position_by_number[key, number]
+            runs[position] = replace(runs[position], noted_at=at)
     return runs
--- a/ragwortfield/soak/timeline.py
+++ b/ragwortfield/soak/timeline.py
@@ -1,6 +1,7 @@
 """Record of what happened in a soak, and which times were undisturbed."""
 
 import json
+import math
 import time
 from dataclasses import dataclass, field
 from typing import Any, TextIO
@@ -23,7 +24,8 @@
     Fault or planned work.
 
     :param is_planned: whether it is planned work.
-    :param target: instance that it strikes; empty for any other part.
+    :param target: instance or worker that it strikes; empty for any other
+        part.
     :param ended_at: its end; ``None`` while it goes on.
     """
 
@@ -139,25 +141,38 @@
 
     def is_in_touch(
         self,
-        instance: str,
+        target: str,
         started_at: MonotonicTime,
         ended_at: MonotonicTime,
     ) -> bool:
         """
-        Check whether an instance and the store were undisturbed.
+        Check whether an instance or a worker and the store were undisturbed.
 
-        :param instance: name of the instance.
+        :param target: name of the instance or the worker.
         :param started_at: start of the period.
         :param ended_at: end of the period.
         :returns: whether they were for the whole period and the contact time
             before it.
         """
         return not any(
-            disruption.target in {instance, STORE}
+            disruption.target in {target, STORE}
             and disruption.touches(started_at - CONTACT_S, ended_at)
             for disruption in self.disruptions
         )
 
+    def calm_since(self) -> MonotonicTime:
+        """
+        Find since when all processes, workers and links are in contact.
+
+        :returns: time by which the contact time after the last disruption is
+            over; infinite while one goes on.
+        """
+        ends = [
+            math.inf if disruption.ended_at is None else disruption.ended_at
+            for disruption in self.disruptions
+        ]
+        return max(ends, default=self.started_at) + CONTACT_S
+
     def is_end_excused(self, instance: str) -> bool:
         """
         Check whether a process may end by itself now.
--- a/ragwortfield/soak/workers.py
+++ b/ragwortfield/soak/workers.py
@@ -13,6 +13,7 @@
     encode_worker_entry,
 )
 from ragwortfield.platform.faulty_servers import (
+    CALLED_HOST,
     CallerFaults,
     CallFaults,
     FaultKind,
@@ -60,13 +61,16 @@
     Fake worker that refuses starts beyond its capacity.
 
     :param find_resources: finds what a task uses.
-    :param token_by_run: fencing token under which each run was started.
+    :param starter_by_run: fencing token under which each run was started, and
+        host under which the instance that started it sees others.
     :param last_lease_at_by_token: time of the last lease order that was
         carried out under each fencing token.
     """
 
     find_resources: Callable[[TaskKey], Resources]
-    token_by_run: dict[tuple[TaskKey, int], int] = field(default_factory=dict)
+    starter_by_run: dict[tuple[TaskKey, int], tuple[int, str]] = field(
+        default_factory=dict
+    )
     last_lease_at_by_token: dict[int, MonotonicTime] = field(
         default_factory=dict
     )
@@ -91,7 +95,10 @@
         outcome = FakeTaskWorker.start(self, order)
         # Leases that have expired are recorded by the same call.
         if any(entry[0] == 'start' for entry in self.history[recorded:]):
-            self.token_by_run[order.key, order.run] = order.fencing_token
+            self.starter_by_run[order.key, order.run] = (
+                order.fencing_token,
+                CALLED_HOST.get(),
+            )
         return outcome
 
     def renew_lease(self, order: LeaseOrder) -> LeaseReport | OrderRefused:
--- a/ragwortfield/tests/test_soak.py
+++ b/ragwortfield/tests/test_soak.py
@@ -35,6 +35,16 @@
         self.assertEqual(report.violations, ())
         self.assertEqual(len(report.struck), 2)
 
+    # Guards against two runs of one task, and tasks of cancelled jobs that run
+    # on, while an owner is cut off with some of the workers, other workers
+    # carry out their orders late, and jobs are cancelled.
+    def test_isolated_owner_beside_cancellations_runs_nothing_twice(self):
+        report = self.run_kinds(
+            'cuts', 'owner_isolated', 'srv_freeze', 'cancel_wave'
+        )
+        self.assertEqual(report.violations, ())
+        self.assertEqual(len(report.struck), 3)
+
 
 class TemplateTest(unittest.TestCase):
     def test_placeholders_are_filled_in_from_tables_and_lists(self):
