--- a/ragwortfield/tests/test_isolated_owner_processes.py
+++ b/ragwortfield/tests/test_isolated_owner_processes.py
@@ -31,6 +31,12 @@
 _ISOLATION_S = 16
 _SETTLE_S = 4
 _TERM_EVENTS = 'event=(takeover|shard_left|former_owner_answered|lease_lapsed)'
+#: Time for which the first successor of an isolated owner lives.
+_SUCCESSOR_TERM_S = 1
+
+
+def set_of_names(instances):
+    return {instance.name for instance in instances}
 
 
 class IsolatedOwnerTest(unittest.TestCase):
@@ -80,6 +86,16 @@
             len(host.worker.run_by_key) for host in self.deployment.workers
         )
 
+    def await_other_owner(self, *former):
+        """Wait for an owner that is none of these, and return it."""
+        self.await_true(
+            lambda: (
+                set_of_names(self.deployment.list_owners())
+                - set_of_names(former)
+            )
+        )
+        return self.deployment.list_owners()[0]
+
     def list_busiest(self):
         """List half of the workers that run tasks, the busiest first."""
         busy = [
@@ -143,3 +159,20 @@
         gevent.sleep(_SETTLE_S)
         self.assertNotEqual(self.deployment.list_owners(), [owner])
         self.assert_nothing_ran_twice()
+
+    # Guards against two runs of one task after two changes of owner in quick
+    # succession: the first successor of an isolated owner is killed a second
+    # after its takeover, and the second one takes its end for the end of all.
+    def test_second_successor_of_an_isolated_owner_runs_nothing_twice(self):
+        (owner,) = self.deployment.list_owners()
+        kept = self.list_busiest()
+        with cut(self.links.isolation(owner, kept), FaultKind.SILENT):
+            cut_at = time.monotonic()
+            successor = self.await_other_owner(owner)
+            gevent.sleep(_SUCCESSOR_TERM_S)
+            successor.kill()
+            successor.start()
+            self.await_other_owner(owner, successor)
+            gevent.sleep(cut_at + _ISOLATION_S - time.monotonic())
+        gevent.sleep(_SETTLE_S)
+        self.assert_nothing_ran_twice()
