Leases: the log tells who extends them, and why they count as lapsed

Callers' view: in the users' record nothing tells until when a replaced owner extended leases, nor from what a new owner concluded that runs were over.

Change: worker_adopted is a worker's first report to an owner: epoch, clock, end of the inherited lease, runs found. order_fenced is the first refusal of an order for its epoch until the owner row is checked. lease_lapsed tells epoch, time since the takeover, whether the worker had reported to this owner, the bound (own_lease, former_answer, former_unaware) with its inputs, and up to 8 tasks. shard_left tells the age of the latest answer of the store, of the latest accepted lease order, and which workers' leases may last. former_owner_answered tells the epoch and the term of the former owner. No decision changes.

--- a/ragwortfield/engine/former_owner_calls.py
+++ b/ragwortfield/engine/former_owner_calls.py
@@ -103,12 +103,19 @@
     now = time.monotonic()
     is_same_process = answer['incarnation'] == incarnation
     remaining = answer['remaining'] if is_same_process else None
+    runner.state.former_answer = _name_answer(
+        remaining, is_same_process=is_same_process
+    )
     event(
         'former_owner_answered',
         shard=runner.shard,
         epoch=runner.state.epoch,
         former=instance_id,
+        former_epoch=former.record.epoch,
         is_same_process=is_same_process,
+        answer=runner.state.former_answer,
+        owned_s=now - runner.state.owner_since,
+        former_term_s=now - former.seen_at,
         workers=-1 if remaining is None else len(remaining),
     )
     if remaining is not None:
@@ -117,6 +124,16 @@
         record_ended_owner(runner.state, former.seen_at, now)
 
 
+def _name_answer(
+    remaining_s_by_worker: dict[WorkerId, Seconds] | None,
+    *,
+    is_same_process: bool,
+) -> str:
+    if not is_same_process:
+        return 'process_ended'
+    return 'unknown' if remaining_s_by_worker is None else 'leases'
+
+
 def _check_times(
     remaining_s_by_worker: dict[WorkerId, Seconds],
 ) -> dict[WorkerId, Seconds]:
--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -547,6 +547,9 @@
                 is_process_bound=is_bound,
             ),
         )
+        if former is not None:
+            runner.state.former_id = former.record.last_holder()[0]
+            runner.state.former_epoch = former.record.epoch
         former_runner = self.runner_by_shard.get(shard)
         self.runner_by_shard[shard] = runner
         runner.start()
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -50,6 +50,7 @@
     get_job_status,
     summarise_shard,
 )
+from ragwortfield.scheduling.lease_log import describe_held_leases
 from ragwortfield.scheduling.scheduling_rounds import SchedulingRounds
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.task_lifecycle import format_task_key
@@ -141,6 +142,7 @@
         )
         self._rounds = SchedulingRounds()
         self._last_round_at: MonotonicTime = 0
+        self._store_answered_at: MonotonicTime = 0
         self._state_logged_at: MonotonicTime = 0
         self._outcomes_logged_at: MonotonicTime = 0
         self._last_suspended_s = _total_suspended_s()
@@ -168,11 +170,17 @@
             ],
             block=False,
         )
+        now = time.monotonic()
         event(
             'shard_left',
             shard=self.shard,
             epoch=self.state.epoch,
             reason=reason,
+            owned_s=now - self.state.owner_since,
+            store_age_s=now - self._store_answered_at
+            if self._store_answered_at
+            else -1,
+            **describe_held_leases(self.state, now),
         )
 
     def quiesce(self, timeout_s: Seconds) -> None:
@@ -584,6 +592,7 @@
 
     def _record_store_outcome(self, failure: Unavailable | None) -> None:
         if failure is None:
+            self._store_answered_at = time.monotonic()
             if self.failing_since:
                 event('store_regained', shard=self.shard)
             self.failing_since = 0
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -134,6 +134,7 @@
             now = time.monotonic()
             if isinstance(report, LeaseReport):
                 self._log_recovery(worker_id, now)
+                leases.record_extension(worker, order, report, now)
                 self._statistics.record_report(
                     worker,
                     now,
--- a/ragwortfield/scheduling/fence_refusals.py
+++ b/ragwortfield/scheduling/fence_refusals.py
@@ -28,6 +28,18 @@
     """
     if now < worker.fence_ignored_until:
         return False
+    if not state.is_newer_owner_claimed:
+        # Further refusals until the owner row is checked tell nothing new.
+        event(
+            'order_fenced',
+            worker=worker.worker_id,
+            epoch=state.epoch,
+            owned_s=now - state.owner_since,
+            report_age_s=now - worker.reported_at
+            if worker.first_reported_at
+            else -1,
+            tasks=len(worker.run_by_key),
+        )
     worker.is_newer_owner_claimed = True
     state.is_newer_owner_claimed = True
     return True
--- a/ragwortfield/scheduling/leases.py
+++ b/ragwortfield/scheduling/leases.py
@@ -65,6 +65,24 @@
     return order.acknowledged_end if report.is_order_applied else 0
 
 
+def record_extension(
+    worker: WorkerState,
+    order: LeaseOrder,
+    report: LeaseReport,
+    now: MonotonicTime,
+) -> None:
+    """
+    Record, for the log, that a worker has accepted an order on its lease.
+
+    :param worker: the worker.
+    :param order: the order.
+    :param report: the worker's answer to it.
+    :param now: monotonic time, in seconds.
+    """
+    if report.is_order_applied and order.deadline_ms is not None:
+        worker.lease_extended_at = now
+
+
 def record_missing_report(worker: WorkerState) -> None:
     """Record that a poll of a worker ended without a report."""
     worker.is_responding = False
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -20,7 +20,13 @@
 )
 from ragwortfield.scheduling.worker_ranking import UnmetNeeds
 from ragwortfield.scheduling.worker_state import ChangeCounter, WorkerState
-from ragwortfield.types import JobId, MonotonicTime, Seconds, WorkerId
+from ragwortfield.types import (
+    InstanceId,
+    JobId,
+    MonotonicTime,
+    Seconds,
+    WorkerId,
+)
 
 #: Error allowed for in wall-clock times, in seconds, because the wall clock can
 #: jump by several seconds.
@@ -80,6 +86,9 @@
         owner has told it.
     :param is_newer_owner_claimed: whether a worker has refused an order as that
         of a replaced owner; the owner row decides.
+    :param former_id: the owner before this one, for the log; empty for none.
+    :param former_epoch: its fencing token.
+    :param former_answer: what it has answered to this owner, for the log.
     """
 
     epoch: int
@@ -118,6 +127,9 @@
         default_factory=dict,
     )
     is_newer_owner_claimed: bool = False
+    former_id: InstanceId = ''
+    former_epoch: int = 0
+    former_answer: str = 'none'
     is_term_recorded: bool = False
     interference_model: InterferenceModel = field(
         default_factory=InterferenceModel
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -16,6 +16,7 @@
 )
 from ragwortfield.scheduling.fence_refusals import record_fence_refusal
 from ragwortfield.scheduling.job_state import RunStage, TaskState
+from ragwortfield.scheduling.lease_log import log_adoption, log_lapse
 from ragwortfield.scheduling.records import TaskPhase
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.task_lifecycle import (
@@ -88,6 +89,7 @@
             now,
             is_restarted=is_restarted,
         )
+        log_adoption(state, worker, report, now)
     worker.reported_at = now
     worker.is_responding = True
     worker.poll_sent_at = 0
@@ -281,6 +283,7 @@
     )
     worker.clock = WorkerClock()
     worker.lease_end_ms = 0
+    worker.lease_extended_at = 0
     worker.first_reported_at = 0
     worker.processed_end = 0
     worker.acknowledged_end = 0
@@ -437,12 +440,7 @@
     ]
     if not expired:
         return
-    event(
-        'lease_lapsed',
-        worker=worker.worker_id,
-        tasks=len(expired),
-        lease_end_ms=worker.lease_end_ms,
-    )
+    log_lapse(state, worker, expired, now)
     for task in expired:
         release_task(state, task, 'lease of the worker expired')
 
--- a/ragwortfield/scheduling/worker_state.py
+++ b/ragwortfield/scheduling/worker_state.py
@@ -78,6 +78,8 @@
     :param is_listed: whether its entry is still in the list.
     :param born_ms: start of its process, as Unix time in milliseconds.
     :param lease_end_ms: latest possible end of its lease, by its own clock.
+    :param lease_extended_at: monotonic time of the answer to the latest order
+        of this owner that extended its lease; 0 for none.
     :param first_reported_at: monotonic time of its first report to the
         present owner; 0 before it.
     :param reported_at: monotonic time of its latest report.
@@ -128,6 +130,7 @@
     clock: WorkerClock = field(default_factory=WorkerClock)
     born_ms: int = 0
     lease_end_ms: float = 0
+    lease_extended_at: MonotonicTime = 0
     first_reported_at: MonotonicTime = 0
     reported_at: MonotonicTime = 0
     is_responding: bool = False
--- a/ragwortfield/tests/test_former_owner.py
+++ b/ragwortfield/tests/test_former_owner.py
@@ -26,6 +26,7 @@
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.timing_bounds import TimingBounds
 from ragwortfield.testing.fake_row_store import FakeRowStore
+from ragwortfield.testing.log_capture import capture_log_lines
 from ragwortfield.tests.shard_world import (
     CATALOGUE,
     ShardWorld,
@@ -250,6 +251,21 @@
                 self.ask(remaining={'w': remaining_s})
         self.assertGreater(self.compute_wait_s(), _LONGEST_WAIT_S)
 
+    # Guards against a log that does not tell what a new owner took for granted
+    # about the one before it.
+    def test_answer_is_kept_for_the_log(self):
+        self.assertEqual(self.runner.state.former_answer, 'none')
+        for answer, name in (
+            ({'remaining': {'w': 3}}, 'leases'),
+            ({'remaining': None}, 'unknown'),
+            ({'incarnation': '2'}, 'process_ended'),
+        ):
+            with capture_log_lines() as lines:
+                state = self.ask(**answer)
+            self.assertEqual(state.former_answer, name)
+            self.assertIn('former=former former_epoch=1', lines[0])
+            self.assertIn(f'answer={name} owned_s=', lines[0])
+
     def test_silent_former_owner_is_asked_again(self):
         peers = mock.Mock()
         peers.call.side_effect = [
@@ -372,6 +388,8 @@
         self.assertTrue(
             self.ownership._take_over(0, 'lost', known_version=owner.version)
         )
+        state = self.ownership.runner(0).state
+        self.assertEqual((state.former_id, state.former_epoch), ('own', 7))
 
     def get_unaware_end(self):
         return self.ownership.runner(0).state.former_owner_until
--- a/ragwortfield/tests/test_shard_runner.py
+++ b/ragwortfield/tests/test_shard_runner.py
@@ -47,6 +47,7 @@
     FakeTaskWorker,
     FakeTaskWorkerControl,
 )
+from ragwortfield.testing.log_capture import capture_log_lines
 from ragwortfield.tests.placement_world import (
     STRONG_INTERFERENCE,
     PlacementWorld,
@@ -197,6 +198,40 @@
         self.assertFalse(is_any_alive and answer['remaining'] is not None)
 
 
+class LeavingTest(_RunnerTestCase):
+    def stop(self, runner):
+        """Stop a runner; return the line about it."""
+        with capture_log_lines() as lines:
+            runner.stop('replaced by another owner')
+        (line,) = lines
+        self.assertIn('event=shard_left shard=0 epoch=1', line)
+        return line
+
+    # Guards against a log that does not tell for how long a replaced owner had
+    # been without the store, and which leases it went on extending.
+    def test_line_tells_the_age_of_the_latest_calls(self):
+        runner = _make_runner()
+        worker = FakeTaskWorker(worker_id='w0', clock=time.monotonic)
+        workers = _YieldingWorkers(worker_by_id={'w0': worker})
+        runner._worker_loops._workers = workers
+        runner.start()
+        self.await_true(lambda: runner.is_ready)
+        shard_updates.update_worker(runner.state, worker.listing())
+        runner._worker_loops.start_loops()
+        known = runner.state.worker_by_id['w0']
+        self.await_true(lambda: known.lease_extended_at)
+        runner._store.is_down = True
+        gevent.sleep(0.5)
+        line = self.stop(runner)
+        self.assertRegex(line, r'store_age_s=0\.[4-9]')
+        self.assertRegex(line, r'lease_order_age_s=0\.[0-3]')
+        self.assertIn('held=1 held_workers=w0', line)
+
+    def test_owner_without_any_answer_has_no_ages(self):
+        line = self.stop(_make_runner())
+        self.assertIn('store_age_s=-1 lease_order_age_s=-1 held=0', line)
+
+
 class FenceRefusalTest(_RunnerTestCase):
     """A worker refuses an order as that of a replaced owner."""
 
