--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -92,6 +92,8 @@
     Term in which this instance owns a shard.
 
     :param epoch: fencing token of the term.
+    :param requested_at: monotonic time at which the takeover was sent to the
+        store.
     :param version: version of the owner row and of the sequence row, which
         were written together by the takeover.
     :param previous_lease_s: longest lease that earlier owners granted to
@@ -102,6 +104,7 @@
 
     shard: int
     epoch: int
+    requested_at: MonotonicTime
     version: int
     previous_lease_s: Seconds
     is_process_bound: bool
@@ -254,12 +257,14 @@
         :returns: whether the shard was taken over.
         """
         shard = int(body['shard'])
+        version = int(body['version'])
+        runner = self.runner(shard)
+        if runner is not None:
+            return {'taken': runner.owner_version() > version}
         if self.is_leaving or not self._is_store_healthy(shard):
             return {'taken': False}
         is_taken = self._take_over(
-            shard,
-            'offered by its owner',
-            known_version=int(body['version']),
+            shard, 'offered by its owner', known_version=version
         )
         return {'taken': is_taken}
 
@@ -510,15 +515,15 @@
         )
         epoch = _find_highest_epoch(owner, sequence) + 1
         previous_lease_s = _read_recorded_lease_s(owner)
-        is_bound = _is_recorded_lease_bound(owner, sequence)
         record = OwnerRecord(
             instance_id=self._identity.instance_id,
             incarnation=self._identity.incarnation,
             epoch=epoch,
             address=self._identity.address,
             lease_s=self._compute_longest_lease_s(epoch, previous_lease_s),
-            is_process_bound=is_bound,
+            is_process_bound=_is_recorded_lease_bound(owner, sequence),
         )
+        requested_at = time.monotonic()
         outcome = self._store.commit(
             _build_takeover_transaction(
                 shard,
@@ -542,9 +547,10 @@
             OwnershipTerm(
                 shard=shard,
                 epoch=epoch,
+                requested_at=requested_at,
                 version=outcome.version,
                 previous_lease_s=previous_lease_s,
-                is_process_bound=is_bound,
+                is_process_bound=record.is_process_bound,
             ),
         )
         if former is not None:
@@ -626,14 +632,14 @@
                 {'shard': shard, 'version': runner.owner_version()},
                 _OFFER_TIMEOUT_S,
             )
+            if not isinstance(answer, Unavailable) and answer['taken']:
+                runner.stop(f'handed over to {member.instance_id}')
+                return
             if (
                 runner.store_outage_s() <= _STORE_OUTAGE_LIMIT_S
                 or runner.is_stopped
             ):
                 return
-            if not isinstance(answer, Unavailable) and answer['taken']:
-                runner.stop(f'handed over to {member.instance_id}')
-                return
 
     def _is_store_healthy(self, shard: int) -> bool:
         started_at = time.monotonic()
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -8,26 +8,29 @@
 
 from ragwortfield.engine.cancellation_expiry import CancellationExpiry
 from ragwortfield.engine.change_feed import ChangeFeed, read_all_rows
+from ragwortfield.engine.inbox_follower import InboxFollower
 from ragwortfield.engine.learned_model_store import LearnedModelStore
 from ragwortfield.engine.owner_statistics import OwnerStatistics
+from ragwortfield.engine.ownership_keeper import OwnershipKeeper
 from ragwortfield.engine.row_names import (
     COMMON_PARTITION,
     PROGRESS_TABLE,
     inbox_table,
     job_row,
-    owner_row,
     partition_of_shard,
 )
 from ragwortfield.engine.shard_committer import CommitResult, ShardCommitter
 from ragwortfield.engine.shard_loading import (
     WorkerRegistry,
-    apply_inbox_rows,
     apply_job_row,
     apply_worker_rows,
     load_rows,
 )
 from ragwortfield.engine.supervisor import Supervisor
-from ragwortfield.engine.wall_clock import WallClock
+from ragwortfield.engine.wall_clock import (
+    WallClock,
+    get_total_suspended_s,
+)
 from ragwortfield.engine.worker_loops import WorkerLoops
 from ragwortfield.log import event
 from ragwortfield.ports.approvals import ApprovalService
@@ -124,6 +127,13 @@
         self._approval_service = approval_service
         self._registry = registry
         self._wall_clock = wall_clock
+        self._keeper = OwnershipKeeper(
+            shard=shard,
+            state=state,
+            store=store,
+            owner_version=committer.owner_version,
+            on_replaced=lambda: self.stop('replaced by another owner'),
+        )
         self._model_store = LearnedModelStore(
             shard=shard,
             store=store,
@@ -140,12 +150,21 @@
             statistics=self.statistics,
             on_update=self._round_due.set,
         )
+        self._inbox = InboxFollower(
+            shard=shard,
+            state=state,
+            store=store,
+            wall_clock=wall_clock,
+            on_update=self._round_due.set,
+            on_outcome=self._record_store_outcome,
+        )
         self._rounds = SchedulingRounds()
         self._last_round_at: MonotonicTime = 0
         self._store_answered_at: MonotonicTime = 0
         self._state_logged_at: MonotonicTime = 0
         self._outcomes_logged_at: MonotonicTime = 0
-        self._last_suspended_s = _total_suspended_s()
+        self._last_suspended_s = get_total_suspended_s()
+        state.confirmation.suspended_s = self._last_suspended_s
 
     def start(self) -> None:
         """Load the shard and run it in the background."""
@@ -281,6 +300,7 @@
 
     def _load_and_run(self) -> None:
         started_at = time.monotonic()
+        self.state.inbox_known_until = started_at
         inbox = self._read_all_rows(
             inbox_table(self.shard), partition_of_shard(self.shard)
         )
@@ -288,6 +308,7 @@
             PROGRESS_TABLE, partition_of_shard(self.shard)
         )
         listing = self._read_all_rows(self._registry.table, COMMON_PARTITION)
+        self._keeper.load(self._record_store_outcome)
         now = time.monotonic()
         self._apply_worker_rows(listing.rows, is_complete=True)
         steps = load_rows(
@@ -319,6 +340,10 @@
             duration_s=time.monotonic() - started_at,
         )
         self._spawn(self._run_commits)
+        keeper_supervisor = Supervisor(
+            name='confirm_ownership', shard=self.shard
+        )
+        self._spawn(keeper_supervisor.run, self._keeper.run)
         approval_supervisor = Supervisor(
             name='request_approvals', shard=self.shard
         )
@@ -330,7 +355,8 @@
         self._spawn(
             self._model_store.save_periodically, self.state.interference_model
         )
-        self._spawn(self._follow_inbox, inbox_table(self.shard), inbox.version)
+        self._spawn(self._inbox.follow, inbox.version)
+        self._spawn(self._inbox.catch_up_when_due)
         self._spawn(self._follow_workers, listing.version)
         self._run_rounds()
 
@@ -343,15 +369,6 @@
             self._record_store_outcome(page)
             gevent.sleep(_RETRY_S)
 
-    def _follow_inbox(self, table: str, version: int) -> None:
-        ChangeFeed(
-            store=self._store,
-            table=table,
-            list_partitions=lambda: (partition_of_shard(self.shard),),
-            on_rows=self._on_inbox_rows,
-            on_outcome=self._record_store_outcome,
-        ).run(version)
-
     def _follow_workers(self, version: int) -> None:
         ChangeFeed(
             store=self._store,
@@ -361,19 +378,6 @@
             on_outcome=self._record_store_outcome,
         ).run(version)
 
-    def _on_inbox_rows(
-        self,
-        rows: tuple[StoredRow, ...],
-        _is_complete: bool,
-    ) -> None:
-        apply_inbox_rows(
-            self.state,
-            rows,
-            now=time.monotonic(),
-            wall_time=self._wall_clock.now(),
-        )
-        self._round_due.set()
-
     def _fetch_job(self, job_id: JobId) -> JobRuntimeState | None | Unavailable:
         name = job_row(self.shard, job_id)
         page = self._store.read(
@@ -434,7 +438,7 @@
     def _confirm_ownership(self) -> bool:
         now = time.monotonic()
         elapsed_s = now - self._last_round_at if self._last_round_at else 0
-        suspended_s = _total_suspended_s() - self._last_suspended_s
+        suspended_s = get_total_suspended_s() - self._last_suspended_s
         self._last_suspended_s += suspended_s
         self._last_round_at = now
         is_check_due = self.state.is_newer_owner_claimed or (
@@ -451,21 +455,18 @@
         return self._check_owner_row()
 
     def _check_owner_row(self) -> bool:
-        name = owner_row(self.shard)
         is_newer_owner_claimed = self.state.is_newer_owner_claimed
         claiming_workers = take_claiming_workers(self.state)
-        page = self._store.read(name.table, name.partition)
-        if isinstance(page, Unavailable):
-            self._record_store_outcome(page)
+        is_owner = self._keeper.read_owner_row()
+        if isinstance(is_owner, Unavailable):
+            self._record_store_outcome(is_owner)
             if is_newer_owner_claimed:
                 self.stop('a worker has seen a newer owner')
                 return False
             # The store may be away for all, and then nobody can replace this
             # owner.
             return True
-        versions = [row.version for row in page.rows if row.name == name]
-        if versions != [self._committer.owner_version]:
-            self.stop('replaced by another owner')
+        if not is_owner:
             return False
         self._last_round_at = time.monotonic()
         ignore_refusals(self.state, claiming_workers, self._last_round_at)
@@ -568,10 +569,12 @@
 
     def _commit(self, batch: CommitBatch) -> bool:
         started_at = time.monotonic()
+        sent_at = started_at
         result = self._committer.try_commit(batch)
         while result == CommitResult.RETRY:
             self._record_store_outcome(self._committer.last_failure)
             gevent.sleep(_RETRY_S)
+            sent_at = time.monotonic()
             result = self._committer.try_commit(batch)
         self._record_store_outcome(None)
         if result == CommitResult.FENCED:
@@ -586,7 +589,9 @@
             starts=len(batch.starts),
             duration_s=now - started_at,
         )
-        commits.apply_committed(self.state, batch, now)
+        commits.apply_committed(self.state, batch, now, sent_at=sent_at)
+        if self.state.held_starts:
+            self._inbox.request_catch_up()
         self._worker_loops.send_orders()
         return True
 
@@ -599,8 +604,3 @@
         elif not self.failing_since:
             self.failing_since = time.monotonic()
             event('store_lost', shard=self.shard, reason=failure.reason)
-
-
-def _total_suspended_s() -> Seconds:
-    """Return how long the machine has been suspended since boot."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- a/ragwortfield/scheduling/lease_log.py
+++ b/ragwortfield/scheduling/lease_log.py
@@ -83,9 +83,10 @@
 
     :param state: state of the owner.
     :param now: monotonic time, in seconds.
-    :returns: age of the latest accepted lease order in seconds, -1 for none;
-        number of workers whose lease may last because of this owner, and the
-        names of some.
+    :returns: seconds for which the owner may still extend leases, negative if
+        its confirmation is older; age of the latest accepted lease order in
+        seconds, -1 for none; number of workers whose lease may last because of
+        this owner, and the names of some.
     """
     extended = sorted(
         (
@@ -103,6 +104,7 @@
     ]
     age_s = now - extended[0].lease_extended_at if extended else _NEVER
     return {
+        'valid_s': state.confirmation.valid_until(state.bounds) - now,
         'lease_order_age_s': age_s,
         'held': len(held),
         'held_workers': ','.join(held[:_MAX_NAMES]),
@@ -143,7 +145,9 @@
         'former_epoch': state.former_epoch,
         'former_answer': state.former_answer,
         'bound_s': run_end - state.owner_since,
-        'former_until_s': state.former_owner_until - state.owner_since,
+        'former_until_s': state.former_authority_end() - state.owner_since,
+        'electorate': len(state.former_electorate.electorate),
+        'unfenced': state.former_electorate.count_unfenced(),
         'previous_lease_s': state.previous_lease_s,
         'is_process_bound': state.is_process_bound,
     }
--- a/ragwortfield/scheduling/scheduling_rounds.py
+++ b/ragwortfield/scheduling/scheduling_rounds.py
@@ -55,6 +55,7 @@
         :param is_binding_allowed: whether waiting tasks may be bound to
             workers.
         """
+        commits.order_held_starts(state, now)
         if now - self.last_slow_round_at > _SLOW_ROUND_INTERVAL_S:
             self.last_slow_round_at = now
             shard_updates.create_due_occurrences(state, wall_time)
@@ -68,7 +69,8 @@
         if now - self.last_expiry_at > _EXPIRY_INTERVAL_S:
             self.last_expiry_at = now
             commits.expire_finished_jobs(state, now)
-        if is_binding_allowed:
+        is_confirmed = state.confirmation.is_valid(state.bounds, now)
+        if is_binding_allowed and is_confirmed:
             dispatch.dispatch(state, now)
             # Tasks that still wait have found no free capacity in this round.
             defragmentation.defragment(state, now)
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -1,5 +1,6 @@
 """In-memory state of one shard, held by its owner."""
 
+import math
 from dataclasses import dataclass, field
 
 from ragwortfield.ports.task_worker import PaceRun, StartRun, StopRun
@@ -13,6 +14,10 @@
     StepState,
     TaskState,
 )
+from ragwortfield.scheduling.ownership_confirmation import (
+    FormerElectorate,
+    OwnershipConfirmation,
+)
 from ragwortfield.scheduling.timing_bounds import (
     MAX_CLOCK_DRIFT,
     MS_PER_S,
@@ -59,6 +64,10 @@
         them.
     :param uncommitted_bindings: bindings that are not durable yet, with their
         run numbers.
+    :param held_starts: durable bindings whose starts are held back until
+        cancellations are known, with their run numbers.
+    :param inbox_known_until: monotonic time up to which all accepted jobs and
+        cancellations are known; infinite for a state that follows no store.
     :param repeating_job_ids: jobs that have occurrences left to create.
     :param cancelled_job_ids: cancelled jobs, including jobs not read yet.
     :param unmatched_since_by_id: cancelled jobs that are not known, with the
@@ -79,8 +88,13 @@
     :param defragmented_at: monotonic time of the latest defragmentation.
     :param is_term_recorded: whether the store shows that this owner has been
         the owner for so long that all owners before it have noticed it.
+    :param confirmation: evidence that this owner has not been replaced.
     :param former_owner_until: monotonic time until which a former owner may
-        extend leases because it has not noticed its replacement.
+        extend leases because the store has confirmed its ownership.
+    :param former_electorate: workers that may have confirmed it later than
+        that.
+    :param ended_owner_epoch: fencing token of a former owner that certainly
+        gives no more orders; 0 if none is known.
     :param former_run_end_by_worker: monotonic time at which all that former
         owners started on a worker has certainly ended, as far as the former
         owner has told it.
@@ -108,6 +122,8 @@
     uncommitted_bindings: list[tuple[TaskState, int]] = field(
         default_factory=list
     )
+    held_starts: list[tuple[TaskState, int]] = field(default_factory=list)
+    inbox_known_until: MonotonicTime = math.inf
     repeating_job_ids: set[JobId] = field(default_factory=set)
     cancelled_job_ids: set[JobId] = field(default_factory=set)
     unmatched_since_by_id: dict[JobId, MonotonicTime] = field(
@@ -122,7 +138,12 @@
     unmet_needs: UnmetNeeds = field(default_factory=UnmetNeeds)
     consolidated_at: MonotonicTime = 0
     defragmented_at: MonotonicTime = 0
+    confirmation: OwnershipConfirmation = field(init=False)
     former_owner_until: MonotonicTime = 0
+    former_electorate: FormerElectorate = field(
+        default_factory=FormerElectorate
+    )
+    ended_owner_epoch: int = 0
     former_run_end_by_worker: dict[WorkerId, MonotonicTime] = field(
         default_factory=dict,
     )
@@ -137,8 +158,29 @@
 
     def __post_init__(self) -> None:
         """Assume the worst about a former owner that has not answered."""
+        self.confirmation = OwnershipConfirmation(stored_at=self.owner_since)
         self.former_owner_until = self.owner_since + self.bounds.unaware_s
 
+    def former_authority_end(self) -> MonotonicTime:
+        """
+        Return until when earlier owners may extend leases and start runs.
+
+        :returns: monotonic time, in seconds.
+        """
+        fenced_at = self.former_electorate.fenced_at
+        if fenced_at is None:
+            return self.owner_since + self.bounds.longest_outage_s
+        return max(self.former_owner_until, fenced_at + self.bounds.unaware_s)
+
+    def is_inbox_current(self, now: MonotonicTime) -> bool:
+        """
+        Check whether a job that counts as not cancelled may be started.
+
+        :param now: monotonic time, in seconds.
+        :returns: whether all cancellations are known but the latest ones.
+        """
+        return now - self.inbox_known_until <= self.bounds.inbox_age_s
+
     def former_run_end(self, worker_id: WorkerId) -> MonotonicTime:
         """
         Return when all that former owners started on a worker has ended.
@@ -154,7 +196,7 @@
         lease_s = self.bounds.longest_lease_s()
         if self.is_process_bound:
             lease_s = self._previous_order_effect_s()
-        return self.former_owner_until + lease_s / (1 - MAX_CLOCK_DRIFT)
+        return self.former_authority_end() + lease_s / (1 - MAX_CLOCK_DRIFT)
 
     def inherited_lease_s(self, born_ms: int, now: MonotonicTime) -> Seconds:
         """
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -17,6 +17,10 @@
 from ragwortfield.scheduling.fence_refusals import record_fence_refusal
 from ragwortfield.scheduling.job_state import RunStage, TaskState
 from ragwortfield.scheduling.lease_log import log_adoption, log_lapse
+from ragwortfield.scheduling.ownership_invariants import (
+    check_former_owner,
+    check_single_run,
+)
 from ragwortfield.scheduling.records import TaskPhase
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.task_lifecycle import (
@@ -53,6 +57,10 @@
     is_effect_possible=True,
 )
 
+#: Stands for the answer to an order that was not sent because the ownership was
+#: in doubt.
+WITHHELD_ORDER = Unavailable(reason='the ownership is not confirmed')
+
 
 def apply_report(
     state: ShardState,
@@ -82,6 +90,7 @@
     worker.born_ms = report.born_ms
     worker.clock.observe(report.clock_ms, now)
     if not worker.first_reported_at:
+        state.former_electorate.record_fenced(worker.worker_id, now)
         worker.first_reported_at = now
         worker.lease_end_ms = _estimate_inherited_lease_end_ms(
             state,
@@ -90,6 +99,10 @@
             is_restarted=is_restarted,
         )
         log_adoption(state, worker, report, now)
+    if worker.poll_sent_at:
+        state.confirmation.record_poll(
+            worker.worker_id, report.born_ms, worker.poll_sent_at
+        )
     worker.reported_at = now
     worker.is_responding = True
     worker.poll_sent_at = 0
@@ -148,7 +161,7 @@
         _apply_refusal(state, worker, task, outcome, now)
     else:
         _log_missing_answer(task, outcome)
-        if outcome is not _FORMER_PROCESS_ANSWER:
+        if outcome not in {_FORMER_PROCESS_ANSWER, WITHHELD_ORDER}:
             _avoid_after_failed_start(worker, task, now)
         if not _record_missing_answer(task, outcome):
             release_task(state, task, outcome.reason)
@@ -199,9 +212,7 @@
         if not worker.is_listed and not worker.run_by_key:
             del state.worker_by_id[worker.worker_id]
             continue
-        if not worker.run_by_key or worker.is_in_contact(state.bounds, now):
-            continue
-        if worker.is_lease_expired(now, state.former_run_end(worker.worker_id)):
+        if worker.run_by_key and _is_lease_over(state, worker, now):
             _release_expired_runs(state, worker, now)
 
 
@@ -213,6 +224,19 @@
                 request_stop(state, task, now)
 
 
+def _is_lease_over(
+    state: ShardState, worker: WorkerState, now: MonotonicTime
+) -> bool:
+    former_run_end = state.former_run_end(worker.worker_id)
+    if worker.is_in_contact(state.bounds, now):
+        return False
+    if not worker.is_lease_expired(now, former_run_end):
+        return False
+    return bool(worker.first_reported_at) or check_former_owner(
+        state, worker, now
+    )
+
+
 def _get_start_clock_ms(
     state: ShardState, order: StartRun, done: OrderDone
 ) -> int:
@@ -354,6 +378,8 @@
     )
     if task is None or not is_bound:
         _stop_unexpected_run(state, worker, run)
+        if task is not None:
+            check_single_run(state, task, worker, run)
         return
     if task.stage != RunStage.STOPPING:
         _confirm_run(state, task, clock_ms, now)
--- a/ragwortfield/tests/test_lease_log.py
+++ b/ragwortfield/tests/test_lease_log.py
@@ -73,7 +73,8 @@
         self.assertIn('epoch=2', line)
         self.assertIn('has_reported=False bound=former_unaware', line)
         self.assertIn('former=i1 former_epoch=1 former_answer=none', line)
-        self.assertIn('former_until_s=3.5 previous_lease_s=4', line)
+        self.assertIn('former_until_s=3.5 electorate=0 unfenced=0', line)
+        self.assertIn('previous_lease_s=4 is_process_bound=True', line)
         self.assertIn('bound_s=7.58', line)
         self.assertIn('owned_s=7.', line)
 
@@ -125,7 +126,10 @@
         leases.record_extension(worker, order, report, now)
 
     def describe(self):
-        return describe_held_leases(self.state, NOW)
+        self.state.confirmation.record_store_call(NOW - 1)
+        described = describe_held_leases(self.state, NOW)
+        self.assertAlmostEqual(described.pop('valid_s'), 2.43)
+        return described
 
     def test_owner_that_extended_nothing_holds_nothing(self):
         self.extend('w0', NOW, deadline_ms=None)
--- a/ragwortfield/tests/test_shard_runner.py
+++ b/ragwortfield/tests/test_shard_runner.py
@@ -229,7 +229,8 @@
 
     def test_owner_without_any_answer_has_no_ages(self):
         line = self.stop(_make_runner())
-        self.assertIn('store_age_s=-1 lease_order_age_s=-1 held=0', line)
+        self.assertIn('store_age_s=-1 valid_s=', line)
+        self.assertIn('lease_order_age_s=-1 held=0', line)
 
 
 class FenceRefusalTest(_RunnerTestCase):
