Runs: the log leads from a task to its commit and its acknowledgement

Callers' view: in the users' record a task starts after an end as done that was noted, and one start was sent that no caller had asked for. Nothing tells who acknowledged that end on which commit, or how old a binding was when its start was sent.

Change: run_ended has the number of the end on its worker, epoch, effect (applied, late_success, none) and the recorded state of the task. ends_acknowledged tells worker, epoch, first and last number, and the commit since which they are durable, also if the answer was lost; committed has the epoch and how many workers' ends it carries. run_started, start_refused and start_unanswered have epoch, commit of the binding, its age when the order was sent, the time in the queue, and the time to the answer. run_of_closed_job tells once that a task of a cancelled or failed job starts, or runs for over 2 s after. stray_run has the recorded state, job_cancelled the number of bound tasks. No decision changes.

--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -584,10 +584,13 @@
         event(
             'committed',
             shard=self.shard,
+            epoch=batch.sequence.epoch,
             number=batch.sequence.number,
             records=len(batch.record_by_key),
             starts=len(batch.starts),
+            ends=len(batch.processed_end_by_worker),
             duration_s=now - started_at,
+            sent_s=now - sent_at,
         )
         commits.apply_committed(self.state, batch, now, sent_at=sent_at)
         if self.state.held_starts:
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -22,6 +22,10 @@
 )
 from ragwortfield.scheduling import interference_control, leases, worker_reports
 from ragwortfield.scheduling.fence_refusals import record_fence_refusal
+from ragwortfield.scheduling.run_log import (
+    log_acknowledgement,
+    record_start_sent,
+)
 from ragwortfield.scheduling.shard_state import Order, ShardState
 from ragwortfield.scheduling.worker_state import WorkerState
 from ragwortfield.types import MonotonicTime, Seconds, WorkerId
@@ -104,6 +108,8 @@
         )
         outcome = worker_reports.WITHHELD_ORDER
         if is_confirmed:
+            if isinstance(order, StartRun):
+                record_start_sent(self._state, order, time.monotonic())
             outcome = self._order_supervisor.run_once(
                 self._send_to_worker, order
             )
@@ -141,6 +147,7 @@
                 self._state, worker, time.monotonic()
             )
             report = self._workers.renew_lease(order)
+            log_acknowledgement(self._state, worker, order, report)
             now = time.monotonic()
             if isinstance(report, LeaseReport):
                 self._log_recovery(worker_id, now)
--- a/ragwortfield/scheduling/commits.py
+++ b/ragwortfield/scheduling/commits.py
@@ -180,6 +180,7 @@
         store has committed or found committed.
     """
     state.confirmation.record_store_call(sent_at)
+    state.committed_number = batch.sequence.number
     if is_term_sufficient(batch.sequence.term_ms / MS_PER_S, state.bounds):
         state.is_term_recorded = True
     for worker_id, (
@@ -188,9 +189,7 @@
     ) in batch.processed_end_by_worker.items():
         worker = state.worker_by_id.get(worker_id)
         if worker is not None and worker.born_ms == born_ms:
-            worker.acknowledged_end = max(
-                worker.acknowledged_end, processed_end
-            )
+            worker.record_durable_ends(processed_end, batch.sequence.number)
     for job in batch.failed:
         job.is_durably_failed = True
         job.finished_at = job.finished_at or now
@@ -199,6 +198,9 @@
     state.removed_at_by_id.update(
         (job.job.job_id, now) for job in batch.removed
     )
+    for task, run in batch.starts:
+        if task.run == run:
+            task.binding_commit = batch.sequence.number
     state.held_starts.extend(batch.starts)
     order_held_starts(state, now)
 
@@ -231,9 +233,7 @@
     if state.dirty_occurrence_by_key:
         return
     for worker in state.worker_by_id.values():
-        worker.acknowledged_end = max(
-            worker.acknowledged_end, worker.processed_end
-        )
+        worker.record_durable_ends(worker.processed_end, state.committed_number)
 
 
 def expire_finished_jobs(state: ShardState, now: MonotonicTime) -> None:
--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -84,6 +84,7 @@
     deadline_ms = worker.clock.earliest_ms(now) + window_ms
     task.stage = RunStage.ORDERED
     task.start_sent_at = task.start_sent_at or now
+    task.order_queued_at = now
     task.order_deadline_ms = max(task.order_deadline_ms, deadline_ms)
     task.pending_start_calls += 1
     worker.lease_end_ms = max(worker.lease_end_ms, deadline_ms)
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -57,6 +57,13 @@
         made it.
     :param start_sent_at: monotonic time of the first start order of the run; 0
         if there is none.
+    :param binding_commit: number of the commit that made the binding durable;
+        0 if a previous owner made it.
+    :param order_queued_at: monotonic time at which the latest start order of
+        the run was queued; 0 for none.
+    :param order_sent_at: monotonic time at which it was sent; 0 for none.
+    :param is_close_logged: whether the log tells that the run goes on although
+        its job is over.
     :param not_running_since: monotonic time since which no report has listed a
         run, from the latest end on; 0 if the latest report did, or before the
         first binding.
@@ -101,6 +108,10 @@
     last_seen_clock_ms: float = 0
     ordered_at: MonotonicTime = 0
     start_sent_at: MonotonicTime = 0
+    binding_commit: int = 0
+    order_queued_at: MonotonicTime = 0
+    order_sent_at: MonotonicTime = 0
+    is_close_logged: bool = False
     not_running_since: MonotonicTime = 0
     started_at: MonotonicTime = 0
     percent: float = 0
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -100,6 +100,7 @@
         owner has told it.
     :param is_newer_owner_claimed: whether a worker has refused an order as that
         of a replaced owner; the owner row decides.
+    :param committed_number: number of this owner's latest commit.
     :param former_id: the owner before this one, for the log; empty for none.
     :param former_epoch: its fencing token.
     :param former_answer: what it has answered to this owner, for the log.
@@ -148,6 +149,7 @@
         default_factory=dict,
     )
     is_newer_owner_claimed: bool = False
+    committed_number: int = 0
     former_id: InstanceId = ''
     former_epoch: int = 0
     former_answer: str = 'none'
--- a/ragwortfield/scheduling/shard_updates.py
+++ b/ragwortfield/scheduling/shard_updates.py
@@ -189,7 +189,12 @@
     job_state.is_cancelled = True
     job_state.finished_at = now
     state.repeating_job_ids.discard(job_id)
-    event('job_cancelled', job=job_id)
+    event(
+        'job_cancelled',
+        job=job_id,
+        epoch=state.epoch,
+        bound=_count_bound_tasks(job_state),
+    )
     stop_job(state, job_state, now)
 
 
@@ -283,6 +288,14 @@
     )
 
 
+def _count_bound_tasks(job_state: JobRuntimeState) -> int:
+    return sum(
+        sum(step.count_by_worker.values())
+        for occurrence in job_state.occurrence_by_number.values()
+        for step in occurrence.steps
+    )
+
+
 def _add_filler_work(state: ShardState, job: Job) -> None:
     work_by_filler = state.work_by_filler
     for step in job.steps:
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -54,6 +54,10 @@
     task.ticket = '' if ticket is None else ticket.text
     task.ordered_at = now
     task.start_sent_at = 0
+    task.binding_commit = 0
+    task.order_queued_at = 0
+    task.order_sent_at = 0
+    task.is_close_logged = False
     task.not_running_since = task.not_running_since or now
     task.order_deadline_ms = 0
     task.last_seen_clock_ms = 0
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -22,6 +22,12 @@
     check_single_run,
 )
 from ragwortfield.scheduling.records import TaskPhase
+from ragwortfield.scheduling.run_log import (
+    describe_start,
+    format_recorded_state,
+    log_run_end,
+    log_run_of_closed_job,
+)
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.task_lifecycle import (
     format_task_key,
@@ -160,7 +166,7 @@
         worker.observe_clock(outcome.clock_ms, now)
         _apply_refusal(state, worker, task, outcome, now)
     else:
-        _log_missing_answer(task, outcome)
+        _log_missing_answer(state, task, outcome, now)
         if outcome not in {_FORMER_PROCESS_ANSWER, WITHHELD_ORDER}:
             _avoid_after_failed_start(worker, task, now)
         if not _record_missing_answer(task, outcome):
@@ -312,6 +318,8 @@
     worker.processed_end = 0
     worker.acknowledged_end = 0
     worker.acknowledged_to_worker = 0
+    worker.acknowledged_commit = 0
+    worker.uncertain_acknowledgement = 0
     worker.report_clock_ms = 0
     worker.forget_readings()
     worker.forget_failures()
@@ -336,16 +344,8 @@
     now: MonotonicTime,
 ) -> None:
     task = state.find_task(end.key)
-    is_latest = task is not None and task.run == end.run
-    event(
-        'run_ended',
-        task='.'.join(str(part) for part in end.key),
-        run=end.run,
-        worker=worker.worker_id,
-        kind=end.kind.value,
-        is_latest=is_latest,
-    )
     if task is None or task.run != end.run:
+        log_run_end(state, worker, end, 'none')
         return
     # A failure of a task that waits again was counted when the task was
     # released. Only a late end as done, after its lease expired, is news.
@@ -356,7 +356,11 @@
     if not is_late_success and not (
         task.phase == TaskPhase.BOUND and is_bound_here
     ):
+        log_run_end(state, worker, end, 'none')
         return
+    log_run_end(
+        state, worker, end, 'late_success' if is_late_success else 'applied'
+    )
     worker.failed_start_count = 0
     record_run_result(state, worker, task, end.kind, now)
     record_run_end(state, task, end.kind, end.checkpoint, now)
@@ -383,6 +387,7 @@
         return
     if task.stage != RunStage.STOPPING:
         _confirm_run(state, task, clock_ms, now)
+    log_run_of_closed_job(state, task, now, is_start=False)
     if task.not_running_since:
         task.not_running_since = 0
         worker.failed_start_count = 0
@@ -410,6 +415,8 @@
         task='.'.join(str(part) for part in run.key),
         run=run.run,
         worker=worker.worker_id,
+        epoch=state.epoch,
+        recorded=format_recorded_state(state, run.key),
     )
     state.orders.append(
         StopRun(
@@ -501,6 +508,7 @@
             run=task.run,
             worker=task.worker_id,
             waited_s=now - task.ordered_at,
+            **describe_start(state, task, now),
         )
     else:
         # A previous owner ordered the start.
@@ -509,7 +517,9 @@
             task=format_task_key(task),
             run=task.run,
             worker=task.worker_id,
+            epoch=state.epoch,
         )
+    log_run_of_closed_job(state, task, now, is_start=True)
     if job.is_closed():
         request_stop(state, task, now)
 
@@ -527,6 +537,7 @@
         run=task.run,
         worker=worker.worker_id,
         reason=outcome.refusal.value,
+        **describe_start(state, task, now),
     )
     if outcome.refusal == Refusal.FENCED and record_fence_refusal(
         state, worker, now
@@ -563,7 +574,12 @@
     record_failed_start(worker, now, first_pause_s=first_pause_s)
 
 
-def _log_missing_answer(task: TaskState, outcome: Unavailable) -> None:
+def _log_missing_answer(
+    state: ShardState,
+    task: TaskState,
+    outcome: Unavailable,
+    now: MonotonicTime,
+) -> None:
     event(
         'start_unanswered',
         task=format_task_key(task),
@@ -571,6 +587,7 @@
         worker=task.worker_id,
         reason=outcome.reason,
         is_effect_possible=outcome.is_effect_possible,
+        **describe_start(state, task, now),
     )
 
 
--- a/ragwortfield/scheduling/worker_state.py
+++ b/ragwortfield/scheduling/worker_state.py
@@ -90,6 +90,10 @@
     :param acknowledged_end: number of the last run end whose effect is durable.
     :param acknowledged_to_worker: number of the last run end whose
         acknowledgement has reached the worker.
+    :param acknowledged_commit: number of the commit since which the effect of
+        ``acknowledged_end`` is certainly durable.
+    :param uncertain_acknowledgement: number of the last run end whose
+        acknowledgement may have reached the worker, as far as it is logged.
     :param is_restart_suspected: whether an answer since the latest report
         shows an earlier clock, as after a restart.
     :param run_by_key: tasks bound to it.
@@ -139,6 +143,8 @@
     processed_end: int = 0
     acknowledged_end: int = 0
     acknowledged_to_worker: int = 0
+    acknowledged_commit: int = 0
+    uncertain_acknowledgement: int = 0
     is_restart_suspected: bool = False
     run_by_key: dict[TaskKey, TaskState] = field(default_factory=dict)
     allocated_cpu: float = 0
@@ -219,6 +225,17 @@
             return self.clock.earliest_ms(now) > self.lease_end_ms
         return now > former_run_end
 
+    def record_durable_ends(self, last_end: int, commit: int) -> None:
+        """
+        Record that the effect of run ends is durable.
+
+        :param last_end: number of the last of them.
+        :param commit: number of the commit since which it certainly is.
+        """
+        if last_end > self.acknowledged_end:
+            self.acknowledged_end = last_end
+            self.acknowledged_commit = commit
+
     def add(self, task: TaskState) -> None:
         """Bind a task to the worker and allocate its resources."""
         if task.key in self.run_by_key:
--- a/ragwortfield/tests/test_worker_loops.py
+++ b/ragwortfield/tests/test_worker_loops.py
@@ -14,6 +14,7 @@
     OrderRefused,
     PaceRun,
     Refusal,
+    StartRun,
 )
 from ragwortfield.scheduling import (
     interference_control,
@@ -21,6 +22,7 @@
     worker_reports,
 )
 from ragwortfield.scheduling.catalogue import Catalogue
+from ragwortfield.scheduling.job import TaskKey
 from ragwortfield.scheduling.job_status import JobStatus
 from ragwortfield.scheduling.records import TaskPhase
 from ragwortfield.scheduling.shard_state import ShardState
@@ -145,6 +147,32 @@
             self.await_polls()
             self.await_true(lambda: self.worker.lease_end_ms > 0)
 
+    # Guards against an acknowledgement of which the log tells nothing.
+    def test_acknowledgement_of_an_end_is_logged(self):
+        known = self.state.worker_by_id['w0']
+        key = TaskKey('job', 0, 0, 0)
+        order = StartRun(
+            worker_id='w0',
+            address='',
+            key=key,
+            run=1,
+            spec='',
+            checkpoint='',
+            deadline_ms=int(self.worker.now_ms()) + 1000,
+            fencing_token=1,
+        )
+        self.worker.start(order)
+        self.worker.end(key, EndKind.DONE)
+        with capture_log_lines() as lines:
+            self.loops.start_loops()
+            self.await_true(lambda: known.processed_end)
+            known.record_durable_ends(1, commit=5)
+            self.loops.committed.set()
+            self.await_true(lambda: known.acknowledged_to_worker)
+        logged = [line for line in lines if 'event=ends_ack' in line]
+        self.assertEqual(len(logged), 1)
+        self.assertIn('worker=w0 epoch=1 first=1 last=1 commit=5', logged[0])
+
     # Guards against a log that is filled by one entry of another writer, whose
     # address is that of another worker.
     def test_persistent_refusal_is_logged_once(self):
@@ -220,6 +248,18 @@
         worker = self.world.workers.worker_by_id['w0']
         self.assertIn(self.find_task(job_id).key, worker.run_by_key)
 
+    # Guards against a log that does not show a pause between the commit of a
+    # binding and its start.
+    def test_time_of_a_start_order_is_recorded_when_it_is_sent(self):
+        job_id = self.world.submit(build_single_step(is_long_lived=True))
+        self.act_until_order_is_queued()
+        self.assertEqual(self.find_task(job_id).order_sent_at, 0)
+        sent_after = time.monotonic()
+        self.send_orders_once()
+        self.assertGreaterEqual(
+            self.find_task(job_id).order_sent_at, sent_after
+        )
+
     # Guards against two runs of one task: the process is paused after it has
     # created a start order, and sends it when the shard has another owner.
     def test_order_is_withheld_while_the_ownership_is_in_doubt(self):
