--- a/ragwortfield/scheduling/worker_state.py
+++ b/ragwortfield/scheduling/worker_state.py
@@ -78,6 +78,8 @@
     :param is_listed: whether its entry is still in the list.
     :param born_ms: start of its process, as Unix time in milliseconds.
     :param lease_end_ms: latest possible end of its lease, by its own clock.
+    :param lease_extended_at: monotonic time of the answer to the latest order
+        of this owner that extended its lease; 0 for none.
     :param first_reported_at: monotonic time of its first report to the
         present owner; 0 before it.
     :param reported_at: monotonic time of its latest report.
@@ -88,6 +90,10 @@
     :param acknowledged_end: number of the last run end whose effect is durable.
     :param acknowledged_to_worker: number of the last run end whose
         acknowledgement has reached the worker.
+    :param acknowledged_commit: number of the commit since which the effect of
+        ``acknowledged_end`` is certainly durable.
+    :param uncertain_acknowledgement: number of the last run end whose
+        acknowledgement may have reached the worker, as far as it is logged.
     :param is_restart_suspected: whether an answer since the latest report
         shows an earlier clock, as after a restart.
     :param run_by_key: tasks bound to it.
@@ -128,6 +134,7 @@
     clock: WorkerClock = field(default_factory=WorkerClock)
     born_ms: int = 0
     lease_end_ms: float = 0
+    lease_extended_at: MonotonicTime = 0
     first_reported_at: MonotonicTime = 0
     reported_at: MonotonicTime = 0
     is_responding: bool = False
@@ -136,6 +143,8 @@
     processed_end: int = 0
     acknowledged_end: int = 0
     acknowledged_to_worker: int = 0
+    acknowledged_commit: int = 0
+    uncertain_acknowledgement: int = 0
     is_restart_suspected: bool = False
     run_by_key: dict[TaskKey, TaskState] = field(default_factory=dict)
     allocated_cpu: float = 0
@@ -216,6 +225,17 @@
             return self.clock.earliest_ms(now) > self.lease_end_ms
         return now > former_run_end
 
+    def record_durable_ends(self, last_end: int, commit: int) -> None:
+        """
+        Record that the effect of run ends is durable.
+
+        :param last_end: number of the last of them.
+        :param commit: number of the commit since which it certainly is.
+        """
+        if last_end > self.acknowledged_end:
+            self.acknowledged_end = last_end
+            self.acknowledged_commit = commit
+
     def add(self, task: TaskState) -> None:
         """Bind a task to the worker and allocate its resources."""
         if task.key in self.run_by_key:
