Metrics of changes of owners, lapsed leases, refused orders, unowned statuses

Callers' view: the lines of the log tell one case; whether a deployment has many of them shows only in counts.

Change: ragwortfield_unowned_statuses_total, ragwortfield_lapsed_leases_total by has_reported, ragwortfield_fenced_orders_total, ragwortfield_owner_changes_total by kind (taken_over, seen). The counts of all terms of an instance are one, and outlive its runners.

--- a/ragwortfield/engine/cluster_view.py
+++ b/ragwortfield/engine/cluster_view.py
@@ -14,6 +14,7 @@
 from ragwortfield.log import event
 from ragwortfield.policies.hashing import stable_hash
 from ragwortfield.ports.row_store import StoredRow
+from ragwortfield.scheduling.owner_counts import OwnerCounts
 from ragwortfield.scheduling.records import (
     LayoutRecord,
     MemberRecord,
@@ -77,12 +78,14 @@
     :param shards: number of shards; 0 until the layout is known.
     :param worker_limits: hashes of worker identifiers at which a new shard
         begins.
+    :param counts: counts of changes of owners.
     """
 
     member_by_id: dict[InstanceId, MemberRecord] = field(default_factory=dict)
     owner_by_shard: dict[int, KnownOwner] = field(default_factory=dict)
     shards: int = 0
     worker_limits: tuple[int, ...] = ()
+    counts: OwnerCounts = field(default_factory=OwnerCounts)
     _preferred_by_shard: dict[int, InstanceId] = field(default_factory=dict)
 
     def apply_rows(self, rows: tuple[StoredRow, ...]) -> None:
@@ -116,6 +119,8 @@
             # Whoever owned the shard can no longer commit, since commits
             # expect the row as the owner wrote it.
             record = OwnerRecord(instance_id='', incarnation='', epoch=0)
+        if known is not None and known.record.epoch != record.epoch:
+            self.counts.seen_changes += 1
         self.owner_by_shard[shard] = KnownOwner(
             record=record,
             version=row.version,
--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -553,6 +553,7 @@
                 is_process_bound=record.is_process_bound,
             ),
         )
+        self._cluster.counts.takeovers += 1
         if former is not None:
             runner.state.former_id = former.record.last_holder()[0]
             runner.state.former_epoch = former.record.epoch
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -246,6 +246,9 @@
             if not runner.is_stopped
         ]
         self.metrics.state('shards_owned', len(owned))
+        self.metrics.record_owner_counts(
+            self._cluster.counts, self.job_requests.unowned_statuses.count
+        )
         self.metrics.clear_outcomes()
         for runner in owned:
             values = (
@@ -507,6 +510,7 @@
             previous_lease_s=previous_lease_s,
             is_process_bound=is_process_bound,
             wall_offset_s=self._wall_clock.now() - time.monotonic(),
+            counts=self._cluster.counts,
             catalogue=self._catalogue or Catalogue(version=-1),
         )
 
--- a/ragwortfield/report/scheduler_metrics.py
+++ b/ragwortfield/report/scheduler_metrics.py
@@ -4,6 +4,7 @@
 
 from ragwortfield.scheduling.job_outcomes import JobOutcome, OutcomeCounts
 from ragwortfield.scheduling.job_sizes import SizeClass
+from ragwortfield.scheduling.owner_counts import OwnerCounts
 from ragwortfield.scheduling.wait_causes import WaitCause
 from ragwortfield.types import Seconds
 
@@ -54,6 +55,26 @@
             'Time of the unfinished ones of these jobs by what they wait for.',
             registry=self.registry,
         )
+        self._unowned_statuses = Counter(
+            'ragwortfield_unowned_statuses_total',
+            'Statuses of jobs that the owner of the shard did not answer.',
+            registry=self.registry,
+        )
+        self._lapsed_leases = Counter(
+            'ragwortfield_lapsed_leases_total',
+            'Lapsed leases by whether the worker had reported to this owner.',
+            registry=self.registry,
+        )
+        self._fenced_orders = Counter(
+            'ragwortfield_fenced_orders_total',
+            'Orders that workers refused for the epoch of a newer owner.',
+            registry=self.registry,
+        )
+        self._owner_changes = Counter(
+            'ragwortfield_owner_changes_total',
+            'Changes of owners of shards: taken over here, or seen.',
+            registry=self.registry,
+        )
         self._gauge = Gauge(
             'ragwortfield_scheduler_state',
             'State of the scheduler by name.',
@@ -115,6 +136,27 @@
                 labels | {'cause': cause.value}, wait_s_by_cause[cause]
             )
 
+    def record_owner_counts(
+        self, counts: OwnerCounts, unowned_statuses: int
+    ) -> None:
+        """
+        Set the counters about owners of shards.
+
+        :param counts: counts since the start of the process.
+        :param unowned_statuses: number of statuses without an answer of the
+            owner.
+        """
+        self._unowned_statuses.set({}, unowned_statuses)
+        self._lapsed_leases.set(
+            {'has_reported': 'true'}, counts.lapses_after_report
+        )
+        self._lapsed_leases.set(
+            {'has_reported': 'false'}, counts.lapses_without_report
+        )
+        self._fenced_orders.set({}, counts.fenced_orders)
+        self._owner_changes.set({'kind': 'taken_over'}, counts.takeovers)
+        self._owner_changes.set({'kind': 'seen'}, counts.seen_changes)
+
     def state(self, name: str, amount: float) -> None:
         """
         Set a gauge of the state.
--- a/ragwortfield/scheduling/fence_refusals.py
+++ b/ragwortfield/scheduling/fence_refusals.py
@@ -26,6 +26,7 @@
     :returns: whether the owner row has to be checked; false if the worker was
         wrong a short time ago.
     """
+    state.counts.fenced_orders += 1
     if now < worker.fence_ignored_until:
         return False
     if not state.is_newer_owner_claimed:
--- a/ragwortfield/scheduling/lease_log.py
+++ b/ragwortfield/scheduling/lease_log.py
@@ -55,13 +55,14 @@
     now: MonotonicTime,
 ) -> None:
     """
-    Log that the lease of a worker counts as expired, and from what it follows.
+    Log that the lease of a worker counts as expired, from what it follows.
 
     :param state: state of the shard.
     :param worker: the worker.
     :param expired: its tasks, whose runs count as over.
     :param now: monotonic time, in seconds.
     """
+    state.counts.count_lapse(has_reported=bool(worker.first_reported_at))
     event(
         'lease_lapsed',
         worker=worker.worker_id,
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -14,6 +14,7 @@
     StepState,
     TaskState,
 )
+from ragwortfield.scheduling.owner_counts import OwnerCounts
 from ragwortfield.scheduling.ownership_confirmation import (
     FormerElectorate,
     OwnershipConfirmation,
@@ -100,6 +101,7 @@
         owner has told it.
     :param is_newer_owner_claimed: whether a worker has refused an order as that
         of a replaced owner; the owner row decides.
+    :param counts: counts for the metrics, which outlive the state.
     :param committed_number: number of this owner's latest commit.
     :param former_id: the owner before this one, for the log; empty for none.
     :param former_epoch: its fencing token.
@@ -149,6 +151,7 @@
         default_factory=dict,
     )
     is_newer_owner_claimed: bool = False
+    counts: OwnerCounts = field(default_factory=OwnerCounts)
     committed_number: int = 0
     former_id: InstanceId = ''
     former_epoch: int = 0
--- a/ragwortfield/tests/test_cluster_view.py
+++ b/ragwortfield/tests/test_cluster_view.py
@@ -7,11 +7,16 @@
 from ragwortfield.engine.row_names import (
     compute_worker_limits,
     member_row,
+    owner_row,
     shard_of_worker,
 )
 from ragwortfield.engine.shard_sizing import PoolSizeMonitor, choose_shard_count
 from ragwortfield.ports.row_store import StoredRow
-from ragwortfield.scheduling.records import MemberRecord, encode_record
+from ragwortfield.scheduling.records import (
+    MemberRecord,
+    OwnerRecord,
+    encode_record,
+)
 
 _SHARDS = 5
 
@@ -153,3 +158,25 @@
     def test_few_members_size_the_shards_too(self):
         self.assertEqual(_make_cluster_view(1).expected_owner_cores(), 1)
         self.assertEqual(_make_cluster_view(0).expected_owner_cores(), 0)
+
+
+class OwnerChangeTest(unittest.TestCase):
+    def see(self, epoch, version):
+        record = OwnerRecord(instance_id='i', incarnation='1', epoch=epoch)
+        self.cluster.apply_owner_row(
+            StoredRow(
+                name=owner_row(0),
+                version=version,
+                content=encode_record(record),
+            )
+        )
+        return self.cluster.counts.seen_changes
+
+    # Guards against a count that also counts the first sight of an owner, or
+    # rows that are delivered twice.
+    def test_changes_of_an_owner_are_counted_once(self):
+        self.cluster = ClusterView(shards=1)
+        self.assertEqual(self.see(epoch=3, version=10), 0)
+        self.assertEqual(self.see(epoch=4, version=11), 1)
+        self.assertEqual(self.see(epoch=4, version=11), 1)
+        self.assertEqual(self.see(epoch=3, version=10), 1)
--- a/ragwortfield/tests/test_lease_log.py
+++ b/ragwortfield/tests/test_lease_log.py
@@ -64,6 +64,8 @@
         line = self.lapse()
         self.assertIn('epoch=1', line)
         self.assertIn('has_reported=True bound=own_lease', line)
+        counts = self.world.owners[-1].state.counts
+        self.assertEqual(counts.lapses_after_report, 1)
         self.assertRegex(line, 'lease_end_ms=[0-9]+ clock_ms=[0-9]+')
         self.assertRegex(line, 'report_age_s=[45]')
 
@@ -72,6 +74,9 @@
         line = self.lapse()
         self.assertIn('epoch=2', line)
         self.assertIn('has_reported=False bound=former_unaware', line)
+        counts = self.world.owners[-1].state.counts
+        self.assertEqual(counts.lapses_without_report, 1)
+        self.assertEqual(counts.lapses_after_report, 0)
         self.assertIn('former=i1 former_epoch=1 former_answer=none', line)
         self.assertIn('former_until_s=3.5 electorate=0 unfenced=0', line)
         self.assertIn('previous_lease_s=4 is_process_bound=True', line)
@@ -99,6 +104,7 @@
                 former._renew_leases()
         (line,) = [line for line in lines if 'event=order_fenced' in line]
         self.assertIn('worker=w0 epoch=1', line)
+        self.assertEqual(former.state.counts.fenced_orders, 3)
         self.assertIn('report_age_s=0.', line)
         self.assertIn(f'tasks={_TASKS}', line)
 
--- a/ragwortfield/tests/test_owner_doubts.py
+++ b/ragwortfield/tests/test_owner_doubts.py
@@ -100,6 +100,7 @@
         (takeover,) = self.select_lines(lines, 'takeover')
         self.assertIn('epoch=8', takeover)
         self.assertIn('former=lost former_epoch=7 former_term_s=', takeover)
+        self.assertEqual(self.cluster.counts.takeovers, 1)
 
     def test_owner_that_denies_ownership_is_told_as_such(self):
         self.answer = _DENIES
--- a/ragwortfield/tests/test_scheduler_node.py
+++ b/ragwortfield/tests/test_scheduler_node.py
@@ -244,3 +244,28 @@
                 gevent.sleep(0.05)
         logged = [line for line in lines if 'a fault of the code' in line]
         self.assertEqual(len(logged), 1, lines)
+
+    # Guards against counters that start again with each term of an owner: those
+    # of all its terms are one, and they are exported.
+    def test_counts_about_owners_are_exported(self):
+        self.start()
+        self.await_true(self.is_shard_owned)
+        counts = self.node.ownership.runner(0).state.counts
+        self.assertIs(counts, self.node._cluster.counts)
+        counts.count_lapse(has_reported=True)
+        counts.count_lapse(has_reported=False)
+        counts.count_lapse(has_reported=False)
+        counts.fenced_orders += 3
+        counts.seen_changes += 4
+        self.node.job_requests.unowned_statuses.count = 5
+        self.node.refresh_metrics()
+        text = self.node.metrics.render()[0].decode()
+        for line in (
+            'ragwortfield_lapsed_leases_total{has_reported="true"} 1',
+            'ragwortfield_lapsed_leases_total{has_reported="false"} 2',
+            'ragwortfield_fenced_orders_total 3',
+            'ragwortfield_owner_changes_total{kind="seen"} 4',
+            'ragwortfield_owner_changes_total{kind="taken_over"} 1',
+            'ragwortfield_unowned_statuses_total 5',
+        ):
+            self.assertIn(line, text)
