Test: a late start at a silent worker, where starts reach their process only

Added: the liveness world can check processes as the client does. There a start for a former process is never carried out, and a late one is refused or ends with the lease: three tests, from 0.5 to 8 s late, no second run, and a run again within 6 s (9 s where the worker has got the start).

--- a/ragwortfield/tests/liveness_world.py
+++ b/ragwortfield/tests/liveness_world.py
@@ -112,10 +112,12 @@
 
     def start(self, order: StartRun):
         """Start a run; the fault decides about effect and answer."""
+        worker = self.worker_by_id.get(order.worker_id)
+        if not self._is_for_process(worker, order.born_ms):
+            return Unavailable(reason='another process answers')
         fault = self.get_fault(order.worker_id)
         outcome = self._treat(order, fault.start, self._carry_out, 'start')
         event = self.event_by_worker.pop(order.worker_id, '')
-        worker = self.worker_by_id.get(order.worker_id)
         if not event or worker is None:
             return outcome
         if event in {RESTART_BEFORE_ANSWER, RESTART_AFTER_ANSWER}:
@@ -291,8 +293,10 @@
 
     owner_type = LivenessOwner
 
-    def __init__(self, *, workers=3, seed=0):
-        super().__init__(workers=workers, seed=seed)
+    def __init__(self, *, workers=3, seed=0, is_process_checked=False):
+        super().__init__(
+            workers=workers, seed=seed, is_process_checked=is_process_checked
+        )
         self.commit_s = 0
         self.unlisted_ids = set()
         self.draining_ids = set()
@@ -302,6 +306,7 @@
             worker_by_id=self.workers.worker_by_id,
             is_order_answer_lost=self.workers.is_order_answer_lost,
             is_order_delayed=self.workers.is_order_delayed,
+            is_process_checked=is_process_checked,
         )
 
     def set_fault(self, worker_id, **options):
--- a/ragwortfield/tests/test_stuck_tasks.py
+++ b/ragwortfield/tests/test_stuck_tasks.py
@@ -2,6 +2,7 @@
 
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from ragwortfield.ports.approvals import Approved
 from ragwortfield.ports.platform import Unavailable
@@ -23,6 +24,7 @@
     NOT_SENT,
     ONLY_CLAIMED,
     UNANSWERED,
+    FaultyTaskWorkerControl,
     LivenessWorld,
 )
 from ragwortfield.tests.placement_world import (
@@ -34,6 +36,8 @@
 
 #: Longest time without a run that users accept, in seconds.
 _MAX_RERUN_S = 6
+#: Longest time without a run of a task whose worker falls silent, in seconds.
+_MAX_OUTAGE_S = 9
 #: Longest time until the lease of a silent worker is certainly over, in
 #: seconds.
 _MAX_LEASE_WAIT_S = 17
@@ -52,8 +56,8 @@
 
 
 class _StuckTaskTest(unittest.TestCase):
-    def set_up_world(self, workers):
-        self.world = LivenessWorld(workers=workers)
+    def set_up_world(self, workers, **options):
+        self.world = LivenessWorld(workers=workers, **options)
         self.world.take_over()
         self.owner = self.world.owners[-1]
         self.act(1)
@@ -267,6 +271,86 @@
         self.assertLess(self.measure_until_running(job_id, 1), _MAX_RERUN_S)
 
 
+class ProcessBoundStartTest(_StuckTaskTest):
+    """
+    A start is carried out late at a worker that falls silent.
+
+    As with the client of the platform's workers, a start only reaches the
+    process for whose clock its deadline was computed.
+    """
+
+    def setUp(self):
+        self.set_up_world(workers=3, is_process_checked=True)
+        self.act(_AGE_S)
+
+    def send_late_start(self):
+        """
+        Order a start that is carried out late, at a worker that falls silent.
+
+        :returns: job and worker.
+        """
+        sent_orders = []
+        start = self.world.workers.start
+
+        def start_late(order):
+            sent_orders.append(order)
+            return start(order)
+
+        self.set_fault_of_all(start=CARRIED_OUT_LATE)
+        job_id = self.world.submit(_build_lasting_step())
+        with mock.patch.object(
+            FaultyTaskWorkerControl, 'start', side_effect=start_late
+        ):
+            self.owner.act(is_renewing_leases=False)
+        self.set_fault_of_all()
+        (order,) = sent_orders
+        worker = self.get_worker(order.worker_id)
+        worker.is_reachable = False
+        return job_id, worker
+
+    # Guards against two runs of one task: a start for a worker's former process
+    # is carried out seconds later by the present one, which judges the deadline
+    # by a clock that is behind. Also guards against a task that waits for it.
+    def test_start_for_a_former_process_is_never_carried_out(self):
+        for worker in self.list_workers():
+            worker.restart()
+        job_id, worker = self.send_late_start()
+        self.assertEqual(self.world.workers.delayed_orders, [])
+        self.act(_LATENESS_S)
+        self.world.workers.apply_delayed()
+        self.act(_MAX_RERUN_S - _LATENESS_S)
+        self.assertEqual(len(self.list_run_workers(job_id)), 1)
+        self.assertEqual(worker.run_by_key, {})
+        self.act(_MAX_LEASE_WAIT_S)
+        self.assertEqual(len(self.list_run_workers(job_id)), 1)
+
+    # Guards against two runs of one task: the worker carries the start out at
+    # any moment until its deadline, or refuses it after that.
+    def test_late_start_on_a_silent_worker_is_awaited(self):
+        for lateness_s in (0.5, 1, 1.5, 1.9, 2.5, _LATENESS_S, 8):
+            with self.subTest(lateness_s=lateness_s):
+                self.setUp()
+                job_id, _ = self.send_late_start()
+                self.act(lateness_s)
+                self.world.workers.apply_delayed()
+                self.act(_MAX_OUTAGE_S)
+                self.assertEqual(len(self.list_run_workers(job_id)), 1)
+                self.act(_MAX_LEASE_WAIT_S)
+                self.assertEqual(len(self.list_run_workers(job_id)), 1)
+
+    # Guards against the same where the worker restarts after it has received
+    # the start, which is lost with its process.
+    def test_late_start_is_lost_with_the_process_that_received_it(self):
+        job_id, worker = self.send_late_start()
+        self.act(1)
+        worker.restart()
+        self.act(_LATENESS_S)
+        self.world.workers.apply_delayed()
+        self.assertEqual(worker.run_by_key, {})
+        self.act(_MAX_OUTAGE_S - _LATENESS_S)
+        self.assertEqual(len(self.list_run_workers(job_id)), 1)
+
+
 class FailingTaskTest(_StuckTaskTest):
     """Tasks fail, by their own fault or that of a worker."""
 
