An owner uses at most 7 of a worker's 64 connections

Cause: each order that found no idle connection opened one, and idle ones were closed only when they were to be used again, 20 s later. The constant for the number of concurrent orders was used nowhere.

Change: orders to one worker share six connections and wait in turn for up to 2 s; one whose turn does not come was certainly not sent. The poll that extends the lease has a connection of its own. Of the connections for many orders at once, all but one are closed after 5 s without an order. A pool can be closed: nothing is sent over it any more, also not by orders that wait or that are connecting. A start polls an idle connection of which the process is not known, instead of opening another one.

The fakes of two tests replaced the client's pool of an address; they now replace the two pools of a worker. The server of test_worker_processes has moved to a module of its own, counts its connections and serves 64 at most, like a worker.

--- a/ragwortfield/adapters/http_client.py
+++ b/ragwortfield/adapters/http_client.py
@@ -99,6 +99,23 @@
     peer: str = ''
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConnectionLimits:
+    """
+    Limits of the connections of a pool.
+
+    :param max_open: most connections that are open at a time.
+    :param max_kept: most idle connections that are kept for long.
+    :param spare_idle_s: time after which ``close_spare`` closes idle
+        connections beyond these, in seconds.
+    """
+
+    max_open: float = math.inf
+    max_kept: float = math.inf
+    spare_idle_s: Seconds = _MAX_IDLE_S
+
+
+_NO_LIMITS = ConnectionLimits()
 #: Function that returns whether a request may still be sent.
 SendGuard = Callable[[], bool]
 #: Function that returns the identity of the process that sent a response; empty
@@ -124,11 +141,16 @@
     another request.
 
     :param address: host and port, joined by a colon.
+    :param limits: limits of its connections.
     """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(
+        self, *, address: str, limits: ConnectionLimits = _NO_LIMITS
+    ) -> None:
         """Create an empty pool."""
         self.address = address
+        self._limits = limits
+        self._is_closed = False
         self.open_count = 0
         self.generation = 0
         self.retired_count = 0
@@ -166,21 +188,18 @@
         self,
         request: HttpRequest,
         timeouts: Timeouts,
-        read_peer: PeerReader | None = None,
     ) -> ExchangeOutcome:
         """
         Send a request over a new connection and wait for the response.
 
         :param request: the request.
         :param timeouts: time-outs of the exchange.
-        :param read_peer: reads from the response which process has sent it;
-            ``None`` if that does not matter.
         :returns: the response, or what is known about the failed exchange.
         """
         connection = self._connect()
         if isinstance(connection, NotSent):
             return connection
-        return self._exchange_on(connection, request, timeouts, read_peer)
+        return self._exchange_on(connection, request, timeouts)
 
     def exchange_with_peer(
         self, peer: str, request: HttpRequest, timeouts: Timeouts
@@ -205,6 +224,15 @@
             )
         return self._exchange_on(connection, request, timeouts)
 
+    def close(self) -> None:
+        """
+        Send no further requests.
+
+        Idle connections are closed now and those in use after their exchange.
+        """
+        self._is_closed = True
+        self.retire_connections()
+
     def retire_connections(self) -> None:
         """Close idle connections now and those in use after their exchange."""
         self.generation += 1
@@ -216,6 +244,17 @@
         while self._idle:
             self._close(self._idle.popleft())
 
+    def close_spare(self) -> None:
+        """Close connections that have been idle for too long."""
+        now = time.monotonic()
+        while self._idle:
+            is_kept = len(self._idle) <= self._limits.max_kept
+            max_idle_s = _MAX_IDLE_S if is_kept else self._limits.spare_idle_s
+            # The first one has been idle for longest.
+            if now - self._idle[0].idle_since <= max_idle_s:
+                return
+            self._close(self._idle.popleft())
+
     def count_idle(self) -> int:
         """
         Count the idle connections.
@@ -243,18 +282,41 @@
         return None
 
     def _connect(self) -> _Connection | NotSent:
+        if self._is_closed:
+            return NotSent(reason=f'pool of {self.address} is closed')
+        self._make_room()
+        if self.open_count >= self._limits.max_open:
+            return NotSent(
+                reason=f'{self.open_count} connections to {self.address} are '
+                f'in use, expected fewer than {self._limits.max_open}'
+            )
+        # Counted at once, since others may connect in the meantime.
+        self.open_count += 1
         try:
             sock = open_connection(*self._endpoint)
         except OSError as error:
+            self.open_count -= 1
             return NotSent(reason=f'no connection to {self.address}: {error}')
+        except BaseException:
+            # The greenlet was killed.
+            self.open_count -= 1
+            raise
         set_socket_options(sock)
-        self.open_count += 1
-        return _Connection(
+        connection = _Connection(
             sock=sock,
             generation=self.generation,
             idle_since=time.monotonic(),
             is_reused=False,
         )
+        if self._is_closed:
+            self._close(connection)
+            return NotSent(reason=f'pool of {self.address} is closed')
+        return connection
+
+    def _make_room(self) -> None:
+        """Close the oldest idle connections if too many are open."""
+        while self._idle and self.open_count >= self._limits.max_open:
+            self._close(self._idle.popleft())
 
     def _close(self, connection: _Connection) -> None:
         self.open_count -= 1
--- a/ragwortfield/platform/task_worker_client.py
+++ b/ragwortfield/platform/task_worker_client.py
@@ -24,6 +24,11 @@
     PositiveNumber,
     WholeNumber,
 )
+from ragwortfield.platform.worker_connections import (
+    MAX_CONCURRENT_ORDERS,
+    MAX_TURN_WAIT_S,
+    WorkerConnections,
+)
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
     EndKind,
@@ -58,9 +63,6 @@
 #: Largest number of parsed task names in the cache. Each report lists all
 #: running tasks, so the same names are parsed again and again.
 _MAX_CACHED_TASK_NAMES = 16_384
-#: Largest number of concurrent orders to one worker; a worker accepts 64
-#: connections in all.
-_MAX_CONCURRENT_ORDERS = 16
 
 
 class _WireOrderResponse(msgspec.Struct):
@@ -116,11 +118,14 @@
     A worker that restarts keeps its identifier and its address, while its clock
     starts anew. So an order with a deadline is only sent over a connection that
     leads to the process for whose clock the deadline was computed.
+
+    A client serves one owner of a shard.
     """
 
     def __init__(self) -> None:
         """Create a client; it connects to a worker on the first order."""
-        self._pool_by_address: dict[str, HttpConnectionPool] = {}
+        self._is_closed = False
+        self._connections_by_address: dict[str, WorkerConnections] = {}
 
     def renew_lease(
         self,
@@ -136,6 +141,7 @@
         :param order: new expiry of the lease and acknowledged ends.
         :returns: the worker's report, or why there is none.
         """
+        self.get_connections(order.address).close_spare()
         answer: WholeAnswer | Unavailable | None = None
         if order.deadline_ms is not None:
             answer = self._extend_lease(order, order.deadline_ms)
@@ -168,17 +174,11 @@
         if order.ticket:
             body['ticket'] = order.ticket
         request = _make_request('/run-start', body, order.worker_id)
-        answer = self._post_to_process(order, request)
-        if answer is None:
-            failure = self._connect_to_process(order)
-            if failure is not None:
-                return failure
-            answer = self._post_to_process(order, request)
-        if answer is None:
-            return Unavailable(
-                reason=f'{order.address} keeps no connection open'
-            )
-        return _parse_order_answer(answer)
+        connections = self.get_connections(order.address)
+        with connections.await_turn() as is_turn:
+            if not is_turn:
+                return _make_turn_error(order.address)
+            return self._start_on_process(order, request)
 
     def stop(self, order: StopRun) -> OrderOutcome:
         """
@@ -213,15 +213,30 @@
         }
         return self._send_order(order.address, '/pace', body, order.worker_id)
 
-    def close_connections(self, address: str) -> None:
+    def close(self) -> None:
+        """
+        Send no further orders and close the connections.
+
+        Those in use are closed after their exchange.
         """
-        Close the idle connections to a worker that has left.
+        self._is_closed = True
+        for connections in self._connections_by_address.values():
+            connections.close()
+
+    def get_connections(self, address: str) -> WorkerConnections:
+        """
+        Get the connections to a worker.
 
         :param address: host and port of the worker.
+        :returns: its connections; opened when they are used.
         """
-        pool = self._pool_by_address.pop(address, None)
-        if pool is not None:
-            pool.close_idle()
+        connections = self._connections_by_address.get(address)
+        if connections is None:
+            connections = WorkerConnections(address=address)
+            self._connections_by_address[address] = connections
+            if self._is_closed:
+                connections.close()
+        return connections
 
     def _send_order(
         self,
@@ -230,11 +245,29 @@
         body: dict[str, Any],
         worker_id: str,
     ) -> OrderOutcome:
-        pool = self._get_pool(address)
-        outcome = pool.exchange(
-            _make_request(path, body, worker_id), _make_timeouts()
-        )
-        return _parse_order_answer(_convert_outcome(pool, outcome))
+        connections = self.get_connections(address)
+        with connections.await_turn() as is_turn:
+            if not is_turn:
+                return _make_turn_error(address)
+            outcome = connections.orders.exchange(
+                _make_request(path, body, worker_id), _make_timeouts()
+            )
+            return _parse_order_answer(_convert_outcome(connections, outcome))
+
+    def _start_on_process(
+        self, order: StartRun, request: HttpRequest
+    ) -> OrderOutcome:
+        answer = self._post_to_process(order, request)
+        if answer is None:
+            failure = self._connect_to_process(order)
+            if failure is not None:
+                return failure
+            answer = self._post_to_process(order, request)
+        if answer is None:
+            return Unavailable(
+                reason=f'{order.address} keeps no connection open'
+            )
+        return _parse_order_answer(answer)
 
     def _extend_lease(
         self, order: LeaseOrder, deadline_ms: int
@@ -257,31 +290,26 @@
             order.wait_ms / _MS_PER_S,
         )
 
-    def _poll(
-        self, order: LeaseOrder | StartRun, *, is_connection_new: bool = False
-    ) -> WholeAnswer | Unavailable:
+    def _poll(self, order: LeaseOrder | StartRun) -> WholeAnswer | Unavailable:
         """Read a report, and learn to which process a connection leads."""
-        pool = self._get_pool(order.address)
+        connections = self.get_connections(order.address)
         body = {'fence_token': order.fencing_token, 'ack_cursor': 0}
-        exchange = pool.exchange
-        if is_connection_new:
-            exchange = pool.exchange_on_new_connection
-        outcome = exchange(
+        outcome = _get_pool(connections, order).exchange(
             _make_request('/hold', body, order.worker_id),
             _make_timeouts(),
             read_peer=_read_process,
         )
-        return _convert_outcome(pool, outcome)
+        return _convert_outcome(connections, outcome)
 
     def _connect_to_process(
         self, order: StartRun
     ) -> OrderRefused | Unavailable | None:
         """
-        Open a connection to the process that a start is for.
+        Find a connection to the process that a start is for.
 
         :returns: why there is none; ``None`` if that process has answered.
         """
-        answer = self._poll(order, is_connection_new=True)
+        answer = self._poll(order)
         if isinstance(answer, Unavailable):
             return Unavailable(reason=answer.reason)
         if answer.status != HTTPStatus.OK:
@@ -306,20 +334,13 @@
 
         :returns: the answer; ``None`` if there is no such connection.
         """
-        pool = self._get_pool(order.address)
-        outcome = pool.exchange_with_peer(
+        connections = self.get_connections(order.address)
+        outcome = _get_pool(connections, order).exchange_with_peer(
             _format_process(order.born_ms), request, _make_timeouts(wait_s)
         )
         if isinstance(outcome, NotSent):
             return None
-        return _convert_outcome(pool, outcome)
-
-    def _get_pool(self, address: str) -> HttpConnectionPool:
-        pool = self._pool_by_address.get(address)
-        if pool is None:
-            pool = HttpConnectionPool(address=address)
-            self._pool_by_address[address] = pool
-        return pool
+        return _convert_outcome(connections, outcome)
 
 
 @lru_cache(maxsize=_MAX_CACHED_TASK_NAMES)
@@ -355,14 +376,22 @@
     return Timeouts(first_byte_s=timeout_s, total_s=timeout_s)
 
 
+def _get_pool(
+    connections: WorkerConnections, order: LeaseOrder | StartRun
+) -> HttpConnectionPool:
+    if isinstance(order, LeaseOrder):
+        return connections.polls
+    return connections.orders
+
+
 def _convert_outcome(
-    pool: HttpConnectionPool, outcome: ExchangeOutcome
+    connections: WorkerConnections, outcome: ExchangeOutcome
 ) -> WholeAnswer | Unavailable:
     if isinstance(outcome, NotSent):
         return Unavailable(reason=outcome.reason)
     if isinstance(outcome, Broken):
         # The other idle connections to the worker may be dead as well.
-        pool.retire_connections()
+        connections.retire()
         return Unavailable(
             reason=outcome.reason,
             is_effect_possible=True,
@@ -371,6 +400,13 @@
     return outcome
 
 
+def _make_turn_error(address: str) -> Unavailable:
+    return Unavailable(
+        reason=f'{MAX_CONCURRENT_ORDERS} orders to {address} have been under '
+        f'way for {MAX_TURN_WAIT_S} s'
+    )
+
+
 def _format_process(born_ms: int) -> str:
     return str(born_ms) if born_ms else ''
 
--- a/ragwortfield/tests/test_http_client.py
+++ b/ragwortfield/tests/test_http_client.py
@@ -8,7 +8,9 @@
 from gevent import socket
 from gevent.monkey import get_original
 
+from ragwortfield.adapters import http_client
 from ragwortfield.adapters.http_client import (
+    ConnectionLimits,
     HttpConnectionPool,
     HttpRequest,
     Timeouts,
@@ -172,6 +174,96 @@
         self.assertEqual(self.server.connections, 2)
 
 
+class ConnectionLimitTests(TestCase):
+    """Connections that a pool may open and keep."""
+
+    def setUp(self):
+        self.server = ScriptedServer(*[build_answer(b'whole')] * 9)
+        self.addCleanup(self.server.close)
+
+    def make_pool(self, **limits):
+        return HttpConnectionPool(
+            address=self.server.address, limits=ConnectionLimits(**limits)
+        )
+
+    def exchange_at_once(self, pool, count):
+        exchanges = [
+            gevent.spawn(pool.exchange, _REQUEST, _TIMEOUTS)
+            for _ in range(count)
+        ]
+        gevent.joinall(exchanges)
+        return [exchange.value for exchange in exchanges]
+
+    def test_request_beyond_the_limit_is_not_sent(self):
+        pool = self.make_pool(max_open=2)
+        outcomes = self.exchange_at_once(pool, 3)
+        not_sent = [one for one in outcomes if isinstance(one, NotSent)]
+        self.assertEqual(len(not_sent), 1)
+        self.assertEqual((self.server.requests, pool.open_count), (2, 2))
+
+    def test_idle_connection_makes_room_for_a_new_one(self):
+        pool = self.make_pool(max_open=1)
+        for _ in range(2):
+            outcome = pool.exchange_on_new_connection(_REQUEST, _TIMEOUTS)
+            self.assertIsInstance(outcome, WholeAnswer)
+        self.assertEqual((self.server.connections, pool.open_count), (2, 1))
+
+    # Guards against a pool that opens no connection any more: attempts that
+    # failed count as open.
+    def test_failed_attempts_leave_room(self):
+        pool = self.make_pool(max_open=1)
+        address = pool._endpoint
+        pool._endpoint = (address[0], 1)
+        self.assertIsInstance(pool.exchange(_REQUEST, _TIMEOUTS), NotSent)
+        pool._endpoint = address
+        self.assertIsInstance(pool.exchange(_REQUEST, _TIMEOUTS), WholeAnswer)
+
+    # Guards against the same by greenlets that were killed while connecting.
+    def test_killed_attempts_leave_room(self):
+        pool = self.make_pool(max_open=1)
+        with mock.patch.object(
+            http_client, 'open_connection', lambda *_: gevent.sleep(5)
+        ):
+            exchange = gevent.spawn(pool.exchange, _REQUEST, _TIMEOUTS)
+            gevent.sleep(0.05)
+            exchange.kill()
+        self.assertIsInstance(pool.exchange(_REQUEST, _TIMEOUTS), WholeAnswer)
+
+    def test_spare_connections_are_closed_after_their_time(self):
+        pool = self.make_pool(max_kept=1, spare_idle_s=0.05)
+        self.exchange_at_once(pool, 3)
+        pool.close_spare()
+        self.assertEqual(pool.count_idle(), 3)
+        gevent.sleep(0.1)
+        pool.close_spare()
+        self.assertEqual((pool.count_idle(), pool.open_count), (1, 1))
+
+    def test_closed_pool_sends_nothing(self):
+        pool = self.make_pool()
+        pool.exchange(_REQUEST, _TIMEOUTS)
+        pool.close()
+        self.assertEqual(pool.open_count, 0)
+        self.assertIsInstance(pool.exchange(_REQUEST, _TIMEOUTS), NotSent)
+        self.assertEqual(self.server.requests, 1)
+
+    # Guards against a request of a pool that was closed while it connected.
+    def test_pool_that_is_closed_while_connecting_sends_nothing(self):
+        pool = self.make_pool()
+        connect = http_client.open_connection
+
+        def connect_slowly(*endpoint):
+            gevent.sleep(0.1)
+            return connect(*endpoint)
+
+        with mock.patch.object(http_client, 'open_connection', connect_slowly):
+            exchange = gevent.spawn(pool.exchange, _REQUEST, _TIMEOUTS)
+            gevent.sleep(0.05)
+            pool.close()
+            exchange.join()
+        self.assertIsInstance(exchange.value, NotSent)
+        self.assertEqual((self.server.requests, pool.open_count), (0, 0))
+
+
 class HostNameTests(TestCase):
     """Hosts that are names, of which some are looked up slowly or never."""
 
--- a/ragwortfield/tests/test_odd_decisions.py
+++ b/ragwortfield/tests/test_odd_decisions.py
@@ -374,7 +374,7 @@
 def _parse_report(body, order):
     client = TaskWorkerClient()
     answer = WholeAnswer(status=200, fields=(), body=body)
-    client._pool_by_address[order.address] = mock.Mock(
+    client.get_connections(order.address).polls = mock.Mock(
         exchange=lambda request, timeouts, **options: answer,
         exchange_with_peer=lambda peer, request, timeouts: answer,
     )
--- a/ragwortfield/tests/test_task_worker_client.py
+++ b/ragwortfield/tests/test_task_worker_client.py
@@ -77,6 +77,15 @@
     def exchange_with_peer(self, peer, request, timeouts):
         return self.exchange(request, timeouts)
 
+    def close_spare(self):
+        """Do nothing."""
+
+
+def _use_pool(client, pool):
+    connections = client.get_connections(_ADDRESS)
+    connections.orders = pool
+    connections.polls = pool
+
 
 def _call_each_method(client):
     order_fields = {'worker_id': 'w0', 'address': _ADDRESS, 'fencing_token': 1}
@@ -95,7 +104,7 @@
 
 def _renew_lease(body):
     client = TaskWorkerClient()
-    client._pool_by_address[_ADDRESS] = _FakePool(200, body)
+    _use_pool(client, _FakePool(200, body))
     return next(_call_each_method(client))
 
 
@@ -111,7 +120,7 @@
 
     def check_outcomes(self, status, body):
         client = TaskWorkerClient()
-        client._pool_by_address[_ADDRESS] = _FakePool(status, body)
+        _use_pool(client, _FakePool(status, body))
         for outcome in _call_each_method(client):
             self.assertIsInstance(outcome, Unavailable, body[:60])
             self.assertTrue(outcome.is_effect_possible)
@@ -162,7 +171,7 @@
     def test_unknown_status_leaves_an_effect_possible(self):
         for status in _UNKNOWN_STATUSES:
             client = TaskWorkerClient()
-            client._pool_by_address[_ADDRESS] = _FakePool(status)
+            _use_pool(client, _FakePool(status))
             for outcome in _call_each_method(client):
                 self.assertIsInstance(outcome, Unavailable)
                 self.assertTrue(outcome.is_effect_possible)
@@ -176,7 +185,7 @@
         client = TaskWorkerClient()
         pool = mock.Mock()
         pool.exchange_with_peer.return_value = outcome
-        client._pool_by_address[_ADDRESS] = pool
+        _use_pool(client, pool)
         return client.start(
             StartRun(
                 worker_id='w0',
--- a/ragwortfield/tests/test_worker_processes.py
+++ b/ragwortfield/tests/test_worker_processes.py
@@ -3,9 +3,6 @@
 import unittest
 
 import gevent
-import msgspec
-from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
 
 from ragwortfield.platform.task_worker_client import TaskWorkerClient
 from ragwortfield.ports.platform import Unavailable
@@ -18,62 +15,20 @@
     StartRun,
 )
 from ragwortfield.scheduling.job import TaskKey
+from ragwortfield.tests.worker_process import WorkerProcess
 
-_HOST = '127.0.0.1'
 _KEY = TaskKey('0' * 16, 0, 0, 0)
 _FIRST = 1_000
 _SECOND = 2_000
 
 
-class _WorkerProcess:
-    """HTTP server of one worker process; records path and body of calls."""
-
-    def __init__(self, *, born_ms, port=0, status='200 OK', is_silent=False):
-        self.calls = []
-        self.born_ms = born_ms
-        self.status = status
-        self.is_silent = is_silent
-        self.server = WSGIServer(
-            (_HOST, port), self.answer, log=None, spawn=Pool()
-        )
-        self.server.start()
-        self.address = f'{_HOST}:{self.server.server_port}'
-
-    def answer(self, environ, start_response):
-        body = msgspec.json.decode(environ['wsgi.input'].read())
-        self.calls.append((environ['PATH_INFO'], body))
-        if self.is_silent:
-            gevent.sleep(30)
-        document = {'clock_ms': 5, 'born': self.born_ms, 'reason': 'fence'}
-        if environ['PATH_INFO'] == '/hold':
-            document |= {'running': [], 'ended': []}
-        content = msgspec.json.encode(document)
-        headers = [('Content-Length', str(len(content)))]
-        start_response(self.status, headers)
-        return [content]
-
-    def list_deadlines(self):
-        return [
-            (path, body['deadline_ms'])
-            for path, body in self.calls
-            if 'deadline_ms' in body
-        ]
-
-    def list_acknowledgements(self):
-        return [
-            body['ack_cursor']
-            for _, body in self.calls
-            if body.get('ack_cursor')
-        ]
-
-
 class WorkerProcessTest(unittest.TestCase):
     def setUp(self):
         self.client = TaskWorkerClient()
         self.process = self.run_process(_FIRST)
 
     def run_process(self, born_ms, **options):
-        process = _WorkerProcess(born_ms=born_ms, **options)
+        process = WorkerProcess(born_ms=born_ms, **options)
         self.addCleanup(process.server.stop)
         return process
 
