An owner that has left its shard closes its connections to the workers

And an order of such an owner that was waiting or connecting was still sent after the owner had stopped; the workers that its successor had not reached yet carried it out.

Cause: all owners of a process shared one client, which nobody told that one of them had stopped.

Another owner in the same process is not affected.

--- a/ragwortfield/daemons/scheduler.py
+++ b/ragwortfield/daemons/scheduler.py
@@ -181,7 +181,7 @@
         data_centre=instance.data_centre,
         cores=instance.cores * instance.core_speed,
         store=RowStoreClient(address=settings.dependencies.store),
-        workers=TaskWorkerClient(),
+        make_workers=TaskWorkerClient,
         approval_service=ApprovalServiceClient(
             address=settings.dependencies.advice,
         ),
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -117,7 +117,7 @@
     :param data_centre: data centre of this instance.
     :param cores: number of its CPU cores.
     :param store: the platform's store.
-    :param workers: calls to workers.
+    :param make_workers: creates the calls to workers of one owner of a shard.
     :param approval_service: service that approves workers for some queues.
     :param table_names: tables of the platform.
     :param bounds: timing bounds in force.
@@ -130,7 +130,7 @@
         data_centre: str,
         cores: float,
         store: RowStore,
-        workers: TaskWorkerControl,
+        make_workers: Callable[[], TaskWorkerControl],
         approval_service: ApprovalService,
         table_names: PlatformTables,
         bounds: TimingBounds,
@@ -144,7 +144,7 @@
         self._data_centre = data_centre
         self._cores = cores
         self._store = store
-        self._workers = workers
+        self._make_workers = make_workers
         self._approval_service = approval_service
         self._table_names = table_names
         self._bounds = bounds
@@ -478,7 +478,7 @@
                 sequence_version=term.version,
             ),
             store=self._store,
-            workers=self._workers,
+            workers=self._make_workers(),
             approval_service=self._approval_service,
             registry=WorkerRegistry(
                 table=self._table_names.worker_table,
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -90,9 +90,10 @@
             gevent.spawn(self._send, order)
 
     def stop(self) -> None:
-        """Stop all loops and send no further orders."""
+        """Stop all loops, send no further orders and close connections."""
         self._is_stopped = True
         gevent.killall(list(self._loop_by_worker.values()), block=False)
+        self._workers.close()
 
     def _send(self, order: Order) -> None:
         if self._is_stopped:
--- a/ragwortfield/ports/task_worker.py
+++ b/ragwortfield/ports/task_worker.py
@@ -210,7 +210,11 @@
 
 
 class TaskWorkerControl(Protocol):
-    """Orders to workers; after ``Unavailable`` the effect is unknown."""
+    """
+    Orders of one owner to workers.
+
+    After ``Unavailable`` the effect is unknown.
+    """
 
     def renew_lease(
         self,
@@ -226,3 +230,6 @@
 
     def pace(self, order: PaceRun) -> OrderOutcome:
         """Set the pace of a run."""
+
+    def close(self) -> None:
+        """Send no further orders and leave the connections to others."""
--- a/ragwortfield/testing/fake_task_workers.py
+++ b/ragwortfield/testing/fake_task_workers.py
@@ -360,6 +360,9 @@
         """
         return self._carry_out(order, 'pace')
 
+    def close(self) -> None:
+        """Do nothing; the owners of a test share the fake."""
+
     def apply_delayed(self) -> None:
         """Carry out the delayed orders."""
         delayed_orders = self.delayed_orders
--- a/ragwortfield/tests/test_configuration_versions.py
+++ b/ragwortfield/tests/test_configuration_versions.py
@@ -85,7 +85,7 @@
             data_centre='dc',
             cores=1,
             store=self.store,
-            workers=FakeTaskWorkerControl(),
+            make_workers=FakeTaskWorkerControl,
             approval_service=ApprovalServiceClient(address=''),
             table_names=PlatformTables(
                 operator_table=_OPERATOR_TABLE,
--- a/ragwortfield/tests/test_scheduler_node.py
+++ b/ragwortfield/tests/test_scheduler_node.py
@@ -112,7 +112,7 @@
             data_centre='dc',
             cores=1,
             store=self.store,
-            workers=FakeTaskWorkerControl(),
+            make_workers=FakeTaskWorkerControl,
             approval_service=ApprovalServiceClient(address=''),
             table_names=PlatformTables(
                 operator_table=_OPERATOR_TABLE,
@@ -159,6 +159,24 @@
     def is_shard_owned(self):
         return self.node.ownership.runner(0) is not None
 
+    # Guards against an owner whose connections to workers are closed at the end
+    # of a former owner in the same process.
+    def test_each_owner_has_connections_of_its_own(self):
+        made = []
+
+        def make_workers():
+            made.append(mock.Mock(spec=FakeTaskWorkerControl))
+            return made[-1]
+
+        self.node._make_workers = make_workers
+        self.start()
+        self.await_true(self.is_shard_owned)
+        self.node.ownership.runner(0).stop('part of the test')
+        self.await_true(self.is_shard_owned)
+        first, second = made
+        first.close.assert_called_once_with()
+        second.close.assert_not_called()
+
     # Guards against a wall clock that is no longer updated after one error.
     def test_wall_clock_is_updated_after_an_error(self):
         raising = mock.Mock(side_effect=_raise_once(lambda: None))
--- a/ragwortfield/tests/test_worker_loops.py
+++ b/ragwortfield/tests/test_worker_loops.py
@@ -9,11 +9,14 @@
 from ragwortfield.core.resources import Resources
 from ragwortfield.engine.owner_statistics import OwnerStatistics
 from ragwortfield.engine.worker_loops import WorkerLoops
+from ragwortfield.platform.task_worker_client import TaskWorkerClient
 from ragwortfield.ports.task_worker import (
     EndKind,
+    ListedWorker,
     OrderRefused,
     PaceRun,
     Refusal,
+    StopRun,
 )
 from ragwortfield.scheduling import (
     interference_control,
@@ -21,6 +24,7 @@
     worker_reports,
 )
 from ragwortfield.scheduling.catalogue import Catalogue
+from ragwortfield.scheduling.job import TaskKey
 from ragwortfield.scheduling.job_status import JobStatus
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.timing_bounds import TimingBounds
@@ -30,11 +34,14 @@
 )
 from ragwortfield.testing.log_capture import capture_log_lines
 from ragwortfield.tests.shard_world import ShardWorld, build_single_step
+from ragwortfield.tests.worker_process import WorkerProcess
 
 #: Longest wait for the greenlets of a test, in seconds.
 _TIMEOUT_S = 5
 #: Time until a fake worker answers, in seconds.
 _RESPONSE_TIME_S = 0.01
+#: Start of the process of a worker, as Unix time in milliseconds.
+_BORN_MS = 1_000
 #: Number of polls that shows that a loop continues.
 _MIN_POLLS = 3
 
@@ -174,6 +181,55 @@
         self.assertIn('599 is not a valid HTTPStatus', logged[0])
 
 
+class StoppedLoopsTest(_WorkerLoopsTestCase):
+    """An owner that has left its shard, and another one of the same process."""
+
+    def setUp(self):
+        self.process = WorkerProcess(born_ms=_BORN_MS)
+        self.addCleanup(self.process.server.stop, timeout=0)
+
+    def use_worker(self):
+        """Poll the worker and send it an order, in loops of their own."""
+        self.process.calls.clear()
+        state = ShardState(
+            epoch=1,
+            owner_since=time.monotonic(),
+            bounds=TimingBounds(),
+            catalogue=Catalogue(version=1),
+        )
+        shard_updates.update_worker(
+            state,
+            ListedWorker(worker_id='w0', address=self.process.address),
+        )
+        loops = self.make_loops(state, TaskWorkerClient())
+        loops.start_loops()
+        self.await_true(self.process.list_deadlines)
+        state.orders.append(
+            StopRun(
+                worker_id='w0',
+                address=self.process.address,
+                key=TaskKey('0' * 16, 0, 0, 0),
+                run=1,
+                fencing_token=1,
+            )
+        )
+        loops.send_orders()
+        self.await_true(lambda: '/run-stop' in self.process.list_paths())
+        return loops
+
+    # Guards against a worker that the next owner does not reach: a former one
+    # lives on and keeps its connections (review/6).
+    def test_stopped_owner_closes_its_own_connections_only(self):
+        stopped = self.use_worker()
+        self.use_worker()
+        self.assertEqual(self.process.count_connections(), 4)
+        stopped.stop()
+        self.await_true(lambda: self.process.count_connections() == 2)
+        self.process.calls.clear()
+        self.await_true(self.process.list_deadlines)
+        self.assertEqual(self.process.count_connections(), 2)
+
+
 class OrderSendingTest(_WorkerLoopsTestCase):
     def setUp(self):
         self.world = ShardWorld(workers=1)
