Offered shards are declined while the store has just come back

After an outage of the store the shard stood still until 26.1 s, and changed its owner again at 29.5 s.

Cause: an owner without the store offers its shard to one member after another. In this outage the store answers 503 at once, so it asks without a pause. Whoever is asked next when the store is back finds it healthy and takes over, while the owner tries its commit again each 0.1 s.

Change: a member declines if a call of its own to the store has failed within the last second. An owner that is cut off alone is not affected: calls of the others do not fail then.

test_offer_is_declined_while_the_store_has_just_come_back fails without the change; the two others show that offers are accepted otherwise.

--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -32,6 +32,7 @@
 )
 from ragwortfield.engine.shard_committer import COMMIT_TIMEOUT_S
 from ragwortfield.engine.shard_runner import ShardRunner
+from ragwortfield.engine.store_health import StoreHealth
 from ragwortfield.engine.supervisor import Supervisor
 from ragwortfield.log import event
 from ragwortfield.peering.rpc import CallBody, PeerRpc
@@ -79,6 +80,10 @@
 #: Longest read of the store, in seconds, with which a successor accepts an
 #: offered shard. If its read takes longer, the store is slow for all instances.
 _MAX_READ_S: Seconds = 0.15
+#: Time without a failed call to the store after which a member accepts an
+#: offered shard, in seconds. An owner tries its commit again several times in
+#: this time, so an owner that still offers is cut off alone.
+_STEADY_STORE_S: Seconds = 1
 #: Time-out of the offer of a shard to a member, in seconds.
 _OFFER_TIMEOUT_S: Seconds = 1.5
 #: Half the number of members that are asked whether they reach the owner.
@@ -137,6 +142,8 @@
     :param peers: calls to peers.
     :param lease_s: lease that owners grant to workers, in seconds.
     :param make_runner: creates the runner of a shard that was taken over.
+    :param health: outcomes of this instance's calls to the store; ``None`` if
+        there are none besides those for the shards.
     """
 
     def __init__(
@@ -148,6 +155,7 @@
         peers: PeerRpc,
         lease_s: Seconds,
         make_runner: RunnerFactory,
+        health: StoreHealth | None = None,
     ) -> None:
         """Create; ``watch`` starts to watch a shard."""
         self.runner_by_shard: dict[int, ShardRunner] = {}
@@ -158,6 +166,7 @@
         self._peers = peers
         self._lease_s = lease_s
         self._make_runner = make_runner
+        self._health = health or StoreHealth()
         self._failing_since: dict[int, MonotonicTime] = {}
         self._watchers = OwnerWatchers(instance_id=identity.instance_id)
         self._takeover_supervisor = Supervisor(name='take_vacancy')
@@ -606,6 +615,10 @@
                 return
 
     def _is_store_healthy(self, shard: int) -> bool:
+        if self._health.has_failed_within(_STEADY_STORE_S):
+            # The store was away for this instance as well. Its owner reaches
+            # it again as soon as this one, and has the shard loaded.
+            return False
         started_at = time.monotonic()
         page = self._store.read(
             owner_row(shard).table, partition_of_shard(shard)
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -160,6 +160,7 @@
             peers=self._peers,
             lease_s=bounds.requested_lease_s(),
             make_runner=self._make_runner,
+            health=self._health,
         )
         self.job_requests = JobRequestHandler(
             instance_id=identity.instance_id,
--- a/ragwortfield/engine/store_health.py
+++ b/ragwortfield/engine/store_health.py
@@ -17,6 +17,7 @@
         """Create; the store counts as available until calls fail."""
         self._failures = 0
         self._failing_since: MonotonicTime = 0
+        self._last_failed_at: MonotonicTime = 0
 
     def record_outcome(self, failure: Unavailable | None) -> None:
         """
@@ -30,8 +31,9 @@
             self._failures = 0
             self._failing_since = 0
             return
+        self._last_failed_at = time.monotonic()
         if not self._failures:
-            self._failing_since = time.monotonic()
+            self._failing_since = self._last_failed_at
         self._failures += 1
         if self._failures == _FAILURE_THRESHOLD:
             event('store_away', reason=failure.reason)
@@ -44,6 +46,19 @@
         """
         return self._failures >= _FAILURE_THRESHOLD
 
+    def has_failed_within(self, period_s: Seconds) -> bool:
+        """
+        Tell whether a call has failed lately, or none succeeded since.
+
+        :param period_s: how far to look back, in seconds.
+        :returns: whether the store may be away for all instances, or may just
+            have come back.
+        """
+        if self._failures:
+            return True
+        is_known = self._last_failed_at > 0
+        return is_known and time.monotonic() - self._last_failed_at < period_s
+
     def outage_s(self) -> Seconds:
         """
         Return how long calls have been failing.
--- a/ragwortfield/tests/test_shard_offers.py
+++ b/ragwortfield/tests/test_shard_offers.py
@@ -5,7 +5,15 @@
 
 from ragwortfield.engine.cluster_view import ClusterView
 from ragwortfield.engine.ownership import OwnershipManager, SchedulerIdentity
-from ragwortfield.scheduling.records import MemberRecord
+from ragwortfield.engine.row_names import owner_row
+from ragwortfield.engine.store_health import StoreHealth
+from ragwortfield.ports.platform import Unavailable
+from ragwortfield.ports.row_store import RowWrite, Transaction
+from ragwortfield.scheduling.records import (
+    MemberRecord,
+    OwnerRecord,
+    encode_record,
+)
 from ragwortfield.testing.fake_row_store import FakeRowStore
 
 #: Outage after which an owner offers its shard, in seconds.
@@ -26,6 +34,8 @@
     def setUp(self):
         self.runner = mock.Mock(is_stopped=False)
         self.runner.store_outage_s.return_value = _OUTAGE_S
+        self.health = StoreHealth()
+        self.store = FakeRowStore()
         self.peers = mock.Mock()
         self.peers.is_unreachable.return_value = False
         member_by_id = {
@@ -37,10 +47,11 @@
                 instance_id='own', incarnation='1', address='own:1'
             ),
             cluster=ClusterView(shards=1, member_by_id=member_by_id),
-            store=FakeRowStore(),
+            store=self.store,
             peers=self.peers,
             lease_s=4,
             make_runner=mock.Mock(),
+            health=self.health,
         )
         self.ownership.runner_by_shard[0] = self.runner
 
@@ -81,3 +92,35 @@
         self.runner.owner_version.return_value = 8
         answer = self.ownership.answer_shard_offer({'shard': 0, 'version': 7})
         self.assertTrue(answer['taken'])
+
+    def is_offer_accepted(self):
+        """Return whether this instance takes over a shard of another one."""
+        self.ownership.runner_by_shard.clear()
+        record = OwnerRecord(
+            instance_id='other', incarnation='1', epoch=1, address='other:1'
+        )
+        write = RowWrite(name=owner_row(0), content=encode_record(record))
+        version = self.store.commit(Transaction(writes=(write,)), 1).version
+        self.peers.call.return_value = Unavailable(reason='refused')
+        body = {'shard': 0, 'version': version}
+        return self.ownership.answer_shard_offer(body)['taken']
+
+    def test_offer_is_accepted_if_the_store_was_never_away(self):
+        self.health.record_outcome(None)
+        self.assertTrue(self.is_offer_accepted())
+
+    # Guards against an owner that gives its shard away when the store is back
+    # after an outage for all: on a full link, its successor loads for seconds.
+    def test_offer_is_declined_while_the_store_has_just_come_back(self):
+        failure = Unavailable(reason='store responded 503')
+        self.health.record_outcome(failure)
+        self.assertFalse(self.is_offer_accepted())
+        self.health.record_outcome(None)
+        self.assertFalse(self.is_offer_accepted())
+
+    def test_offer_is_accepted_some_time_after_an_outage(self):
+        with mock.patch('time.monotonic', return_value=100):
+            self.health.record_outcome(Unavailable(reason='no answer'))
+            self.health.record_outcome(None)
+        with mock.patch('time.monotonic', return_value=102):
+            self.assertTrue(self.is_offer_accepted())
