Soak: connections of other deployments to a peer's port are reset

Processes of another deployment on the machine may know the port from earlier; seen once as a KeyError in a run beside other tests, which had no other effect.

--- a/ragwortfield/soak/peer_links.py
+++ b/ragwortfield/soak/peer_links.py
@@ -129,13 +129,17 @@
 
     def _serve(self, caller: socket, _address: object) -> None:
         host = caller.getsockname()[0]
+        caller_view = self.view_by_host.get(host)
+        own_view = self.view
+        # Processes of other deployments may know the port from earlier.
+        if caller_view is None or own_view is None:
+            reset_on_close(caller)
+            return
         faults = self.faults_by_host[host]
-        callee = self._connect(faults)
-        if callee is None or self.view is None:
+        callee = _connect(own_view, faults)
+        if callee is None:
             reset_on_close(caller)
             return
-        own_view = self.view
-        caller_view = self.view_by_host[host]
         translator = FrameTranslator(
             translate=lambda payload: own_view.from_common(
                 caller_view.to_common(payload)
@@ -160,16 +164,15 @@
             else:
                 connection.close()
 
-    def _connect(self, faults: CallFaults) -> socket | None:
-        if not _wait_until_passing(faults, is_answer=False):
-            return None
-        if self.view is None:
-            return None
-        host, _, port = self.view.own_address.partition(':')
-        try:
-            return create_connection((host, int(port)))
-        except OSError:
-            return None
+
+def _connect(view: AddressView, faults: CallFaults) -> socket | None:
+    if not _wait_until_passing(faults, is_answer=False):
+        return None
+    host, _, port = view.own_address.partition(':')
+    try:
+        return create_connection((host, int(port)))
+    except OSError:
+        return None
 
 
 def _pump(
