--- a/ragwortfield/soak/deployment.py
+++ b/ragwortfield/soak/deployment.py
@@ -16,18 +16,18 @@
 )
 from ragwortfield.platform.table_names import OPERATOR_TABLE
 from ragwortfield.ports.row_store import RowName, RowWrite, Transaction
-from ragwortfield.soak.address_view import (
-    AddressView,
-    StoreView,
-    make_caller_host,
-)
 from ragwortfield.soak.jobs import JobBook
-from ragwortfield.soak.peer_links import PeerLinks
 from ragwortfield.soak.processes import HOST, DeployedRole, InstanceProcess
 from ragwortfield.soak.site import BOUNDS, POOL, Site
 from ragwortfield.soak.timeline import Timeline
 from ragwortfield.soak.workers import WorkerHost, make_worker_host
+from ragwortfield.testing.address_view import (
+    AddressView,
+    StoreView,
+    make_caller_host,
+)
 from ragwortfield.testing.indexed_row_store import IndexedRowStore
+from ragwortfield.testing.peer_links import PeerLinks
 from ragwortfield.types import Seconds
 
 #: Time that a call to the store takes, in seconds.
--- a/ragwortfield/soak/workers.py
+++ b/ragwortfield/soak/workers.py
@@ -31,9 +31,9 @@
     StartRun,
 )
 from ragwortfield.scheduling.job import TaskKey
-from ragwortfield.soak.address_view import listen_on_loopback
 from ragwortfield.soak.processes import HOST
 from ragwortfield.soak.site import POOL
+from ragwortfield.testing.address_view import listen_on_loopback
 from ragwortfield.testing.fake_row_store import FakeRowStore
 from ragwortfield.testing.fake_task_workers import FakeTaskWorker
 from ragwortfield.types import MonotonicTime, Seconds
--- a/ragwortfield/soak/address_view.py
+++ b/ragwortfield/testing/address_view.py
@@ -13,10 +13,11 @@
     TransactionDone,
     TransactionRefused,
 )
-from ragwortfield.soak.processes import HOST
 from ragwortfield.testing.fake_row_store import FakeRowStore
 from ragwortfield.types import Seconds
 
+#: Host of the common addresses.
+_HOST = '127.0.0.1'
 #: Network device of the loopback addresses.
 _LOOPBACK_DEVICE = b'lo'
 _BACKLOG = 256
@@ -53,7 +54,7 @@
         """
         return content.replace(
             self.own_address.encode(), self.link_address.encode()
-        ).replace(f'{self.host}:'.encode(), f'{HOST}:'.encode())
+        ).replace(f'{self.host}:'.encode(), f'{_HOST}:'.encode())
 
     def from_common(self, content: bytes) -> bytes:
         """
@@ -62,7 +63,7 @@
         :param content: document with addresses.
         :returns: the document with the addresses that the instance uses.
         """
-        common = f'{HOST}:'.encode()
+        common = f'{_HOST}:'.encode()
         seen = f'{self.host}:'.encode()
         return content.replace(common, seen).replace(
             self.link_address.encode().replace(common, seen),
--- a/ragwortfield/soak/peer_links.py
+++ b/ragwortfield/testing/peer_links.py
@@ -15,7 +15,7 @@
     FaultKind,
     reset_on_close,
 )
-from ragwortfield.soak.address_view import AddressView, listen_on_loopback
+from ragwortfield.testing.address_view import AddressView, listen_on_loopback
 from ragwortfield.types import Seconds
 
 _CHUNK_BYTES = 65536
