--- /dev/null
+++ b/ragwortfield/tests/test_ownership_machine.py
@@ -0,0 +1,167 @@
+"""Random runs of the model of ownership, beyond the searched sequences."""
+
+from hypothesis import strategies
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from ragwortfield.ports.task_worker import EndKind
+from ragwortfield.testing.state_machine_runs import run_state_machine
+from ragwortfield.tests.ownership_model import STAGES, OwnershipWorld
+from ragwortfield.tests.ownership_search import finish
+from ragwortfield.tests.shard_world import build_single_step
+
+_MAX_OWNERS = 10
+_MAX_JOBS = 6
+_WORKER_IDS = ('w0', 'w1', 'w2')
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """
+    Owners of one shard, each with its own view of the store and the workers.
+
+    A renamed rule or argument must keep its place in alphabetical order:
+    Hypothesis sorts rules by number of arguments and name, and arguments by
+    name, so otherwise a seed would give another run.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.world = OwnershipWorld()
+
+    @rule(seconds=strategies.sampled_from((0.1, 0.5, 2, 3.8, 8)))
+    def wait(self, seconds):
+        self.world.wait(seconds)
+
+    @precondition(lambda self: len(self.world.owners) < _MAX_OWNERS)
+    @rule(
+        heard=strategies.sets(strategies.sampled_from(_WORKER_IDS)),
+        is_answer_lost=strategies.sampled_from((False, False, False, True)),
+    )
+    def take_over(self, heard, is_answer_lost):
+        """Replace the owner by one that reaches only some of the workers."""
+        self.world.take_over(is_answer_lost=is_answer_lost)
+        self.world.newest.unreachable_worker_ids = set(_WORKER_IDS) - heard
+
+    @precondition(lambda self: len(self.world.owners) < _MAX_OWNERS)
+    @rule()
+    def take_over_quietly(self):
+        self.world.take_over()
+
+    @precondition(lambda self: len(self.world.owners) < _MAX_OWNERS)
+    @rule(
+        heard=strategies.sets(
+            strategies.sampled_from(_WORKER_IDS), min_size=1, max_size=2
+        ),
+        is_store_cut=strategies.booleans(),
+        seconds=strategies.sampled_from((0, 0.5, 3.8, 8, 12)),
+    )
+    def replace_beside(self, heard, is_store_cut, seconds):
+        """Replace an owner that goes on, on the other side of a cut."""
+        former = self.world.newest
+        former.unreachable_worker_ids = set(_WORKER_IDS) - heard
+        former.world.store.is_reachable = not is_store_cut
+        self.world.take_over()
+        self.world.newest.unreachable_worker_ids = heard
+        self.world.wait(seconds)
+
+    @precondition(lambda self: len(self.world.owners) < _MAX_OWNERS)
+    @rule()
+    def end_process(self):
+        self.world.end_process()
+
+    @precondition(lambda self: self.world.is_answer_possible())
+    @rule()
+    def answer_successor(self):
+        self.world.answer_successor()
+
+    @rule(data=strategies.data(), is_reachable=strategies.booleans())
+    def cut_store(self, data, is_reachable):
+        self.draw_owner(data).world.store.is_reachable = is_reachable
+
+    @rule(
+        data=strategies.data(),
+        heard=strategies.sets(strategies.sampled_from(_WORKER_IDS)),
+    )
+    def cut_workers(self, data, heard):
+        self.draw_owner(data).unreachable_worker_ids = set(_WORKER_IDS) - heard
+
+    @rule(
+        data=strategies.data(),
+        is_answer_lost=strategies.booleans(),
+        is_held_up=strategies.booleans(),
+    )
+    def disturb_calls(self, data, is_answer_lost, is_held_up):
+        owner = self.draw_owner(data)
+        owner.are_answers_lost = is_answer_lost
+        owner.are_orders_held_up = is_held_up
+
+    @rule(data=strategies.data(), is_held_up=strategies.booleans())
+    def disturb_commit(self, data, is_held_up):
+        store = self.draw_owner(data).world.store
+        store.is_next_commit_held_up = is_held_up
+        store.is_next_answer_lost = not is_held_up
+
+    @rule()
+    def carry_out_late(self):
+        self.world.carry_out_late()
+
+    @rule(data=strategies.data(), stage=strategies.sampled_from(STAGES))
+    def pause(self, data, stage):
+        owner = self.draw_owner(data)
+        if owner.is_running:
+            owner.pause(stage)
+
+    @rule(data=strategies.data())
+    def resume(self, data):
+        owner = self.draw_owner(data)
+        if owner.is_paused:
+            owner.resume()
+        self.world.check()
+
+    @rule(worker_id=strategies.sampled_from(_WORKER_IDS))
+    def restart_worker(self, worker_id):
+        self.world.workers.worker_by_id[worker_id].restart()
+        self.world.check()
+
+    @rule(worker_id=strategies.sampled_from(_WORKER_IDS))
+    def cut_worker_off(self, worker_id):
+        worker = self.world.workers.worker_by_id[worker_id]
+        worker.is_reachable = not worker.is_reachable
+
+    @rule(kind=strategies.sampled_from((EndKind.DONE, EndKind.FAILED)))
+    def end_runs(self, kind):
+        self.world.end_runs(kind)
+
+    @precondition(lambda self: len(self.world.accepted_job_by_id) < _MAX_JOBS)
+    @rule(is_long_lived=strategies.booleans())
+    def submit(self, is_long_lived):
+        self.world.submit(build_single_step(is_long_lived=is_long_lived))
+
+    @rule(data=strategies.data())
+    def cancel(self, data):
+        job_ids = sorted(self.world.accepted_job_by_id)
+        self.world.cancel(data.draw(strategies.sampled_from(job_ids)))
+
+    @rule()
+    def heal(self):
+        self.world.heal()
+
+    @rule()
+    def recover(self):
+        self.world.check_recovery()
+
+    def draw_owner(self, data):
+        """Draw an owner that can still act."""
+        owners = [
+            owner
+            for owner in self.world.owners
+            if not (owner.is_fenced_off or owner.has_ended)
+        ]
+        return data.draw(strategies.sampled_from(owners or self.world.owners))
+
+    def teardown(self):
+        if hasattr(self, 'world'):
+            finish(self.world)
+
+
+def test_no_task_runs_twice_whatever_owners_know():
+    run_state_machine(OwnershipMachine, steps=40)
