Model of ownership drives confirmed ownership, with mutations

The model now runs OwnershipKeeper (reads of the owner row, the record of the electorate), counts accepted polls, and sends through WorkerLoops, which withholds orders of an owner in doubt. Nothing else stops a replaced owner. A pause may lie between the answer of the store or of a worker and its use.

Compound events (replacing an isolated owner, with a minority or a majority of the workers; going on after a pause of 3.8 or 8 s) make the searched sequences of length 3 reach what took five single events.

MutationTest takes a mechanism out at a time: unbounded authority, one poll as a majority, no wait for the fenced half, no further wait after it, an electorate recorded at once (regard for one owner back), confirmations dated by the answer of the store or of the workers; the model finds each.

--- a/ragwortfield/tests/ownership_model.py
+++ b/ragwortfield/tests/ownership_model.py
@@ -5,24 +5,32 @@
 faults. Nothing tells an owner that it was replaced but what it reads itself.
 """
 
+from contextlib import contextmanager
 from unittest import mock
 
 from ragwortfield.core.resources import Resources
-from ragwortfield.engine import former_owner_calls, ownership
+from ragwortfield.engine import (
+    former_owner_calls,
+    ownership,
+    ownership_keeper,
+    worker_loops,
+)
 from ragwortfield.engine.cluster_view import ClusterView, KnownOwner
 from ragwortfield.engine.former_owner_calls import (
     answer_as_former_owner,
     ask_former_owner,
 )
 from ragwortfield.engine.ownership import OwnershipManager, SchedulerIdentity
+from ragwortfield.engine.owner_statistics import OwnerStatistics
+from ragwortfield.engine.ownership_keeper import OwnershipKeeper
 from ragwortfield.engine.row_names import owner_row
 from ragwortfield.engine.shard_committer import CommitResult
+from ragwortfield.engine.worker_loops import WorkerLoops
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
     EndKind,
     LeaseReport,
     OrderRefused,
-    PaceRun,
     Refusal,
     StartRun,
 )
@@ -67,11 +75,16 @@
 #: run of a cancelled job has to be over, in seconds: the longest lease that a
 #: former owner may have left, and the time that owners wait for its end.
 MAX_RECOVERY_S = 20
+#: Age from which on an owner renews the confirmation by the store, in seconds,
+#: as ``OwnershipKeeper`` does.
+_CONFIRMATION_AGE_S = 0.5
+_NO_GREENLETS = mock.Mock()
 #: Steps of a round of an owner, in their order. A process can be paused before
 #: each of them.
 STAGES = (
     'read_owner_row',
     'use_owner_row',
+    'save_electorate',
     'poll_changes',
     'create_lease_orders',
     'send_lease_orders',
@@ -80,7 +93,6 @@
     'send_commit',
     'apply_commit',
     'send_orders',
-    'apply_outcomes',
 )
 
 
@@ -135,6 +147,10 @@
     def workers(self):
         return self._world.workers
 
+    def set_clock(self, reading):
+        """Let the program read another time; ``None`` for the present one."""
+        self._world.clock_reading = reading
+
     def record_start_in_touch(self, order):
         self._world.starts_in_touch.add((order.worker_id, order.key, order.run))
 
@@ -157,6 +173,15 @@
             previous_lease_s=term.previous_lease_s,
             is_process_bound=term.is_process_bound,
         )
+        self.state.confirmation.stored_at = term.requested_at
+        self.keeper = OwnershipKeeper(
+            shard=SHARD,
+            state=self.state,
+            store=view.store,
+            owner_version=term.version,
+            on_replaced=self._leave,
+        )
+        self.electorate_store = self.keeper._electorate_store
         self.identity = identity
         self.is_paused = False
         self.resumed_at = 0
@@ -169,10 +194,12 @@
         self._last_round_at = 0
         # Since when it has run and reached the store without a break.
         self._following_since = 0
+        self._is_read_due = False
         self._owner_row_read = None
         self._orders = []
         self._answers = []
         self._commit_result = None
+        self._commit_sent_at = 0
 
     @property
     def is_stopped(self):
@@ -209,14 +236,28 @@
         """Run a round up to a stage and pause there."""
         if self.is_loaded:
             self._due_stages = list(STAGES)
+            self._is_read_due = stage == 'use_owner_row'
             self._run_due_stages(until=stage)
         self.is_paused = True
 
     def resume(self):
-        """Go on where the pause has begun."""
+        """Go on where the pause has begun, and run a round at once."""
         self.is_paused = False
         self.resumed_at = self.world.now
         self._run_due_stages()
+        self.act()
+
+    def send(self, order):
+        """Send a start or stop order."""
+        workers = self.world.workers
+        if not isinstance(order, StartRun):
+            return self._call(workers.stop, order)
+        if self.world.now > self.resumed_at + _CONTACT_S:
+            self.world.record_start_in_touch(order)
+        return self._call(workers.start, order)
+
+    def _leave(self):
+        self.is_fenced_off = True
 
     def _run_due_stages(self, until=None):
         while self._due_stages and self._due_stages[0] != until:
@@ -235,26 +276,32 @@
         is_feed_due = now - self._following_since >= _FEED_DELAY_S
         if is_feed_due:
             self._following_since = now
-        if self.state.is_newer_owner_claimed or is_break or is_feed_due:
+        is_old = now - self.state.confirmation.stored_at >= _CONFIRMATION_AGE_S
+        is_due = is_break or is_feed_due or is_old or self._is_read_due
+        self._is_read_due = False
+        if self.state.is_newer_owner_claimed or is_due:
             claiming_workers = take_claiming_workers(self.state)
             name = owner_row(SHARD)
             page = self.world.store.read(name.table, name.partition)
-            self._owner_row_read = (claiming_workers, page)
+            self._owner_row_read = (claiming_workers, now, page)
 
     def _use_owner_row(self):
         if self._owner_row_read is None:
             return
-        claiming_workers, page = self._owner_row_read
-        if isinstance(page, Unavailable):
+        claiming_workers, sent_at, page = self._owner_row_read
+        with mock.patch.object(
+            self.keeper,
+            '_store',
+            _FinishedRead(view=self.world, sent_at=sent_at, page=page),
+        ):
+            is_owner = self.keeper.read_owner_row()
+        if isinstance(is_owner, Unavailable):
             self.is_fenced_off = bool(claiming_workers)
-            return
-        versions = [
-            row.version for row in page.rows if row.name == owner_row(SHARD)
-        ]
-        if versions == [self.committer.owner_version]:
+        elif is_owner:
             ignore_refusals(self.state, claiming_workers, self.world.now)
-        else:
-            self.is_fenced_off = True
+
+    def _save_electorate(self):
+        self.keeper._save_electorate()
 
     def _create_lease_orders(self):
         self._orders = [
@@ -307,6 +354,7 @@
         if self.batch is None:
             commits.acknowledge_if_clean(self.state)
         else:
+            self._commit_sent_at = self.world.now
             self._commit_result = self.committer.try_commit(self.batch)
 
     def _apply_commit(self):
@@ -315,28 +363,21 @@
         if self._commit_result == CommitResult.DONE:
             batch = self.batch
             self.batch = None
-            commits.apply_committed(self.state, batch, self.world.now)
+            commits.apply_committed(
+                self.state, batch, self.world.now, sent_at=self._commit_sent_at
+            )
 
     def _send_orders(self):
         orders = self.state.orders
         self.state.orders = []
-        self._answers = []
+        loops = WorkerLoops(
+            state=self.state,
+            workers=_OrderPort(owner=self),
+            statistics=OwnerStatistics(),
+            on_update=bool,
+        )
         for order in orders:
-            if isinstance(order, PaceRun):
-                continue
-            workers = self.world.workers
-            is_start = isinstance(order, StartRun)
-            call = workers.start if is_start else workers.stop
-            if is_start and self.world.now > self.resumed_at + _CONTACT_S:
-                self.world.record_start_in_touch(order)
-            self._answers.append((order, self._call(call, order)))
-
-    def _apply_outcomes(self):
-        for order, outcome in self._answers:
-            apply_outcome = worker_reports.apply_stop_outcome
-            if isinstance(order, StartRun):
-                apply_outcome = worker_reports.apply_start_outcome
-            apply_outcome(self.state, order, outcome, self.world.now)
+            loops._send(order)
 
     def _call(self, method, order):
         workers = self.world.workers
@@ -350,6 +391,35 @@
         return outcome
 
 
+class _OrderPort:
+    """Port to the workers for the code that sends the orders of an owner."""
+
+    def __init__(self, *, owner):
+        self._owner = owner
+
+    def start(self, order):
+        return self._owner.send(order)
+
+    def stop(self, order):
+        return self._owner.send(order)
+
+    def pace(self, _order):
+        return Unavailable(reason='paces are not modelled')
+
+
+class _FinishedRead:
+    """Read of the store that was sent and answered before a pause."""
+
+    def __init__(self, *, view, sent_at, page):
+        self._view = view
+        self._page = page
+        view.set_clock(sent_at)
+
+    def read(self, _table, _partition):
+        self._view.set_clock(None)
+        return self._page
+
+
 class OwnershipWorld(ShardWorld):
     """
     One shard with three workers, and the instances that have owned it.
@@ -365,18 +435,20 @@
         self.store.is_commit_delayed = bool
         self.workers.is_order_answer_lost = bool
         self.workers.is_order_delayed = bool
+        self.clock_reading = None
         self.cancelled_at_by_id = {}
         self.instance_count = 0
         self.owner_row_written_at = 0
-        self.is_zone_isolated = False
+        # Workers that only owners in their zone reach; empty without a cut.
+        self.zone = set()
         # Worker, task and run of each start by an owner that was not paused
         # shortly before.
         self.starts_in_touch = set()
         for number, clock_rate in enumerate(_CLOCK_RATES):
             self._add_model_worker(number, clock_rate)
         self.take_over()
-        self._keep_only_busy_worker()
-        self.lasting_job_id = self.submit(build_single_step(is_long_lived=True))
+        self.newest.unreachable_worker_ids = {'w1', 'w2'}
+        self.lasting_job_id = self.submit_lasting_job()
         self.short_job_id = self.submit(build_single_step())
         self.wait(_FIRST_TERM_S / 2)
         self.owners[-1].unreachable_worker_ids = set()
@@ -399,6 +471,22 @@
     def read_clock(self):
         return self.now
 
+    def monotonic(self):
+        """Read the clock in place of the function of that name."""
+        return self.now if self.clock_reading is None else self.clock_reading
+
+    @contextmanager
+    def clocks(self):
+        """Let the project's code read the time of the model."""
+        with (
+            mock.patch.object(former_owner_calls, 'time', self),
+            mock.patch.object(ownership_keeper, 'time', self),
+            mock.patch.object(worker_loops, 'time', self),
+            # The answer to the question of a new owner is an event of its own.
+            mock.patch.multiple(ownership, time=self, gevent=_NO_GREENLETS),
+        ):
+            yield
+
     def key(self):
         """Return a value that is equal only for equal states."""
         return repr(
@@ -407,7 +495,7 @@
                 self.workers,
                 self.store,
                 self.cancelled_at_by_id,
-                self.is_zone_isolated,
+                sorted(self.zone),
                 sorted(self.starts_in_touch),
                 self.owner_row_written_at,
                 [_describe(owner) for owner in self.owners],
@@ -420,8 +508,9 @@
         for _ in range(int(rounds)):
             self.advance(seconds / rounds)
             self.now = round(self.now, 6)
-            for owner in self.owners:
-                owner.act()
+            with self.clocks():
+                for owner in self.owners:
+                    owner.act()
             self.check()
 
     def take_over(self, *, is_answer_lost=False):
@@ -452,7 +541,7 @@
                 view=view, term=term, identity=identity
             ),
         )
-        with self._patch_time(ownership):
+        with self.clocks():
             manager._take_over(
                 SHARD,
                 'model',
@@ -463,12 +552,12 @@
         if runner is not None:
             runner.question = known
             self.owners.append(runner)
-            self._apply_isolation()
+            runner.unreachable_worker_ids = set(self.zone)
 
     def take_over_blindly(self):
         """Replace the owner by one that does not reach the busy worker."""
         self.take_over()
-        self.cut_busy_worker()
+        self.newest.unreachable_worker_ids |= {'w0'}
 
     def isolate_zone(self):
         """
@@ -476,22 +565,43 @@
 
         They go on reaching each other. Owners to come are on the other side.
         """
-        self.is_zone_isolated = True
-        self.newest.world.store.is_reachable = False
-        self._keep_only_busy_worker()
+        self._isolate({'w0'})
+
+    def isolate_majority(self):
+        """Cut two of the workers and the newest owner off likewise."""
+        self._isolate({'w0', 'w1'})
+
+    def shrink_zone(self):
+        """Let a worker of an isolated majority leave the zone."""
+        self.zone = {'w0'}
+        for owner in self.owners:
+            others = {'w1', 'w2'}
+            is_inside = owner.unreachable_worker_ids == {'w2'}
+            owner.unreachable_worker_ids = others if is_inside else {'w0'}
+
+    def replace_isolated_owner(self):
+        self.isolate_zone()
+        self.take_over()
+
+    def replace_isolated_majority(self):
+        self.isolate_majority()
+        self.take_over()
+
+    def submit_lasting_job(self):
+        return self.submit(build_single_step(is_long_lived=True))
 
     def cut_store(self):
         self.newest.world.store.is_reachable = False
 
     def cut_busy_worker(self):
-        self.newest.unreachable_worker_ids = {'w0'}
+        self.newest.unreachable_worker_ids |= {'w0'}
 
     def answer_successor(self):
         """Let the newest owner get an answer of the one before it."""
         known = self.newest.question
         self.newest.question = None
         peers = mock.Mock(call=self._answer_as_peer)
-        with self._patch_time(former_owner_calls):
+        with self.clocks():
             ask_former_owner(peers, self.newest, known)
 
     def is_answer_possible(self):
@@ -516,13 +626,21 @@
 
     def pause(self, stage):
         """Pause the oldest owner that acts within a round."""
-        self.find_oldest().pause(stage)
+        self.pause_owner(self.find_oldest(), stage)
+
+    def pause_owner(self, owner, stage):
+        with self.clocks():
+            owner.pause(stage)
+
+    def resume_owner(self, owner):
+        with self.clocks():
+            owner.resume()
+        self.check()
 
     def resume(self):
         for owner in self.owners:
             if owner.is_paused:
-                owner.resume()
-        self.check()
+                self.resume_owner(owner)
 
     def restart_busy_worker(self):
         self.busy_worker.restart()
@@ -556,7 +674,7 @@
         )
 
     def is_disturbed(self):
-        return self.is_zone_isolated or any(
+        return bool(self.zone) or any(
             owner.is_paused
             or owner.unreachable_worker_ids
             or not owner.world.store.is_reachable
@@ -573,7 +691,7 @@
 
     def heal(self):
         """End all faults; processes that have ended stay so."""
-        self.is_zone_isolated = False
+        self.zone = set()
         for owner in self.owners:
             owner.world.store.is_reachable = True
             owner.world.store.is_next_commit_held_up = False
@@ -633,12 +751,12 @@
             born_at=self.now - 1,
         )
 
-    def _keep_only_busy_worker(self):
-        self.newest.unreachable_worker_ids = {'w1', 'w2'}
-
-    def _apply_isolation(self):
-        if self.is_zone_isolated:
-            self.cut_busy_worker()
+    def _isolate(self, worker_ids):
+        self.zone = worker_ids
+        self.newest.world.store.is_reachable = False
+        self.newest.unreachable_worker_ids = (
+            self.workers.worker_by_id.keys() - worker_ids
+        )
 
     def _get_known_owner(self):
         row = self.store.row_by_name.get(owner_row(SHARD))
@@ -668,11 +786,6 @@
             former_epoch=body['former_epoch'],
         )
 
-    def _patch_time(self, module):
-        clock = mock.Mock(monotonic=self.read_clock)
-        # The answer to the question of the new owner is an event of its own.
-        return mock.patch.multiple(module, time=clock, gevent=mock.Mock())
-
     def _is_recovered(self):
         """
         Tell whether all lasting tasks run that should, and no others.
@@ -706,8 +819,15 @@
 
 
 def _describe(owner):
-    left_out = {'world', 'committer', '_store'}
-    parts = (owner, owner.world.store, owner.committer)
+    left_out = {'world', 'committer', 'keeper', '_store', '_state'}
+    left_out |= {'electorate_store', '_electorate_store', '_on_replaced'}
+    parts = (
+        owner,
+        owner.world.store,
+        owner.committer,
+        owner.keeper,
+        owner.electorate_store,
+    )
     return [
         (name, member)
         for part in parts
--- a/ragwortfield/tests/ownership_search.py
+++ b/ragwortfield/tests/ownership_search.py
@@ -20,6 +20,9 @@
 #: Time that passes after the last event of each sequence, in seconds; longer
 #: than the wait of a successor for the leases of a former owner.
 TAIL_S = 9
+#: Longer than the wait of a successor that knows nothing of the former owner,
+#: in seconds.
+_LEASE_WAIT_S = 8
 _MAX_OWNERS = 4
 
 Sequence = tuple[str, ...]
@@ -80,13 +83,30 @@
     )
 
 
+def _resume_after(seconds):
+    def apply(world):
+        world.wait(seconds)
+        world.resume()
+
+    return Event(
+        apply=apply,
+        is_possible=lambda world: any(
+            owner.is_paused for owner in world.owners
+        ),
+    )
+
+
 EVENT_BY_NAME = {
     'wait 0.5 s': Event(apply=lambda world: world.wait(0.5)),
     'wait 2 s': Event(apply=lambda world: world.wait(2)),
     'wait 3.8 s': Event(apply=lambda world: world.wait(LONG_WAIT_S)),
     'isolate zone': Event(
         apply=OwnershipWorld.isolate_zone,
-        is_possible=lambda world: not world.is_zone_isolated,
+        is_possible=lambda world: not world.zone,
+    ),
+    'isolate majority': Event(
+        apply=OwnershipWorld.isolate_majority,
+        is_possible=lambda world: not world.zone,
     ),
     'cut store': Event(
         apply=OwnershipWorld.cut_store,
@@ -117,12 +137,11 @@
     'pause before sending': _pause_before('send_lease_orders'),
     'pause before start': _pause_before('send_orders'),
     'pause after read': _pause_before('use_owner_row'),
-    'resume': Event(
-        apply=OwnershipWorld.resume,
-        is_possible=lambda world: any(
-            owner.is_paused for owner in world.owners
-        ),
-    ),
+    'pause after commit': _pause_before('apply_commit'),
+    'pause after polls': _pause_before('apply_reports'),
+    'resume': _resume_after(0),
+    'resume after 3.8 s': _resume_after(LONG_WAIT_S),
+    'resume after 8 s': _resume_after(_LEASE_WAIT_S),
     'restart busy worker': Event(apply=OwnershipWorld.restart_busy_worker),
     'hold up calls': Event(
         apply=OwnershipWorld.hold_up_calls,
@@ -134,6 +153,22 @@
             world.store.delayed_transactions or world.workers.delayed_orders
         ),
     ),
+    'replace isolated owner': Event(
+        apply=OwnershipWorld.replace_isolated_owner,
+        is_possible=lambda world: not world.zone and _may_take_over(world),
+    ),
+    'replace isolated majority': Event(
+        apply=OwnershipWorld.replace_isolated_majority,
+        is_possible=lambda world: not world.zone and _may_take_over(world),
+    ),
+    'shrink zone': Event(
+        apply=OwnershipWorld.shrink_zone,
+        is_possible=lambda world: len(world.zone) > 1,
+    ),
+    'submit': Event(
+        apply=OwnershipWorld.submit_lasting_job,
+        is_possible=lambda world: len(world.accepted_job_by_id) == 2,
+    ),
     'end tasks': Event(
         apply=OwnershipWorld.end_tasks,
         is_possible=OwnershipWorld.is_short_task_running,
@@ -147,21 +182,39 @@
     ),
 }
 
-ALL_EVENTS = tuple(EVENT_BY_NAME)
-
-_WAITS = ('wait 0.5 s', 'wait 2 s', 'wait 3.8 s')
-#: Events of changes of owner and of pauses, for longer sequences.
+#: Events of changes of owner and pauses, for longer sequences; the others are
+#: their parts.
 CORE_EVENTS = (
     'wait 3.8 s',
-    'isolate zone',
     'take over',
     'take over blindly',
+    'replace isolated owner',
+    'replace isolated majority',
+    'shrink zone',
     'answer successor',
     'end process',
     'pause before leases',
     'pause before sending',
-    'resume',
+    'pause before start',
+    'pause after read',
+    'pause after commit',
+    'pause after polls',
+    'resume after 3.8 s',
+    'resume after 8 s',
+    'submit',
+)
+_COMPOUND_EVENTS = {
+    'take over blindly',
+    'replace isolated owner',
+    'replace isolated majority',
+    'resume after 3.8 s',
+    'resume after 8 s',
+}
+#: Events of which each is one change.
+SINGLE_EVENTS = tuple(
+    name for name in EVENT_BY_NAME if name not in _COMPOUND_EVENTS
 )
+_WAITS = ('wait 0.5 s', 'wait 2 s', 'wait 3.8 s')
 
 
 def replay(sequence: Sequence) -> OwnershipWorld:
@@ -187,7 +240,7 @@
     world.check_recovery()
 
 
-def search(depth: int, names: Sequence = ALL_EVENTS) -> SearchResult:
+def search(depth: int, names: Sequence = SINGLE_EVENTS) -> SearchResult:
     """
     Let every sequence of events happen up to a length.
 
@@ -268,7 +321,9 @@
 _CONTAINING = flags.DEFINE_list(
     'containing', [], 'Events that a sequence has to contain to be printed.'
 )
-_ONLY = flags.DEFINE_list('only', list(ALL_EVENTS), 'Events that may happen.')
+_ONLY = flags.DEFINE_list(
+    'only', list(SINGLE_EVENTS), 'Events that may happen.'
+)
 
 
 def main(_arguments):
--- a/ragwortfield/tests/test_ownership_machine.py
+++ b/ragwortfield/tests/test_ownership_machine.py
@@ -51,17 +51,38 @@
         heard=strategies.sets(
             strategies.sampled_from(_WORKER_IDS), min_size=1, max_size=2
         ),
+        is_paused=strategies.booleans(),
         is_store_cut=strategies.booleans(),
         seconds=strategies.sampled_from((0, 0.5, 3.8, 8, 12)),
+        stage=strategies.sampled_from(STAGES),
     )
-    def replace_beside(self, heard, is_store_cut, seconds):
-        """Replace an owner that goes on, on the other side of a cut."""
+    def replace_beside(self, heard, is_paused, is_store_cut, seconds, stage):
+        """
+        Replace an owner that goes on, on the other side of a cut.
+
+        :param heard: workers that only the former owner reaches.
+        :param is_paused: whether it is paused meanwhile.
+        :param is_store_cut: whether it is cut off from the store.
+        :param seconds: time after which a paused owner goes on.
+        :param stage: step of a round before which it is paused.
+        """
+        self.world.heal()
+        if not self.world.newest.is_running:
+            self.world.take_over()
+        # Long enough to load the shard, to fence the workers and to wait for
+        # the owners before.
+        self.world.wait(8)
         former = self.world.newest
+        if is_paused and former.is_running:
+            self.world.pause_owner(former, stage)
         former.unreachable_worker_ids = set(_WORKER_IDS) - heard
         former.world.store.is_reachable = not is_store_cut
         self.world.take_over()
-        self.world.newest.unreachable_worker_ids = heard
+        self.world.newest.unreachable_worker_ids = set(heard)
         self.world.wait(seconds)
+        if former.is_paused:
+            self.world.resume_owner(former)
+        self.world.wait(8)
 
     @precondition(lambda self: len(self.world.owners) < _MAX_OWNERS)
     @rule()
@@ -108,14 +129,13 @@
     def pause(self, data, stage):
         owner = self.draw_owner(data)
         if owner.is_running:
-            owner.pause(stage)
+            self.world.pause_owner(owner, stage)
 
     @rule(data=strategies.data())
     def resume(self, data):
         owner = self.draw_owner(data)
         if owner.is_paused:
-            owner.resume()
-        self.world.check()
+            self.world.resume_owner(owner)
 
     @rule(worker_id=strategies.sampled_from(_WORKER_IDS))
     def restart_worker(self, worker_id):
--- a/ragwortfield/tests/test_ownership_model.py
+++ b/ragwortfield/tests/test_ownership_model.py
@@ -1,20 +1,28 @@
 """All short sequences of events of the model of ownership, and found ones."""
 
+import math
 import unittest
+from unittest import mock
 
+from ragwortfield.engine import ownership_keeper
+from ragwortfield.engine.electorate_store import ElectorateStore
+from ragwortfield.engine.ownership_keeper import OwnershipKeeper
+from ragwortfield.scheduling.ownership_confirmation import (
+    FormerElectorate,
+    OwnershipConfirmation,
+)
+from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.tests.ownership_search import (
-    ALL_EVENTS,
     CORE_EVENTS,
+    SINGLE_EVENTS,
     finish,
     replay,
     search,
     select_shortest,
 )
 
-#: Length of the searched sequences of all events, and of those of changes of
-#: owner and pauses alone; longer ones take minutes.
+#: Length of the searched sequences; longer ones take minutes.
 _DEPTH = 3
-_CORE_DEPTH = 4
 
 
 class SearchTest(unittest.TestCase):
@@ -22,14 +30,15 @@
     # cancellation, and a task that never runs again, whatever up to three
     # faults, changes of owner, pauses and late calls come together.
     def test_no_sequence_of_events_breaks_an_invariant(self):
-        self.search(_DEPTH, ALL_EVENTS)
+        self.search(SINGLE_EVENTS)
 
-    # Guards against the same with more changes of owner and pauses in a row.
+    # Guards against the same after changes of owner and pauses of which each
+    # takes several single events, and so in longer sequences.
     def test_no_sequence_of_takeovers_and_pauses_breaks_an_invariant(self):
-        self.search(_CORE_DEPTH, CORE_EVENTS)
+        self.search(CORE_EVENTS)
 
-    def search(self, depth, names):
-        result = search(depth, names)
+    def search(self, names):
+        result = search(_DEPTH, names)
         shortest = select_shortest(result.message_by_violation)
         messages = [
             f'{", ".join(sequence)}: {result.message_by_violation[sequence]}'
@@ -79,3 +88,133 @@
         ):
             with self.subTest(start):
                 self.run_sequence(*start, 'wait 3.8 s', 'resume')
+
+
+class MutationTest(unittest.TestCase):
+    """Without one of the mechanisms a searched sequence breaks an invariant."""
+
+    def assert_found(self, *names):
+        self.assertLessEqual(len(names), _DEPTH)
+        self.assertLessEqual(set(names), set(CORE_EVENTS))
+        with self.assertRaisesRegex(AssertionError, 'runs twice'):
+            finish(replay(names))
+
+    # Guards against a model that does not show an owner without a bound.
+    def test_unbounded_authority_is_found(self):
+        with mock.patch.object(
+            OwnershipConfirmation, 'is_valid', lambda *_: True
+        ):
+            self.assert_found('replace isolated owner')
+
+    # Guards against a model that does not show a minority that confirms.
+    def test_one_poll_as_a_majority_is_found(self):
+        with mock.patch.object(
+            OwnershipConfirmation,
+            '_find_majority_time_of',
+            _find_latest_poll,
+        ):
+            self.assert_found('replace isolated owner')
+
+    # Guards against a model that does not show a successor that starts runs
+    # while a majority confirms the former owner.
+    def test_successor_without_wait_for_the_fenced_half_is_found(self):
+        with mock.patch.object(
+            FormerElectorate, '__post_init__', _assume_fenced
+        ):
+            self.assert_found('replace isolated majority')
+
+    # Guards against a model that does not show that the former owner goes on
+    # for a while after half of its electorate was fenced.
+    def test_fenced_half_without_further_wait_is_found(self):
+        with mock.patch.object(
+            ShardState, 'former_authority_end', _find_fenced_at
+        ):
+            self.assert_found(
+                'replace isolated majority', 'wait 3.8 s', 'shrink zone'
+            )
+
+    # Guards against a model that does not show an owner two terms back: the
+    # owner between has replaced the record of that one's electorate.
+    def test_regard_for_one_owner_back_is_found(self):
+        for change in ('take over', 'end process'):
+            with (
+                self.subTest(change),
+                mock.patch.object(
+                    ElectorateStore, 'save_if_changed', _save_at_once
+                ),
+            ):
+                self.assert_found(
+                    'replace isolated majority', 'wait 3.8 s', change
+                )
+
+    # Guards against a model that does not show a confirmation that is as old as
+    # a pause between the call to the store and the use of its answer.
+    def test_confirmation_dated_by_the_answer_of_the_store_is_found(self):
+        with mock.patch.object(
+            OwnershipKeeper, 'read_owner_row', _read_and_date_by_answer
+        ):
+            self.assert_found(
+                'pause after read',
+                'replace isolated owner',
+                'resume after 3.8 s',
+            )
+
+    # Guards against the same for the answers of workers.
+    def test_confirmation_dated_by_the_answers_of_workers_is_found(self):
+        with mock.patch.object(
+            OwnershipConfirmation, 'record_poll', _record_answered_poll
+        ):
+            self.assert_found(
+                'pause after polls',
+                'replace isolated owner',
+                'resume after 3.8 s',
+            )
+
+
+_save_if_changed = ElectorateStore.save_if_changed
+_read_owner_row = OwnershipKeeper.read_owner_row
+_record_poll = OwnershipConfirmation.record_poll
+
+
+def _find_latest_poll(confirmation, electorate):
+    return max(
+        (
+            sent_at
+            for worker_id, (_, sent_at) in confirmation.poll_by_worker.items()
+            if worker_id in electorate
+        ),
+        default=-math.inf,
+    )
+
+
+def _assume_fenced(electorate):
+    electorate.fenced_at = -math.inf
+
+
+def _find_fenced_at(state):
+    fenced_at = state.former_electorate.fenced_at
+    if fenced_at is None:
+        return math.inf
+    return max(state.former_owner_until, fenced_at)
+
+
+def _save_at_once(store, state, now):
+    with mock.patch.object(
+        ShardState, 'former_authority_end', lambda _: -math.inf
+    ):
+        return _save_if_changed(store, state, now)
+
+
+def _read_and_date_by_answer(keeper):
+    is_owner = _read_owner_row(keeper)
+    if is_owner is True:
+        keeper._state.confirmation.record_store_call(
+            ownership_keeper.time.monotonic()
+        )
+    return is_owner
+
+
+def _record_answered_poll(confirmation, worker_id, born_ms, _sent_at):
+    _record_poll(
+        confirmation, worker_id, born_ms, ownership_keeper.time.monotonic()
+    )
