--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -84,6 +84,7 @@
     deadline_ms = worker.clock.earliest_ms(now) + window_ms
     task.stage = RunStage.ORDERED
     task.start_sent_at = task.start_sent_at or now
+    task.order_queued_at = now
     task.order_deadline_ms = max(task.order_deadline_ms, deadline_ms)
     task.pending_start_calls += 1
     worker.lease_end_ms = max(worker.lease_end_ms, deadline_ms)
@@ -108,12 +109,14 @@
     Queue unanswered start orders again; stop runs that get no answer.
 
     Does nothing while the ownership is in doubt.
+    No start is repeated while cancellations may be unknown.
 
     :param state: state of the shard.
     :param now: monotonic time, in seconds.
     """
     if not state.confirmation.is_valid(state.bounds, now):
         return
+    is_inbox_current = state.is_inbox_current(now)
     unanswered = [
         (worker, task)
         for worker in state.worker_by_id.values()
@@ -125,7 +128,7 @@
         waited_s = now - task.start_sent_at
         if waited_s > _get_answer_timeout_s(worker, task):
             request_stop(state, task, now)
-        elif waited_s > _START_RETRY_INTERVAL_S:
+        elif waited_s > _START_RETRY_INTERVAL_S and is_inbox_current:
             queue_start_order(state, task, now)
 
 
--- a/ragwortfield/scheduling/timing_bounds.py
+++ b/ragwortfield/scheduling/timing_bounds.py
@@ -32,6 +32,10 @@
     :param longest_outage_s: longest time, in seconds, for which an owner goes
         on without the store, confirmed by its workers alone. Its successor
         waits for that time if it reaches too few of these workers.
+    :param inbox_age_s: longest time, in seconds, since which cancellations may
+        be unknown when a start is ordered. An owner that learns of them later
+        holds its starts back. The platform allows 3 s and more from the
+        acknowledgement of a cancellation to the last start.
     :param late_order_s: longest time, in seconds, after which a worker carries
         out an order that it has received and not answered.
     """
@@ -43,6 +47,7 @@
     status_s: Seconds = 120
     unaware_s: Seconds = 3.5
     longest_outage_s: Seconds = 3600
+    inbox_age_s: Seconds = 1.8
     late_order_s: Seconds = 15
 
     def longest_lease_s(self) -> Seconds:
