Calls that were under way during a suspension confirm no owner

What callers could see: a task that runs twice after the machine of an owner was suspended.

Cause: the monotonic clock stands still during a suspension. Times of earlier confirmations were dated back, but a call or a poll that was under way kept its time of sending and confirmed the owner anew when it was answered.

Change: the suspension is counted before an answer is recorded, and calls that were sent before it was found confirm nothing.

Failed before (signature apart): test_calls_from_before_a_suspension_confirm_nothing.

--- a/ragwortfield/engine/ownership_keeper.py
+++ b/ragwortfield/engine/ownership_keeper.py
@@ -8,6 +8,7 @@
 from ragwortfield.engine.change_feed import OutcomeHandler
 from ragwortfield.engine.electorate_store import ElectorateStore
 from ragwortfield.engine.row_names import owner_row
+from ragwortfield.engine.wall_clock import get_total_suspended_s
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import RowStore, TransactionDone
@@ -23,6 +24,17 @@
 _SAVE_INTERVAL_S: Seconds = 1
 
 
+def count_suspension(state: ShardState) -> None:
+    """
+    Count the time for which the machine was suspended, if it was.
+
+    :param state: state of a shard; its confirmation is dated back.
+    """
+    state.confirmation.record_suspension(
+        get_total_suspended_s(), time.monotonic()
+    )
+
+
 class OwnershipKeeper:
     """
     Confirms the ownership of a shard, and logs when it is in doubt.
@@ -95,6 +107,7 @@
             return page
         versions = [row.version for row in page.rows if row.name == name]
         if versions == [self._owner_version]:
+            count_suspension(self._state)
             self._state.confirmation.record_store_call(sent_at)
             return True
         self._on_replaced()
@@ -107,6 +120,7 @@
         self._saved_at = now
         outcome = self._electorate_store.save_if_changed(self._state, now)
         if isinstance(outcome, TransactionDone):
+            count_suspension(self._state)
             self._state.confirmation.record_store_call(now)
 
     def _log_doubt(self) -> None:
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -11,7 +11,10 @@
 from ragwortfield.engine.inbox_follower import InboxFollower
 from ragwortfield.engine.learned_model_store import LearnedModelStore
 from ragwortfield.engine.owner_statistics import OwnerStatistics
-from ragwortfield.engine.ownership_keeper import OwnershipKeeper
+from ragwortfield.engine.ownership_keeper import (
+    OwnershipKeeper,
+    count_suspension,
+)
 from ragwortfield.engine.row_names import (
     COMMON_PARTITION,
     PROGRESS_TABLE,
@@ -592,6 +595,7 @@
             duration_s=now - started_at,
             sent_s=now - sent_at,
         )
+        count_suspension(self.state)
         commits.apply_committed(self.state, batch, now, sent_at=sent_at)
         if self.state.held_starts:
             self._inbox.request_catch_up()
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -7,8 +7,8 @@
 from gevent.event import Event
 
 from ragwortfield.engine.owner_statistics import OwnerStatistics
+from ragwortfield.engine.ownership_keeper import count_suspension
 from ragwortfield.engine.supervisor import Supervisor
-from ragwortfield.engine.wall_clock import get_total_suspended_s
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
@@ -104,6 +104,7 @@
         if self._is_stopped:
             return
         # The process may have been paused since the order was created.
+        count_suspension(self._state)
         is_confirmed = self._state.confirmation.is_valid(
             self._state.bounds, time.monotonic()
         )
@@ -143,11 +144,12 @@
             if worker is None:
                 return
             lease_end_ms = worker.lease_end_ms
-            self._state.confirmation.record_suspension(get_total_suspended_s())
+            count_suspension(self._state)
             order = leases.create_lease_order(
                 self._state, worker, time.monotonic()
             )
             report = self._workers.renew_lease(order)
+            count_suspension(self._state)
             log_acknowledgement(self._state, worker, order, report)
             now = time.monotonic()
             if isinstance(report, LeaseReport):
--- a/ragwortfield/tests/test_ownership_confirmation.py
+++ b/ragwortfield/tests/test_ownership_confirmation.py
@@ -88,9 +88,20 @@
         self.confirmation.electorates = (_WORKERS,)
         self.poll(*_WORKERS, sent_at=101)
         self.assertTrue(self.is_valid(102))
-        self.confirmation.record_suspension(60)
+        self.confirmation.record_suspension(60, 102)
         self.assertFalse(self.is_valid(102))
 
+    # Guards against the same if the calls that confirm the owner were under way
+    # during the suspension.
+    def test_calls_from_before_a_suspension_confirm_nothing(self):
+        self.confirmation.electorates = (_WORKERS,)
+        self.confirmation.record_suspension(60, 102)
+        self.confirmation.record_store_call(101)
+        self.poll(*_WORKERS, sent_at=101)
+        self.assertFalse(self.is_valid(102))
+        self.confirmation.record_store_call(102)
+        self.assertTrue(self.is_valid(103))
+
 
 class FormerElectorateTest(unittest.TestCase):
     def test_half_of_the_workers_leaves_no_majority(self):
