A suspension during the takeover counts for its confirmation

What callers could see: two runs of one task for the first 3.4 s of a term, after a suspension between the request of the takeover and its answer. Found by the review of the fix, not seen in a run; no test with a suspended machine.

Cause: the request was dated before the suspension, the time of suspensions was read after it.

Change: the confirmation is created with both readings before the request.

--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -35,6 +35,7 @@
 from ragwortfield.engine.shard_runner import ShardRunner
 from ragwortfield.engine.store_health import StoreHealth
 from ragwortfield.engine.supervisor import Supervisor
+from ragwortfield.engine.wall_clock import get_total_suspended_s
 from ragwortfield.log import event
 from ragwortfield.peering.rpc import CallBody, PeerRpc
 from ragwortfield.ports.platform import Unavailable
@@ -47,6 +48,9 @@
     TransactionDone,
 )
 from ragwortfield.scheduling.former_owner import estimate_term_start
+from ragwortfield.scheduling.ownership_confirmation import (
+    OwnershipConfirmation,
+)
 from ragwortfield.scheduling.records import (
     MemberRecord,
     OwnerRecord,
@@ -97,8 +101,8 @@
     Term in which this instance owns a shard.
 
     :param epoch: fencing token of the term.
-    :param requested_at: monotonic time at which the takeover was sent to the
-        store.
+    :param confirmation: evidence of the ownership, from when the takeover was
+        sent to the store.
     :param version: version of the owner row and of the sequence row, which
         were written together by the takeover.
     :param previous_lease_s: longest lease that earlier owners granted to
@@ -109,7 +113,7 @@
 
     shard: int
     epoch: int
-    requested_at: MonotonicTime
+    confirmation: OwnershipConfirmation
     version: int
     previous_lease_s: Seconds
     is_process_bound: bool
@@ -532,7 +536,9 @@
             lease_s=self._compute_longest_lease_s(epoch, previous_lease_s),
             is_process_bound=_is_recorded_lease_bound(owner, sequence),
         )
-        requested_at = time.monotonic()
+        confirmation = OwnershipConfirmation(
+            stored_at=time.monotonic(), suspended_s=get_total_suspended_s()
+        )
         outcome = self._store.commit(
             _build_takeover_transaction(
                 shard,
@@ -556,7 +562,7 @@
             OwnershipTerm(
                 shard=shard,
                 epoch=epoch,
-                requested_at=requested_at,
+                confirmation=confirmation,
                 version=outcome.version,
                 previous_lease_s=previous_lease_s,
                 is_process_bound=record.is_process_bound,
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -473,7 +473,7 @@
             previous_lease_s=term.previous_lease_s,
             is_process_bound=term.is_process_bound,
         )
-        state.confirmation.stored_at = term.requested_at
+        state.confirmation = term.confirmation
         return ShardRunner(
             shard=term.shard,
             state=state,
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -167,7 +167,6 @@
         self._state_logged_at: MonotonicTime = 0
         self._outcomes_logged_at: MonotonicTime = 0
         self._last_suspended_s = get_total_suspended_s()
-        state.confirmation.suspended_s = self._last_suspended_s
 
     def start(self) -> None:
         """Load the shard and run it in the background."""
--- a/ragwortfield/tests/ownership_model.py
+++ b/ragwortfield/tests/ownership_model.py
@@ -173,7 +173,7 @@
             previous_lease_s=term.previous_lease_s,
             is_process_bound=term.is_process_bound,
         )
-        self.state.confirmation.stored_at = term.requested_at
+        self.state.confirmation = term.confirmation
         self.keeper = OwnershipKeeper(
             shard=SHARD,
             state=self.state,
