Test: a poll from before a suspension confirms an owner

The answers to polls that are under way while the machine is suspended are read when it goes on. Their sending times were read from the monotonic clock, which stood still, and are recorded after the suspension has been counted. So the owner counts as confirmed for 3.4 s more, although it may have been replaced. Polls are nearly always under way, as workers hold them for 0.5 s.

The test fails: the owner is confirmed by a poll from before a suspension of 60 s.

--- a/ragwortfield/tests/test_worker_loops.py
+++ b/ragwortfield/tests/test_worker_loops.py
@@ -2,11 +2,14 @@
 
 import time
 import unittest
+from collections import Counter
 from unittest import mock
 
 import gevent
+from gevent.lock import Semaphore
 
 from ragwortfield.core.resources import Resources
+from ragwortfield.engine import worker_loops
 from ragwortfield.engine.owner_statistics import OwnerStatistics
 from ragwortfield.engine.worker_loops import WorkerLoops
 from ragwortfield.platform.task_worker_client import TaskWorkerClient
@@ -29,7 +32,7 @@
 from ragwortfield.scheduling.job_status import JobStatus
 from ragwortfield.scheduling.records import TaskPhase
 from ragwortfield.scheduling.shard_state import ShardState
-from ragwortfield.scheduling.timing_bounds import TimingBounds
+from ragwortfield.scheduling.timing_bounds import MS_PER_S, TimingBounds
 from ragwortfield.testing.fake_task_workers import (
     FakeTaskWorker,
     FakeTaskWorkerControl,
@@ -79,6 +82,31 @@
             raise ValueError('599 is not a valid HTTPStatus')
 
 
+class _PausingWorkers(FakeTaskWorkerControl):
+    """Workers whose answers can be held back on their way."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self.poll_counts = Counter()
+        self._permits_by_worker = {}
+
+    def hold_back(self, worker_id):
+        self._permits_by_worker[worker_id] = Semaphore(0)
+
+    def let_answer(self, worker_id, *, polls):
+        for _ in range(polls):
+            self._permits_by_worker[worker_id].release()
+
+    def renew_lease(self, order):
+        report = super().renew_lease(order)
+        gevent.sleep(_RESPONSE_TIME_S)
+        permits = self._permits_by_worker.get(order.worker_id)
+        if permits is not None:
+            permits.acquire()
+        self.poll_counts[order.worker_id] += 1
+        return report
+
+
 def _raise_once(function):
     """Wrap a function so that its first call raises."""
     state = {'is_first': True}
@@ -209,6 +237,59 @@
         self.assertIn('599 is not a valid HTTPStatus', logged[0])
 
 
+class SuspendedMachineTest(_WorkerLoopsTestCase):
+    """The machine is suspended while a worker answers a poll."""
+
+    def setUp(self):
+        self.workers = _PausingWorkers(
+            worker_by_id={
+                worker_id: FakeTaskWorker(
+                    worker_id=worker_id,
+                    clock=time.monotonic,
+                    capacity=Resources(cpu=4, memory_mb=100),
+                    born_at=_BORN_MS / MS_PER_S,
+                )
+                for worker_id in ('w0', 'w1')
+            }
+        )
+        self.state = ShardState(
+            epoch=1,
+            owner_since=time.monotonic(),
+            bounds=TimingBounds(),
+            catalogue=Catalogue(version=1),
+        )
+        for worker in self.workers.worker_by_id.values():
+            shard_updates.update_worker(self.state, worker.listing())
+        self.state.confirmation.electorates = ({'w0': _BORN_MS},)
+        self.loops = self.make_loops(self.state, self.workers)
+
+    def is_confirmed(self):
+        return self.state.confirmation.is_valid(
+            self.state.bounds, time.monotonic()
+        )
+
+    # Guards against two runs of one task: polls that were answered before the
+    # machine was suspended are read when it goes on, and their sending times
+    # seem recent, as the monotonic clock stood still.
+    def test_poll_from_before_a_suspension_confirms_nothing(self):
+        with mock.patch.object(
+            worker_loops, 'get_total_suspended_s', return_value=0
+        ) as get_suspended_s:
+            self.workers.hold_back('w0')
+            self.loops.start_loops()
+            self.await_true(lambda: self.workers.poll_counts['w1'])
+            self.assertTrue(self.is_confirmed())
+            get_suspended_s.return_value = 60
+            self.await_true(lambda: self.state.confirmation.suspended_s == 60)
+            self.workers.let_answer('w0', polls=1)
+            self.await_true(
+                lambda: self.state.worker_by_id['w0'].first_reported_at
+            )
+            self.assertFalse(self.is_confirmed())
+            self.workers.let_answer('w0', polls=1)
+            self.await_true(self.is_confirmed)
+
+
 class StoppedLoopsTest(_WorkerLoopsTestCase):
     """An owner that has left its shard, and another one of the same process."""
 
