A call from before a suspension confirms no owner

Callers saw nothing yet; found by reading. After a suspension of some seconds, an owner that was replaced meanwhile, lacks the store and reaches workers that its successor does not reach could extend their leases for 3.4 s more: answers that had arrived before the suspension were read after it had been counted, and their sending times seemed recent. A machine may be suspended for seconds, and the monotonic clock does not count that.

Calls that were sent before a suspension was noticed confirm nothing any more. Scheduling rounds notice suspensions as well, before they create orders.

--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -438,8 +438,10 @@
     def _confirm_ownership(self) -> bool:
         now = time.monotonic()
         elapsed_s = now - self._last_round_at if self._last_round_at else 0
-        suspended_s = get_total_suspended_s() - self._last_suspended_s
-        self._last_suspended_s += suspended_s
+        total_suspended_s = get_total_suspended_s()
+        self.state.confirmation.record_suspension(total_suspended_s, now)
+        suspended_s = total_suspended_s - self._last_suspended_s
+        self._last_suspended_s = total_suspended_s
         self._last_round_at = now
         is_check_due = self.state.is_newer_owner_claimed or (
             elapsed_s + suspended_s > _OWNERSHIP_CHECK_S
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -143,7 +143,9 @@
             if worker is None:
                 return
             lease_end_ms = worker.lease_end_ms
-            self._state.confirmation.record_suspension(get_total_suspended_s())
+            self._state.confirmation.record_suspension(
+                get_total_suspended_s(), time.monotonic()
+            )
             order = leases.create_lease_order(
                 self._state, worker, time.monotonic()
             )
--- a/ragwortfield/scheduling/ownership_confirmation.py
+++ b/ragwortfield/scheduling/ownership_confirmation.py
@@ -47,6 +47,9 @@
     :param suspended_s: how long the machine had been suspended since its
         start at the latest check, in seconds; monotonic time stands still
         then.
+    :param resumed_at: monotonic time at which the latest suspension was
+        noticed. Calls sent before tell nothing any more: they may have been
+        answered before it.
     """
 
     stored_at: MonotonicTime
@@ -55,6 +58,7 @@
         default_factory=dict
     )
     suspended_s: Seconds = 0
+    resumed_at: MonotonicTime = -math.inf
 
     def record_store_call(self, sent_at: MonotonicTime) -> None:
         """
@@ -62,7 +66,8 @@
 
         :param sent_at: monotonic time at which the call was sent.
         """
-        self.stored_at = max(self.stored_at, sent_at)
+        if sent_at >= self.resumed_at:
+            self.stored_at = max(self.stored_at, sent_at)
 
     def record_poll(
         self, worker_id: WorkerId, born_ms: int, sent_at: MonotonicTime
@@ -74,19 +79,24 @@
         :param born_ms: start of its process, as Unix time in milliseconds.
         :param sent_at: monotonic time at which the poll was sent.
         """
-        self.poll_by_worker[worker_id] = (born_ms, sent_at)
+        if sent_at >= self.resumed_at:
+            self.poll_by_worker[worker_id] = (born_ms, sent_at)
 
-    def record_suspension(self, suspended_s: Seconds) -> None:
+    def record_suspension(
+        self, suspended_s: Seconds, now: MonotonicTime
+    ) -> None:
         """
         Count the time for which the machine was suspended.
 
         :param suspended_s: how long it has been suspended since its start, in
             seconds.
+        :param now: monotonic time, in seconds.
         """
         passed_s = suspended_s - self.suspended_s
         if passed_s <= _CLOCK_ERROR_S:
             return
         self.suspended_s = suspended_s
+        self.resumed_at = now
         self.stored_at -= passed_s
         for worker_id, (born_ms, sent_at) in self.poll_by_worker.items():
             self.poll_by_worker[worker_id] = (born_ms, sent_at - passed_s)
--- a/ragwortfield/tests/test_ownership_confirmation.py
+++ b/ragwortfield/tests/test_ownership_confirmation.py
@@ -88,9 +88,21 @@
         self.confirmation.electorates = (_WORKERS,)
         self.poll(*_WORKERS, sent_at=101)
         self.assertTrue(self.is_valid(102))
-        self.confirmation.record_suspension(60)
+        self.confirmation.record_suspension(60, 102)
         self.assertFalse(self.is_valid(102))
 
+    # Guards against two runs of one task: calls that were under way while the
+    # machine was suspended are answered when it goes on.
+    def test_calls_from_before_a_suspension_confirm_nothing(self):
+        self.confirmation.electorates = (_WORKERS,)
+        self.confirmation.record_suspension(60, 102)
+        self.confirmation.record_store_call(101.9)
+        self.poll(*_WORKERS, sent_at=101.9)
+        self.assertFalse(self.is_valid(102))
+        self.confirmation.record_store_call(102.1)
+        self.assertTrue(self.is_valid(102.2))
+        self.assertEqual(self.confirmation.poll_by_worker, {})
+
 
 class FormerElectorateTest(unittest.TestCase):
     def test_half_of_the_workers_leaves_no_majority(self):
