Mutation test: the running program finds a successor that does not wait

test_successor_without_wait_for_the_fenced_half_is_found failed once the model and the invariants of the running program had come together: former_owner_over stops the successor before a task runs twice. The test now expects that, and that without this check the model still shows a task that runs twice.

--- a/ragwortfield/tests/test_ownership_model.py
+++ b/ragwortfield/tests/test_ownership_model.py
@@ -7,6 +7,8 @@
 from ragwortfield.engine import ownership_keeper
 from ragwortfield.engine.electorate_store import ElectorateStore
 from ragwortfield.engine.ownership_keeper import OwnershipKeeper
+from ragwortfield.invariants import InvariantError
+from ragwortfield.scheduling import worker_reports
 from ragwortfield.scheduling.ownership_confirmation import (
     FormerElectorate,
     OwnershipConfirmation,
@@ -121,7 +123,13 @@
         with mock.patch.object(
             FormerElectorate, '__post_init__', _assume_fenced
         ):
-            self.assert_found('replace isolated majority')
+            # The running program finds it by itself, and starts no run.
+            with self.assertRaisesRegex(InvariantError, 'former_owner_over'):
+                finish(replay(('replace isolated majority',)))
+            with mock.patch.object(
+                worker_reports, 'check_former_owner', lambda *_: True
+            ):
+                self.assert_found('replace isolated majority')
 
     # Guards against a model that does not show that the former owner goes on
     # for a while after half of its electorate was fenced.
