--- a/ragwortfield/tests/test_ownership_confirmation.py
+++ b/ragwortfield/tests/test_ownership_confirmation.py
@@ -9,11 +9,19 @@
     FormerElectorate,
     OwnershipConfirmation,
 )
+from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.timing_bounds import TimingBounds
-from ragwortfield.tests.shard_world import ShardWorld, build_single_step
+from ragwortfield.tests.shard_world import (
+    CATALOGUE,
+    ShardWorld,
+    build_single_step,
+)
 
 _BOUNDS = TimingBounds()
 _UNAWARE_S = _BOUNDS.unaware_s
+#: Largest error of the rate of an instance's clock, as docs/INVARIANTS.md says.
+_MAX_INSTANCE_DRIFT = 0.005
+_SLOWEST_WORKER_RATE = 0.98
 _WORKERS = {'w0': 10, 'w1': 11, 'w2': 12, 'w3': 13}
 
 
@@ -104,6 +112,36 @@
         self.assertEqual(self.confirmation.poll_by_worker, {})
 
 
+class ClockRateTest(unittest.TestCase):
+    """Clocks of two owners and of a worker differ in rate from real time."""
+
+    def compute_former_end(self, rate):
+        """Return for how long a replaced owner may leave a lease behind."""
+        confirmation = OwnershipConfirmation(stored_at=0)
+        acting_s = confirmation.valid_until(_BOUNDS) / rate
+        return acting_s + _BOUNDS.lease_s / _SLOWEST_WORKER_RATE
+
+    def compute_wait(self, rate):
+        """Return for how long its successor waits."""
+        successor = ShardState(
+            epoch=2,
+            owner_since=0,
+            bounds=_BOUNDS,
+            catalogue=CATALOGUE,
+            previous_lease_s=_BOUNDS.lease_s,
+            is_process_bound=True,
+        )
+        return successor.former_run_end('w0') / rate
+
+    # Guards against two runs of one task: the clock of the former owner is slow
+    # and that of its successor fast, and the worker's clock is slow as well.
+    def test_successor_waits_by_a_fast_clock_for_slow_ones(self):
+        for error in (0, 0.001, _MAX_INSTANCE_DRIFT):
+            self.assertGreaterEqual(
+                self.compute_wait(1 + error), self.compute_former_end(1 - error)
+            )
+
+
 class FormerElectorateTest(unittest.TestCase):
     def test_half_of_the_workers_leaves_no_majority(self):
         former = FormerElectorate(epoch=3, electorate=_WORKERS)
