--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -11,7 +11,10 @@
 from ragwortfield.engine.inbox_follower import InboxFollower
 from ragwortfield.engine.learned_model_store import LearnedModelStore
 from ragwortfield.engine.owner_statistics import OwnerStatistics
-from ragwortfield.engine.ownership_keeper import OwnershipKeeper
+from ragwortfield.engine.ownership_keeper import (
+    OwnershipKeeper,
+    count_suspension,
+)
 from ragwortfield.engine.row_names import (
     COMMON_PARTITION,
     PROGRESS_TABLE,
@@ -164,7 +167,6 @@
         self._state_logged_at: MonotonicTime = 0
         self._outcomes_logged_at: MonotonicTime = 0
         self._last_suspended_s = get_total_suspended_s()
-        state.confirmation.suspended_s = self._last_suspended_s
 
     def start(self) -> None:
         """Load the shard and run it in the background."""
@@ -592,6 +594,7 @@
             duration_s=now - started_at,
             sent_s=now - sent_at,
         )
+        count_suspension(self.state)
         commits.apply_committed(self.state, batch, now, sent_at=sent_at)
         if self.state.held_starts:
             self._inbox.request_catch_up()
