A suspension counts in the age of the inbox

What callers could see: a start long after the cancellation was acknowledged, by an owner whose machine was suspended meanwhile.

Cause: the age of the inbox was taken from the monotonic clock, which stands still while the machine is suspended. So rows from before counted as recent, and so did an answer of the feed that had lain in the socket's buffer.

Change: the feed measures its calls by the time since boot, and the round that finds a suspension counts the rows as older by it. Such a start is often refused as late, since its deadline is on the worker's clock; the first report after the suspension ends that.

Failed before: both tests of SuspensionTest: [('start', ...)] != []. 36 tests of the runner and of scheduler processes pass.

--- a/ragwortfield/engine/change_feed.py
+++ b/ragwortfield/engine/change_feed.py
@@ -13,7 +13,7 @@
     RowStore,
     StoredRow,
 )
-from ragwortfield.types import MonotonicTime, Seconds
+from ragwortfield.types import Seconds
 
 #: Longest time that the store waits for a change before it answers a poll, in
 #: seconds. It also bounds, with a margin, how late a dead connection is found.
@@ -26,8 +26,9 @@
 RowHandler = Callable[[tuple[StoredRow, ...], bool], None]
 #: Called after each call with its failure, or with ``None`` on success.
 OutcomeHandler = Callable[[Unavailable | None], None]
-#: Called with the monotonic time up to which all changes were delivered.
-ProgressHandler = Callable[[MonotonicTime], None]
+#: Called with the time for which changes may not have been delivered, in
+#: seconds; the time for which the machine was suspended counts.
+ProgressHandler = Callable[[Seconds], None]
 
 
 def read_all_rows(
@@ -124,7 +125,7 @@
 
     def _poll(self, wait_s: Seconds) -> bool:
         after = self._version
-        called_at = time.monotonic()
+        called_at = _get_boot_time()
         page = self._store.wait_for_changes(self._table, after, wait_s)
         if isinstance(page, HistoryGone):
             event('feed_history_gone', table=self._table, after=after)
@@ -140,11 +141,11 @@
             self._report_progress(called_at)
         else:
             # Without a change, the store answers after the wait.
-            self._report_progress(min(called_at + wait_s, time.monotonic()))
+            self._report_progress(called_at + wait_s)
         return True
 
     def _read_table(self) -> int:
-        called_at = time.monotonic()
+        called_at = _get_boot_time()
         rows: list[StoredRow] = []
         version = 0
         for partition in self._list_partitions():
@@ -160,9 +161,9 @@
         self._report_progress(called_at)
         return version
 
-    def _report_progress(self, known_until: MonotonicTime) -> None:
+    def _report_progress(self, known_until: Seconds) -> None:
         if self._on_progress is not None:
-            self._on_progress(known_until)
+            self._on_progress(max(_get_boot_time() - known_until, 0))
 
     def _report_outcome(self, failure: Unavailable | None) -> None:
         self._on_outcome(failure)
@@ -174,3 +175,8 @@
             event('feed_regained', table=self._table)
         else:
             event('feed_lost', table=self._table, reason=failure.reason)
+
+
+def _get_boot_time() -> Seconds:
+    """Return the time since boot, also while the machine was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/ragwortfield/engine/inbox_follower.py
+++ b/ragwortfield/engine/inbox_follower.py
@@ -13,7 +13,7 @@
 from ragwortfield.log import event
 from ragwortfield.ports.row_store import RowStore, StoredRow
 from ragwortfield.scheduling.shard_state import ShardState
-from ragwortfield.types import MonotonicTime, Seconds
+from ragwortfield.types import Seconds
 
 #: Pause before a failed call is retried, in seconds.
 _RETRY_S: Seconds = 0.1
@@ -94,9 +94,9 @@
         )
         self._on_update()
 
-    def _record_progress(self, known_until: MonotonicTime) -> None:
+    def _record_progress(self, age_s: Seconds) -> None:
         self._state.inbox_known_until = max(
-            self._state.inbox_known_until, known_until
+            self._state.inbox_known_until, time.monotonic() - age_s
         )
         if self._state.held_starts:
             self._on_update()
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -417,6 +417,8 @@
         suspended_s = _total_suspended_s() - self._last_suspended_s
         self._last_suspended_s += suspended_s
         self._last_round_at = now
+        # The monotonic clock stood still meanwhile.
+        self.state.inbox_known_until -= suspended_s
         is_check_due = self.state.is_newer_owner_claimed or (
             elapsed_s + suspended_s > _OWNERSHIP_CHECK_S
         )
--- a/ragwortfield/tests/test_unknown_cancellations.py
+++ b/ragwortfield/tests/test_unknown_cancellations.py
@@ -10,12 +10,14 @@
 from unittest import mock
 
 import gevent
+from gevent.event import Event
 
 from ragwortfield.core.resources import Resources
 from ragwortfield.engine.row_names import (
     COMMON_PARTITION,
     PROGRESS_TABLE,
     cancel_row,
+    inbox_table,
     job_row,
     owner_row,
 )
@@ -59,6 +61,8 @@
 #: shorter than the wait of a call of the change feed.
 _MAX_START_DELAY_S = 0.6
 _TIMEOUT_S = 5
+#: Duration of a suspension, in seconds.
+_SUSPENSION_S = 10
 
 
 class SilentFeedTest(unittest.TestCase):
@@ -149,11 +153,6 @@
         gevent.sleep(_DELIVERY_S if page.rows else max(wait_s, _STEP_S))
         return page
 
-    def write(self, name, content):
-        self.commit(
-            Transaction(writes=(RowWrite(name=name, content=content),)), 1
-        )
-
 
 class _YieldingWorkers(FakeTaskWorkerControl):
     """Workers whose reports take some time, so others can run."""
@@ -163,27 +162,36 @@
         return super().renew_lease(order)
 
 
-class SlowLoadTest(unittest.TestCase):
-    """A new owner loads its shard over a link that is full."""
+class _RunnerTestCase(unittest.TestCase):
+    """Runner of a shard with one job and one worker."""
 
-    def setUp(self):
-        self.store = _FullLinkStore()
+    def set_up_runner(self, store, *, is_worker_listed=True):
+        self.store = store
         self.worker = FakeTaskWorker(
             worker_id='w0',
             clock=time.monotonic,
             capacity=Resources(cpu=4, memory_mb=100),
         )
-        self.store.write(
-            RowName(table=_WORKER_TABLE, partition=COMMON_PARTITION, key='w0'),
-            b'entry',
-        )
+        if is_worker_listed:
+            self.list_worker()
         job = build_job(steps=build_single_step())
         record = JobRecord(job=job, queue=CATALOGUE.queue_by_name['queue'])
-        self.store.write(job_row(0, JOB_ID), encode_record(record))
-        self.store.write(owner_row(0), b'')
+        self.write(job_row(0, JOB_ID), encode_record(record))
+        self.write(owner_row(0), b'')
         self.runner = self.make_runner()
         self.addCleanup(self.runner.stop, 'end of the test')
 
+    def write(self, name, content):
+        self.store.commit(
+            Transaction(writes=(RowWrite(name=name, content=content),)), 1
+        )
+
+    def list_worker(self):
+        name = RowName(
+            table=_WORKER_TABLE, partition=COMMON_PARTITION, key='w0'
+        )
+        self.write(name, b'entry')
+
     def make_runner(self):
         return ShardRunner(
             shard=0,
@@ -212,7 +220,7 @@
 
     def cancel(self):
         record = CancellationRecord(job_id=JOB_ID)
-        self.store.write(cancel_row(0, JOB_ID), encode_record(record))
+        self.write(cancel_row(0, JOB_ID), encode_record(record))
 
     def load(self):
         self.runner.start()
@@ -224,6 +232,13 @@
             gevent.sleep(0.01)
         self.assertTrue(condition())
 
+
+class SlowLoadTest(_RunnerTestCase):
+    """A new owner loads its shard over a link that is full."""
+
+    def setUp(self):
+        self.set_up_runner(_FullLinkStore())
+
     # Guards against a start seconds after the cancellation was acknowledged: it
     # was stored just after the new owner had read the jobs. Seen on a day with
     # an outage of the store.
@@ -238,3 +253,58 @@
     def test_job_is_started_soon_after_the_load(self):
         self.load()
         self.await_true(lambda: self.worker.history, _MAX_START_DELAY_S)
+
+
+class _SilentFeedStore(FakeRowStore):
+    """Store whose feed of the inbox answers late once it is silent."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_silent = False
+        self.resumed = Event()
+
+    def wait_for_changes(self, table, after, wait_s):
+        page = super().wait_for_changes(table, after, wait_s)
+        gevent.sleep(_STEP_S)
+        if table == inbox_table(0) and self.is_silent:
+            # The answer was given before the machine was suspended.
+            self.resumed.wait()
+            self.resumed.clear()
+        return page
+
+
+class SuspensionTest(_RunnerTestCase):
+    """The machine of an owner is suspended, and its monotonic clock stops."""
+
+    def setUp(self):
+        self.set_up_runner(_SilentFeedStore(), is_worker_listed=False)
+        self.load()
+        gevent.sleep(3 * _STEP_S)
+        self.store.is_silent = True
+        gevent.sleep(3 * _STEP_S)
+        self.cancel()
+
+    def suspend(self):
+        read = time.clock_gettime
+        patch = mock.patch(
+            'time.clock_gettime', lambda clock: read(clock) + _SUSPENSION_S
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    # Guards against a start long after the cancellation: the owner was
+    # suspended meanwhile, and its clock says that its rows are recent.
+    def test_job_cancelled_during_a_suspension_is_not_started(self):
+        self.suspend()
+        self.list_worker()
+        gevent.sleep(1)
+        self.assertEqual(self.worker.history, [])
+
+    # The same, with an answer of the change feed from before the suspension.
+    def test_answer_from_before_a_suspension_is_old(self):
+        self.suspend()
+        gevent.sleep(3 * _STEP_S)
+        self.store.resumed.set()
+        self.list_worker()
+        gevent.sleep(1)
+        self.assertEqual(self.worker.history, [])
