A new term tells its runner the owner before

Change: OwnershipTerm carries the former owner's record, and the instance puts it into the state that it makes.

--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -105,6 +105,8 @@
         workers, in seconds; 0 if it is not known.
     :param is_process_bound: whether this and all earlier owners send deadlines
         only to the worker process for whose clock they were computed.
+    :param former: the owner before this term, for the log; ``None`` if it is
+        not known.
     """
 
     shard: int
@@ -113,6 +115,7 @@
     version: int
     previous_lease_s: Seconds
     is_process_bound: bool
+    former: OwnerRecord | None = None
 
 
 RunnerFactory = Callable[[OwnershipTerm], ShardRunner]
@@ -560,12 +563,10 @@
                 version=outcome.version,
                 previous_lease_s=previous_lease_s,
                 is_process_bound=record.is_process_bound,
+                former=None if former is None else former.record,
             ),
         )
         self._cluster.counts.takeovers += 1
-        if former is not None:
-            runner.state.former_id = former.record.last_holder()[0]
-            runner.state.former_epoch = former.record.epoch
         former_runner = self.runner_by_shard.get(shard)
         self.runner_by_shard[shard] = runner
         runner.start()
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -474,6 +474,9 @@
             is_process_bound=term.is_process_bound,
         )
         state.confirmation.stored_at = term.requested_at
+        if term.former is not None:
+            state.former_id = term.former.last_holder()[0]
+            state.former_epoch = term.former.epoch
         return ShardRunner(
             shard=term.shard,
             state=state,
--- a/ragwortfield/tests/test_former_owner.py
+++ b/ragwortfield/tests/test_former_owner.py
@@ -318,6 +318,7 @@
 
     def setUp(self):
         self.store = FakeRowStore()
+        self.terms = []
         peers = mock.Mock()
         peers.call.return_value = Unavailable(reason='refused')
         self.ownership = OwnershipManager(
@@ -328,9 +329,13 @@
             store=self.store,
             peers=peers,
             lease_s=4,
-            make_runner=lambda term: _make_runner(epoch=term.epoch),
+            make_runner=self.make_runner,
         )
 
+    def make_runner(self, term):
+        self.terms.append(term)
+        return _make_runner(epoch=term.epoch)
+
     def name_owner(self, instance_id, epoch, incarnation='1'):
         record = OwnerRecord(
             instance_id=instance_id,
@@ -394,8 +399,7 @@
         self.assertTrue(
             self.ownership._take_over(0, 'lost', known_version=owner.version)
         )
-        state = self.ownership.runner(0).state
-        self.assertEqual((state.former_id, state.former_epoch), ('own', 7))
+        self.assertEqual(self.terms[-1].former, owner.record)
 
     def get_unaware_end(self):
         return self.ownership.runner(0).state.former_owner_until
--- a/ragwortfield/tests/test_scheduler_node.py
+++ b/ragwortfield/tests/test_scheduler_node.py
@@ -8,7 +8,11 @@
 
 from ragwortfield.adapters.json_codec import Malformed
 from ragwortfield.engine.cluster_view import ClusterView, KnownOwner
-from ragwortfield.engine.ownership import OwnershipManager, SchedulerIdentity
+from ragwortfield.engine.ownership import (
+    OwnershipManager,
+    OwnershipTerm,
+    SchedulerIdentity,
+)
 from ragwortfield.engine.row_names import COMMON_PARTITION, layout_row
 from ragwortfield.engine.scheduler_node import PlatformTables, SchedulerNode
 from ragwortfield.engine.wall_clock import WallClock
@@ -263,6 +267,25 @@
         logged = [line for line in lines if 'a fault of the code' in line]
         self.assertEqual(len(logged), 1, lines)
 
+    # Guards against an owner whose log does not tell which one it has replaced.
+    def test_state_of_an_owner_tells_the_one_before(self):
+        former = OwnerRecord(
+            instance_id='', incarnation='', epoch=6, departed_id='other'
+        )
+        runner = self.node._make_runner(
+            OwnershipTerm(
+                shard=0,
+                epoch=7,
+                requested_at=1,
+                version=1,
+                previous_lease_s=4,
+                is_process_bound=True,
+                former=former,
+            )
+        )
+        self.assertEqual(runner.state.former_id, 'other')
+        self.assertEqual(runner.state.former_epoch, 6)
+
     # Guards against counters that start again with each term of an owner: those
     # of all its terms are one, and they are exported.
     def test_counts_about_owners_are_exported(self):
