Long randomised runs raise on the program's own invariants

Callers of long_run saw a violation of an invariant of the program only in its log, which these runs switch off.

--- a/ragwortfield/testing/long_run.py
+++ b/ragwortfield/testing/long_run.py
@@ -10,6 +10,7 @@
 
 from absl import app, flags, logging
 
+from ragwortfield.invariants import INVARIANTS
 from ragwortfield.testing.state_machine_runs import (
     STEP_COUNTER,
     run_state_machine,
@@ -32,6 +33,7 @@
     :returns: exit status.
     """
     logging.set_verbosity(logging.FATAL)
+    INVARIANTS.is_raising = True
     name = arguments[1]
     module = importlib.import_module(
         f'ragwortfield.tests.test_{name}_machine',
