Test: a takeover from before a suspension confirms an owner

The suspensions of the machine are counted from the answer to the takeover on, the confirmation from its sending. A suspension in between counts for neither. The test fails: after 60 s the new owner counts as confirmed.

--- a/ragwortfield/tests/test_scheduler_node.py
+++ b/ragwortfield/tests/test_scheduler_node.py
@@ -9,7 +9,12 @@
 from ragwortfield.adapters.json_codec import Malformed
 from ragwortfield.engine.cluster_view import ClusterView, KnownOwner
 from ragwortfield.engine.ownership import OwnershipManager, SchedulerIdentity
-from ragwortfield.engine.row_names import COMMON_PARTITION, layout_row
+from ragwortfield.engine.ownership_keeper import OwnershipKeeper
+from ragwortfield.engine.row_names import (
+    COMMON_PARTITION,
+    layout_row,
+    owner_row,
+)
 from ragwortfield.engine.scheduler_node import PlatformTables, SchedulerNode
 from ragwortfield.engine.wall_clock import WallClock
 from ragwortfield.platform.approval_service_client import ApprovalServiceClient
@@ -159,6 +164,47 @@
     def is_shard_owned(self):
         return self.node.ownership.runner(0) is not None
 
+    # Guards against two runs of one task: the machine is suspended while the
+    # takeover is under way, and when it goes on, another one owns the shard.
+    def test_takeover_from_before_a_suspension_confirms_nothing(self):
+        suspended_s = [0]
+        read_clock = time.clock_gettime
+        commit = self.store.commit
+
+        def commit_and_suspend(transaction, timeout_s):
+            outcome = commit(transaction, timeout_s)
+            if any(write.name == owner_row(0) for write in transaction.writes):
+                suspended_s[0] = 60
+            return outcome
+
+        self.store.commit = commit_and_suspend
+        with (
+            mock.patch.object(
+                time,
+                'clock_gettime',
+                lambda clock: read_clock(clock) + suspended_s[0],
+            ),
+            mock.patch.object(
+                OwnershipKeeper, 'run', lambda _: gevent.sleep(9)
+            ),
+        ):
+            self.start()
+            self.await_true(self.is_shard_owned)
+            runner = self.node.ownership.runner(0)
+            self.await_true(lambda: runner.is_ready and runner._last_round_at)
+            self.assertEqual(suspended_s, [60])
+            self.assertFalse(
+                runner.state.confirmation.is_valid(
+                    runner.state.bounds, time.monotonic()
+                )
+            )
+            runner._keeper.check_age()
+            self.assertTrue(
+                runner.state.confirmation.is_valid(
+                    runner.state.bounds, time.monotonic()
+                )
+            )
+
     # Guards against an owner whose connections to workers are closed at the end
     # of a former owner in the same process.
     def test_each_owner_has_connections_of_its_own(self):
