A takeover from before a suspension confirms no owner

Suspensions of the machine are counted from before the takeover is sent on, as its confirmation is. test_takeover_from_before_a_suspension_confirms_nothing failed before and passes now.

--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -35,6 +35,7 @@
 from ragwortfield.engine.shard_runner import ShardRunner
 from ragwortfield.engine.store_health import StoreHealth
 from ragwortfield.engine.supervisor import Supervisor
+from ragwortfield.engine.wall_clock import get_total_suspended_s
 from ragwortfield.log import event
 from ragwortfield.peering.rpc import CallBody, PeerRpc
 from ragwortfield.ports.platform import Unavailable
@@ -99,6 +100,8 @@
     :param epoch: fencing token of the term.
     :param requested_at: monotonic time at which the takeover was sent to the
         store.
+    :param suspended_s: how long the machine had been suspended by then, since
+        its start, in seconds.
     :param version: version of the owner row and of the sequence row, which
         were written together by the takeover.
     :param previous_lease_s: longest lease that earlier owners granted to
@@ -110,6 +113,7 @@
     shard: int
     epoch: int
     requested_at: MonotonicTime
+    suspended_s: Seconds
     version: int
     previous_lease_s: Seconds
     is_process_bound: bool
@@ -523,15 +527,8 @@
             self._cluster.owner_by_shard.get(shard), sequence, time.monotonic()
         )
         epoch = _find_highest_epoch(owner, sequence) + 1
-        previous_lease_s = _read_recorded_lease_s(owner)
-        record = OwnerRecord(
-            instance_id=self._identity.instance_id,
-            incarnation=self._identity.incarnation,
-            epoch=epoch,
-            address=self._identity.address,
-            lease_s=self._compute_longest_lease_s(epoch, previous_lease_s),
-            is_process_bound=_is_recorded_lease_bound(owner, sequence),
-        )
+        record = self._build_record(epoch, owner, sequence)
+        suspended_s = get_total_suspended_s()
         requested_at = time.monotonic()
         outcome = self._store.commit(
             _build_takeover_transaction(
@@ -557,8 +554,9 @@
                 shard=shard,
                 epoch=epoch,
                 requested_at=requested_at,
+                suspended_s=suspended_s,
                 version=outcome.version,
-                previous_lease_s=previous_lease_s,
+                previous_lease_s=_read_recorded_lease_s(owner),
                 is_process_bound=record.is_process_bound,
             ),
         )
@@ -573,6 +571,23 @@
             self._ask_former_owner(runner, former, former_runner)
         return True
 
+    def _build_record(
+        self,
+        epoch: int,
+        owner: StoredRow | None,
+        sequence: StoredRow | None,
+    ) -> OwnerRecord:
+        return OwnerRecord(
+            instance_id=self._identity.instance_id,
+            incarnation=self._identity.incarnation,
+            epoch=epoch,
+            address=self._identity.address,
+            lease_s=self._compute_longest_lease_s(
+                epoch, _read_recorded_lease_s(owner)
+            ),
+            is_process_bound=_is_recorded_lease_bound(owner, sequence),
+        )
+
     def _ask_former_owner(
         self,
         runner: ShardRunner,
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -474,7 +474,7 @@
             is_process_bound=term.is_process_bound,
         )
         state.confirmation.stored_at = term.requested_at
-        return ShardRunner(
+        runner = ShardRunner(
             shard=term.shard,
             state=state,
             committer=ShardCommitter(
@@ -496,6 +496,9 @@
             ),
             wall_clock=self._wall_clock,
         )
+        # The machine may have been suspended since the takeover was sent.
+        state.confirmation.suspended_s = term.suspended_s
+        return runner
 
     def _make_shard_state(
         self,
