--- a/ragwortfield/tests/ownership_model.py
+++ b/ragwortfield/tests/ownership_model.py
@@ -63,11 +63,12 @@
 _CLOCK_RATES = (0.98, 1.0, 0.99)
 #: Time for which the first owner runs before the first event, in seconds.
 _FIRST_TERM_S = 5
-#: Longest time from the acknowledgement of a cancellation to a start that was
-#: ordered before it, in seconds: a start is sent again for 2.5 s after the
-#: first order, and the worker may carry the last order out within the start
-#: window by its slow clock.
-_MAX_START_AFTER_CANCEL_S = 6
+#: Longest time from the acknowledgement of a cancellation to a start by an
+#: owner in touch, in seconds: the age of its inbox and the start window by a
+#: slow clock, with a margin for rounding.
+_MAX_START_AFTER_CANCEL_S = (
+    TimingBounds().inbox_age_s + TimingBounds().start_window_s / 0.98 + 0.01
+)
 #: Time after a pause for which an owner may not have read what has changed, in
 #: seconds; users count a machine as in touch after that.
 _CONTACT_S = 3
