Test: an owner ends long after it was replaced, beside its last leases

An owner that most of its workers confirm goes on without the store for up to an hour. If its process ends, its successor learns that from the next process, and takes its authority for over 3.5 s after its own takeover. So it starts at once what the former owner has just extended the leases for, on workers that the successor does not reach.

Shortest sequence: replace isolated majority, wait 3.8 s, end former process; a task runs twice for 1 s, and for up to a lease if the end comes later. The search through all sequences of three events finds it as well, with the new event.

--- a/ragwortfield/tests/ownership_model.py
+++ b/ragwortfield/tests/ownership_model.py
@@ -618,6 +618,15 @@
         self.take_over()
         self.answer_successor()
 
+    def end_former_process(self):
+        """End the process before the newest owner, which learns that."""
+        self._find_former().has_ended = True
+        self.answer_successor()
+
+    def is_former_running(self):
+        former = self._find_former()
+        return former is not None and former.is_running
+
     def find_oldest(self):
         """Return the oldest owner that acts; ``None`` if there is none."""
         for owner in self.owners:
@@ -770,6 +779,11 @@
             seen_at=self.owner_row_written_at,
         )
 
+    def _find_former(self):
+        """Return the owner that the newest one has not heard of yet."""
+        known = self.newest.question
+        return known and self._find_owner(known.record.address)
+
     def _find_owner(self, address):
         for owner in self.owners:
             if owner.identity.address == address:
--- a/ragwortfield/tests/ownership_search.py
+++ b/ragwortfield/tests/ownership_search.py
@@ -130,6 +130,10 @@
         apply=OwnershipWorld.answer_successor,
         is_possible=OwnershipWorld.is_answer_possible,
     ),
+    'end former process': Event(
+        apply=OwnershipWorld.end_former_process,
+        is_possible=OwnershipWorld.is_former_running,
+    ),
     'end process': Event(
         apply=OwnershipWorld.end_process, is_possible=_may_take_over
     ),
@@ -193,6 +197,7 @@
     'shrink zone',
     'answer successor',
     'end process',
+    'end former process',
     'pause before leases',
     'pause before sending',
     'pause before start',
