The last leases of an owner that ended long after its replacement are waited for

Callers saw nothing yet; the model showed a task that ran twice: most workers confirmed a replaced owner, its process ended, and its successor took its authority for over 3.5 s after the takeover, which was long ago. So it started elsewhere what still ran on workers that it did not reach.

The end of a process now bounds the former owner's authority by the time at which its successor learns of it, and never shortens it to less than that, unless its authority was over before. While it is not known which electorate is recorded, the same holds.

test_leases_of_an_owner_that_has_just_ended_are_waited_for and the search with the new event failed before and pass now; test_former_owner, the takeover machine and the machine of ownership pass.

--- a/ragwortfield/scheduling/former_owner.py
+++ b/ragwortfield/scheduling/former_owner.py
@@ -7,6 +7,8 @@
 knows better.
 """
 
+import math
+
 from ragwortfield.scheduling.ownership_confirmation import FormerElectorate
 from ragwortfield.scheduling.records import ElectorateRecord, SequenceRecord
 from ragwortfield.scheduling.shard_state import ShardState
@@ -102,19 +104,20 @@
     """
     Use that the process of the former owner has ended.
 
-    The owner before it may not know of its own replacement for a while after
-    the term of the former one had begun. If its workers may confirm it, the
-    electorate that it has recorded is still the latest.
+    It may have acted up to now if workers confirmed it. The owner before it may
+    not know of its own replacement for a while after the term of the former one
+    had begun. If its workers may confirm it, the electorate that it has
+    recorded is still the latest.
 
     :param state: state of the new owner.
     :param epoch: fencing token of the former owner.
     :param term_start: latest time at which that term can have begun.
     :param now: monotonic time, in seconds.
     """
+    latest_end = _find_latest_authority_end(state, epoch)
     record_stopped_owner(state, epoch)
     state.former_owner_until = min(
-        state.former_owner_until,
-        max(now, term_start + state.bounds.unaware_s),
+        latest_end, max(now, term_start + state.bounds.unaware_s)
     )
 
 
@@ -142,6 +145,24 @@
     state.former_electorate.record_ended(state.ended_owner_epoch)
 
 
+def _find_latest_authority_end(state: ShardState, epoch: int) -> MonotonicTime:
+    """
+    Find until when a former owner may have acted if its end was not known.
+
+    :param state: state of the new owner.
+    :param epoch: fencing token of the former owner.
+    :returns: monotonic time, in seconds; infinite while it is not known which
+        electorate is recorded.
+    """
+    recorded_epoch = state.former_electorate.epoch
+    if not recorded_epoch:
+        return math.inf
+    if recorded_epoch == epoch:
+        return state.former_authority_end()
+    # Without a record of its own, only the store has confirmed it.
+    return state.former_owner_until
+
+
 def _is_run_end_known(state: ShardState, worker: WorkerState) -> bool:
     return (
         bool(worker.first_reported_at)
--- a/ragwortfield/tests/test_ownership_model.py
+++ b/ragwortfield/tests/test_ownership_model.py
@@ -72,9 +72,9 @@
     def test_owner_before_one_that_has_ended_stops_as_well(self):
         self.run_sequence('isolate zone', 'take over', 'end process')
 
-    # Guards against the same if the owner goes on for a while, confirmed by most
-    # workers, and its process ends: it has just extended the leases of workers
-    # that its successor does not reach.
+    # Guards against the same if most workers confirm the owner, which goes on,
+    # and its process ends: it has just extended the leases of workers that its
+    # successor does not reach.
     def test_leases_of_an_owner_that_has_just_ended_are_waited_for(self):
         for wait in (), ('wait 3.8 s',), ('wait 3.8 s', 'wait 3.8 s'):
             with self.subTest(wait):
