--- a/ragwortfield/tests/test_former_owner.py
+++ b/ragwortfield/tests/test_former_owner.py
@@ -6,6 +6,9 @@
 from dataclasses import replace
 from unittest import mock
 
+import gevent
+
+from ragwortfield.engine import former_owner_calls
 from ragwortfield.engine.cluster_view import ClusterView, KnownOwner
 from ragwortfield.engine.former_owner_calls import (
     answer_as_former_owner,
@@ -16,10 +19,14 @@
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import RowWrite, Transaction
 from ragwortfield.ports.task_worker import EndKind, ListedWorker
-from ragwortfield.scheduling.former_owner import record_ended_owner
+from ragwortfield.scheduling.former_owner import (
+    load_former_electorate,
+    record_ended_owner,
+)
 from ragwortfield.scheduling.job_status import JobStatus
 from ragwortfield.scheduling import shard_updates
 from ragwortfield.scheduling.records import (
+    ElectorateRecord,
     OwnerRecord,
     SequenceRecord,
     encode_record,
@@ -281,6 +288,34 @@
         ask_former_owner(peers, self.runner, self.former)
         self.assertLess(self.compute_wait_s(), 0)
 
+    # Guards against tasks of lost workers without a run for an hour: most of
+    # the workers that confirm the former owner are lost, and its process is
+    # back only after its leases are over.
+    def test_former_owner_that_workers_may_confirm_is_asked_for_longer(self):
+        state = self.runner.state
+        load_former_electorate(
+            state, ElectorateRecord(epoch=1, born_ms_by_worker={'w': 1})
+        )
+        clock = mock.Mock(monotonic=lambda: self.now)
+        self.now = state.owner_since
+        back_at = self.now + 60
+
+        def answer(*_):
+            self.now += 0.4
+            if self.now < back_at:
+                return Unavailable(reason='silent')
+            return {'instance': 'former', 'incarnation': '2', 'remaining': None}
+
+        with (
+            mock.patch.object(former_owner_calls, 'time', clock),
+            mock.patch.object(gevent, 'sleep', self.advance),
+        ):
+            ask_former_owner(mock.Mock(call=answer), self.runner, self.former)
+        self.assertLess(state.former_run_end('w'), back_at + _LONGEST_WAIT_S)
+
+    def advance(self, seconds):
+        self.now += seconds
+
 
 class RetirementTest(unittest.TestCase):
     """A former owner answers its successor."""
