--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -530,15 +530,7 @@
             self._cluster.owner_by_shard.get(shard), sequence, time.monotonic()
         )
         epoch = _find_highest_epoch(owner, sequence) + 1
-        previous_lease_s = _read_recorded_lease_s(owner)
-        record = OwnerRecord(
-            instance_id=self._identity.instance_id,
-            incarnation=self._identity.incarnation,
-            epoch=epoch,
-            address=self._identity.address,
-            lease_s=self._compute_longest_lease_s(epoch, previous_lease_s),
-            is_process_bound=_is_recorded_lease_bound(owner, sequence),
-        )
+        record = self._build_record(epoch, owner, sequence)
         confirmation = OwnershipConfirmation(
             stored_at=time.monotonic(), suspended_s=get_total_suspended_s()
         )
@@ -567,7 +559,7 @@
                 epoch=epoch,
                 confirmation=confirmation,
                 version=outcome.version,
-                previous_lease_s=previous_lease_s,
+                previous_lease_s=_read_recorded_lease_s(owner),
                 is_process_bound=record.is_process_bound,
                 former=None if former is None else former.record,
             ),
@@ -580,6 +572,23 @@
             self._ask_former_owner(runner, former, former_runner)
         return True
 
+    def _build_record(
+        self,
+        epoch: int,
+        owner: StoredRow | None,
+        sequence: StoredRow | None,
+    ) -> OwnerRecord:
+        return OwnerRecord(
+            instance_id=self._identity.instance_id,
+            incarnation=self._identity.incarnation,
+            epoch=epoch,
+            address=self._identity.address,
+            lease_s=self._compute_longest_lease_s(
+                epoch, _read_recorded_lease_s(owner)
+            ),
+            is_process_bound=_is_recorded_lease_bound(owner, sequence),
+        )
+
     def _ask_former_owner(
         self,
         runner: ShardRunner,
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -440,6 +440,7 @@
     def _confirm_ownership(self) -> bool:
         now = time.monotonic()
         elapsed_s = now - self._last_round_at if self._last_round_at else 0
+        count_suspension(self.state)
         suspended_s = get_total_suspended_s() - self._last_suspended_s
         self._last_suspended_s += suspended_s
         self._last_round_at = now
