A former owner is asked for as long as its answer shortens a wait

Callers saw nothing yet: with most of its workers lost, and its process back later than 13.5 s after the takeover, tasks of the lost workers had no run for an hour. The successor now asks until it knows that the former owner's leases are over. test_former_owner_that_workers_may_confirm_is_asked_for_longer failed before and passes now.

--- a/ragwortfield/engine/former_owner_calls.py
+++ b/ragwortfield/engine/former_owner_calls.py
@@ -68,10 +68,7 @@
     :param runner: runner of the new owner.
     :param former: the former owner.
     """
-    bounds = runner.state.bounds
-    # By then all leases that the former owner can have extended are over.
-    deadline = time.monotonic() + bounds.unaware_s + bounds.longest_lease_s()
-    while time.monotonic() < deadline and not runner.is_stopped:
+    while _is_answer_useful(runner) and not runner.is_stopped:
         answer = peers.call(
             former.record.address,
             'retire',
@@ -128,6 +125,15 @@
         )
 
 
+def _is_answer_useful(runner: ShardRunner) -> bool:
+    """Tell whether a lease of the former owner may not be over yet."""
+    state = runner.state
+    leases_end = state.former_authority_end() + state.bounds.longest_lease_s()
+    # Before the shard is loaded, it is not known which workers may confirm the
+    # former owner.
+    return not runner.was_loaded or time.monotonic() < leases_end
+
+
 def _name_answer(
     remaining_s_by_worker: dict[WorkerId, Seconds] | None,
     *,
