--- a/ragwortfield/tests/seat_world.py
+++ b/ragwortfield/tests/seat_world.py
@@ -102,11 +102,16 @@
 
 @dataclass(kw_only=True)
 class SeatWorld:
-    """Platform, clock and the instances of one or more data centres."""
+    """
+    Platform, clock and the instances of one or more data centres.
+
+    :param cut_pairs: names of instances that do not reach each other.
+    """
 
     clock: ManualClock = field(default_factory=ManualClock)
     instance_by_id: dict[str, SimulatedInstance] = field(default_factory=dict)
     last_instance_number: int = 0
+    cut_pairs: list[set[str]] = field(default_factory=list)
     configuration_text: str = CONFIGURATION
 
     def __post_init__(self):
@@ -216,6 +221,8 @@
                 continue
             if instance.is_cut_from_peers or other.is_cut_from_peers:
                 continue
+            if {instance.name, other.name} in self.cut_pairs:
+                continue
             other.peer_message_handler.receive(instance.name, heartbeat)
 
     def list_holders(self, seat_key):
--- a/ragwortfield/tests/test_seats.py
+++ b/ragwortfield/tests/test_seats.py
@@ -66,6 +66,15 @@
         self.world.run(60)
         self.assertEqual(set(cut_off.instance_state.held_seat_by_key), before)
 
+    # Guards against two holders of one seat: its holder lacks the store and the
+    # instance that takes over, but still hears a third one.
+    def test_holder_that_hears_a_third_instance_stops_before_a_takeover(self):
+        holder = self.world.instance_by_id['entry-1']
+        holder.platform_access.is_cut = True
+        self.world.cut_pairs.append({'entry-1', 'entry-2'})
+        self.world.platform.faults.hidden_instances = (holder.name,)
+        self.world.run(seconds=120, check=self.check_single_holders)
+
     def test_isolated_instance_stops_before_a_takeover(self):
         isolated = self.world.instance_by_id['entry-1']
         isolated.platform_access.is_cut = True
