Simulation: the owner confirms its ownership in each round

test_short_task_starvation (two tests) and test_large_tasks_are_done_while_small_ones_go_on failed since ownership has to be confirmed: the simulated owner confirmed it only by commits, of which a full pool has none for seconds, and bound nothing then. The real one reads its row each 0.5 s. They pass again.

--- a/ragwortfield/experiment/simulation.py
+++ b/ragwortfield/experiment/simulation.py
@@ -193,6 +193,8 @@
         cpu_before_s = time.process_time()
         for job in jobs:
             shard_updates.register_job(self.state, job, now=now, wall_time=now)
+        # A calm owner reads its row now and then.
+        self.state.confirmation.record_store_call(now)
         self._apply_reports()
         self._rounds.decide(
             self.state, now, wall_time=now, is_binding_allowed=True
