A second run that a worker reports is logged, and is no invariant

test_random_report_makes_no_decision_fail found that a worker can violate task_runs_once by reporting a run that it does not have: what a worker says must cost itself only. second_run_reported logs both runs; the reported one is stopped as before.

--- a/ragwortfield/scheduling/run_log.py
+++ b/ragwortfield/scheduling/run_log.py
@@ -2,18 +2,22 @@
 
 from typing import Any
 
+from absl import logging
+
 from ragwortfield.log import event
+from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
     LeaseOrder,
     LeaseReport,
     ListedEnd,
+    ListedRun,
     OrderRefused,
     StartRun,
 )
-from ragwortfield.ports.platform import Unavailable
 from ragwortfield.scheduling.job import TaskKey
-from ragwortfield.scheduling.job_state import TaskState
+from ragwortfield.scheduling.job_state import RunStage, TaskState
 from ragwortfield.scheduling.shard_state import ShardState
+from ragwortfield.scheduling.task_lifecycle import format_task_key
 from ragwortfield.scheduling.worker_state import WorkerState
 from ragwortfield.types import MonotonicTime, Seconds
 
@@ -181,3 +185,35 @@
         closed_s=closed_s,
         bound_s=now - task.ordered_at if task.ordered_at else _NEVER,
     )
+
+
+def log_second_run(
+    state: ShardState, task: TaskState, worker: WorkerState, run: ListedRun
+) -> None:
+    """
+    Log that a worker reports a run of a task that runs elsewhere.
+
+    It is no invariant, since workers may report anything. The run that is
+    reported is stopped.
+
+    :param state: state of the shard.
+    :param task: the task.
+    :param worker: the worker.
+    :param run: the reported run, which the task is not bound to.
+    """
+    other = state.worker_by_id.get(task.worker_id)
+    if other is None or other is worker or task.stage != RunStage.RUNNING:
+        return
+    if run.run < task.run and other.is_in_contact(
+        state.bounds, worker.reported_at
+    ):
+        event(
+            'second_run_reported',
+            level=logging.ERROR,
+            task=format_task_key(task),
+            epoch=state.epoch,
+            run=run.run,
+            worker=worker.worker_id,
+            current_run=task.run,
+            current_worker=task.worker_id,
+        )
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -17,15 +17,13 @@
 from ragwortfield.scheduling.fence_refusals import record_fence_refusal
 from ragwortfield.scheduling.job_state import RunStage, TaskState
 from ragwortfield.scheduling.lease_log import log_adoption, log_lapse
-from ragwortfield.scheduling.ownership_invariants import (
-    check_former_owner,
-    check_single_run,
-)
+from ragwortfield.scheduling.ownership_invariants import check_former_owner
 from ragwortfield.scheduling.records import TaskPhase
 from ragwortfield.scheduling.run_log import (
     describe_start,
     format_recorded_state,
     log_run_end,
+    log_second_run,
     log_run_of_closed_job,
 )
 from ragwortfield.scheduling.shard_state import ShardState
@@ -383,7 +381,7 @@
     if task is None or not is_bound:
         _stop_unexpected_run(state, worker, run)
         if task is not None:
-            check_single_run(state, task, worker, run)
+            log_second_run(state, task, worker, run)
         return
     if task.stage != RunStage.STOPPING:
         _confirm_run(state, task, clock_ms, now)
