--- a/ragwortfield/tests/test_ownership_machine.py
+++ b/ragwortfield/tests/test_ownership_machine.py
@@ -89,6 +89,11 @@
     def end_process(self):
         self.world.end_process()
 
+    @precondition(lambda self: self.world.is_former_running())
+    @rule()
+    def end_former_process(self):
+        self.world.end_former_process()
+
     @precondition(lambda self: self.world.is_answer_possible())
     @rule()
     def answer_successor(self):
