Test: an error after a write of the electorate

The write may have taken effect. The test fails: once the store is away, the owner counts on its earlier electorate alone, while a successor fences the later one.

--- a/ragwortfield/tests/test_electorate_store.py
+++ b/ragwortfield/tests/test_electorate_store.py
@@ -1,6 +1,7 @@
 """Record of the workers that confirm an owner while the store is away."""
 
 import unittest
+from unittest import mock
 
 from ragwortfield.engine.electorate_store import ElectorateStore
 from ragwortfield.engine.row_names import electorate_row, owner_row
@@ -122,6 +123,27 @@
             self.take_over(2)[0].former_electorate.electorate, newest
         )
 
+    # Guards against two runs of one task: a write takes effect, the code fails
+    # on its answer, and the next write does not reach the store.
+    def test_both_electorates_hold_after_an_unexpected_error(self):
+        self.save()
+        self.report('w2', 12)
+        commit = FakeRowStore.commit
+
+        def commit_and_fail(store, transaction, timeout_s):
+            commit(store, transaction, timeout_s)
+            raise LookupError('a fault of the code')
+
+        with (
+            mock.patch.object(FakeRowStore, 'commit', commit_and_fail),
+            self.assertRaises(LookupError),
+        ):
+            self.save()
+        self.store.is_down = True
+        new = {'w0': 10, 'w1': 11, 'w2': 12}
+        self.report('w3', 13)
+        self.assertEqual(self.save(), ({'w0': 10, 'w1': 11}, new))
+
     def test_write_without_effect_changes_nothing(self):
         self.save()
         self.report('w2', 12)
