Both electorates hold after an unexpected error during a write

Before, only an answer that was lost left the write uncertain. Now it is so from the moment of the write on. test_both_electorates_hold_after_an_unexpected_error failed before and passes now.

--- a/ragwortfield/engine/electorate_store.py
+++ b/ragwortfield/engine/electorate_store.py
@@ -91,16 +91,25 @@
         if not electorate or stored == (electorate,):
             return None
         before = stored[0] if stored else {}
-        # The write may take effect although its answer is lost.
+        was_uncertain = self._uncertain is not None
+        # The write may take effect although its answer is lost, or the code
+        # fails on it.
+        self._uncertain = electorate
         state.confirmation.electorates = (before, electorate)
         outcome = self._write(state.epoch, electorate)
-        self._apply_outcome(state, before, electorate, outcome)
+        is_without_effect = (
+            isinstance(outcome, Unavailable) and not outcome.is_effect_possible
+        )
+        if is_without_effect and not was_uncertain:
+            self._uncertain = None
+            state.confirmation.electorates = (before,)
+        else:
+            self._apply_outcome(state, electorate, outcome)
         return outcome
 
     def _apply_outcome(
         self,
         state: ShardState,
-        before: Electorate,
         electorate: Electorate,
         outcome: TransactionDone | TransactionRefused | Unavailable,
     ) -> None:
@@ -117,10 +126,6 @@
             )
         elif isinstance(outcome, TransactionRefused):
             self._apply_refusal(state, outcome)
-        elif outcome.is_effect_possible or self._uncertain is not None:
-            self._uncertain = electorate
-        else:
-            confirmation.electorates = (before,)
 
     def _apply_refusal(
         self, state: ShardState, refused: TransactionRefused
