--- a/ragwortfield/soak/cuts.py
+++ b/ragwortfield/soak/cuts.py
@@ -84,14 +84,14 @@
         called = self.peers(self.deployment.instances, centre)
         return self.calls(centre) + called
 
-    def isolation(
+    def reserve(
         self, centre: InstanceProcess, kept: Iterable[WorkerHost]
     ) -> list[CallFaults]:
         """
-        Find the links that leave an instance alone with some workers.
+        Find the links that leave an instance with some workers.
 
-        :param centre: instance that reaches no peer and not the store.
-        :param kept: workers that it reaches, and that no other one reaches.
+        :param centre: instance that reaches no other worker.
+        :param kept: workers that no other instance reaches.
         :returns: the faults of each link.
         """
         kept = list(kept)
@@ -102,7 +102,19 @@
             if instance is not centre
             for fault in self.workers(instance, kept)
         ]
-        return self.around(centre) + self.workers(centre, rest) + others
+        return self.workers(centre, rest) + others
+
+    def isolation(
+        self, centre: InstanceProcess, kept: Iterable[WorkerHost]
+    ) -> list[CallFaults]:
+        """
+        Find the links that leave an instance alone with some workers.
+
+        :param centre: instance that reaches no peer and not the store.
+        :param kept: workers that it reaches, and that no other one reaches.
+        :returns: the faults of each link.
+        """
+        return self.around(centre) + self.reserve(centre, kept)
 
 
 @contextmanager
--- a/ragwortfield/tests/test_isolated_owner_processes.py
+++ b/ragwortfield/tests/test_isolated_owner_processes.py
@@ -1,15 +1,19 @@
 """Tests of owners that are cut off, with real processes and sockets."""
 
 import re
+import signal
 import tempfile
 import time
 import unittest
 from datetime import datetime, timedelta
 from pathlib import Path
 from random import Random
+from unittest import mock
 
 import gevent
 
+from ragwortfield.engine.row_names import PROGRESS_TABLE, SEQUENCE_TABLE
+from ragwortfield.platform.fake_servers import encode_job
 from ragwortfield.platform.faulty_servers import FaultKind
 from ragwortfield.soak.callers import CallerPool
 from ragwortfield.soak.cuts import Links, cut
@@ -19,6 +23,7 @@
 from ragwortfield.soak.run_history import list_overlaps
 from ragwortfield.soak.site import small_site
 from ragwortfield.soak.timeline import Timeline
+from ragwortfield.testing.indexed_row_store import IndexedRowStore
 
 _ROOT = Path(__file__).parent.parent.parent
 _SEED = 1
@@ -31,10 +36,22 @@
 _ISOLATION_S = 16
 _SETTLE_S = 4
 _TERM_EVENTS = 'event=(takeover|shard_left|former_owner_answered|lease_lapsed)'
+#: Pause of an owner; its successor has started the tasks elsewhere by then.
+_PAUSE_S = 10.5
+#: Time after which an owner starts nothing on workers that it does not reach,
+#: in seconds.
+_SILENCE_S = 2
 #: Time for which the first successor of an isolated owner lives.
 _SUCCESSOR_TERM_S = 1
 
 
+def is_written(transaction, table, key_prefix):
+    return any(
+        write.name.table == table and write.name.key.startswith(key_prefix)
+        for write in transaction.writes
+    )
+
+
 def set_of_names(instances):
     return {instance.name for instance in instances}
 
@@ -62,14 +79,14 @@
         self.assertTrue(self.deployment.wait_until_serving(_START_TIMEOUT_S))
         gevent.sleep(_SETTLE_S)
         self.links = Links(deployment=self.deployment)
-        callers = CallerPool(
+        self.callers = CallerPool(
             site=site,
             jobs=self.jobs,
             random=Random(_SEED),
             list_instances=lambda: self.deployment.instances,
             on_exchange=lambda exchange, job: None,
         )
-        callers.submit_lasting(_LASTING_JOBS)
+        self.callers.submit_lasting(_LASTING_JOBS)
         expected = sum(sum(job.counts) for job in self.jobs.list_accepted())
         self.assertTrue(expected)
         self.await_true(lambda: self.count_runs() == expected)
@@ -176,3 +193,42 @@
             gevent.sleep(cut_at + _ISOLATION_S - time.monotonic())
         gevent.sleep(_SETTLE_S)
         self.assert_nothing_ran_twice()
+
+    # Guards against two runs of a gang: an owner is paused while the commit of
+    # a binding is answered, and sends the starts with new deadlines when it
+    # goes on, to workers that its successor does not reach and has given up.
+    def test_owner_paused_before_it_sends_starts_runs_nothing_twice(self):
+        (owner,) = self.deployment.list_owners()
+        kept = [
+            host
+            for host in self.deployment.workers
+            if not host.worker.run_by_key
+        ][:2]
+        paused_at = []
+        commit = IndexedRowStore.commit
+
+        def pause_at_binding(store, transaction, timeout_s):
+            outcome = commit(store, transaction, timeout_s)
+            is_binding = is_written(transaction, SEQUENCE_TABLE, '')
+            if is_binding and is_written(
+                transaction, PROGRESS_TABLE, job.job_id
+            ):
+                paused_at.append(time.monotonic())
+                owner.send(signal.SIGSTOP)
+            return outcome
+
+        with cut(self.links.reserve(owner, kept), FaultKind.SILENT):
+            gevent.sleep(_SILENCE_S)
+            job = self.jobs.create(self.deployment.site.workloads[-1])
+            body = encode_job(
+                'sleep 100', job.counts, long_lived=True, gang=True
+            )
+            with mock.patch.object(IndexedRowStore, 'commit', pause_at_binding):
+                gevent.spawn(self.callers.request, 0, 'POST', job, body)
+                self.await_true(lambda: paused_at)
+            with cut(self.links.around(owner)):
+                gevent.sleep(paused_at[0] + _PAUSE_S - time.monotonic())
+                owner.send(signal.SIGCONT)
+                gevent.sleep(_SETTLE_S)
+        gevent.sleep(_SETTLE_S)
+        self.assert_nothing_ran_twice()
