--- a/ragwortfield/tests/ownership_model.py
+++ b/ragwortfield/tests/ownership_model.py
@@ -63,11 +63,12 @@
 _CLOCK_RATES = (0.98, 1.0, 0.99)
 #: Time for which the first owner runs before the first event, in seconds.
 _FIRST_TERM_S = 5
-#: Longest time from the acknowledgement of a cancellation to a start that was
-#: ordered before it, in seconds: a start is sent again for 2.5 s after the
-#: first order, and the worker may carry the last order out within the start
-#: window by its slow clock.
-_MAX_START_AFTER_CANCEL_S = 6
+#: Longest time from the acknowledgement of a cancellation to a start, in
+#: seconds: the age of an owner's inbox and the start window by a slow clock,
+#: with a margin for rounding.
+_MAX_START_AFTER_CANCEL_S = (
+    TimingBounds().inbox_age_s + TimingBounds().start_window_s / 0.98 + 0.01
+)
 #: Time after the end of all faults within which each task has to run, and each
 #: run of a cancelled job has to be over, in seconds: the longest lease that a
 #: former owner may have left, and the time that owners wait for its end.
@@ -613,6 +614,15 @@
         self.take_over()
         self.answer_successor()
 
+    def end_former_process(self):
+        """End the process before the newest owner, which learns that."""
+        self._find_former().has_ended = True
+        self.answer_successor()
+
+    def is_former_running(self):
+        former = self._find_former()
+        return former is not None and former.is_running
+
     def find_oldest(self):
         """Return the oldest owner that acts; ``None`` if there is none."""
         for owner in self.owners:
@@ -758,6 +768,11 @@
             seen_at=self.owner_row_written_at,
         )
 
+    def _find_former(self):
+        """Return the owner that the newest one has not heard of yet."""
+        known = self.newest.question
+        return known and self._find_owner(known.record.address)
+
     def _find_owner(self, address):
         for owner in self.owners:
             if owner.identity.address == address:
