--- a/ragwortfield/tests/test_consolidation.py
+++ b/ragwortfield/tests/test_consolidation.py
@@ -7,6 +7,7 @@
 from ragwortfield.scheduling import consolidation, shard_updates
 from ragwortfield.scheduling.filler_capacity import FillerCapacity
 from ragwortfield.scheduling.interference_model import InterferenceModel
+from ragwortfield.scheduling.scheduling_rounds import SchedulingRounds
 from ragwortfield.tests.placement_world import (
     NOW,
     STRONG_INTERFERENCE,
@@ -94,6 +95,22 @@
         self.consolidate()
         self.assertTrue(movable.is_stop_wanted)
 
+    # Guards against a serving task without a run for the rest of an outage of
+    # the store: a move needs a commit before the task can start elsewhere.
+    def test_nothing_moves_while_the_store_is_away(self):
+        movable = self.add_jobs()
+        confirmation = self.world.state.confirmation
+        workers = self.world.state.worker_by_id
+        confirmation.electorates = (dict.fromkeys(workers, 1),)
+        for worker_id in workers:
+            confirmation.record_poll(worker_id, 1, NOW)
+        for stored_at, is_moved in ((NOW - 60, False), (NOW, True)):
+            confirmation.stored_at = stored_at
+            SchedulingRounds().decide(
+                self.world.state, NOW, wall_time=NOW, is_binding_allowed=True
+            )
+            self.assertEqual(movable.is_stop_wanted, is_moved)
+
     def test_nothing_moves_while_no_filler_waits(self):
         movable = self.world.add_serving_task('a', cpu=6, load=0.7)
         self.world.add_serving_task('b', cpu=20, load=0.7)
