Nothing is moved while the store is away

A move stops a task, which starts elsewhere only after a commit. In an outage of the store the task had no run until the end of the outage. Relocation of fillers, consolidation, evacuation and defragmentation now wait until a call to the store succeeded in the last 2 s. test_nothing_moves_while_the_store_is_away failed before and passes now.

--- a/ragwortfield/scheduling/ownership_confirmation.py
+++ b/ragwortfield/scheduling/ownership_confirmation.py
@@ -30,6 +30,9 @@
 #: Suspensions up to this long are not told from the time between the readings
 #: of two clocks, in seconds.
 _CLOCK_ERROR_S: Seconds = 0.001
+#: Age of the latest confirmation by the store up to which the store counts as
+#: in reach, in seconds. An owner renews it every half second.
+_MAX_STORE_AGE_S: Seconds = 2
 
 
 @dataclass(kw_only=True, slots=True)
@@ -128,6 +131,15 @@
             now <= self.valid_until(bounds)
         )
 
+    def is_store_in_reach(self, now: MonotonicTime) -> bool:
+        """
+        Tell whether a change is likely to be committed soon.
+
+        :param now: monotonic time, in seconds.
+        :returns: whether a call to the store succeeded a short time ago.
+        """
+        return now - self.stored_at <= _MAX_STORE_AGE_S
+
     def _find_majority_time(self) -> MonotonicTime:
         """
         Find the time at which no majority can have been fenced.
--- a/ragwortfield/scheduling/scheduling_rounds.py
+++ b/ragwortfield/scheduling/scheduling_rounds.py
@@ -55,6 +55,8 @@
         :param is_binding_allowed: whether waiting tasks may be bound to
             workers.
         """
+        # A task that is moved starts elsewhere only after a commit.
+        is_store_in_reach = state.confirmation.is_store_in_reach(now)
         commits.order_held_starts(state, now)
         if now - self.last_slow_round_at > _SLOW_ROUND_INTERVAL_S:
             self.last_slow_round_at = now
@@ -63,15 +65,18 @@
             worker_reports.retry_stop_orders(state, now)
             dispatch.retry_start_orders(state, now)
             interference_control.adjust_paces(state, now)
-            filler_relocation.relocate_stalled_fillers(state, now)
-            consolidation.consolidate(state, now)
-            evacuation.evacuate(state, now)
+            if is_store_in_reach:
+                filler_relocation.relocate_stalled_fillers(state, now)
+                consolidation.consolidate(state, now)
+                evacuation.evacuate(state, now)
         if now - self.last_expiry_at > _EXPIRY_INTERVAL_S:
             self.last_expiry_at = now
             commits.expire_finished_jobs(state, now)
         is_confirmed = state.confirmation.is_valid(state.bounds, now)
         if is_binding_allowed and is_confirmed:
             dispatch.dispatch(state, now)
-            # Tasks that still wait have found no free capacity in this round.
-            defragmentation.defragment(state, now)
+            if is_store_in_reach:
+                # Tasks that still wait have found no free capacity in this
+                # round.
+                defragmentation.defragment(state, now)
         self.waits.sample(state, now)
