--- a/ragwortfield/tests/test_experiment.py
+++ b/ragwortfield/tests/test_experiment.py
@@ -28,6 +28,13 @@
         self.assertEqual(again.on_time_by_queue, self.result.on_time_by_queue)
         self.assertEqual(again.serving, self.result.serving)
 
+    # Guards against a simulation in which nothing starts any more after a few
+    # seconds without a commit.
+    def test_load_after_a_quiet_time_is_served(self):
+        simulation = Simulation(workload=make_pool_workload(12), seed=3)
+        simulation._now = 60
+        self.assertGreater(simulation.run(4).runs, 0)
+
     def test_a_light_load_is_served(self):
         self.assertGreater(self.result.runs, 0)
         self.assertGreater(self.result.serving, 0.9)
