--- a/ragwortfield/experiment/simulation.py
+++ b/ragwortfield/experiment/simulation.py
@@ -194,6 +194,8 @@
         for job in jobs:
             shard_updates.register_job(self.state, job, now=now, wall_time=now)
         self._apply_reports()
+        # The simulated store always answers.
+        self.state.confirmation.record_store_call(now)
         self._rounds.decide(
             self.state, now, wall_time=now, is_binding_allowed=True
         )
