--- a/ragwortfield/experiment/simulation.py
+++ b/ragwortfield/experiment/simulation.py
@@ -196,8 +196,6 @@
         # A calm owner reads its row now and then.
         self.state.confirmation.record_store_call(now)
         self._apply_reports()
-        # The simulated store always answers.
-        self.state.confirmation.record_store_call(now)
         self._rounds.decide(
             self.state, now, wall_time=now, is_binding_allowed=True
         )
