--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -108,8 +108,8 @@
     """
     Queue unanswered start orders again; stop runs that get no answer.
 
-    Does nothing while the ownership is in doubt.
-    No start is repeated while cancellations may be unknown.
+    Does nothing while the ownership is in doubt, and repeats no start while
+    cancellations may be unknown.
 
     :param state: state of the shard.
     :param now: monotonic time, in seconds.
