An owner that finds its replacement by itself reads its row no more

What operators could see: two reads of the store a second for each term that ended this way, as long as the process lives. Found in the reading of the change, not in a run.

Cause: stopping the owner ends its loops but the one that stops it; the loop that confirms the ownership went on.

Change: the loop ends with the replacement. test_replaced_owner_reads_its_row_no_more failed before.

--- a/ragwortfield/engine/ownership_keeper.py
+++ b/ragwortfield/engine/ownership_keeper.py
@@ -64,6 +64,7 @@
         self._electorate_store = ElectorateStore(
             shard=shard, store=store, owner_version=owner_version
         )
+        self._is_replaced = False
         self._is_in_doubt = False
         self._saved_at: MonotonicTime = 0
 
@@ -81,8 +82,8 @@
             gevent.sleep(_RETRY_S)
 
     def run(self) -> None:
-        """Confirm the ownership endlessly."""
-        while True:
+        """Confirm the ownership until another owner is found."""
+        while not self._is_replaced:
             gevent.sleep(_CHECK_INTERVAL_S)
             self.check_age()
             self._save_electorate()
@@ -110,6 +111,7 @@
             count_suspension(self._state)
             self._state.confirmation.record_store_call(sent_at)
             return True
+        self._is_replaced = True
         self._on_replaced()
         return False
 
