One format of a task's name in the log

The log lines for runs and leases joined the parts of a key by themselves, beside format_task_key. TaskKey.text does it for all of them; the lines are unchanged. test_run_log, test_lease_log, test_worker_reports and three more modules pass.

--- a/ragwortfield/scheduling/job.py
+++ b/ragwortfield/scheduling/job.py
@@ -22,6 +22,14 @@
     step: int
     index: int
 
+    def text(self) -> str:
+        """
+        Format the identity of the task for the log.
+
+        :returns: job, occurrence, step and index, joined by dots.
+        """
+        return '.'.join(str(part) for part in self)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Step:
--- a/ragwortfield/scheduling/lease_log.py
+++ b/ragwortfield/scheduling/lease_log.py
@@ -119,9 +119,7 @@
     :param keys: their keys.
     :returns: the first names, joined by commas.
     """
-    return ','.join(
-        '.'.join(str(part) for part in key) for key in islice(keys, _MAX_NAMES)
-    )
+    return ','.join(key.text() for key in islice(keys, _MAX_NAMES))
 
 
 def _describe_bound(
--- a/ragwortfield/scheduling/run_log.py
+++ b/ragwortfield/scheduling/run_log.py
@@ -101,7 +101,7 @@
     task = state.find_task(end.key)
     event(
         'run_ended',
-        task='.'.join(str(part) for part in end.key),
+        task=end.key.text(),
         run=end.run,
         worker=worker.worker_id,
         number=end.number,
@@ -175,7 +175,7 @@
     task.is_close_logged = True
     event(
         'run_of_closed_job',
-        task='.'.join(str(part) for part in task.key),
+        task=format_task_key(task),
         run=task.run,
         worker=task.worker_id,
         epoch=state.epoch,
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -270,7 +270,7 @@
 
     :returns: job, occurrence, step and index, joined by dots.
     """
-    return '.'.join(str(part) for part in task.key)
+    return task.key.text()
 
 
 def _complete_task(state: ShardState, task: TaskState) -> None:
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -410,7 +410,7 @@
 ) -> None:
     event(
         'stray_run',
-        task='.'.join(str(part) for part in run.key),
+        task=run.key.text(),
         run=run.run,
         worker=worker.worker_id,
         epoch=state.epoch,
