One reading of the clock that counts suspensions

The change feed read CLOCK_BOOTTIME by a function of its own, beside the one of the wall clock. get_boot_time serves both, and the time of suspensions. A test patches it by its new name; nothing else changes.

--- a/ragwortfield/engine/change_feed.py
+++ b/ragwortfield/engine/change_feed.py
@@ -1,10 +1,10 @@
 """Change feed of a table of the store, without gaps."""
 
-import time
 from collections.abc import Callable
 
 import gevent
 
+from ragwortfield.engine.wall_clock import get_boot_time
 from ragwortfield.log import event
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
@@ -125,7 +125,7 @@
 
     def _poll(self, wait_s: Seconds) -> bool:
         after = self._version
-        called_at = _get_boot_time()
+        called_at = get_boot_time()
         page = self._store.wait_for_changes(self._table, after, wait_s)
         if isinstance(page, HistoryGone):
             event('feed_history_gone', table=self._table, after=after)
@@ -145,7 +145,7 @@
         return True
 
     def _read_table(self) -> int:
-        called_at = _get_boot_time()
+        called_at = get_boot_time()
         rows: list[StoredRow] = []
         version = 0
         for partition in self._list_partitions():
@@ -163,7 +163,7 @@
 
     def _report_progress(self, known_until: Seconds) -> None:
         if self._on_progress is not None:
-            self._on_progress(max(_get_boot_time() - known_until, 0))
+            self._on_progress(max(get_boot_time() - known_until, 0))
 
     def _report_outcome(self, failure: Unavailable | None) -> None:
         self._on_outcome(failure)
@@ -175,8 +175,3 @@
             event('feed_regained', table=self._table)
         else:
             event('feed_lost', table=self._table, reason=failure.reason)
-
-
-def _get_boot_time() -> Seconds:
-    """Return the time since boot, also while the machine was suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/ragwortfield/engine/wall_clock.py
+++ b/ragwortfield/engine/wall_clock.py
@@ -25,7 +25,7 @@
 
     def sample_offset(self) -> None:
         """Sample the offset; to be called about once per second."""
-        self._offsets.append(time.time() - _steady())
+        self._offsets.append(time.time() - get_boot_time())
 
     def now(self) -> WallTime:
         """
@@ -33,10 +33,15 @@
 
         :returns: seconds since the Unix epoch.
         """
-        return _steady() + median(self._offsets)
+        return get_boot_time() + median(self._offsets)
 
 
-def _steady() -> float:
+def get_boot_time() -> Seconds:
+    """
+    Return the time since the machine was started.
+
+    :returns: seconds; the time for which it was suspended counts.
+    """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
@@ -46,4 +51,4 @@
 
     :returns: seconds, which the monotonic clock does not count.
     """
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+    return get_boot_time() - time.monotonic()
--- a/ragwortfield/tests/test_repeating_jobs.py
+++ b/ragwortfield/tests/test_repeating_jobs.py
@@ -127,7 +127,9 @@
         world = PlacementWorld(workers=1)
         with (
             mock.patch.object(time, 'time', lambda: 1e9 + true_s + offset_s),
-            mock.patch.object(wall_clock, '_steady', lambda: float(true_s)),
+            mock.patch.object(
+                wall_clock, 'get_boot_time', lambda: float(true_s)
+            ),
         ):
             clock = WallClock()
             for true_s in range(150):
