The log tells full workers from lost ones, and an owner's connections

shard_state now counts the owner's connections to its workers, the most to one worker, and the new ones that workers have closed without a response so far; connections_refused and connections_accepted mark the change at one worker. A worker that refuses to connect or is silent does not count.

A fake of test_task_worker_client got a number of open connections, as the log reads it.

--- a/ragwortfield/adapters/http_client.py
+++ b/ragwortfield/adapters/http_client.py
@@ -296,7 +296,10 @@
             sock = open_connection(*self._endpoint)
         except OSError as error:
             self.open_count -= 1
-            return NotSent(reason=f'no connection to {self.address}: {error}')
+            return NotSent(
+                reason=f'no connection to {self.address}: {error}',
+                is_reset=isinstance(error, ConnectionResetError),
+            )
         except BaseException:
             # The greenlet was killed.
             self.open_count -= 1
--- a/ragwortfield/core/outcomes.py
+++ b/ragwortfield/core/outcomes.py
@@ -19,9 +19,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NotSent:
-    """No byte of the request was written to a connection."""
+    """
+    No byte of the request was written to a connection.
+
+    :param is_reset: whether the other end has reset a new connection.
+    """
 
     reason: str
+    is_reset: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -509,6 +509,7 @@
             shard=self.shard,
             **summarise_shard(state),
             **self.statistics.collect(),
+            **self._worker_loops.describe_connections(),
         )
         for delayed in list_delayed_starts(state, now):
             task = delayed.task
--- a/ragwortfield/engine/worker_loops.py
+++ b/ragwortfield/engine/worker_loops.py
@@ -94,6 +94,19 @@
         for order in orders:
             gevent.spawn(self._send, order)
 
+    def describe_connections(self) -> dict[str, int]:
+        """
+        Count the connections to the workers, for the log.
+
+        :returns: numbers by name.
+        """
+        use = self._workers.get_connection_use()
+        return {
+            'connections': use.open_count,
+            'most_connections': use.most_per_worker,
+            'refused_connections': use.refused_count,
+        }
+
     def stop(self) -> None:
         """Stop all loops, send no further orders and close connections."""
         self._is_stopped = True
--- a/ragwortfield/platform/task_worker_client.py
+++ b/ragwortfield/platform/task_worker_client.py
@@ -31,6 +31,7 @@
 )
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
+    ConnectionUse,
     EndKind,
     LeaseOrder,
     LeaseReport,
@@ -213,6 +214,20 @@
         }
         return self._send_order(order.address, '/pace', body, order.worker_id)
 
+    def get_connection_use(self) -> ConnectionUse:
+        """
+        Count the connections to all workers.
+
+        :returns: open connections and those that workers have refused.
+        """
+        all_connections = self._connections_by_address.values()
+        open_counts = [one.count_open() for one in all_connections]
+        return ConnectionUse(
+            open_count=sum(open_counts),
+            most_per_worker=max(open_counts, default=0),
+            refused_count=sum(one.refused_count for one in all_connections),
+        )
+
     def close(self) -> None:
         """
         Send no further orders and close the connections.
@@ -387,6 +402,7 @@
 def _convert_outcome(
     connections: WorkerConnections, outcome: ExchangeOutcome
 ) -> WholeAnswer | Unavailable:
+    connections.record_outcome(outcome)
     if isinstance(outcome, NotSent):
         return Unavailable(reason=outcome.reason)
     if isinstance(outcome, Broken):
--- a/ragwortfield/platform/worker_connections.py
+++ b/ragwortfield/platform/worker_connections.py
@@ -14,6 +14,13 @@
     ConnectionLimits,
     HttpConnectionPool,
 )
+from ragwortfield.core.outcomes import (
+    Broken,
+    ExchangeOutcome,
+    NotSent,
+    WholeAnswer,
+)
+from ragwortfield.log import event
 from ragwortfield.types import Seconds
 
 #: Largest number of concurrent orders to a worker. With the poll, an owner uses
@@ -44,6 +51,9 @@
         """Create; connections are opened when they are needed."""
         self.orders = HttpConnectionPool(address=address, limits=_ORDER_LIMITS)
         self.polls = HttpConnectionPool(address=address, limits=_POLL_LIMITS)
+        self.refused_count = 0
+        self._address = address
+        self._refused_before = 0
         self._turns = BoundedSemaphore(MAX_CONCURRENT_ORDERS)
 
     @contextmanager
@@ -61,6 +71,41 @@
             if is_turn:
                 self._turns.release()
 
+    def count_open(self) -> int:
+        """
+        Count the open connections.
+
+        :returns: number of connections, idle and in use.
+        """
+        return self.orders.open_count + self.polls.open_count
+
+    def record_outcome(self, outcome: ExchangeOutcome) -> None:
+        """
+        Count new connections that the worker has closed without a response.
+
+        The log tells when the worker begins to do so and when it answers again.
+
+        :param outcome: outcome of an exchange with the worker.
+        """
+        if isinstance(outcome, WholeAnswer):
+            refused_in_series = self.refused_count - self._refused_before
+            self._refused_before = self.refused_count
+            if refused_in_series:
+                event(
+                    'connections_accepted',
+                    address=self._address,
+                    refused=refused_in_series,
+                )
+        elif _is_refused_connection(outcome):
+            self.refused_count += 1
+            if self.refused_count == self._refused_before + 1:
+                event(
+                    'connections_refused',
+                    address=self._address,
+                    open=self.count_open(),
+                    reason=outcome.reason,
+                )
+
     def close_spare(self) -> None:
         """Close connections that many orders at once had needed."""
         self.orders.close_spare()
@@ -78,3 +123,15 @@
         """
         self.orders.close()
         self.polls.close()
+
+
+def _is_refused_connection(outcome: NotSent | Broken) -> bool:
+    """
+    Check whether a worker that lives has closed a new connection.
+
+    A worker whose process has ended refuses to connect, and one that is cut off
+    or stands still is silent.
+    """
+    if isinstance(outcome, NotSent):
+        return outcome.is_reset
+    return not (outcome.is_silent or outcome.is_reused)
--- a/ragwortfield/ports/task_worker.py
+++ b/ragwortfield/ports/task_worker.py
@@ -209,6 +209,22 @@
 OrderOutcome = OrderDone | OrderRefused | Unavailable
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConnectionUse:
+    """
+    Connections of one owner to its workers.
+
+    :param open_count: open connections to all workers.
+    :param most_per_worker: open connections to the worker that has most.
+    :param refused_count: new connections so far that workers closed without a
+        response, as they do when they serve as many as they can.
+    """
+
+    open_count: int = 0
+    most_per_worker: int = 0
+    refused_count: int = 0
+
+
 class TaskWorkerControl(Protocol):
     """
     Orders of one owner to workers.
@@ -231,5 +247,8 @@
     def pace(self, order: PaceRun) -> OrderOutcome:
         """Set the pace of a run."""
 
+    def get_connection_use(self) -> ConnectionUse:
+        """Count the connections to all workers."""
+
     def close(self) -> None:
         """Send no further orders and leave the connections to others."""
--- a/ragwortfield/testing/fake_task_workers.py
+++ b/ragwortfield/testing/fake_task_workers.py
@@ -6,6 +6,7 @@
 from ragwortfield.core.resources import Resources
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.task_worker import (
+    ConnectionUse,
     EndKind,
     LeaseOrder,
     LeaseReport,
@@ -360,6 +361,14 @@
         """
         return self._carry_out(order, 'pace')
 
+    def get_connection_use(self) -> ConnectionUse:
+        """
+        Count the connections.
+
+        :returns: none, as the fake is called directly.
+        """
+        return ConnectionUse()
+
     def close(self) -> None:
         """Do nothing; the owners of a test share the fake."""
 
--- a/ragwortfield/tests/test_task_worker_client.py
+++ b/ragwortfield/tests/test_task_worker_client.py
@@ -183,7 +183,7 @@
 
     def start(self, outcome):
         client = TaskWorkerClient()
-        pool = mock.Mock()
+        pool = mock.Mock(open_count=1)
         pool.exchange_with_peer.return_value = outcome
         _use_pool(client, pool)
         return client.start(
--- a/ragwortfield/tests/test_worker_connections.py
+++ b/ragwortfield/tests/test_worker_connections.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import gevent
+from gevent.server import StreamServer
 
 from ragwortfield.adapters import http_client
 from ragwortfield.platform.task_worker_client import TaskWorkerClient
@@ -17,6 +18,7 @@
     StopRun,
 )
 from ragwortfield.scheduling.job import TaskKey
+from ragwortfield.testing.log_capture import capture_log_lines
 from ragwortfield.tests.worker_process import MAX_CONNECTIONS, WorkerProcess
 
 _BORN_MS = 1_000
@@ -240,3 +242,50 @@
         self.assertIsInstance(self.start(), Unavailable)
         self.assertIsInstance(self.renew_lease(), Unavailable)
         self.assertEqual(self.process.calls, [])
+
+
+class RefusedConnectionTest(unittest.TestCase):
+    """A worker that lives and serves as many connections as it can."""
+
+    def setUp(self):
+        self.refused = []
+        self.server = StreamServer(('127.0.0.1', 0), self.refuse)
+        self.server.start()
+        self.addCleanup(self.server.stop, timeout=0)
+        self.port = self.server.server_port
+        self.client = TaskWorkerClient()
+
+    def refuse(self, sock, _address):
+        self.refused.append(sock)
+        sock.close()
+
+    def renew_lease(self):
+        return self.client.renew_lease(
+            LeaseOrder(
+                worker_id='w0',
+                address=f'127.0.0.1:{self.port}',
+                fencing_token=1,
+                acknowledged_end=0,
+                deadline_ms=None,
+                wait_ms=0,
+            )
+        )
+
+    # Guards against a full worker that looks like a lost one in the log.
+    def test_log_tells_refused_connections_from_a_lost_worker(self):
+        with capture_log_lines() as lines:
+            for _ in range(3):
+                self.assertIsInstance(self.renew_lease(), Unavailable)
+            self.assertEqual(len(self.refused), 3)
+            self.server.stop(timeout=0)
+            # Nobody listens, as when the worker has crashed.
+            self.assertIsInstance(self.renew_lease(), Unavailable)
+            process = WorkerProcess(born_ms=_BORN_MS, port=self.port)
+            self.addCleanup(process.server.stop, timeout=0)
+            self.renew_lease()
+        self.assertEqual(len(lines), 2)
+        self.assertIn('event=connections_refused', lines[0])
+        self.assertIn('event=connections_accepted', lines[1])
+        self.assertIn('refused=3', lines[1])
+        use = self.client.get_connection_use()
+        self.assertEqual((use.open_count, use.refused_count), (1, 3))
