A job has started when a worker has told so, under every owner

Cause: one fact with two definitions. The owner took a job for started when a worker reported a run; a later owner, and a status that is read without an owner, when a task had a run number, which it has from its binding on.

Change: the stored progress says whether a task has started. It is set by a report that lists a run or its end, or by the answer to a start, and by these alone. The first start in a job is written at once, so a job that has begun is not shown as waiting although its worker and its owner are lost; that is one row more for a job in a commit that ends and bindings share. Records of the version before tell less: there a task has started if it has a result, a failure or a checkpoint. An end that could not be applied to the task's present run counts as well; before, a job whose run ended before a report listed it stayed `pending`.

shard_state counts the jobs of which no task has started, so that the log shows a change with the owner.

--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -208,7 +208,8 @@
 
     :param is_dirty: whether the stored record is out of date.
     :param is_durably_done: whether its completion is stored.
-    :param has_run: whether any of its tasks has had a run.
+    :param has_started: whether a worker has told that it had a run of one of
+        its tasks.
     """
 
     job_id: JobId
@@ -216,7 +217,7 @@
     steps: list[StepState]
     is_dirty: bool = False
     is_durably_done: bool = False
-    has_run: bool = False
+    has_started: bool = False
 
     def is_done(self) -> bool:
         return all(step.is_done() for step in self.steps)
@@ -230,6 +231,7 @@
                 tuple(task.to_record() for task in step.tasks)
                 for step in self.steps
             ),
+            has_started=self.has_started,
         )
 
 
@@ -245,7 +247,8 @@
     :param unreadable_occurrences: occurrences whose stored progress could not
         be read; they may have run, so they are never created again.
     :param next_occurrence: number of the next occurrence to create.
-    :param has_run: whether any of its tasks has had a run.
+    :param has_started: whether a worker has told that it had a run of one of
+        its tasks.
     :param is_durably_failed: whether its failure is stored.
     :param is_durably_done: whether its completion is stored.
     :param finished_at: monotonic time at which it reached its final state; 0
@@ -267,7 +270,7 @@
     )
     unreadable_occurrences: set[int] = field(default_factory=set)
     next_occurrence: int = 0
-    has_run: bool = False
+    has_started: bool = False
     is_cancelled: bool = False
     is_failed: bool = False
     is_durably_failed: bool = False
@@ -365,9 +368,7 @@
         number=number,
         steps=steps,
     )
-    occurrence.has_run = any(
-        task.run for step_state in steps for task in step_state.tasks
-    )
+    occurrence.has_started = record is not None and record.is_start_known()
     occurrence.is_durably_done = record is not None and occurrence.is_done()
     return occurrence
 
--- a/ragwortfield/scheduling/job_status.py
+++ b/ragwortfield/scheduling/job_status.py
@@ -31,18 +31,23 @@
         return JobStatus.CANCELLED
     if job.is_durably_failed:
         return JobStatus.FAILED
-    return JobStatus.ACTIVE if job.has_run else JobStatus.PENDING
+    return JobStatus.ACTIVE if job.has_started else JobStatus.PENDING
 
 
 def count_waiting_jobs(state: ShardState, queue: str) -> int:
     """Count the unfinished jobs of a queue of which no task has started."""
     return sum(
-        not job.has_run and not job.is_closed()
+        is_waiting(job)
         for job in state.job_by_id.values()
         if job.job.queue == queue
     )
 
 
+def is_waiting(job: JobRuntimeState) -> bool:
+    """Return whether a job is unfinished and none of its tasks has started."""
+    return not job.has_started and not job.is_closed()
+
+
 def summarise_shard(state: ShardState) -> dict[str, int]:
     """
     Count the contents of a shard, for the log and for operators.
@@ -58,6 +63,7 @@
     fillers = [task for task in tasks if task.step.is_filler]
     return {
         'jobs': sum(not job.finished_at for job in state.job_by_id.values()),
+        'waiting_jobs': sum(map(is_waiting, state.job_by_id.values())),
         'workers': len(state.worker_by_id),
         'waiting': sum(
             len(step.waiting_indexes)
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -56,11 +56,24 @@
     Stored progress of one occurrence of a job.
 
     :param steps: tasks by step and index.
+    :param has_started: whether a worker has told that it had a run of one of
+        the tasks; false in records of earlier versions.
     """
 
     job_id: str
     occurrence: int
     steps: tuple[tuple[TaskRecord, ...], ...]
+    has_started: bool = False
+
+    def is_start_known(self) -> bool:
+        """
+        Return whether a task has certainly started.
+
+        A run has its number from the binding on, so the number does not tell.
+        """
+        return self.has_started or any(
+            _is_result_stored(task) for step in self.steps for task in step
+        )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -222,6 +235,11 @@
     return msgspec.msgpack.encode(record)
 
 
+def _is_result_stored(task: TaskRecord) -> bool:
+    is_over = task.phase in {TaskPhase.DONE, TaskPhase.FAILED}
+    return is_over or task.failures > 0 or bool(task.checkpoint)
+
+
 def decode_record(content: bytes, kind: type[_RecordT]) -> _RecordT | Malformed:
     """
     Decode a stored record.
--- a/ragwortfield/scheduling/shard_updates.py
+++ b/ragwortfield/scheduling/shard_updates.py
@@ -138,7 +138,7 @@
         hold_unreadable_occurrence(state, record.job_id, record.occurrence)
         return
     job_state.occurrence_by_number[record.occurrence] = occurrence
-    job_state.has_run = job_state.has_run or occurrence.has_run
+    job_state.has_started = job_state.has_started or occurrence.has_started
     for step in occurrence.steps:
         for task in step.tasks:
             if task.phase == TaskPhase.FAILED:
@@ -168,7 +168,7 @@
     job_state = state.job_by_id.get(job_id)
     if job_state is not None:
         job_state.unreadable_occurrences.add(number)
-        job_state.has_run = True
+        job_state.has_started = True
 
 
 def cancel_job(state: ShardState, job_id: JobId, now: MonotonicTime) -> None:
@@ -340,7 +340,7 @@
             number=record.occurrence,
             steps=[],
             is_durably_done=True,
-            has_run=True,
+            has_started=True,
         )
     return create_occurrence(job, record.occurrence, record)
 
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -81,6 +81,24 @@
     state.mark_occurrence_dirty(state.get_occurrence(task))
 
 
+def record_start(state: ShardState, task: TaskState) -> None:
+    """
+    Record that a worker has, or had, a run of a task.
+
+    The first start in a job is written at once: its later owners could not
+    learn of it any more if the worker were lost.
+
+    :param state: state of the shard.
+    :param task: the task.
+    """
+    occurrence = state.get_occurrence(task)
+    occurrence.has_started = True
+    job = state.job_by_id[task.key.job_id]
+    if not job.has_started:
+        job.has_started = True
+        state.mark_occurrence_dirty(occurrence)
+
+
 def release_task(state: ShardState, task: TaskState, reason: str) -> None:
     """
     Release a task from its worker and let it wait again.
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -30,6 +30,7 @@
 from ragwortfield.scheduling.task_lifecycle import (
     format_task_key,
     record_run_end,
+    record_start,
     release_task,
     request_stop,
     save_checkpoint,
@@ -147,6 +148,8 @@
     task = state.find_task(order.key)
     if task is None:
         return
+    if isinstance(outcome, OrderDone):
+        record_start(state, task)
     worker = state.worker_by_id.get(order.worker_id)
     if not _is_current(task, order) or worker is None:
         return
@@ -342,6 +345,8 @@
     now: MonotonicTime,
 ) -> None:
     task = state.find_task(end.key)
+    if task is not None:
+        record_start(state, task)
     if task is None or task.run != end.run:
         log_run_end(state, worker, end, 'none')
         return
@@ -381,6 +386,7 @@
     if task is None or not is_bound:
         _stop_unexpected_run(state, worker, run)
         if task is not None:
+            record_start(state, task)
             log_second_run(state, task, worker, run)
         return
     if task.stage != RunStage.STOPPING:
@@ -497,8 +503,8 @@
         task.stage = RunStage.RUNNING
         task.started_at = now
         task.percent_changed_at = now
+    record_start(state, task)
     job = state.job_by_id[task.key.job_id]
-    job.has_run = True
     if task.ordered_at:
         event(
             'run_started',
