A job that was cancelled after its end stays complete under the next owner

Seen by the comparison of a loaded shard with its owner, when cancellations were added to its random runs: a job is complete, a cancellation comes, and the owner changes; from then on callers are told that the job was cancelled. A status that is read without an owner says `complete` all the while.

Cause: the owner's memory tells whether the cancellation came before the end or after it, and the rows do not. A job that is loaded with a cancellation counted as closed before its progress was looked at.

Change: a job whose tasks have all ended as done, and whose end is stored, is complete under every owner, whatever came first. A job that is cancelled while its last tasks end as done thus becomes complete, where it stayed cancelled until the owner changed.

--- a/ragwortfield/scheduling/job_outcomes.py
+++ b/ragwortfield/scheduling/job_outcomes.py
@@ -169,7 +169,7 @@
     :param now: monotonic time, in seconds.
     :returns: its outcome.
     """
-    if job.is_cancelled:
+    if job.is_cancelled and not job.is_durably_done:
         return JobOutcome.CANCELLED
     if job.is_failed:
         return JobOutcome.FAILED
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -217,14 +217,19 @@
 
 
 def complete_if_durably_done(job: JobRuntimeState, now: MonotonicTime) -> None:
-    """Complete a job if the end of all its occurrences is stored."""
+    """
+    Complete a job if the end of all its occurrences is stored.
+
+    A cancellation does not matter then: the rows do not tell whether it came
+    before or after the end.
+    """
     done_count = sum(
         occurrence.is_durably_done
         for occurrence in job.occurrence_by_number.values()
     )
-    if done_count == job.occurrence_count() and not job.is_closed():
+    if done_count == job.occurrence_count() and not job.is_durably_done:
         job.is_durably_done = True
-        job.finished_at = now
+        job.finished_at = job.finished_at or now
 
 
 def request_stop(
--- a/ragwortfield/tests/test_restored_state.py
+++ b/ragwortfield/tests/test_restored_state.py
@@ -85,7 +85,8 @@
     is_written = owner.batch is None and (
         not owner.state.dirty_occurrence_by_key
     )
-    return is_at_work and is_written
+    is_read = world.cancelled_job_ids <= owner.state.cancelled_job_ids
+    return is_at_work and is_written and is_read
 
 
 def describe_job(job):
@@ -226,6 +227,31 @@
                 self.assertEqual(record.is_start_known(), expected)
 
 
+class CancelledJobTest(unittest.TestCase):
+    """Cancellations that meet the end of a job."""
+
+    # Guards against a job that is complete until the owner changes and
+    # cancelled after that: it was cancelled after its end.
+    def test_job_that_was_cancelled_after_its_end_stays_complete(self):
+        world = ShardWorld(workers=1, is_process_checked=True)
+        world.take_over()
+        job_id = world.submit(build_single_step())
+        for _ in range(4):
+            world.owners[-1].act()
+            world.advance(0.1)
+            world.end_runs(EndKind.DONE)
+        self.assertEqual(world.status(job_id), JobStatus.COMPLETE)
+        world.cancel(job_id)
+        world.owners[-1].act()
+        self.assertEqual(world.status(job_id), JobStatus.COMPLETE)
+        restored_job = restore(world).job_by_id[job_id]
+        self.assertEqual(get_job_status(restored_job), JobStatus.COMPLETE)
+        requests = build_job_request_handler(world.store)
+        self.assertEqual(
+            requests.read_stored_status(job_id), JobStatus.COMPLETE
+        )
+
+
 class RestoredStateMachine(RuleBasedStateMachine):
     """An owner works on while workers fail; others load its rows meanwhile."""
 
@@ -274,6 +300,12 @@
     def end_tasks(self, kind, count):
         self.world.end_runs(kind, count)
 
+    @rule(data=strategies.data())
+    def cancel(self, data):
+        if self.world.accepted_job_by_id:
+            job_ids = sorted(self.world.accepted_job_by_id)
+            self.world.cancel(data.draw(strategies.sampled_from(job_ids)))
+
     @rule(loss=_PROBABILITIES, delay=_PROBABILITIES)
     def disturb_orders(self, loss, delay):
         self.world.order_loss_probability = loss
