A failed run of a gang counts once, also over a change of owner

Seen by the comparison of a loaded shard with its owner, when it covered the failures of gangs: two members fail in one run, the owner changes between their ends, and the gang has two failures. With two attempts its job is shown as failed after one run.

Cause: the run that was counted last was kept in memory only.

Change: the stored progress names the latest failed run of each gang that has one.

Measured: test_run_of_a_gang_fails_once_over_a_change_of_owner (2 failures instead of 1) and the random comparison red before, green now; 500 random runs agree.

--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -232,6 +232,11 @@
                 for step in self.steps
             ),
             has_started=self.has_started,
+            failed_run_by_step={
+                step.number: step.last_failed_run
+                for step in self.steps
+                if step.last_failed_run and step.step.is_gang
+            },
         )
 
 
@@ -361,6 +366,9 @@
             step=step,
             tasks=tasks,
         )
+        if record is not None:
+            failed_runs = record.failed_run_by_step
+            step_state.last_failed_run = failed_runs.get(step_number, 0)
         _index_tasks(step_state)
         steps.append(step_state)
     occurrence = OccurrenceState(
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -58,12 +58,15 @@
     :param steps: tasks by step and index.
     :param has_started: whether a worker has told that it had a run of one of
         the tasks; false in records of earlier versions.
+    :param failed_run_by_step: latest run that has failed of each gang with one,
+        by number of its step.
     """
 
     job_id: str
     occurrence: int
     steps: tuple[tuple[TaskRecord, ...], ...]
     has_started: bool = False
+    failed_run_by_step: dict[int, int] = field(default_factory=dict)
 
     def is_start_known(self) -> bool:
         """
--- a/ragwortfield/tests/test_restored_state.py
+++ b/ragwortfield/tests/test_restored_state.py
@@ -111,6 +111,7 @@
             'done': step.done_count,
             'workers': step.count_by_worker,
             'tasks': [task.to_record() for task in step.tasks],
+            'failed_run': step.step.is_gang and step.last_failed_run,
         }
         for step in occurrence.steps
     ]
@@ -252,6 +253,33 @@
         )
 
 
+class FailedGangTest(unittest.TestCase):
+    """Members of a gang that fail in the same run."""
+
+    # Guards against a gang that uses up its attempts too early: two members
+    # fail in one run, and the owner changes between their ends.
+    def test_run_of_a_gang_fails_once_over_a_change_of_owner(self):
+        world = ShardWorld(workers=2, is_process_checked=True)
+        world.take_over()
+        job_id = world.submit(build_single_step(2, cpu=3, is_gang=True))
+        for _ in range(3):
+            world.owners[-1].act()
+            world.advance(0.1)
+        first, second = world.workers.worker_by_id.values()
+        first.end(next(iter(first.run_by_key)), EndKind.FAILED)
+        world.owners[-1].act()
+        self.assertTrue(second.run_by_key)
+        world.take_over()
+        second.end(next(iter(second.run_by_key)), EndKind.FAILED)
+        for _ in range(4):
+            world.owners[-1].act()
+            world.advance(0.1)
+        state = world.owners[-1].state
+        step = state.find_step((job_id, 0, 0))
+        self.assertEqual(step.tasks[0].failures, 1)
+        self.assertEqual(world.status(job_id), JobStatus.ACTIVE)
+
+
 class RestoredStateMachine(RuleBasedStateMachine):
     """An owner works on while workers fail; others load its rows meanwhile."""
 
