Test of a paused instance waits for the end of the killed peer

Seen: test_paused_instance_sends_nothing_after_it_resumes failed once in a whole run: run state `unknown` instead of `not-run`.

Cause: a race of the test. It killed the peer and resumed the paused instance at once. SIGKILL does not end a process at once: its listener still took a relayed request, and the connection was closed without a response. The resumed instance had just read a heartbeat that the peer had sent during the pause, so it relayed the request there. It was sent, so `unknown` is the true answer.

Change: the test waits until the killed process has ended before it resumes the other one. It also checks that no worker got a request, which its name says and the run state alone does not show. The expected run state is unchanged, and the message tells the response.

--- a/ragwortfield/tests/test_processes.py
+++ b/ragwortfield/tests/test_processes.py
@@ -84,6 +84,12 @@
             total += description['target']['runs_by_booking'].get(booking, 0)
         return total
 
+    def count_target_requests(self):
+        return sum(
+            self.deployment.describe_worker(worker_id)['target']['requests']
+            for worker_id in self.deployment.worker_by_id
+        )
+
     def test_repeat_at_another_instance_in_an_outage_runs_once(self):
         self.deployment.set_platform_faults(is_down=True)
         gevent.sleep(4)
@@ -117,13 +123,23 @@
 
     def test_paused_instance_sends_nothing_after_it_resumes(self):
         paused = self.deployment.entry_by_id['entry-1']
+        killed = self.deployment.entry_by_id['entry-2']
         self.deployment.send_signal(paused, signal.SIGSTOP)
         gevent.sleep(4)
         self.deployment.set_platform_faults(is_down=True)
-        self.deployment.send_signal(self.deployment.entry_by_id['entry-2'], 9)
+        self.deployment.send_signal(killed, signal.SIGKILL)
+        # A request relayed to a process that is still ending was sent, so its
+        # run state would be unknown.
+        self.deployment.wait_for(lambda: killed.process.poll() is not None)
+        before = self.count_target_requests()
         self.deployment.send_signal(paused, signal.SIGCONT)
         answer = self.call('entry-1', ragwortfield_deadline_ms='500')
-        self.assertEqual(answer.get_header('ragwortfield-run'), 'not-run')
+        self.assertEqual(
+            answer.get_header('ragwortfield-run'),
+            'not-run',
+            f'{answer.status} {answer.body!r}',
+        )
+        self.assertEqual(self.count_target_requests(), before)
 
     def test_request_to_a_silent_target_is_answered_by_another(self):
         self.deployment.set_target_faults('worker-1', is_silent=True)
