Tests of peers leave no watcher of a closed socket behind

Cause: `Server.shutdown` of websockets ends `serve_forever` without closing its selector. With gevent the selector's watcher of the listening socket stays active for good, on a descriptor that is closed. When a later socket gets the same descriptor, and is closed before the loop has taken note of its last watcher, libev finds an active watcher of an invalid descriptor and aborts. Not in the product: its processes never stop their server of peers.

Evidence: after each test with a server one more active watcher of a closed descriptor, listed from all objects after each of the 14 tests. A script that stops one server, waits for writing on new sockets and closes them at once ends with SIGABRT; the same without the stopped server does not. Which socket of SchedulerProcessTest it was is not known.

Change: `serve_until_end` also closes the selector.

--- a/ragwortfield/tests/test_peer_connections.py
+++ b/ragwortfield/tests/test_peer_connections.py
@@ -18,6 +18,7 @@
 )
 from ragwortfield.testing.entry_deployment import find_free_address
 from ragwortfield.testing.log_capture import capture_log_lines
+from ragwortfield.tests.peer_server import serve_until_end
 
 _TOKEN = 'token-of-the-peers'
 
@@ -51,7 +52,7 @@
             handler=self.handler,
         )
         self.address = find_free_address()
-        self.addCleanup(self.connections.listen(self.address))
+        serve_until_end(self, self.connections.listen, self.address)
         gevent.sleep(0.05)
 
     def dial(self):
--- a/ragwortfield/tests/test_peer_rpc.py
+++ b/ragwortfield/tests/test_peer_rpc.py
@@ -16,6 +16,7 @@
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.testing.free_ports import find_free_port
 from ragwortfield.testing.log_capture import capture_log_lines
+from ragwortfield.tests.peer_server import serve_until_end
 
 _ADDRESS = 'other:1'
 _MAX_RECEIVED_BYTES = 4096
@@ -86,7 +87,7 @@
         self.assertIsInstance(rpc.call(address, 'ping', {}, 1), Unavailable)
         self.assertTrue(rpc.is_unreachable(address))
         server = PeerRpc(monotonic=time.monotonic)
-        self.addCleanup(server.listen(address, lambda _name, body: body))
+        serve_until_end(self, server.listen, address, lambda _name, body: body)
         # A failed attempt is not repeated at once.
         gevent.sleep(0.3)
         self.assertEqual(rpc.call(address, 'ping', {'a': 1}, 1), {'a': 1})
@@ -101,7 +102,9 @@
             for _ in range(3):
                 rpc.call(address, 'ping', {}, 1)
             server = PeerRpc(monotonic=time.monotonic)
-            self.addCleanup(server.listen(address, lambda _name, body: body))
+            serve_until_end(
+                self, server.listen, address, lambda _name, body: body
+            )
             gevent.sleep(0.3)
             for _ in range(3):
                 rpc.call(address, 'ping', {}, 1)
@@ -129,7 +132,7 @@
         patch.start()
         self.addCleanup(patch.stop)
         server = PeerRpc(monotonic=time.monotonic)
-        self.addCleanup(server.listen(self.address, self.answer))
+        serve_until_end(self, server.listen, self.address, self.answer)
         self.is_released = Event()
         self.addCleanup(self.finish)
 
