Durations are learned from runs; overloaded priorities get a plan

Change: a regression by queue, and the median of the step's own runs, replace declared durations (duration_model.py, duration_learning.py); later owners restore the regression from the store. overload_control.py divides the jobs of a saturated priority into those served in time and those deferred. Decisions are counted and logged with a bound (decision_log.py). Table [scheduling] of the settings switches the parts.

--- a/ragwortfield/daemons/scheduler.py
+++ b/ragwortfield/daemons/scheduler.py
@@ -21,7 +21,11 @@
 from gevent.event import Event
 
 from ragwortfield.engine.ownership import SchedulerIdentity
-from ragwortfield.engine.scheduler_node import PlatformTables, SchedulerNode
+from ragwortfield.engine.scheduler_node import (
+    OwnerSettings,
+    PlatformTables,
+    SchedulerNode,
+)
 from ragwortfield.http_api.health import HealthApplication
 from ragwortfield.http_api.wsgi_server import HttpServer
 from ragwortfield.log import event
@@ -192,7 +196,9 @@
             parse_catalogue=parse_catalogue,
             parse_worker=parse_worker,
         ),
-        bounds=settings.bounds,
+        owner_settings=OwnerSettings(
+            bounds=settings.bounds, scheduling=settings.scheduling
+        ),
     )
 
 
--- a/ragwortfield/engine/cluster_view.py
+++ b/ragwortfield/engine/cluster_view.py
@@ -14,6 +14,7 @@
 from ragwortfield.log import event
 from ragwortfield.policies.hashing import stable_hash
 from ragwortfield.ports.row_store import StoredRow
+from ragwortfield.scheduling.decision_log import DecisionLog
 from ragwortfield.scheduling.owner_counts import OwnerCounts
 from ragwortfield.scheduling.records import (
     LayoutRecord,
@@ -79,6 +80,7 @@
     :param worker_limits: hashes of worker identifiers at which a new shard
         begins.
     :param counts: counts of changes of owners.
+    :param decisions: decisions made on this instance as an owner.
     """
 
     member_by_id: dict[InstanceId, MemberRecord] = field(default_factory=dict)
@@ -86,6 +88,7 @@
     shards: int = 0
     worker_limits: tuple[int, ...] = ()
     counts: OwnerCounts = field(default_factory=OwnerCounts)
+    decisions: DecisionLog = field(default_factory=DecisionLog)
     _preferred_by_shard: dict[int, InstanceId] = field(default_factory=dict)
 
     def apply_rows(self, rows: tuple[StoredRow, ...]) -> None:
--- a/ragwortfield/engine/learned_model_store.py
+++ b/ragwortfield/engine/learned_model_store.py
@@ -1,4 +1,6 @@
-"""Persistence of the learned interference model of a shard."""
+"""Persistence of what the owner of a shard has learned."""
+
+from dataclasses import replace
 
 import gevent
 
@@ -14,6 +16,7 @@
     Transaction,
     TransactionDone,
 )
+from ragwortfield.scheduling.duration_model import DurationModel
 from ragwortfield.scheduling.interference_model import InterferenceModel
 from ragwortfield.scheduling.records import (
     InterferenceRecord,
@@ -29,7 +32,7 @@
 
 class LearnedModelStore:
     """
-    Stores the interference weights of pairs of images of one shard.
+    Stores interference weights and durations learned in one shard.
 
     :param shard: number of the shard.
     :param store: the platform's store.
@@ -50,11 +53,14 @@
         self._owner_version = owner_version
         self._saved_content = b''
 
-    def restore(self, model: InterferenceModel) -> None:
+    def restore(
+        self, model: InterferenceModel, durations: DurationModel
+    ) -> None:
         """
         Load what earlier owners have learned, if the store can be read now.
 
-        :param model: the model to fill.
+        :param model: the model of interference to fill.
+        :param durations: the model of durations to fill.
         """
         name = interference_row(self._shard)
         page = self._store.read(name.table, name.partition)
@@ -71,23 +77,30 @@
                 )
                 continue
             model.restore(record)
+            durations.restore(record.durations)
             event(
                 'learned_restored',
                 shard=self._shard,
                 pairs=len(record.weights),
+                queues=len(record.durations),
                 version=row.version,
             )
 
-    def save_periodically(self, model: InterferenceModel) -> None:
+    def save_periodically(
+        self, model: InterferenceModel, durations: DurationModel
+    ) -> None:
         """
-        Save the model endlessly whenever it has changed.
+        Save the models endlessly whenever they have changed.
 
-        :param model: the model.
+        :param model: the model of interference.
+        :param durations: the model of durations.
         """
         while True:
             gevent.sleep(_SAVE_INTERVAL_S)
-            content = encode_record(model.record())
-            if content != self._saved_content and model.weight_by_pair:
+            record = replace(model.record(), durations=durations.record())
+            content = encode_record(record)
+            is_learned = bool(record.weights or record.durations)
+            if is_learned and content != self._saved_content:
                 self._write(content)
 
     def _write(self, content: bytes) -> None:
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import gevent
 
@@ -65,6 +65,7 @@
     MemberRecord,
     encode_record,
 )
+from ragwortfield.scheduling.scheduling_settings import SchedulingSettings
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.timing_bounds import TimingBounds
 from ragwortfield.types import Seconds, WallTime, WorkerId
@@ -109,6 +110,19 @@
     parse_worker: WorkerParser
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OwnerSettings:
+    """
+    Settings of an instance as the owner of shards.
+
+    :param bounds: timing bounds in force.
+    :param scheduling: settings of the scheduling decisions.
+    """
+
+    bounds: TimingBounds = field(default_factory=TimingBounds)
+    scheduling: SchedulingSettings = field(default_factory=SchedulingSettings)
+
+
 class SchedulerNode:
     """
     Instance of the job scheduler.
@@ -120,7 +134,7 @@
     :param make_workers: creates the calls to workers of one owner of a shard.
     :param approval_service: service that approves workers for some queues.
     :param table_names: tables of the platform.
-    :param bounds: timing bounds in force.
+    :param owner_settings: settings of the shards that this instance owns.
     """
 
     def __init__(
@@ -133,7 +147,7 @@
         make_workers: Callable[[], TaskWorkerControl],
         approval_service: ApprovalService,
         table_names: PlatformTables,
-        bounds: TimingBounds,
+        owner_settings: OwnerSettings,
     ) -> None:
         """Create; ``start`` joins the deployment."""
         self.is_leaving = False
@@ -147,7 +161,7 @@
         self._make_workers = make_workers
         self._approval_service = approval_service
         self._table_names = table_names
-        self._bounds = bounds
+        self._owner_settings = owner_settings
         self._wall_clock = WallClock()
         self._catalogue: Catalogue | None = None
         self._cluster = ClusterView()
@@ -158,7 +172,7 @@
             cluster=self._cluster,
             store=store,
             peers=self._peers,
-            lease_s=bounds.requested_lease_s(),
+            lease_s=owner_settings.bounds.requested_lease_s(),
             make_runner=self._make_runner,
             health=self._health,
         )
@@ -250,6 +264,7 @@
         self.metrics.record_owner_counts(
             self._cluster.counts, self.job_requests.unowned_statuses.count
         )
+        self.metrics.record_decisions(self._cluster.decisions.count_by_name)
         self.metrics.clear_outcomes()
         for runner in owned:
             values = (
@@ -510,11 +525,13 @@
         return ShardState(
             epoch=epoch,
             owner_since=time.monotonic(),
-            bounds=self._bounds,
+            bounds=self._owner_settings.bounds,
             previous_lease_s=previous_lease_s,
             is_process_bound=is_process_bound,
             wall_offset_s=self._wall_clock.now() - time.monotonic(),
             counts=self._cluster.counts,
+            decisions=self._cluster.decisions,
+            settings=self._owner_settings.scheduling,
             catalogue=self._catalogue or Catalogue(version=-1),
         )
 
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -44,6 +44,7 @@
 from ragwortfield.scheduling.catalogue import Catalogue
 from ragwortfield.scheduling.commits import CommitBatch
 from ragwortfield.scheduling.delayed_starts import list_delayed_starts
+from ragwortfield.scheduling.duration_learning import predict_all_durations
 from ragwortfield.scheduling.fence_refusals import (
     ignore_refusals,
     take_claiming_workers,
@@ -329,7 +330,10 @@
         # Workers are polled only now, because reported runs that are not loaded
         # yet would be stopped.
         self._worker_loops.start_loops()
-        self._model_store.restore(self.state.interference_model)
+        self._model_store.restore(
+            self.state.interference_model, self.state.duration_model
+        )
+        predict_all_durations(self.state)
         self.is_ready = True
         self.was_loaded = True
         event(
@@ -355,7 +359,9 @@
         )
         self._spawn(expiry_supervisor.run, self._expire_cancellations)
         self._spawn(
-            self._model_store.save_periodically, self.state.interference_model
+            self._model_store.save_periodically,
+            self.state.interference_model,
+            self.state.duration_model,
         )
         self._spawn(self._inbox.follow, inbox.version)
         self._spawn(self._inbox.catch_up_when_due)
--- a/ragwortfield/report/scheduler_metrics.py
+++ b/ragwortfield/report/scheduler_metrics.py
@@ -1,5 +1,7 @@
 """Metrics of a job scheduler instance."""
 
+from collections.abc import Mapping
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from ragwortfield.scheduling.job_outcomes import JobOutcome, OutcomeCounts
@@ -75,6 +77,11 @@
             'Changes of owners of shards: taken over here, or seen.',
             registry=self.registry,
         )
+        self._decisions = Counter(
+            'ragwortfield_decisions_total',
+            'Scheduling decisions of owners on this instance by name.',
+            registry=self.registry,
+        )
         self._gauge = Gauge(
             'ragwortfield_scheduler_state',
             'State of the scheduler by name.',
@@ -157,6 +164,16 @@
         self._owner_changes.set({'kind': 'taken_over'}, counts.takeovers)
         self._owner_changes.set({'kind': 'seen'}, counts.seen_changes)
 
+    def record_decisions(self, count_by_name: Mapping[str, float]) -> None:
+        """
+        Set the counters of scheduling decisions.
+
+        :param count_by_name: counts since the start of the process, by the
+            value of the ``decision`` label.
+        """
+        for name, count in count_by_name.items():
+            self._decisions.set({'decision': name}, count)
+
     def state(self, name: str, amount: float) -> None:
         """
         Set a gauge of the state.
--- a/ragwortfield/scheduling/job.py
+++ b/ragwortfield/scheduling/job.py
@@ -119,18 +119,21 @@
     return all(0 <= earlier < number for earlier in after)
 
 
-def compute_critical_paths(steps: tuple[Step, ...]) -> tuple[Seconds, ...]:
+def compute_critical_paths(
+    steps: tuple[Step, ...], duration_s_by_step: tuple[Seconds, ...]
+) -> tuple[Seconds, ...]:
     """
     Compute the critical path from each step to the end of the job.
 
     :param steps: steps; each names only earlier ones in ``after``.
-    :returns: sum of the estimates along the longest path, in seconds, by
+    :param duration_s_by_step: duration of a task of each step, in seconds.
+    :returns: sum of the durations along the longest path, in seconds, by
         number of the step and including the step itself.
     """
     longest_after_s: dict[int, Seconds] = {}
     critical_path_s: list[Seconds] = []
     for number in range(len(steps) - 1, -1, -1):
-        path_s = steps[number].estimate_s + longest_after_s.get(number, 0)
+        path_s = duration_s_by_step[number] + longest_after_s.get(number, 0)
         critical_path_s.append(path_s)
         for earlier in steps[number].after:
             longest_after_s[earlier] = max(
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -4,12 +4,15 @@
 from enum import IntEnum
 
 from ragwortfield.scheduling.catalogue import Queue
+from ragwortfield.scheduling.duration_model import (
+    StepDurations,
+    compute_expected_paths,
+)
 from ragwortfield.scheduling.interference_model import LoadEstimate
 from ragwortfield.scheduling.job import (
     Job,
     Step,
     TaskKey,
-    compute_critical_paths,
 )
 from ragwortfield.scheduling.records import (
     ProgressRecord,
@@ -68,6 +71,7 @@
         run, from the latest end on; 0 if the latest report did, or before the
         first binding.
     :param started_at: monotonic time at which the run was confirmed.
+    :param is_duration_learned: whether the duration of the run was learned.
     :param percent: progress that the worker reported.
     :param reading: latest measurement: tail latency in milliseconds for tasks
         with a latency target, otherwise CPU use in cores; ``None`` for none.
@@ -114,6 +118,7 @@
     is_close_logged: bool = False
     not_running_since: MonotonicTime = 0
     started_at: MonotonicTime = 0
+    is_duration_learned: bool = False
     percent: float = 0
     percent_changed_at: MonotonicTime = 0
     reading: float | None = None
@@ -261,8 +266,12 @@
     :param is_removed: whether its own rows are removed from the store.
     :param is_finish_restored: whether it finished under a former owner, so
         that ``finished_at`` is later than its end.
+    :param is_deferred: whether the plan for overload serves it only after the
+        jobs that can be in time.
     :param wait_s_by_cause: time for which it has waited or run, in seconds, by
         name of the cause.
+    :param durations_by_step: durations of the tasks of each step, predicted or
+        shown by runs, by number of the step.
     :param critical_path_s_by_step: critical path from each step on, in
         seconds, by number of the step.
     """
@@ -283,7 +292,9 @@
     finished_at: MonotonicTime = 0
     is_removed: bool = False
     is_finish_restored: bool = False
+    is_deferred: bool = False
     wait_s_by_cause: dict[str, Seconds] = field(default_factory=dict)
+    durations_by_step: tuple[StepDurations, ...] = ()
     critical_path_s_by_step: tuple[Seconds, ...] = ()
 
     def occurrence_count(self) -> int:
@@ -319,26 +330,51 @@
         Return the critical path from a step to the end of the job.
 
         :param step: number of the step.
-        :returns: sum of the estimates, in seconds.
+        :returns: sum of the expected durations, in seconds.
         """
         return self.critical_path_s_by_step[step]
 
+    def expected_task_s(self, step: int) -> Seconds:
+        """
+        Return the expected duration of a task at full speed.
+
+        :param step: number of its step.
+        :returns: seconds.
+        """
+        return self.durations_by_step[step].expected_s()
+
+    def update_durations(self, durations: tuple[StepDurations, ...]) -> None:
+        """
+        Replace the durations, or take over that one of them has changed.
+
+        :param durations: durations by number of the step.
+        """
+        self.durations_by_step = durations
+        self.critical_path_s_by_step = compute_expected_paths(
+            self.job.steps, durations
+        )
+
 
 def create_job_state(
-    job: Job, queue: Queue, accepted_at_monotonic: MonotonicTime
+    job: Job,
+    queue: Queue,
+    accepted_at_monotonic: MonotonicTime,
+    durations: tuple[StepDurations, ...],
 ) -> JobRuntimeState:
     """
     Create the state of an accepted job, without occurrences.
 
     :param accepted_at_monotonic: time of acceptance on the owner's monotonic
         clock.
+    :param durations: predicted durations of its tasks by number of the step.
     """
-    return JobRuntimeState(
+    job_state = JobRuntimeState(
         job=job,
         queue=queue,
         accepted_at_monotonic=accepted_at_monotonic,
-        critical_path_s_by_step=compute_critical_paths(job.steps),
     )
+    job_state.update_durations(durations)
+    return job_state
 
 
 def create_occurrence(
--- /dev/null
+++ b/ragwortfield/scheduling/overload_control.py
@@ -0,0 +1,413 @@
+"""Divides the jobs of an overloaded priority into those served and deferred.
+
+The load that it answers: for some seconds, more jobs of one priority arrive
+than the pool can do in time. By least slack alone, each job starts when it is
+about to miss its latency objective; most of them do miss it, and while the
+backlog lasts every new job joins its end and misses it as well.
+
+The plan keeps as many jobs in time as the present capacity allows
+(Moore-Hodgson): it goes through the jobs by deadline, adds up their remaining
+work, and defers a job whenever the sum exceeds what can be done by then. Jobs
+that have begun are kept before others, because their work would be lost for
+their callers. Among the rest, the size class that was deferred least so far
+gives up its largest job, so that no size and no queue pays for the others.
+
+Deferred jobs stay accepted. They are served, oldest first, with what the others
+leave, and return to the plan as soon as they fit again.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from ragwortfield.scheduling.job_sizes import (
+    SizeClass,
+    classify_size,
+    estimate_work,
+)
+from ragwortfield.scheduling.job_state import (
+    JobRuntimeState,
+    RunStage,
+    StepState,
+    TaskState,
+)
+from ragwortfield.scheduling.records import TaskPhase
+from ragwortfield.scheduling.shard_state import ShardState
+from ragwortfield.types import JobId, MonotonicTime, Seconds
+
+#: Interval of the plan, in seconds; it looks at all tasks of unfinished jobs.
+_PLAN_INTERVAL_S: Seconds = 0.2
+#: Time without a worker from which on a step shows that the capacity is used
+#: up, in seconds; several rounds.
+_SATURATED_AFTER_S: Seconds = 0.15
+#: Time constant of the measured capacity, in seconds.
+_CAPACITY_SMOOTHING_S: Seconds = 1
+#: Time after a takeover for which nothing is deferred, in seconds: until the
+#: workers have reported, what runs there is not known.
+_SETTLING_S: Seconds = 2
+#: Share of the capacity that deferred jobs may fill when they return; the rest
+#: keeps them from going to and fro.
+_RETURN_SHARE = 0.9
+#: Age from which on a reading of CPU use covers the run alone, in seconds.
+_MIN_READING_AGE_S: Seconds = 0.6
+#: Number of jobs after which earlier deferrals no longer count for fairness.
+_FAIRNESS_WINDOW = 200
+_FULL_PERCENT = 100
+
+#: Queue of a job and its size among the queue's jobs.
+SizeGroup = tuple[str, SizeClass]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobDemand:
+    """
+    What a job still needs in order to be in time.
+
+    :param group: jobs that take turns in being deferred.
+    :param deadline: monotonic time at which its latency objective ends.
+    :param path_s: critical path of what remains, in seconds.
+    :param work: remaining work, in core-seconds.
+    :param is_begun: whether one of its tasks has a run or is done.
+    :param is_deferred: whether the latest plan deferred it.
+    """
+
+    job_id: JobId
+    group: SizeGroup
+    deadline: MonotonicTime
+    path_s: Seconds
+    work: float
+    is_begun: bool
+    is_deferred: bool = False
+
+    def is_attainable(self, now: MonotonicTime) -> bool:
+        """Return whether it could be in time if it were alone."""
+        return now + self.path_s <= self.deadline
+
+
+@dataclass(kw_only=True, slots=True)
+class FairShares:
+    """
+    Counts by size group of what was deferred lately.
+
+    :param planned_by_group: jobs that plans have decided on.
+    :param deferred_by_group: those of them that were deferred.
+    """
+
+    planned_by_group: Counter[SizeGroup] = field(default_factory=Counter)
+    deferred_by_group: Counter[SizeGroup] = field(default_factory=Counter)
+
+    def deferred_share(self, group: SizeGroup) -> float:
+        """Return the share of a group's jobs that were deferred."""
+        planned = self.planned_by_group[group]
+        return self.deferred_by_group[group] / planned if planned else 0
+
+    def add_planned(self, group: SizeGroup) -> None:
+        """Count a job that is planned for the first time."""
+        self.planned_by_group[group] += 1
+        if self.planned_by_group[group] > _FAIRNESS_WINDOW:
+            self.planned_by_group[group] //= 2
+            self.deferred_by_group[group] //= 2
+
+
+def select_deferred(
+    demands: Iterable[JobDemand],
+    *,
+    capacity_cpu: float,
+    now: MonotonicTime,
+    shares: FairShares,
+) -> set[JobId]:
+    """
+    Select the jobs that are not to be served in time.
+
+    :param demands: unfinished jobs of one pool and priority.
+    :param capacity_cpu: CPU that they get together, in cores.
+    :param now: monotonic time, in seconds.
+    :param shares: earlier deferrals; those of this call are added.
+    :returns: the deferred jobs; jobs that cannot be in time even alone are not
+        among them and get no capacity in the plan.
+    """
+    attainable = sorted(
+        (demand for demand in demands if demand.is_attainable(now)),
+        key=lambda demand: demand.deadline,
+    )
+    kept: list[JobDemand] = []
+    kept_work: float = 0
+    deferred: list[JobDemand] = []
+    for demand in attainable:
+        kept.append(demand)
+        kept_work += demand.work
+        available = capacity_cpu * (demand.deadline - now)
+        while kept_work > available and kept:
+            dropped = _choose_dropped(kept, shares)
+            kept.remove(dropped)
+            kept_work -= dropped.work
+            deferred.append(dropped)
+            if not dropped.is_deferred:
+                shares.deferred_by_group[dropped.group] += 1
+    returned = _select_returning(kept, deferred, capacity_cpu, now)
+    return {demand.job_id for demand in deferred} - returned
+
+
+def _choose_dropped(kept: Sequence[JobDemand], shares: FairShares) -> JobDemand:
+    """Choose the job to defer; those deferred before come first."""
+    return max(
+        kept,
+        key=lambda demand: (
+            demand.is_deferred,
+            not demand.is_begun,
+            -shares.deferred_share(demand.group),
+            demand.work,
+        ),
+    )
+
+
+def _select_returning(
+    kept: list[JobDemand],
+    deferred: Iterable[JobDemand],
+    capacity_cpu: float,
+    now: MonotonicTime,
+) -> set[JobId]:
+    """Select deferred jobs that fit beside all kept ones, smallest first."""
+    returned: set[JobId] = set()
+    planned = list(kept)
+    for demand in sorted(deferred, key=lambda demand: demand.work):
+        candidate = sorted(
+            (*planned, demand), key=lambda planned_job: planned_job.deadline
+        )
+        if _is_feasible(candidate, capacity_cpu * _RETURN_SHARE, now):
+            planned = candidate
+            returned.add(demand.job_id)
+    return returned
+
+
+def _is_feasible(
+    demands: Iterable[JobDemand], capacity_cpu: float, now: MonotonicTime
+) -> bool:
+    total_work: float = 0
+    for demand in demands:
+        total_work += demand.work
+        if total_work > capacity_cpu * (demand.deadline - now):
+            return False
+    return True
+
+
+@dataclass(kw_only=True, slots=True)
+class _Group:
+    """
+    Unfinished short jobs of one pool and priority.
+
+    :param running_cpu: CPU that their runs use, in cores.
+    :param is_saturated: whether some of their tasks find no worker.
+    """
+
+    jobs: list[JobRuntimeState] = field(default_factory=list)
+    running_cpu: float = 0
+    is_saturated: bool = False
+
+
+#: Pool of workers and priority of the queue.
+_GroupKey = tuple[str, int]
+
+
+@dataclass(kw_only=True, slots=True)
+class OverloadControl:
+    """
+    Plans which jobs are deferred, for one owner.
+
+    All that it keeps is learned again by a successor: capacity and saturation
+    within two seconds, fairness with the next jobs.
+
+    :param planned_at: monotonic time of the latest plan.
+    """
+
+    planned_at: MonotonicTime = 0
+    _capacity_by_group: dict[_GroupKey, float] = field(default_factory=dict)
+    _shares_by_group: defaultdict[_GroupKey, FairShares] = field(
+        default_factory=lambda: defaultdict(FairShares)
+    )
+    _planned_ids: set[JobId] = field(default_factory=set)
+
+    def update(self, state: ShardState, now: MonotonicTime) -> None:
+        """
+        Plan again if that is due, and mark the deferred jobs in the state.
+
+        :param state: state of the shard.
+        :param now: monotonic time, in seconds.
+        """
+        elapsed_s = now - self.planned_at
+        if elapsed_s < _PLAN_INTERVAL_S:
+            return
+        self.planned_at = now
+        groups = _collect_groups(state, now)
+        self._planned_ids &= state.job_by_id.keys()
+        for key in self._capacity_by_group.keys() - groups.keys():
+            del self._capacity_by_group[key]
+        is_settled = now - state.owner_since > _SETTLING_S
+        for key, group in groups.items():
+            self._measure_capacity(key, group, elapsed_s)
+            if is_settled and group.is_saturated:
+                self._plan(state, key, group, now)
+            else:
+                for job in group.jobs:
+                    job.is_deferred = False
+
+    def _measure_capacity(
+        self, key: _GroupKey, group: _Group, elapsed_s: Seconds
+    ) -> None:
+        known_cpu = self._capacity_by_group.get(key, group.running_cpu)
+        share = min(elapsed_s / _CAPACITY_SMOOTHING_S, 1)
+        self._capacity_by_group[key] = known_cpu + share * (
+            group.running_cpu - known_cpu
+        )
+
+    def _plan(
+        self,
+        state: ShardState,
+        key: _GroupKey,
+        group: _Group,
+        now: MonotonicTime,
+    ) -> None:
+        shares = self._shares_by_group[key]
+        demands = _build_demands(group.jobs, state, now)
+        for demand in demands:
+            if demand.job_id not in self._planned_ids:
+                self._planned_ids.add(demand.job_id)
+                shares.add_planned(demand.group)
+        deferred = select_deferred(
+            demands,
+            capacity_cpu=self._capacity_by_group[key],
+            now=now,
+            shares=shares,
+        )
+        for job in group.jobs:
+            is_deferred = job.job.job_id in deferred
+            if is_deferred != job.is_deferred:
+                job.is_deferred = is_deferred
+                state.decisions.record(
+                    'job_deferred' if is_deferred else 'job_resumed',
+                    now,
+                    job=job.job.job_id,
+                    queue=job.job.queue,
+                    jobs=len(group.jobs),
+                    deferred=len(deferred),
+                    capacity_cpu=self._capacity_by_group[key],
+                )
+
+
+def _collect_groups(
+    state: ShardState, now: MonotonicTime
+) -> dict[_GroupKey, _Group]:
+    groups: defaultdict[_GroupKey, _Group] = defaultdict(_Group)
+    for job in state.job_by_id.values():
+        if _is_plannable(job):
+            groups[_get_group_key(job)].jobs.append(job)
+    for step in state.ready_step_by_key.values():
+        job = state.job_by_id[step.job_id]
+        group = groups.get(_get_group_key(job))
+        if group is not None and _shows_saturation(step, now):
+            group.is_saturated = True
+    for worker in state.worker_by_id.values():
+        for task in worker.run_by_key.values():
+            job = state.job_by_id[task.key.job_id]
+            group = groups.get(_get_group_key(job))
+            if group is not None and _is_working(task):
+                group.running_cpu += _estimate_used_cpu(task, now)
+    return dict(groups)
+
+
+def _get_group_key(job: JobRuntimeState) -> _GroupKey:
+    return job.queue.pool, job.queue.priority
+
+
+def _is_plannable(job: JobRuntimeState) -> bool:
+    # The objective of a repeating job counts from the due time of each
+    # occurrence, and a gang starts as a whole.
+    return not (
+        job.is_closed()
+        or job.job.repeat_count
+        or any(step.is_long_lived or step.is_gang for step in job.job.steps)
+    )
+
+
+def _shows_saturation(step: StepState, now: MonotonicTime) -> bool:
+    is_waiting = 0 < step.unplaced_since < now - _SATURATED_AFTER_S
+    return is_waiting and not step.step.is_long_lived
+
+
+def _is_working(task: TaskState) -> bool:
+    step = task.step
+    is_started = task.stage in {RunStage.ORDERED, RunStage.RUNNING}
+    return is_started and not (step.is_long_lived or step.is_gang)
+
+
+def _estimate_used_cpu(task: TaskState, now: MonotonicTime) -> float:
+    wanted_cpu = task.step.need.cpu
+    if not task.step.is_filler:
+        return wanted_cpu
+    is_read = now - task.started_at > _MIN_READING_AGE_S
+    if task.reading is not None and task.started_at and is_read:
+        return min(task.reading, wanted_cpu)
+    return wanted_cpu * task.pace / _FULL_PERCENT
+
+
+def _build_demands(
+    jobs: Iterable[JobRuntimeState], state: ShardState, now: MonotonicTime
+) -> list[JobDemand]:
+    works_by_queue: defaultdict[str, list[float]] = defaultdict(list)
+    for job in state.job_by_id.values():
+        works_by_queue[job.job.queue].append(estimate_work(job.job))
+    for works in works_by_queue.values():
+        works.sort()
+    return [
+        _build_demand(job, works_by_queue[job.job.queue], now) for job in jobs
+    ]
+
+
+def _build_demand(
+    job: JobRuntimeState, works: Sequence[float], now: MonotonicTime
+) -> JobDemand:
+    work: float = 0
+    path_s: Seconds = 0
+    is_begun = False
+    for occurrence in job.occurrence_by_number.values():
+        for step in occurrence.steps:
+            if step.is_done():
+                is_begun = True
+                continue
+            path_s = max(path_s, _estimate_path_s(job, step, now))
+            is_begun = (
+                is_begun or bool(step.count_by_worker) or step.done_count > 0
+            )
+            work += _estimate_step_work(job, step)
+    return JobDemand(
+        job_id=job.job.job_id,
+        group=(job.job.queue, classify_size(estimate_work(job.job), works)),
+        deadline=job.accepted_at_monotonic + job.objective_s(),
+        path_s=path_s,
+        work=work,
+        is_begun=is_begun,
+        is_deferred=job.is_deferred,
+    )
+
+
+def _estimate_path_s(
+    job: JobRuntimeState, step: StepState, now: MonotonicTime
+) -> Seconds:
+    path_s = job.critical_path_s(step.number)
+    if step.waiting_indexes or not step.count_by_worker:
+        return path_s
+    least_percent = min(
+        task.percent for task in step.tasks if task.phase == TaskPhase.BOUND
+    )
+    done_s = job.expected_task_s(step.number) * least_percent / _FULL_PERCENT
+    return path_s - done_s
+
+
+def _estimate_step_work(job: JobRuntimeState, step: StepState) -> float:
+    undone: float = 0
+    for task in step.tasks:
+        if task.phase == TaskPhase.WAITING:
+            undone += 1
+        elif task.phase == TaskPhase.BOUND:
+            undone += 1 - task.percent / _FULL_PERCENT
+    return undone * job.expected_task_s(step.number) * step.step.need.cpu
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -185,17 +185,42 @@
     variance: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QueueDurationRecord:
+    """
+    Learned relation of real to declared durations in one queue.
+
+    The durations are natural logarithms of seconds.
+
+    :param weight: weight of the observations.
+    :param mean_declared: mean of the declared durations.
+    :param mean_real: mean of the real durations.
+    :param spread: sum of the squared deviations of the declared ones.
+    :param product: sum of the products of the deviations of both.
+    """
+
+    queue: str
+    weight: float
+    mean_declared: float
+    mean_real: float
+    spread: float
+    product: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class InterferenceRecord:
     """
-    Learned interference of a shard, for later owners.
+    What the owners of a shard have learned, for later owners.
 
     :param least_by_image: smallest tail latency of each serving image, in
         milliseconds.
+    :param durations: durations of tasks by queue; empty in records of earlier
+        versions.
     """
 
     weights: tuple[InterferenceWeightRecord, ...]
     least_by_image: dict[str, float]
+    durations: tuple[QueueDurationRecord, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/ragwortfield/scheduling/scheduling_rounds.py
+++ b/ragwortfield/scheduling/scheduling_rounds.py
@@ -13,6 +13,7 @@
     shard_updates,
     worker_reports,
 )
+from ragwortfield.scheduling.overload_control import OverloadControl
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.wait_causes import WaitRecorder
 from ragwortfield.types import MonotonicTime, Seconds, WallTime
@@ -32,11 +33,13 @@
         the slower decisions.
     :param last_expiry_at: monotonic time of the latest search for expired jobs.
     :param waits: records what the jobs wait for.
+    :param overload: plans which jobs are deferred.
     """
 
     last_slow_round_at: MonotonicTime = 0
     last_expiry_at: MonotonicTime = 0
     waits: WaitRecorder = field(default_factory=WaitRecorder)
+    overload: OverloadControl = field(default_factory=OverloadControl)
 
     def decide(
         self,
@@ -72,6 +75,8 @@
         if now - self.last_expiry_at > _EXPIRY_INTERVAL_S:
             self.last_expiry_at = now
             commits.expire_finished_jobs(state, now)
+        if state.settings.is_overload_planned:
+            self.overload.update(state, now)
         is_confirmed = state.confirmation.is_valid(state.bounds, now)
         if is_binding_allowed and is_confirmed:
             dispatch.dispatch(state, now)
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -5,6 +5,8 @@
 
 from ragwortfield.ports.task_worker import PaceRun, StartRun, StopRun
 from ragwortfield.scheduling.catalogue import Catalogue
+from ragwortfield.scheduling.decision_log import DecisionLog
+from ragwortfield.scheduling.duration_model import DurationModel
 from ragwortfield.scheduling.headroom import DemandHistory
 from ragwortfield.scheduling.interference_model import InterferenceModel
 from ragwortfield.scheduling.job import TaskKey
@@ -19,6 +21,7 @@
     FormerElectorate,
     OwnershipConfirmation,
 )
+from ragwortfield.scheduling.scheduling_settings import SchedulingSettings
 from ragwortfield.scheduling.timing_bounds import (
     MAX_CLOCK_DRIFT,
     MS_PER_S,
@@ -87,6 +90,10 @@
     :param consolidated_at: monotonic time of the latest consolidation of
         serving tasks.
     :param defragmented_at: monotonic time of the latest defragmentation.
+    :param duration_model: relation of real to declared durations.
+    :param decisions: counts and log of the decisions, for all terms of this
+        instance.
+    :param settings: settings of the decisions.
     :param is_term_recorded: whether the store shows that this owner has been
         the owner for so long that all owners before it have noticed it.
     :param confirmation: evidence that this owner has not been replaced.
@@ -160,6 +167,9 @@
     interference_model: InterferenceModel = field(
         default_factory=InterferenceModel
     )
+    duration_model: DurationModel = field(default_factory=DurationModel)
+    decisions: DecisionLog = field(default_factory=DecisionLog)
+    settings: SchedulingSettings = field(default_factory=SchedulingSettings)
 
     def __post_init__(self) -> None:
         """Assume the worst about a former owner that has not answered."""
--- a/ragwortfield/scheduling/shard_updates.py
+++ b/ragwortfield/scheduling/shard_updates.py
@@ -3,6 +3,7 @@
 from ragwortfield.log import event
 from ragwortfield.ports.task_worker import ListedWorker
 from ragwortfield.scheduling.catalogue import Catalogue, Queue
+from ragwortfield.scheduling.duration_model import predict_step_durations
 from ragwortfield.scheduling.job import Job
 from ragwortfield.scheduling.job_state import (
     JobRuntimeState,
@@ -99,7 +100,12 @@
     queue = state.catalogue.queue_by_name.get(job.queue, queue)
     if queue is None:
         queue = Queue(name=job.queue, host='', path_prefix='', pool='')
-    job_state = create_job_state(job, queue, now - age_s)
+    job_state = create_job_state(
+        job,
+        queue,
+        now - age_s,
+        predict_step_durations(state.duration_model, job.queue, job.steps),
+    )
     state.job_by_id[job.job_id] = job_state
     job_state.wait_s_by_cause[WaitCause.OWNER] = age_s
     _add_filler_work(state, job)
--- a/ragwortfield/scheduling/step_priority.py
+++ b/ragwortfield/scheduling/step_priority.py
@@ -2,12 +2,12 @@
 
 More tasks wait than fit. The priority of the queue decides first, so that an
 urgent job is never behind a less urgent one. Within a priority the order is:
-steps that can still meet their latency objective, least slack first;
-long-lived tasks, which earn for each second that they run; steps that still
-earn if they finish late; all others; long-lived steps that only grow. A
-continuous stream of urgent jobs must not starve long-lived tasks, so a
-long-lived step that has waited too long comes before all others of its
-priority, unless it only grows.
+steps that can still meet their latency objective, least slack first, unless the
+plan for overload has deferred their job; long-lived tasks, which earn for each
+second that they run; steps that still earn if they finish late, and those of
+deferred jobs; all others; long-lived steps that only grow. A continuous stream
+of urgent jobs must not starve long-lived tasks, so a long-lived step that has
+waited too long comes before all others of its priority, unless it only grows.
 """
 
 from ragwortfield.scheduling.headroom import is_growth
@@ -76,7 +76,7 @@
         return job.queue.priority, _rank_long_lived(step, now), -age_s
     objective_s = job.objective_s()
     critical_path_s = job.critical_path_s(step.number)
-    if age_s + critical_path_s <= objective_s:
+    if age_s + critical_path_s <= objective_s and not job.is_deferred:
         slack_s = objective_s - age_s - critical_path_s
         return job.queue.priority, _ON_TIME, slack_s
     if age_s + critical_path_s <= MAX_LATENESS_FACTOR * objective_s:
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -62,6 +62,7 @@
     task.order_deadline_ms = 0
     task.last_seen_clock_ms = 0
     task.started_at = 0
+    task.is_duration_learned = False
     task.percent = 0
     task.percent_changed_at = now
     task.reading = None
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -14,6 +14,10 @@
     StartRun,
     StopRun,
 )
+from ragwortfield.scheduling.duration_learning import (
+    learn_from_progress,
+    learn_from_success,
+)
 from ragwortfield.scheduling.fence_refusals import record_fence_refusal
 from ragwortfield.scheduling.job_state import RunStage, TaskState
 from ragwortfield.scheduling.lease_log import log_adoption, log_lapse
@@ -365,6 +369,8 @@
         state, worker, end, 'late_success' if is_late_success else 'applied'
     )
     worker.failed_start_count = 0
+    if end.kind == EndKind.DONE and not is_late_success:
+        learn_from_success(state, task, now)
     record_run_result(state, worker, task, end.kind, now)
     record_run_end(state, task, end.kind, end.checkpoint, now)
 
@@ -407,6 +413,7 @@
     task.reading = run.reading
     if run.reading is not None and not task.step.latency_target_ms:
         task.reading = run.reading / _MILLICORES
+    learn_from_progress(state, task, now)
 
 
 def _stop_unexpected_run(
--- a/ragwortfield/settings/scheduler.py
+++ b/ragwortfield/settings/scheduler.py
@@ -3,6 +3,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from ragwortfield.scheduling.scheduling_settings import (
+    SchedulingSettings,
+    find_setting_problems,
+)
 from ragwortfield.scheduling.timing_bounds import TimingBounds
 from ragwortfield.settings.instance import split_address
 from ragwortfield.settings.toml_parsing import SettingsError, parse_toml
@@ -80,6 +84,7 @@
     dependencies: DependenciesTable
     bounds: TimingBounds = field(default_factory=TimingBounds)
     stopping: StoppingTable = field(default_factory=StoppingTable)
+    scheduling: SchedulingSettings = field(default_factory=SchedulingSettings)
 
 
 def load_scheduler_settings(path: str) -> SchedulerSettings | SettingsError:
@@ -145,4 +150,5 @@
             problems.append(
                 f"key 'instance.{key}' is {amount}, expected above 0",
             )
+    problems.extend(find_setting_problems(settings.scheduling))
     return problems
--- a/ragwortfield/tests/test_configuration_versions.py
+++ b/ragwortfield/tests/test_configuration_versions.py
@@ -10,7 +10,11 @@
 from ragwortfield.adapters.json_codec import Malformed
 from ragwortfield.engine.ownership import SchedulerIdentity
 from ragwortfield.engine.row_names import COMMON_PARTITION
-from ragwortfield.engine.scheduler_node import PlatformTables, SchedulerNode
+from ragwortfield.engine.scheduler_node import (
+    OwnerSettings,
+    PlatformTables,
+    SchedulerNode,
+)
 from ragwortfield.platform.approval_service_client import ApprovalServiceClient
 from ragwortfield.platform.document_parsing import parse_catalogue
 from ragwortfield.ports.row_store import RowName, RowWrite, Transaction
@@ -94,7 +98,7 @@
                 parse_catalogue=parse_catalogue,
                 parse_worker=lambda _id, _content: Malformed(reason='none'),
             ),
-            bounds=TimingBounds(),
+            owner_settings=OwnerSettings(bounds=TimingBounds()),
         )
         self.write_configuration(5, 'fifth')
         follower = gevent.spawn(self.node._follow_operator)
--- a/ragwortfield/tests/test_document_parsing.py
+++ b/ragwortfield/tests/test_document_parsing.py
@@ -222,7 +222,10 @@
         self.assertEqual(job.steps[-1].after, (1,))
         repeated = (replace(job.steps[-1], after=(1,) * 100_000),)
         started_at = time.process_time()
-        critical_paths = compute_critical_paths(job.steps[:-1] + repeated)
+        critical_paths = compute_critical_paths(
+            job.steps[:-1] + repeated,
+            tuple(step.estimate_s for step in job.steps),
+        )
         self.assertLess(time.process_time() - started_at, 0.2)
         self.assertEqual(critical_paths[:3], (0, 3, 0))
         self.assertEqual(critical_paths[-1], 1)
--- a/ragwortfield/tests/test_malformed_rows.py
+++ b/ragwortfield/tests/test_malformed_rows.py
@@ -1,6 +1,7 @@
 """Malformed rows of the store: none of them stops an owner."""
 
 import unittest
+from dataclasses import replace
 
 import msgspec
 from hypothesis import given
@@ -25,6 +26,7 @@
 )
 from ragwortfield.ports.row_store import RowWrite, StoredRow, Transaction
 from ragwortfield.scheduling import shard_updates
+from ragwortfield.scheduling.duration_model import DurationModel
 from ragwortfield.scheduling.interference_model import InterferenceModel
 from ragwortfield.scheduling.job import Job
 from ragwortfield.scheduling.records import (
@@ -253,9 +255,11 @@
             model_store = LearnedModelStore(
                 shard=0, store=store, owner_version=1
             )
-            model_store.restore(model)
+            durations = DurationModel()
+            model_store.restore(model, durations)
             model.weight('a', 'f')
-            encode_record(model.record())
+            durations.predict('queue', 1)
+            encode_record(replace(model.record(), durations=durations.record()))
 
         self.run_examples(check_row, record_messages(_INTERFERENCE))
 
--- /dev/null
+++ b/ragwortfield/tests/test_overload_control.py
@@ -0,0 +1,160 @@
+"""Jobs served and jobs deferred while more arrive than can be done in time."""
+
+import unittest
+
+from ragwortfield.scheduling.dispatch import dispatch
+from ragwortfield.scheduling.job_sizes import SizeClass
+from ragwortfield.scheduling.overload_control import (
+    FairShares,
+    JobDemand,
+    OverloadControl,
+    select_deferred,
+)
+from ragwortfield.scheduling.step_priority import sort_by_urgency
+from ragwortfield.tests.placement_world import NOW, PlacementWorld
+
+_CAPACITY = 10.0
+
+
+def make_demand(name, **options):
+    options = {
+        'group': ('queue', SizeClass.REST),
+        'deadline': NOW + 8,
+        'path_s': 2,
+        'work': 20,
+        'is_begun': False,
+    } | options
+    return JobDemand(job_id=name, **options)
+
+
+class SelectionTest(unittest.TestCase):
+    def setUp(self):
+        self.shares = FairShares()
+
+    def select(self, demands):
+        return select_deferred(
+            demands, capacity_cpu=_CAPACITY, now=NOW, shares=self.shares
+        )
+
+    def test_nothing_is_deferred_while_all_fits(self):
+        self.assertEqual(
+            self.select([make_demand(str(number)) for number in range(4)]),
+            set(),
+        )
+
+    # Guards against the domino of least slack first: with twice the work that
+    # fits, nearly every job was started too late to be in time.
+    def test_half_of_the_jobs_stay_in_time_under_double_load(self):
+        deferred = self.select(
+            [make_demand(str(number)) for number in range(8)]
+        )
+        self.assertEqual(len(deferred), 4)
+
+    def test_begun_jobs_are_kept(self):
+        demands = [make_demand(str(number)) for number in range(8)]
+        begun = [
+            make_demand(f'begun {number}', is_begun=True) for number in range(4)
+        ]
+        self.assertEqual(
+            self.select([*demands, *begun]),
+            {demand.job_id for demand in demands},
+        )
+
+    # Guards against overload that only the largest jobs pay for.
+    def test_sizes_take_turns(self):
+        self.shares.planned_by_group.update(
+            {
+                ('queue', SizeClass.LARGEST_TENTH): 4,
+                ('queue', SizeClass.REST): 36,
+            }
+        )
+        demands = [
+            make_demand(f'small {number}', deadline=NOW + 48)
+            for number in range(36)
+        ]
+        demands += [
+            make_demand(
+                f'large {number}',
+                work=60,
+                deadline=NOW + 48,
+                group=('queue', SizeClass.LARGEST_TENTH),
+            )
+            for number in range(4)
+        ]
+        deferred = self.select(demands)
+        large = [job_id for job_id in deferred if 'large' in job_id]
+        self.assertIn(len(large), {1, 2, 3})
+
+    def test_jobs_that_cannot_be_in_time_take_no_capacity(self):
+        hopeless = [
+            make_demand(f'late {number}', path_s=9) for number in range(8)
+        ]
+        fitting = [make_demand(str(number)) for number in range(4)]
+        self.assertEqual(self.select([*hopeless, *fitting]), set())
+
+    def test_deferred_job_returns_when_it_fits_again(self):
+        demands = [make_demand('kept'), make_demand('back', is_deferred=True)]
+        self.assertEqual(self.select(demands), set())
+
+
+class OverloadControlTest(unittest.TestCase):
+    """One worker of 32 cores; each job needs all of it for a second."""
+
+    def setUp(self):
+        self.world = PlacementWorld(workers=1)
+        self.state = self.world.state
+        queue = self.state.catalogue.queue_by_name['queue']
+        self.assertEqual(queue.stretch, 1)
+        for number in range(6):
+            self.world.add_job(str(number), count=8)
+        for job in self.state.job_by_id.values():
+            job.queue = type(queue)(
+                name='queue',
+                host='',
+                path_prefix='',
+                pool='pool',
+                stretch=3,
+            )
+
+    def plan(self, control, at):
+        self.state.worker_by_id['w0'].reported_at = at
+        dispatch(self.state, at)
+        control.update(self.state, at)
+        return [
+            job_id
+            for job_id, job in self.state.job_by_id.items()
+            if job.is_deferred
+        ]
+
+    def test_jobs_beyond_the_capacity_are_deferred(self):
+        deferred = self.plan(OverloadControl(), NOW + 0.5)
+        # The first one runs, and two more fit until the objective of 3 s.
+        self.assertEqual(len(deferred), 3)
+        self.assertNotIn('0', deferred)
+        waiting = [step.job_id for step in sort_by_urgency(self.state, NOW)]
+        self.assertEqual(set(waiting[2:]), set(deferred))
+
+    # Guards against a successor that decides otherwise than the owner before
+    # it: both see the same jobs, runs and acceptance times.
+    def test_successor_keeps_as_many_jobs(self):
+        before = self.plan(OverloadControl(), NOW + 0.5)
+        for job in self.state.job_by_id.values():
+            job.is_deferred = False
+        after = self.plan(OverloadControl(), NOW + 0.7)
+        self.assertEqual(len(after), len(before))
+
+    # Guards against deferring everything while a new owner does not know yet
+    # what the workers run.
+    def test_new_owner_waits_for_reports(self):
+        self.state.owner_since = NOW
+        self.assertEqual(self.plan(OverloadControl(), NOW + 0.5), [])
+
+    def test_all_jobs_return_when_nothing_waits(self):
+        control = OverloadControl()
+        self.assertTrue(self.plan(control, NOW + 0.5))
+        for step in self.state.ready_step_by_key.values():
+            step.unplaced_since = 0
+        control.update(self.state, NOW + 1)
+        self.assertFalse(
+            any(job.is_deferred for job in self.state.job_by_id.values())
+        )
--- a/ragwortfield/tests/test_scheduler_node.py
+++ b/ragwortfield/tests/test_scheduler_node.py
@@ -19,7 +19,11 @@
     layout_row,
     owner_row,
 )
-from ragwortfield.engine.scheduler_node import PlatformTables, SchedulerNode
+from ragwortfield.engine.scheduler_node import (
+    OwnerSettings,
+    PlatformTables,
+    SchedulerNode,
+)
 from ragwortfield.engine.wall_clock import WallClock
 from ragwortfield.platform.approval_service_client import ApprovalServiceClient
 from ragwortfield.ports.row_store import RowName, RowWrite, Transaction
@@ -135,7 +139,7 @@
                     worker_id, content
                 ),
             ),
-            bounds=TimingBounds(),
+            owner_settings=OwnerSettings(bounds=TimingBounds()),
         )
         self.write_row(
             layout_row(),
--- a/ragwortfield/tests/test_shard_runner.py
+++ b/ragwortfield/tests/test_shard_runner.py
@@ -29,6 +29,7 @@
 from ragwortfield.scheduling import approvals, shard_updates
 from ragwortfield.scheduling.catalogue import Catalogue
 from ragwortfield.scheduling.fence_refusals import record_fence_refusal
+from ragwortfield.scheduling.duration_model import DurationModel
 from ragwortfield.scheduling.interference_model import InterferenceModel
 from ragwortfield.scheduling.job import Job, Step
 from ragwortfield.scheduling.job_status import JobStatus
@@ -379,8 +380,12 @@
         )
         world = PlacementWorld(workers=1)
         world.set_interference_weights({('a', 'f'): STRONG_INTERFERENCE})
+        durations = DurationModel()
+        durations.observe('queue', 1, 4)
         saver = gevent.spawn(
-            model_store.save_periodically, world.state.interference_model
+            model_store.save_periodically,
+            world.state.interference_model,
+            durations,
         )
         self.addCleanup(saver.kill)
         name = interference_row(0)
@@ -388,8 +393,14 @@
         while name not in store.row_by_name and time.monotonic() < end:
             gevent.sleep(0.1)
         model = InterferenceModel()
-        model_store.restore(model)
+        restored_durations = DurationModel()
+        model_store.restore(model, restored_durations)
         self.assertEqual(model.weight('a', 'f'), STRONG_INTERFERENCE)
+        self.assertAlmostEqual(
+            restored_durations.predict('queue', 1),
+            durations.predict('queue', 1),
+            places=2,
+        )
 
     def test_replaced_owner_writes_nothing(self):
         store = _YieldingStore()
