Under overload, jobs go by remaining work for their value

Cause: least slack brings all jobs to their objective at the same moment, so a small error makes all of them late. Late jobs get no place while others wait, also if one task is left. Stalled fillers hold up their jobs, as a full pool has no free place at the moment when a move is decided.

Change: in a saturated priority, jobs that can be in time go by remaining work for their value. A late job whose remaining work is less than a seventh, the value of a late end, comes first; other late jobs by remaining share. The plan counts with four fifths of the capacity less what other jobs have running. A stalled filler of a job worth finishing is stopped while fillers of its image find workers.

--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -215,6 +215,8 @@
         bind_task(state, task, worker, run=task.run + 1, now=now)
         selector.update_after_binding(worker, step)
         bound_count += 1
+    if bound_count and step.step.is_filler:
+        state.filler_bound_at_by_image[step.step.image] = now
     return bound_count
 
 
--- a/ragwortfield/scheduling/filler_relocation.py
+++ b/ragwortfield/scheduling/filler_relocation.py
@@ -4,11 +4,16 @@
 runs there, and one stalled task delays its whole job. A stalled filler that
 can resume from a checkpoint is stopped and placed again if another worker can
 run it at full speed.
+
+In a full pool no worker has room at the moment when that is decided, since each
+place goes to a waiting task at once. A job that can still be in time, or that is
+nearly done, need not wait for that: while fillers of its image find workers, its
+stalled task is stopped and gets one of the next places by its urgency.
 """
 
-from ragwortfield.log import event
 from ragwortfield.scheduling.job_state import RunStage, TaskState
 from ragwortfield.scheduling.shard_state import ShardState
+from ragwortfield.scheduling.step_priority import is_worth_finishing
 from ragwortfield.scheduling.task_lifecycle import format_task_key, request_stop
 from ragwortfield.scheduling.worker_selection import WorkerSelector
 from ragwortfield.scheduling.worker_state import WorkerState
@@ -21,6 +26,9 @@
 _STALLED_PACE = 25
 #: Highest additional utilisation of serving tasks that counts as none.
 _NEGLIGIBLE_INTERFERENCE = 0.1
+#: Time since a filler of an image has found a worker, in seconds, up to which
+#: another one will find one soon.
+_PLACE_INTERVAL_S: Seconds = 0.5
 #: Limit of moves in a round: this many, or one for each so many workers of the
 #: shard if that is more. Only the next round sees the effect of moves.
 _MIN_MOVE_LIMIT = 4
@@ -55,16 +63,18 @@
             task,
             destination_ids,
         )
-        if destination is None:
+        better = '' if destination is None else destination.worker_id
+        if destination is None and not _finds_next_place(state, task, now):
             continue
-        destination_ids.add(destination.worker_id)
-        event(
+        destination_ids.add(better or task.worker_id)
+        state.decisions.record(
             'filler_moved',
+            now,
             task=format_task_key(task),
             run=task.run,
             worker=task.worker_id,
             pace=task.pace,
-            better=destination.worker_id,
+            better=better,
         )
         request_stop(state, task, now)
         if len(destination_ids) == move_limit:
@@ -80,6 +90,17 @@
     return task.step.is_filler and can_move and is_running and is_slow
 
 
+def _finds_next_place(
+    state: ShardState, task: TaskState, now: MonotonicTime
+) -> bool:
+    """Tell whether a stopped task would soon get a place that becomes free."""
+    bound_at = state.filler_bound_at_by_image.get(task.step.image)
+    if bound_at is None or now - bound_at > _PLACE_INTERVAL_S:
+        return False
+    job = state.job_by_id[task.key.job_id]
+    return is_worth_finishing(job, state.get_step(task), now)
+
+
 def _find_destination(
     state: ShardState,
     selector: WorkerSelector,
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -268,6 +268,10 @@
         that ``finished_at`` is later than its end.
     :param is_deferred: whether the plan for overload serves it only after the
         jobs that can be in time.
+    :param remaining_share: share of its work that remains, by the latest plan
+        for overload.
+    :param work_per_value: remaining work for a unit of its value, in
+        core-seconds, by that plan; 0 while its priority is not overloaded.
     :param wait_s_by_cause: time for which it has waited or run, in seconds, by
         name of the cause.
     :param durations_by_step: durations of the tasks of each step, predicted or
@@ -293,6 +297,8 @@
     is_removed: bool = False
     is_finish_restored: bool = False
     is_deferred: bool = False
+    remaining_share: float = 1
+    work_per_value: float = 0
     wait_s_by_cause: dict[str, Seconds] = field(default_factory=dict)
     durations_by_step: tuple[StepDurations, ...] = ()
     critical_path_s_by_step: tuple[Seconds, ...] = ()
--- a/ragwortfield/scheduling/overload_control.py
+++ b/ragwortfield/scheduling/overload_control.py
@@ -7,13 +7,18 @@
 
 The plan keeps as many jobs in time as the present capacity allows
 (Moore-Hodgson): it goes through the jobs by deadline, adds up their remaining
-work, and defers a job whenever the sum exceeds what can be done by then. Jobs
-that have begun are kept before others, because their work would be lost for
-their callers. Among the rest, the size class that was deferred least so far
-gives up its largest job, so that no size and no queue pays for the others.
-
-Deferred jobs stay accepted. They are served, oldest first, with what the others
-leave, and return to the plan as soon as they fit again.
+work, and defers a job whenever the sum exceeds what can be done by then. The size
+class that was deferred least so far gives up the job with the least value for
+its remaining work, so that no size and no queue pays for the others, and work
+that was done already is rarely lost.
+
+The jobs in time are not served by least slack, either: that would bring all of
+them to their objective at the same time, and a small error of the estimates makes
+all of them late. Those with the least remaining work for their value come first.
+
+Deferred jobs stay accepted. Like late ones they are served with what the others
+leave, those that need least for their value first, and they return to the plan
+as soon as they fit again.
 """
 
 from collections import Counter, defaultdict
@@ -45,14 +50,25 @@
 #: Time after a takeover for which nothing is deferred, in seconds: until the
 #: workers have reported, what runs there is not known.
 _SETTLING_S: Seconds = 2
-#: Share of the capacity that deferred jobs may fill when they return; the rest
-#: keeps them from going to and fro.
+#: Share of the capacity that is planned. A job ends with its slowest task, and a
+#: fifth of the fillers is slowed down at any time.
+_PLANNED_SHARE = 0.8
+#: Share of the planned capacity up to which deferred jobs return; the rest keeps
+#: them from going to and fro.
 _RETURN_SHARE = 0.9
+#: Value of a job without work, and the addition for the mean work of its queue,
+#: as a share of the value of a job with the mean work.
+_BASE_VALUE = 0.3
+_WORK_VALUE = 0.7
+#: Highest value of a job as a multiple of that of a job with the mean work.
+_MAX_VALUE = 4
 #: Age from which on a reading of CPU use covers the run alone, in seconds.
 _MIN_READING_AGE_S: Seconds = 0.6
 #: Number of jobs after which earlier deferrals no longer count for fairness.
 _FAIRNESS_WINDOW = 200
 _FULL_PERCENT = 100
+#: Lower bound of works, in core-seconds, in order not to divide by zero.
+_MIN_WORK = 1e-6
 
 #: Queue of a job and its size among the queue's jobs.
 SizeGroup = tuple[str, SizeClass]
@@ -67,7 +83,8 @@
     :param deadline: monotonic time at which its latency objective ends.
     :param path_s: critical path of what remains, in seconds.
     :param work: remaining work, in core-seconds.
-    :param is_begun: whether one of its tasks has a run or is done.
+    :param running_work: part of it that is under way, in core-seconds.
+    :param value: its value to its caller.
     :param is_deferred: whether the latest plan deferred it.
     """
 
@@ -76,13 +93,18 @@
     deadline: MonotonicTime
     path_s: Seconds
     work: float
-    is_begun: bool
+    running_work: float = 0
+    value: float = 1
     is_deferred: bool = False
 
     def is_attainable(self, now: MonotonicTime) -> bool:
         """Return whether it could be in time if it were alone."""
         return now + self.path_s <= self.deadline
 
+    def work_per_value(self) -> float:
+        """Return the remaining work that a unit of its value costs."""
+        return self.work / self.value
+
 
 @dataclass(kw_only=True, slots=True)
 class FairShares:
@@ -126,21 +148,19 @@
     :returns: the deferred jobs; jobs that cannot be in time even alone are not
         among them and get no capacity in the plan.
     """
-    attainable = sorted(
-        (demand for demand in demands if demand.is_attainable(now)),
-        key=lambda demand: demand.deadline,
-    )
+    attainable, others = _partition(demands, now)
+    # What runs already goes on, whether it can still be in time or not.
+    taken_work = sum(demand.running_work for demand in others)
     kept: list[JobDemand] = []
-    kept_work: float = 0
+    kept_work: float = taken_work
     deferred: list[JobDemand] = []
     for demand in attainable:
         kept.append(demand)
         kept_work += demand.work
-        available = capacity_cpu * (demand.deadline - now)
-        while kept_work > available and kept:
+        while kept_work > capacity_cpu * (demand.deadline - now) and kept:
             dropped = _choose_dropped(kept, shares)
             kept.remove(dropped)
-            kept_work -= dropped.work
+            kept_work -= dropped.work - dropped.running_work
             deferred.append(dropped)
             if not dropped.is_deferred:
                 shares.deferred_by_group[dropped.group] += 1
@@ -148,15 +168,26 @@
     return {demand.job_id for demand in deferred} - returned
 
 
+def _partition(
+    demands: Iterable[JobDemand], now: MonotonicTime
+) -> tuple[list[JobDemand], list[JobDemand]]:
+    """Split off the jobs that can be in time, by deadline."""
+    attainable: list[JobDemand] = []
+    others: list[JobDemand] = []
+    for demand in demands:
+        (attainable if demand.is_attainable(now) else others).append(demand)
+    attainable.sort(key=lambda demand: demand.deadline)
+    return attainable, others
+
+
 def _choose_dropped(kept: Sequence[JobDemand], shares: FairShares) -> JobDemand:
     """Choose the job to defer; those deferred before come first."""
     return max(
         kept,
         key=lambda demand: (
             demand.is_deferred,
-            not demand.is_begun,
             -shares.deferred_share(demand.group),
-            demand.work,
+            demand.work_per_value(),
         ),
     )
 
@@ -250,6 +281,7 @@
             else:
                 for job in group.jobs:
                     job.is_deferred = False
+                    job.work_per_value = 0
 
     def _measure_capacity(
         self, key: _GroupKey, group: _Group, elapsed_s: Seconds
@@ -275,7 +307,7 @@
                 shares.add_planned(demand.group)
         deferred = select_deferred(
             demands,
-            capacity_cpu=self._capacity_by_group[key],
+            capacity_cpu=self._capacity_by_group[key] * _PLANNED_SHARE,
             now=now,
             shares=shares,
         )
@@ -354,8 +386,8 @@
     jobs: Iterable[JobRuntimeState], state: ShardState, now: MonotonicTime
 ) -> list[JobDemand]:
     works_by_queue: defaultdict[str, list[float]] = defaultdict(list)
-    for job in state.job_by_id.values():
-        works_by_queue[job.job.queue].append(estimate_work(job.job))
+    for known in state.job_by_id.values():
+        works_by_queue[known.job.queue].append(estimate_work(known.job))
     for works in works_by_queue.values():
         works.sort()
     return [
@@ -366,33 +398,45 @@
 def _build_demand(
     job: JobRuntimeState, works: Sequence[float], now: MonotonicTime
 ) -> JobDemand:
-    work: float = 0
-    path_s: Seconds = 0
-    is_begun = False
-    for occurrence in job.occurrence_by_number.values():
-        for step in occurrence.steps:
-            if step.is_done():
-                is_begun = True
-                continue
-            path_s = max(path_s, _estimate_path_s(job, step, now))
-            is_begun = (
-                is_begun or bool(step.count_by_worker) or step.done_count > 0
-            )
-            work += _estimate_step_work(job, step)
+    open_steps = [
+        step
+        for occurrence in job.occurrence_by_number.values()
+        for step in occurrence.steps
+        if not step.is_done()
+    ]
+    left_and_running = [_estimate_step_work(job, step) for step in open_steps]
+    work = sum(left for left, _ in left_and_running)
+    declared_work = estimate_work(job.job)
+    value = _estimate_value(declared_work, sum(works) / len(works))
+    job.remaining_share = work / max(_estimate_total_work(job), _MIN_WORK)
+    job.work_per_value = work / value
     return JobDemand(
         job_id=job.job.job_id,
-        group=(job.job.queue, classify_size(estimate_work(job.job), works)),
+        group=(job.job.queue, classify_size(declared_work, works)),
         deadline=job.accepted_at_monotonic + job.objective_s(),
-        path_s=path_s,
+        path_s=max(
+            (_estimate_path_s(job, step) for step in open_steps), default=0
+        ),
         work=work,
-        is_begun=is_begun,
+        running_work=sum(running for _, running in left_and_running),
+        value=value,
         is_deferred=job.is_deferred,
     )
 
 
-def _estimate_path_s(
-    job: JobRuntimeState, step: StepState, now: MonotonicTime
-) -> Seconds:
+def _estimate_value(work: float, mean_work: float) -> float:
+    value = _BASE_VALUE + _WORK_VALUE * work / max(mean_work, _MIN_WORK)
+    return min(value, _MAX_VALUE)
+
+
+def _estimate_total_work(job: JobRuntimeState) -> float:
+    return sum(
+        step.count * step.need.cpu * job.expected_task_s(number)
+        for number, step in enumerate(job.job.steps)
+    )
+
+
+def _estimate_path_s(job: JobRuntimeState, step: StepState) -> Seconds:
     path_s = job.critical_path_s(step.number)
     if step.waiting_indexes or not step.count_by_worker:
         return path_s
@@ -403,11 +447,15 @@
     return path_s - done_s
 
 
-def _estimate_step_work(job: JobRuntimeState, step: StepState) -> float:
-    undone: float = 0
-    for task in step.tasks:
-        if task.phase == TaskPhase.WAITING:
-            undone += 1
-        elif task.phase == TaskPhase.BOUND:
-            undone += 1 - task.percent / _FULL_PERCENT
-    return undone * job.expected_task_s(step.number) * step.step.need.cpu
+def _estimate_step_work(
+    job: JobRuntimeState, step: StepState
+) -> tuple[float, float]:
+    """Estimate the remaining work of a step, and the part under way."""
+    task_work = job.expected_task_s(step.number) * step.step.need.cpu
+    running = sum(
+        1 - task.percent / _FULL_PERCENT
+        for task in step.tasks
+        if task.phase == TaskPhase.BOUND
+    )
+    waiting = len(step.waiting_indexes)
+    return (waiting + running) * task_work, running * task_work
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -82,6 +82,8 @@
         the row may still be read and must be ignored.
     :param work_by_filler: work of the fillers submitted so far, in
         core-seconds, by image.
+    :param filler_bound_at_by_image: monotonic time at which a filler of an image
+        last found a worker.
     :param short_demand: short steps of the latest jobs.
     :param growth_retry_at: monotonic time from which on long-lived tasks that
         found no worker beside the room for short ones are considered again.
@@ -142,6 +144,9 @@
     expired_jobs: list[JobRuntimeState] = field(default_factory=list)
     removed_at_by_id: dict[JobId, MonotonicTime] = field(default_factory=dict)
     work_by_filler: dict[str, float] = field(default_factory=dict)
+    filler_bound_at_by_image: dict[str, MonotonicTime] = field(
+        default_factory=dict
+    )
     short_demand: DemandHistory = field(default_factory=DemandHistory)
     growth_retry_at: MonotonicTime = 0
     change_counter: ChangeCounter = field(default_factory=ChangeCounter)
--- a/ragwortfield/scheduling/step_priority.py
+++ b/ragwortfield/scheduling/step_priority.py
@@ -2,12 +2,17 @@
 
 More tasks wait than fit. The priority of the queue decides first, so that an
 urgent job is never behind a less urgent one. Within a priority the order is:
-steps that can still meet their latency objective, least slack first, unless the
-plan for overload has deferred their job; long-lived tasks, which earn for each
+steps that can still meet their latency objective, least slack first (under
+overload: least work for their value), unless the plan for overload has deferred
+their job; long-lived tasks, which earn for each
 second that they run; steps that still earn if they finish late, and those of
-deferred jobs; all others; long-lived steps that only grow. A continuous stream
-of urgent jobs must not starve long-lived tasks, so a long-lived step that has
-waited too long comes before all others of its priority, unless it only grows.
+deferred jobs, the smallest remaining share of the job's work first; all others;
+long-lived steps that only grow.
+
+A late job that is nearly done comes first: its last tasks cost little, and most
+of its work would otherwise have been in vain. A continuous stream of urgent jobs
+must not starve long-lived tasks, so a long-lived step that has waited too long
+comes before all others of its priority, unless it only grows.
 """
 
 from ragwortfield.scheduling.headroom import is_growth
@@ -22,6 +27,9 @@
 #: Time for which a long-lived task waits before it counts as starved, in
 #: seconds: the users require it to run again within six seconds.
 _STARVATION_S: Seconds = 2.5
+#: Value of a late job as a share of that of one in time. The last tasks of a
+#: late job, up to this share of its work, are worth as much as a job in time.
+_LATE_VALUE = 1 / 7
 #: Ranks within a priority; a lower one comes first.
 _STARVED = 0
 _ON_TIME = 1
@@ -38,7 +46,8 @@
     _GROWING: 'growing',
 }
 
-#: Priority of the queue, rank within it, and slack or negative age in seconds.
+#: Priority of the queue, rank within it, and order within the rank: slack or
+#: negative age in seconds, or remaining work.
 UrgencyKey = tuple[int, int, float]
 
 
@@ -78,9 +87,11 @@
     critical_path_s = job.critical_path_s(step.number)
     if age_s + critical_path_s <= objective_s and not job.is_deferred:
         slack_s = objective_s - age_s - critical_path_s
-        return job.queue.priority, _ON_TIME, slack_s
+        return job.queue.priority, _ON_TIME, job.work_per_value or slack_s
     if age_s + critical_path_s <= MAX_LATENESS_FACTOR * objective_s:
-        return job.queue.priority, _LATE, -age_s
+        if job.remaining_share <= _LATE_VALUE:
+            return job.queue.priority, _ON_TIME, 0
+        return job.queue.priority, _LATE, job.remaining_share
     return job.queue.priority, _MISSED, -age_s
 
 
@@ -97,6 +108,21 @@
     return compute_urgency(job, step, now)[1] in {_ON_TIME, _LATE}
 
 
+def is_worth_finishing(
+    job: JobRuntimeState, step: StepState, now: MonotonicTime
+) -> bool:
+    """
+    Tell whether a task of a step is among those that are to end soonest.
+
+    :param job: job of the step.
+    :param step: the step.
+    :param now: monotonic time, in seconds.
+    :returns: whether the job can be in time and is not deferred, or is late and
+        nearly done.
+    """
+    return compute_urgency(job, step, now)[1] == _ON_TIME
+
+
 def describe_rank(
     job: JobRuntimeState, step: StepState, now: MonotonicTime
 ) -> str:
