Queues close while even a late end is out of reach

A job that is accepted into a backlog longer than three times its latency objective ends when its caller has given up, and makes the others later.

Change: queue_admission.py compares the backlog of a saturated priority with that limit, with hysteresis. The owner writes the closed queues to the cluster table (admission_publisher.py), which all instances follow; a record expires after 4 s, so a lost owner leaves no queue closed. Instances answer 503 with Retry-After before anything is stored, and only if the job has no row yet (queue_refusals.py).

--- a/ragwortfield/engine/cluster_view.py
+++ b/ragwortfield/engine/cluster_view.py
@@ -7,6 +7,7 @@
 
 from ragwortfield.adapters.json_codec import Malformed
 from ragwortfield.engine.row_names import (
+    is_admission_row,
     is_layout_row,
     is_owner_row,
     member_id_of,
@@ -17,6 +18,7 @@
 from ragwortfield.scheduling.decision_log import DecisionLog
 from ragwortfield.scheduling.owner_counts import OwnerCounts
 from ragwortfield.scheduling.records import (
+    AdmissionRecord,
     LayoutRecord,
     MemberRecord,
     OwnerRecord,
@@ -63,6 +65,18 @@
     )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class KnownAdmission:
+    """
+    Queues of a shard that take no new jobs.
+
+    :param valid_until: monotonic time until which that holds.
+    """
+
+    retry_after_s_by_queue: dict[str, int]
+    valid_until: MonotonicTime
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _BestFigures:
     """Lowest store latency and highest number of CPU cores of any member."""
@@ -85,6 +99,7 @@
 
     member_by_id: dict[InstanceId, MemberRecord] = field(default_factory=dict)
     owner_by_shard: dict[int, KnownOwner] = field(default_factory=dict)
+    admission_by_shard: dict[int, KnownAdmission] = field(default_factory=dict)
     shards: int = 0
     worker_limits: tuple[int, ...] = ()
     counts: OwnerCounts = field(default_factory=OwnerCounts)
@@ -101,11 +116,27 @@
             member_id = member_id_of(row.name)
             if is_owner_row(row.name):
                 self.apply_owner_row(row)
+            elif is_admission_row(row.name):
+                self._apply_admission_row(row)
             elif is_layout_row(row.name):
                 self._apply_layout_row(row)
             elif member_id:
                 self._apply_member_row(member_id, row)
 
+    def find_retry_after_s(self, shard: int, queue: str) -> int:
+        """
+        Find out whether a queue takes new jobs.
+
+        :param shard: shard of the job.
+        :param queue: name of the queue.
+        :returns: seconds after which the caller may come back; 0 if the queue
+            takes jobs.
+        """
+        admission = self.admission_by_shard.get(shard)
+        if admission is None or time.monotonic() > admission.valid_until:
+            return 0
+        return admission.retry_after_s_by_queue.get(queue, 0)
+
     def apply_owner_row(self, row: StoredRow) -> None:
         """
         Apply the owner row of a shard unless a newer version is known.
@@ -224,6 +255,17 @@
             cores=max((member.cores for member in members), default=0),
         )
 
+    def _apply_admission_row(self, row: StoredRow) -> None:
+        shard = int(row.name.partition.removeprefix('s'))
+        record = decode_record(row.content or b'', AdmissionRecord)
+        if isinstance(record, Malformed):
+            event('row_unreadable', key=row.name.key, reason=record.reason)
+            record = AdmissionRecord()
+        self.admission_by_shard[shard] = KnownAdmission(
+            retry_after_s_by_queue=record.retry_after_s_by_queue,
+            valid_until=time.monotonic() + record.valid_s,
+        )
+
     def _apply_layout_row(self, row: StoredRow) -> None:
         record = decode_record(row.content or b'', LayoutRecord)
         if isinstance(record, Malformed):
--- a/ragwortfield/engine/job_request_handler.py
+++ b/ragwortfield/engine/job_request_handler.py
@@ -9,6 +9,7 @@
 from ragwortfield.adapters.json_codec import Malformed
 from ragwortfield.engine.cluster_view import ClusterView
 from ragwortfield.engine.ownership import OwnershipManager
+from ragwortfield.engine.queue_refusals import Refused, find_refusal
 from ragwortfield.engine.row_names import (
     PROGRESS_TABLE,
     cancel_row,
@@ -101,7 +102,7 @@
     """The job does not exist."""
 
 
-SubmitOutcome = Accepted | Rejected | Uncertain | Cancelled
+SubmitOutcome = Accepted | Rejected | Refused | Uncertain | Cancelled
 CancelOutcome = Accepted | Rejected | Uncertain | Unknown
 StatusOutcome = JobStatus | Unknown | Unavailable
 
@@ -188,14 +189,10 @@
         :param queue: its queue in the configuration that admitted it.
         :returns: whether the job is stored.
         """
-        record = encode_record(JobRecord(job=job, queue=queue))
-        outcome = self._persist(
-            'submit',
-            {'job_id': job.job_id, 'record': record},
-            lambda: self.write_job_row(job.job_id, record),
-            timeout_s,
-        )
-        outcome = self._apply_earlier_attempt(job.job_id, outcome)
+        refusal = None
+        if job.job_id not in self._uncertain_at:
+            refusal = find_refusal(self._cluster, self._store, job)
+        outcome = refusal or self._store_job(job, timeout_s, queue)
         event(
             'job_submitted',
             job=job.job_id,
@@ -400,6 +397,18 @@
             return Unknown()
         return self._derive_status(job_id, job, progress, cancelled)
 
+    def _store_job(
+        self, job: Job, timeout_s: Seconds, queue: Queue | None
+    ) -> SubmitOutcome:
+        record = encode_record(JobRecord(job=job, queue=queue))
+        outcome = self._persist(
+            'submit',
+            {'job_id': job.job_id, 'record': record},
+            lambda: self.write_job_row(job.job_id, record),
+            timeout_s,
+        )
+        return self._apply_earlier_attempt(job.job_id, outcome)
+
     def _derive_status(
         self,
         job_id: JobId,
--- a/ragwortfield/engine/row_names.py
+++ b/ragwortfield/engine/row_names.py
@@ -23,6 +23,7 @@
 _SHARD_PREFIX = 's'
 _OWNER_KEY = 'owner'
 _LAYOUT_KEY = 'layout'
+_ADMISSION_KEY = 'admission'
 _MEMBER_PREFIX = 'member/'
 _JOB_PREFIX = 'job/'
 _CANCEL_PREFIX = 'cancel/'
@@ -101,6 +102,20 @@
     )
 
 
+def admission_row(shard: int) -> RowName:
+    """
+    Return the name of the row with the queues that take no new jobs.
+
+    :param shard: number of the shard.
+    :returns: the row.
+    """
+    return RowName(
+        table=CLUSTER_TABLE,
+        partition=partition_of_shard(shard),
+        key=_ADMISSION_KEY,
+    )
+
+
 def sequence_row(shard: int) -> RowName:
     """
     Return the name of the row with the last commit of a shard.
@@ -223,9 +238,22 @@
     :param name: name of a row of the cluster table.
     :returns: whether it is.
     """
+    return name.key == _OWNER_KEY and _is_in_shard(name)
+
+
+def is_admission_row(name: RowName) -> bool:
+    """
+    Tell whether a row names the queues of a shard that take no new jobs.
+
+    :param name: name of a row of the cluster table.
+    :returns: whether it does.
+    """
+    return name.key == _ADMISSION_KEY and _is_in_shard(name)
+
+
+def _is_in_shard(name: RowName) -> bool:
     number = name.partition.removeprefix(_SHARD_PREFIX)
-    is_shard = name.partition.startswith(_SHARD_PREFIX) and number.isdecimal()
-    return name.key == _OWNER_KEY and is_shard
+    return name.partition.startswith(_SHARD_PREFIX) and number.isdecimal()
 
 
 def is_layout_row(name: RowName) -> bool:
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent.event import Event
 
+from ragwortfield.engine.admission_publisher import AdmissionPublisher
 from ragwortfield.engine.cancellation_expiry import CancellationExpiry
 from ragwortfield.engine.change_feed import ChangeFeed, read_all_rows
 from ragwortfield.engine.inbox_follower import InboxFollower
@@ -143,6 +144,12 @@
             store=store,
             owner_version=committer.owner_version,
         )
+        self._admission = AdmissionPublisher(
+            shard=shard,
+            state=state,
+            store=store,
+            owner_version=committer.owner_version,
+        )
         self._round_due = Event()
         self._commit_due = Event()
         self._is_committing = False
@@ -290,6 +297,17 @@
         greenlet.link_exception(self._stop_after_failure)
         self._greenlets.append(greenlet)
 
+    def _spawn_supervised_loops(self) -> None:
+        """Start the loops that continue after an unexpected error."""
+        work_by_name = {
+            'confirm_ownership': self._keeper.run,
+            'request_approvals': self._request_approvals,
+            'expire_cancellations': self._expire_cancellations,
+            'publish_admission': self._admission.run,
+        }
+        for name, work in work_by_name.items():
+            self._spawn(Supervisor(name=name, shard=self.shard).run, work)
+
     def _stop_after_failure(self, failed: gevent.Greenlet) -> None:
         # An owner with a failed greenlet would keep the shard without running
         # it. After the stop it denies ownership, so a successor takes over.
@@ -346,18 +364,7 @@
             duration_s=time.monotonic() - started_at,
         )
         self._spawn(self._run_commits)
-        keeper_supervisor = Supervisor(
-            name='confirm_ownership', shard=self.shard
-        )
-        self._spawn(keeper_supervisor.run, self._keeper.run)
-        approval_supervisor = Supervisor(
-            name='request_approvals', shard=self.shard
-        )
-        self._spawn(approval_supervisor.run, self._request_approvals)
-        expiry_supervisor = Supervisor(
-            name='expire_cancellations', shard=self.shard
-        )
-        self._spawn(expiry_supervisor.run, self._expire_cancellations)
+        self._spawn_supervised_loops()
         self._spawn(
             self._model_store.save_periodically,
             self.state.interference_model,
--- a/ragwortfield/platform/job_api.py
+++ b/ragwortfield/platform/job_api.py
@@ -19,6 +19,7 @@
     Uncertain,
     Unknown,
 )
+from ragwortfield.engine.queue_refusals import Refused
 from ragwortfield.engine.scheduler_node import SchedulerNode
 from ragwortfield.http_api.wsgi import (
     BodyError,
@@ -160,6 +161,8 @@
         self._node.record_submission(job, outcome)
         if isinstance(outcome, Accepted):
             return _make_success_response({})
+        if isinstance(outcome, Refused):
+            return _make_refusal(outcome)
         if isinstance(outcome, Cancelled):
             # The same request would be refused again.
             return _make_error_response(
@@ -227,6 +230,17 @@
     return _make_error_response(HTTPStatus.SERVICE_UNAVAILABLE, outcome.reason)
 
 
+def _make_refusal(outcome: Refused) -> Response:
+    return Response(
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        fields=(
+            *_JSON_HEADERS,
+            ('retry-after', str(outcome.retry_after_s)),
+        ),
+        body=msgspec.json.encode({'error': outcome.reason}),
+    )
+
+
 def _make_success_response(body: dict[str, Any]) -> Response:
     return Response(
         status=HTTPStatus.OK,
--- a/ragwortfield/scheduling/filler_relocation.py
+++ b/ragwortfield/scheduling/filler_relocation.py
@@ -6,9 +6,9 @@
 run it at full speed.
 
 In a full pool no worker has room at the moment when that is decided, since each
-place goes to a waiting task at once. A job that can still be in time, or that is
-nearly done, need not wait for that: while fillers of its image find workers, its
-stalled task is stopped and gets one of the next places by its urgency.
+place goes to a waiting task at once. A job that can still be in time, or that
+is nearly done, need not wait for that: while fillers of its image find workers,
+its stalled task is stopped and gets one of the next places by its urgency.
 """
 
 from ragwortfield.scheduling.job_state import RunStage, TaskState
--- a/ragwortfield/scheduling/overload_control.py
+++ b/ragwortfield/scheduling/overload_control.py
@@ -7,14 +7,15 @@
 
 The plan keeps as many jobs in time as the present capacity allows
 (Moore-Hodgson): it goes through the jobs by deadline, adds up their remaining
-work, and defers a job whenever the sum exceeds what can be done by then. The size
-class that was deferred least so far gives up the job with the least value for
-its remaining work, so that no size and no queue pays for the others, and work
-that was done already is rarely lost.
+work, and defers a job whenever the sum exceeds what can be done by then. The
+size class that was deferred least so far gives up the job with the least value
+for its remaining work, so that no size and no queue pays for the others, and
+work that was done already is rarely lost.
 
 The jobs in time are not served by least slack, either: that would bring all of
-them to their objective at the same time, and a small error of the estimates makes
-all of them late. Those with the least remaining work for their value come first.
+them to their objective at the same time, and a small error of the estimates
+makes all of them late. Those with the least remaining work for their value come
+first.
 
 Deferred jobs stay accepted. Like late ones they are served with what the others
 leave, those that need least for their value first, and they return to the plan
@@ -36,6 +37,7 @@
     StepState,
     TaskState,
 )
+from ragwortfield.scheduling.queue_admission import Backlog, decide_refusals
 from ragwortfield.scheduling.records import TaskPhase
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.types import JobId, MonotonicTime, Seconds
@@ -50,11 +52,11 @@
 #: Time after a takeover for which nothing is deferred, in seconds: until the
 #: workers have reported, what runs there is not known.
 _SETTLING_S: Seconds = 2
-#: Share of the capacity that is planned. A job ends with its slowest task, and a
-#: fifth of the fillers is slowed down at any time.
+#: Share of the capacity that is planned. A job ends with its slowest task, and
+#: a fifth of the fillers is slowed down at any time.
 _PLANNED_SHARE = 0.8
-#: Share of the planned capacity up to which deferred jobs return; the rest keeps
-#: them from going to and fro.
+#: Share of the planned capacity up to which deferred jobs return; the rest
+#: keeps them from going to and fro.
 _RETURN_SHARE = 0.9
 #: Value of a job without work, and the addition for the mean work of its queue,
 #: as a share of the value of a job with the mean work.
@@ -274,14 +276,17 @@
         for key in self._capacity_by_group.keys() - groups.keys():
             del self._capacity_by_group[key]
         is_settled = now - state.owner_since > _SETTLING_S
+        refusals: dict[str, int] = {}
         for key, group in groups.items():
             self._measure_capacity(key, group, elapsed_s)
             if is_settled and group.is_saturated:
-                self._plan(state, key, group, now)
+                demands = self._plan(state, key, group, now)
+                refusals |= self._decide_refusals(state, key, group, demands)
             else:
                 for job in group.jobs:
                     job.is_deferred = False
                     job.work_per_value = 0
+        _record_refusals(state, refusals, now)
 
     def _measure_capacity(
         self, key: _GroupKey, group: _Group, elapsed_s: Seconds
@@ -298,7 +303,7 @@
         key: _GroupKey,
         group: _Group,
         now: MonotonicTime,
-    ) -> None:
+    ) -> list[JobDemand]:
         shares = self._shares_by_group[key]
         demands = _build_demands(group.jobs, state, now)
         for demand in demands:
@@ -324,6 +329,39 @@
                     deferred=len(deferred),
                     capacity_cpu=self._capacity_by_group[key],
                 )
+        return demands
+
+    def _decide_refusals(
+        self,
+        state: ShardState,
+        key: _GroupKey,
+        group: _Group,
+        demands: Iterable[JobDemand],
+    ) -> dict[str, int]:
+        if not state.settings.is_admission_controlled:
+            return {}
+        return decide_refusals(
+            group.jobs,
+            Backlog(
+                work=sum(demand.work for demand in demands),
+                capacity_cpu=self._capacity_by_group[key],
+            ),
+            state.retry_after_s_by_queue,
+            state.settings,
+        )
+
+
+def _record_refusals(
+    state: ShardState, refusals: dict[str, int], now: MonotonicTime
+) -> None:
+    for queue in refusals.keys() ^ state.retry_after_s_by_queue.keys():
+        state.decisions.record(
+            'queue_closed' if queue in refusals else 'queue_opened',
+            now,
+            queue=queue,
+            retry_after_s=refusals.get(queue, 0),
+        )
+    state.retry_after_s_by_queue = refusals
 
 
 def _collect_groups(
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -21,6 +21,10 @@
 
 _RecordT = TypeVar('_RecordT')
 _Epoch = Annotated[int, msgspec.Meta(ge=0, le=_MAX_EPOCH)]
+#: Longest refusal that is believed, in seconds; a damaged row must not close a
+#: queue for longer.
+_MAX_RETRY_AFTER_S = 300
+_RetryAfter = Annotated[int, msgspec.Meta(ge=0, le=_MAX_RETRY_AFTER_S)]
 
 
 class TaskPhase(IntEnum):
@@ -154,6 +158,21 @@
     term_ms: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AdmissionRecord:
+    """
+    Queues of a shard that take no new jobs.
+
+    :param retry_after_s_by_queue: by name of each such queue, seconds after
+        which a caller may come back.
+    :param valid_s: time after its arrival for which an instance applies the
+        record, in seconds; a lost owner must not leave queues closed.
+    """
+
+    retry_after_s_by_queue: dict[str, _RetryAfter] = field(default_factory=dict)
+    valid_s: _RetryAfter = 4
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ElectorateRecord:
     """
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -82,8 +82,10 @@
         the row may still be read and must be ignored.
     :param work_by_filler: work of the fillers submitted so far, in
         core-seconds, by image.
-    :param filler_bound_at_by_image: monotonic time at which a filler of an image
-        last found a worker.
+    :param filler_bound_at_by_image: monotonic time at which a filler of an
+        image last found a worker.
+    :param retry_after_s_by_queue: queues that take no new jobs, with the
+        seconds after which callers may come back.
     :param short_demand: short steps of the latest jobs.
     :param growth_retry_at: monotonic time from which on long-lived tasks that
         found no worker beside the room for short ones are considered again.
@@ -147,6 +149,7 @@
     filler_bound_at_by_image: dict[str, MonotonicTime] = field(
         default_factory=dict
     )
+    retry_after_s_by_queue: dict[str, int] = field(default_factory=dict)
     short_demand: DemandHistory = field(default_factory=DemandHistory)
     growth_retry_at: MonotonicTime = 0
     change_counter: ChangeCounter = field(default_factory=ChangeCounter)
--- a/ragwortfield/scheduling/step_priority.py
+++ b/ragwortfield/scheduling/step_priority.py
@@ -10,9 +10,9 @@
 long-lived steps that only grow.
 
 A late job that is nearly done comes first: its last tasks cost little, and most
-of its work would otherwise have been in vain. A continuous stream of urgent jobs
-must not starve long-lived tasks, so a long-lived step that has waited too long
-comes before all others of its priority, unless it only grows.
+of its work would otherwise have been in vain. A continuous stream of urgent
+jobs must not starve long-lived tasks, so a long-lived step that has waited too
+long comes before all others of its priority, unless it only grows.
 """
 
 from ragwortfield.scheduling.headroom import is_growth
