No task starts in a zone that the operator evacuates

Change: each instance follows these rows with the feed of the operator's table and knows up to when it knows them; suspensions of the machine count. Owners of shards send a start order only if the zones are known up to 1.8 s ago (bounds.evacuation_age_s, less where bounds.evacuate_ms asks for it), and hold it otherwise, while a call of its own beside the feed catches up. Workers in evacuated zones get no tasks and are no destinations. Bindings without a start order are released, with the rest of their gang; an unanswered start order is not repeated there, its run is stopped. An owner that has read nothing yet starts nothing.

The change feed ignores the answer to a call that was sent before a read of the whole table began: it does not tell of rows that were removed meanwhile.

Result, on this machine: test_evacuated_zones (9) and test_evacuation_view (12) pass. With the check of the age, of workers, of retries, of ends of commits, of row versions, of the loss of the history or of late answers taken out, one to nine of them fail.

--- a/ragwortfield/daemons/scheduler.py
+++ b/ragwortfield/daemons/scheduler.py
@@ -193,6 +193,7 @@
             operator_table=table_names.OPERATOR_TABLE,
             worker_table=table_names.WORKER_TABLE,
             is_configuration_row=table_names.is_configuration_row,
+            find_evacuated_zone=table_names.find_evacuated_zone,
             parse_catalogue=parse_catalogue,
             parse_worker=parse_worker,
         ),
--- a/ragwortfield/engine/change_feed.py
+++ b/ragwortfield/engine/change_feed.py
@@ -97,6 +97,7 @@
         self._on_rows = on_rows
         self._is_reachable = True
         self._version = 0
+        self._table_read_count = 0
 
     def run(self, version: int = 0) -> None:
         """
@@ -125,8 +126,12 @@
 
     def _poll(self, wait_s: Seconds) -> bool:
         after = self._version
+        table_read_count = self._table_read_count
         called_at = get_boot_time()
         page = self._store.wait_for_changes(self._table, after, wait_s)
+        if self._table_read_count != table_read_count:
+            # The rows of the table that were read since the call are newer.
+            return True
         if isinstance(page, HistoryGone):
             event('feed_history_gone', table=self._table, after=after)
             self._version = 0
@@ -145,6 +150,7 @@
         return True
 
     def _read_table(self) -> int:
+        self._table_read_count += 1
         called_at = get_boot_time()
         rows: list[StoredRow] = []
         version = 0
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -10,6 +10,7 @@
 from ragwortfield.adapters.json_codec import Malformed
 from ragwortfield.engine.change_feed import ChangeFeed, read_all_rows
 from ragwortfield.engine.cluster_view import ClusterView
+from ragwortfield.engine.evacuation_view import EvacuationView
 from ragwortfield.engine.job_request_handler import (
     JobRequestHandler,
     SubmitOutcome,
@@ -99,6 +100,8 @@
     :param worker_table: table in which workers register.
     :param is_configuration_row: tells whether a row of the operator's table
         holds the configuration.
+    :param find_evacuated_zone: returns the zone that a row of the operator's
+        table evacuates; empty for any other row.
     :param parse_catalogue: parses the configuration.
     :param parse_worker: parses the entry of a worker.
     """
@@ -106,6 +109,7 @@
     operator_table: str
     worker_table: str
     is_configuration_row: Callable[[RowName], bool]
+    find_evacuated_zone: Callable[[RowName], str]
     parse_catalogue: CatalogueParser
     parse_worker: WorkerParser
 
@@ -166,6 +170,18 @@
         self._catalogue: Catalogue | None = None
         self._cluster = ClusterView()
         self._health = StoreHealth()
+        self._evacuations = EvacuationView(
+            find_zone=table_names.find_evacuated_zone,
+            max_age_s=owner_settings.bounds.longest_evacuation_age_s(),
+        )
+        self._operator_feed = ChangeFeed(
+            store=store,
+            table=table_names.operator_table,
+            list_partitions=lambda: (COMMON_PARTITION,),
+            on_rows=self._on_operator_rows,
+            on_outcome=self._health.record_outcome,
+            on_progress=self._on_operator_progress,
+        )
         self._peers = PeerRpc(monotonic=time.monotonic)
         self.ownership = OwnershipManager(
             identity=identity,
@@ -207,6 +223,14 @@
             name='follow_operator', pause_s=_FEED_RESTART_PAUSE_S
         )
         gevent.spawn(feed_supervisor.run, self._follow_operator)
+        catch_up_supervisor = Supervisor(
+            name='catch_up_operator', pause_s=_RETRY_S
+        )
+        gevent.spawn(
+            catch_up_supervisor.run,
+            self._evacuations.catch_up_when_due,
+            self._operator_feed.catch_up,
+        )
         gevent.spawn(self._join)
 
     def catalogue(self) -> Catalogue | None:
@@ -305,19 +329,20 @@
             gevent.sleep(_CLOCK_SAMPLE_INTERVAL_S)
 
     def _follow_operator(self) -> None:
-        ChangeFeed(
-            store=self._store,
-            table=self._table_names.operator_table,
-            list_partitions=lambda: (COMMON_PARTITION,),
-            on_rows=self._on_operator_rows,
-            on_outcome=self._health.record_outcome,
-        ).run()
+        self._operator_feed.run()
+
+    def _on_operator_progress(self, age_s: Seconds) -> None:
+        self._evacuations.record_progress(age_s)
+        for runner in self.ownership.runner_by_shard.values():
+            runner.update_evacuations(self._evacuations)
 
     def _on_operator_rows(
         self,
         rows: tuple[StoredRow, ...],
-        _is_complete: bool,
+        is_complete: bool,
     ) -> None:
+        # The progress that is recorded next makes the runners apply them.
+        self._evacuations.apply_rows(rows, is_complete=is_complete)
         for row in rows:
             if (
                 row.content is None
@@ -492,7 +517,7 @@
         if term.former is not None:
             state.former_id = term.former.last_holder()[0]
             state.former_epoch = term.former.epoch
-        return ShardRunner(
+        runner = ShardRunner(
             shard=term.shard,
             state=state,
             committer=ShardCommitter(
@@ -514,6 +539,8 @@
             ),
             wall_clock=self._wall_clock,
         )
+        runner.update_evacuations(self._evacuations)
+        return runner
 
     def _make_shard_state(
         self,
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -9,6 +9,7 @@
 from ragwortfield.engine.admission_publisher import AdmissionPublisher
 from ragwortfield.engine.cancellation_expiry import CancellationExpiry
 from ragwortfield.engine.change_feed import ChangeFeed, read_all_rows
+from ragwortfield.engine.evacuation_view import EvacuationView
 from ragwortfield.engine.inbox_follower import InboxFollower
 from ragwortfield.engine.learned_model_store import LearnedModelStore
 from ragwortfield.engine.owner_statistics import OwnerStatistics
@@ -41,7 +42,12 @@
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import RowPage, RowStore, StoredRow
 from ragwortfield.ports.task_worker import TaskWorkerControl
-from ragwortfield.scheduling import approvals, commits, shard_updates
+from ragwortfield.scheduling import (
+    approvals,
+    commits,
+    evacuated_zones,
+    shard_updates,
+)
 from ragwortfield.scheduling.catalogue import Catalogue
 from ragwortfield.scheduling.commits import CommitBatch
 from ragwortfield.scheduling.delayed_starts import list_delayed_starts
@@ -132,6 +138,7 @@
         self._approval_service = approval_service
         self._registry = registry
         self._wall_clock = wall_clock
+        self._evacuations: EvacuationView | None = None
         self._keeper = OwnershipKeeper(
             shard=shard,
             state=state,
@@ -271,6 +278,20 @@
         shard_updates.update_catalogue(self.state, catalogue)
         self._round_due.set()
 
+    def update_evacuations(self, evacuations: EvacuationView) -> None:
+        """
+        Apply a change of the evacuated zones, or newer knowledge of them.
+
+        :param evacuations: the zones; the runner follows them from now on.
+        """
+        self._evacuations = evacuations
+        former_zones = self.state.evacuated_zones
+        self._refresh_evacuations()
+        if self.state.held_starts or (
+            self.state.evacuated_zones != former_zones
+        ):
+            self._round_due.set()
+
     def count_waiting(self, queue: str) -> int | Unavailable:
         """
         Count the jobs of a queue of which no task has started.
@@ -492,6 +513,7 @@
 
     def _run_round(self, now: MonotonicTime) -> None:
         state = self.state
+        self._refresh_evacuations()
         self._rounds.decide(
             state,
             now,
@@ -524,6 +546,13 @@
             **self.statistics.collect(),
             **self._worker_loops.describe_connections(),
         )
+        if evacuated_zones.is_without_workers(state):
+            event(
+                'shard_without_workers',
+                shard=self.shard,
+                evacuated_zones=','.join(sorted(state.evacuated_zones)),
+                workers=len(evacuated_zones.list_evacuated_workers(state)),
+            )
         for delayed in list_delayed_starts(state, now):
             task = delayed.task
             event(
@@ -536,6 +565,20 @@
                 with_room=delayed.format_workers(),
             )
 
+    def _refresh_evacuations(self) -> None:
+        if self._evacuations is None:
+            return
+        now = time.monotonic()
+        evacuated_zones.update_zones(
+            self.state,
+            self._evacuations.zones,
+            self._evacuations.known_until(),
+            now,
+        )
+        is_start_held = bool(self.state.held_starts)
+        if is_start_held and not self.state.are_evacuations_current(now):
+            self._evacuations.request_catch_up()
+
     def _request_approvals(self) -> None:
         # The service accepts only one call at a time from an instance.
         while True:
@@ -612,6 +655,7 @@
             sent_s=now - sent_at,
         )
         count_suspension(self.state)
+        self._refresh_evacuations()
         commits.apply_committed(self.state, batch, now, sent_at=sent_at)
         if self.state.held_starts:
             self._inbox.request_catch_up()
--- a/ragwortfield/platform/table_names.py
+++ b/ragwortfield/platform/table_names.py
@@ -7,6 +7,7 @@
 #: Table in which workers register; the key is the worker's identifier.
 WORKER_TABLE = 'servers'
 _CONFIGURATION_KEY = 'config'
+_EVACUATION_PREFIX = 'evacuate/'
 
 
 def is_configuration_row(name: RowName) -> bool:
@@ -19,3 +20,15 @@
     :returns: whether the row holds the configuration.
     """
     return name.key == _CONFIGURATION_KEY and not name.partition
+
+
+def find_evacuated_zone(name: RowName) -> str:
+    """
+    Return the zone that a row evacuates while it exists.
+
+    :param name: name of a row of the operator's table.
+    :returns: the zone; empty for any other row.
+    """
+    if name.partition or not name.key.startswith(_EVACUATION_PREFIX):
+        return ''
+    return name.key.removeprefix(_EVACUATION_PREFIX)
--- a/ragwortfield/scheduling/commits.py
+++ b/ragwortfield/scheduling/commits.py
@@ -4,6 +4,10 @@
 from dataclasses import dataclass, replace
 
 from ragwortfield.scheduling.dispatch import queue_start_order
+from ragwortfield.scheduling.evacuated_zones import (
+    is_start_evacuated,
+    release_unordered_task,
+)
 from ragwortfield.scheduling.former_owner import is_term_sufficient
 from ragwortfield.scheduling.job_state import (
     JobRuntimeState,
@@ -207,16 +211,19 @@
 
 def order_held_starts(state: ShardState, now: MonotonicTime) -> None:
     """
-    Order the starts whose bindings are durable, once cancellations are known.
+    Order the starts whose bindings are durable.
 
-    A commit can go through long after its bindings were made, and while the
-    change feed does not answer.
+    They are held back until cancellations and evacuations are known: a commit
+    can go through long after its bindings were made, and while the change feeds
+    do not answer.
 
     :param state: state of the shard.
     :param now: monotonic time, in seconds.
     """
     if not state.is_inbox_current(now):
         return
+    if not state.are_evacuations_current(now):
+        return
     starts = state.held_starts
     state.held_starts = []
     for task, run in starts:
@@ -274,6 +281,9 @@
     if state.job_by_id[task.key.job_id].is_closed():
         request_stop(state, task, now)
         return
+    if is_start_evacuated(state, task):
+        release_unordered_task(state, task, now)
+        return
     obstacle = _find_start_obstacle(state, task, now)
     if obstacle:
         release_task(state, task, obstacle)
--- a/ragwortfield/scheduling/delayed_starts.py
+++ b/ragwortfield/scheduling/delayed_starts.py
@@ -122,6 +122,8 @@
         return 'unlisted'
     if worker.listed.is_draining:
         return 'draining'
+    if worker.is_evacuated:
+        return 'evacuated'
     if not worker.is_in_contact(state.bounds, now):
         return 'silent'
     if now < worker.quarantined_until:
--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -4,6 +4,7 @@
 from itertools import groupby
 
 from ragwortfield.ports.task_worker import StartRun
+from ragwortfield.scheduling.evacuated_zones import is_start_evacuated
 from ragwortfield.scheduling.job_state import (
     JobRuntimeState,
     RunStage,
@@ -109,14 +110,14 @@
     Queue unanswered start orders again; stop runs that get no answer.
 
     Does nothing while the ownership is in doubt, and repeats no start while
-    cancellations may be unknown.
+    cancellations or evacuations may be unknown. In an evacuated zone, the run
+    is stopped instead.
 
     :param state: state of the shard.
     :param now: monotonic time, in seconds.
     """
     if not state.confirmation.is_valid(state.bounds, now):
         return
-    is_inbox_current = state.is_inbox_current(now)
     unanswered = [
         (worker, task)
         for worker in state.worker_by_id.values()
@@ -128,8 +129,24 @@
         waited_s = now - task.start_sent_at
         if waited_s > _get_answer_timeout_s(worker, task):
             request_stop(state, task, now)
-        elif waited_s > _START_RETRY_INTERVAL_S and is_inbox_current:
-            queue_start_order(state, task, now)
+        elif waited_s > _START_RETRY_INTERVAL_S:
+            _retry_start_order(state, task, now)
+
+
+def _retry_start_order(
+    state: ShardState, task: TaskState, now: MonotonicTime
+) -> None:
+    if is_start_evacuated(state, task):
+        state.decisions.record(
+            'evacuated_start_stopped',
+            now,
+            task=task.key.text(),
+            run=task.run,
+            worker=task.worker_id,
+        )
+        request_stop(state, task, now)
+    elif state.is_inbox_current(now) and state.are_evacuations_current(now):
+        queue_start_order(state, task, now)
 
 
 def _is_unanswered(task: TaskState) -> bool:
--- a/ragwortfield/scheduling/job_status.py
+++ b/ragwortfield/scheduling/job_status.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum
 
+from ragwortfield.scheduling.evacuated_zones import list_evacuated_workers
 from ragwortfield.scheduling.job_state import JobRuntimeState
 from ragwortfield.scheduling.shard_state import ShardState
 
@@ -65,6 +66,7 @@
         'jobs': sum(not job.finished_at for job in state.job_by_id.values()),
         'waiting_jobs': sum(map(is_waiting, state.job_by_id.values())),
         'workers': len(state.worker_by_id),
+        'evacuated_workers': len(list_evacuated_workers(state)),
         'waiting': sum(
             len(step.waiting_indexes)
             for step in state.ready_step_by_key.values()
--- a/ragwortfield/scheduling/scheduling_rounds.py
+++ b/ragwortfield/scheduling/scheduling_rounds.py
@@ -7,6 +7,7 @@
     consolidation,
     defragmentation,
     dispatch,
+    evacuated_zones,
     evacuation,
     filler_relocation,
     interference_control,
@@ -60,6 +61,7 @@
         """
         # A task that is moved starts elsewhere only after a commit.
         is_store_in_reach = state.confirmation.is_store_in_reach(now)
+        evacuated_zones.release_unordered_tasks(state, now)
         commits.order_held_starts(state, now)
         if now - self.last_slow_round_at > _SLOW_ROUND_INTERVAL_S:
             self.last_slow_round_at = now
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -72,6 +72,10 @@
         cancellations are known, with their run numbers.
     :param inbox_known_until: monotonic time up to which all accepted jobs and
         cancellations are known; infinite for a state that follows no store.
+    :param evacuated_zones: zones of workers that start no tasks, as the
+        operator has asked; a successor reads them again.
+    :param evacuations_known_until: monotonic time up to which these zones are
+        known; infinite for a state that follows no store.
     :param repeating_job_ids: jobs that have occurrences left to create.
     :param cancelled_job_ids: cancelled jobs, including jobs not read yet.
     :param unmatched_since_by_id: cancelled jobs that are not known, with the
@@ -138,6 +142,8 @@
     )
     held_starts: list[tuple[TaskState, int]] = field(default_factory=list)
     inbox_known_until: MonotonicTime = math.inf
+    evacuated_zones: frozenset[str] = frozenset()
+    evacuations_known_until: MonotonicTime = math.inf
     repeating_job_ids: set[JobId] = field(default_factory=set)
     cancelled_job_ids: set[JobId] = field(default_factory=set)
     unmatched_since_by_id: dict[JobId, MonotonicTime] = field(
@@ -204,6 +210,16 @@
         """
         return now - self.inbox_known_until <= self.bounds.inbox_age_s
 
+    def are_evacuations_current(self, now: MonotonicTime) -> bool:
+        """
+        Check whether tasks may be started outside the evacuated zones.
+
+        :param now: monotonic time, in seconds.
+        :returns: whether all evacuations are known but the latest ones.
+        """
+        age_s = now - self.evacuations_known_until
+        return age_s <= self.bounds.longest_evacuation_age_s()
+
     def former_run_end(self, worker_id: WorkerId) -> MonotonicTime:
         """
         Return when all that former owners started on a worker has ended.
--- a/ragwortfield/scheduling/shard_updates.py
+++ b/ragwortfield/scheduling/shard_updates.py
@@ -256,6 +256,7 @@
             worker_id=listed.worker_id,
             listed=listed,
             change_counter=state.change_counter,
+            is_evacuated=listed.data_centre in state.evacuated_zones,
         )
         event(
             'worker_listed',
@@ -274,6 +275,7 @@
         )
     worker.listed = listed
     worker.is_listed = True
+    worker.is_evacuated = listed.data_centre in state.evacuated_zones
     worker.record_change()
 
 
--- a/ragwortfield/scheduling/timing_bounds.py
+++ b/ragwortfield/scheduling/timing_bounds.py
@@ -36,6 +36,10 @@
         be unknown when a start is ordered. An owner that learns of them later
         holds its starts back. The platform allows 3 s and more from the
         acknowledgement of a cancellation to the last start.
+    :param evacuation_age_s: longest time, in seconds, since which evacuations
+        of zones may be unknown when a start is ordered.
+    :param evacuate_ms: time from the acknowledgement of an evacuation to the
+        last start in the zone that the platform allows, in milliseconds.
     :param late_order_s: longest time, in seconds, after which a worker carries
         out an order that it has received and not answered.
     """
@@ -48,6 +52,8 @@
     unaware_s: Seconds = 3.5
     longest_outage_s: Seconds = 3600
     inbox_age_s: Seconds = 1.8
+    evacuation_age_s: Seconds = 1.8
+    evacuate_ms: float = 5000
     late_order_s: Seconds = 15
 
     def longest_lease_s(self) -> Seconds:
@@ -75,6 +81,19 @@
         longest_lease_s = self.longest_lease_s() / (1 - MAX_CLOCK_DRIFT)
         return longest_lease_s + self.start_window_s
 
+    def longest_evacuation_age_s(self) -> Seconds:
+        """
+        Return since when evacuations may be unknown when a start is ordered.
+
+        :returns: seconds; short enough for the start to take effect within
+            ``evacuate_ms``.
+        """
+        longest_start_s = self.start_window_s / (1 - MAX_CLOCK_DRIFT)
+        return min(
+            self.evacuation_age_s,
+            self.evacuate_ms / MS_PER_S - longest_start_s,
+        )
+
     def requested_lease_s(self) -> Seconds:
         """
         Return the lease that owners request from workers.
--- a/ragwortfield/scheduling/worker_health.py
+++ b/ragwortfield/scheduling/worker_health.py
@@ -96,13 +96,15 @@
     :param worker: the worker.
     :param bounds: durations in force.
     :param now: monotonic time, in seconds.
-    :returns: whether it is listed and not draining, is in contact, and has no
-        pause under way.
+    :returns: whether it is listed and neither draining nor in an evacuated
+        zone, is in contact, and has no pause under way.
     """
     paused_until = max(worker.start_backoff_until, worker.quarantined_until)
+    is_in_service = worker.is_listed and not (
+        worker.listed.is_draining or worker.is_evacuated
+    )
     return (
-        worker.is_listed
-        and not worker.listed.is_draining
+        is_in_service
         and worker.is_in_contact(bounds, now)
         and now >= paused_until
     )
--- a/ragwortfield/scheduling/worker_state.py
+++ b/ragwortfield/scheduling/worker_state.py
@@ -76,6 +76,7 @@
         that wait for capacity.
     :param was_usable: whether it could get tasks at the latest check.
     :param is_listed: whether its entry is still in the list.
+    :param is_evacuated: whether the operator evacuates its zone.
     :param born_ms: start of its process, as Unix time in milliseconds.
     :param lease_end_ms: latest possible end of its lease, by its own clock.
     :param lease_extended_at: monotonic time of the answer to the latest order
@@ -131,6 +132,7 @@
     change_number: int = 0
     was_usable: bool = False
     is_listed: bool = True
+    is_evacuated: bool = False
     clock: WorkerClock = field(default_factory=WorkerClock)
     born_ms: int = 0
     lease_end_ms: float = 0
--- a/ragwortfield/settings/scheduler.py
+++ b/ragwortfield/settings/scheduler.py
@@ -138,12 +138,18 @@
         'start_window_s',
         'status_s',
         'inbox_age_s',
+        'evacuation_age_s',
     ):
         if getattr(bounds, key) <= 0:
             problems.append(
                 f"key 'bounds.{key}' is {getattr(bounds, key)}, "
                 'expected above 0',
             )
+    if bounds.longest_evacuation_age_s() <= 0 < bounds.evacuation_age_s:
+        problems.append(
+            f"key 'bounds.evacuate_ms' is {bounds.evacuate_ms}, expected "
+            'above start_window_s plus 2 %',
+        )
     for key in ('cores', 'core_speed'):
         amount = getattr(settings.instance, key)
         if amount <= 0:
--- a/ragwortfield/tests/test_configuration_versions.py
+++ b/ragwortfield/tests/test_configuration_versions.py
@@ -17,6 +17,7 @@
 )
 from ragwortfield.platform.approval_service_client import ApprovalServiceClient
 from ragwortfield.platform.document_parsing import parse_catalogue
+from ragwortfield.platform.table_names import find_evacuated_zone
 from ragwortfield.ports.row_store import RowName, RowWrite, Transaction
 from ragwortfield.ports.task_worker import EndKind
 from ragwortfield.scheduling import shard_updates
@@ -95,6 +96,7 @@
                 operator_table=_OPERATOR_TABLE,
                 worker_table='workers',
                 is_configuration_row=lambda name: name == _CONFIGURATION_ROW,
+                find_evacuated_zone=find_evacuated_zone,
                 parse_catalogue=parse_catalogue,
                 parse_worker=lambda _id, _content: Malformed(reason='none'),
             ),
--- a/ragwortfield/tests/test_scheduler_node.py
+++ b/ragwortfield/tests/test_scheduler_node.py
@@ -134,6 +134,7 @@
                 operator_table=_OPERATOR_TABLE,
                 worker_table='workers',
                 is_configuration_row=lambda _name: True,
+                find_evacuated_zone=lambda _name: '',
                 parse_catalogue=lambda content: self.parse_catalogue(content),
                 parse_worker=lambda worker_id, content: self.parse_worker(
                     worker_id, content
