Running tasks move out of evacuated zones

What users would see otherwise: long-lived tasks stay in an evacuated zone until their job is cancelled.

Change: long-lived tasks move, one of a step at a time where max_unavailable allows it, if a worker elsewhere has room beside the room kept for short tasks. Tasks with checkpoints move if they would run on for longer than scheduling.longest_evacuated_run_s (10 s), if a worker runs them at full speed and no task as urgent has found no room. At most four tasks, or one for each six workers, move in a round, and none while starts are held back. Consolidation no longer frees CPU for fillers on workers of these zones.

--- a/ragwortfield/scheduling/consolidation.py
+++ b/ragwortfield/scheduling/consolidation.py
@@ -103,7 +103,7 @@
     workers = [
         worker
         for worker in state.worker_by_id.values()
-        if worker.is_in_contact(state.bounds, now)
+        if worker.is_in_contact(state.bounds, now) and not worker.is_evacuated
     ]
     if not _is_filler_demand_high(state, workers):
         return
@@ -178,7 +178,9 @@
     def _iterate_promising_migrations(self) -> Iterator[_Migration]:
         for worker in self._state.worker_by_id.values():
             images = worker.serving_by_image
-            if not images or not all(
+            # No filler may start on an evacuated worker.
+            is_considered = images and not worker.is_evacuated
+            if not is_considered or not all(
                 map(self._filler_capacity.is_estimable, images)
             ):
                 continue
--- a/ragwortfield/scheduling/long_lived_growth.py
+++ b/ragwortfield/scheduling/long_lived_growth.py
@@ -72,7 +72,7 @@
         if not is_growth(step, task):
             if not self._has_room(job, step, task):
                 return False
-            headroom = self._get_headroom(job)
+            headroom = self.get_headroom(job)
             if headroom.is_first_start_allowed():
                 headroom.reserve(step.step.need)
                 return False
@@ -100,13 +100,27 @@
                 break
         return bound_count
 
+    def get_headroom(self, job: JobRuntimeState) -> Headroom:
+        """
+        Return the room that is kept for short tasks in this round.
+
+        :param job: job whose pool and priority matter.
+        :returns: headroom of the pool, measured at its first use.
+        """
+        pool = job.queue.pool
+        headroom = self._headroom_by_pool.get(pool)
+        if headroom is None:
+            headroom = self._measure_headroom(job)
+            self._headroom_by_pool[pool] = headroom
+        return headroom
+
     def _bind_step(self, step: StepState) -> int:
         job = self._state.job_by_id[step.job_id]
         bound_count = 0
         for task in self._iterate_first_starts(step):
             if not self._has_room(job, step, task):
                 break
-            headroom = self._get_headroom(job)
+            headroom = self.get_headroom(job)
             worker = self._selector.select_worker(
                 job, step, task, headroom=headroom
             )
@@ -132,14 +146,6 @@
         """Tell whether a worker has room for a task, headroom aside."""
         return self._selector.select_worker(job, step, task) is not None
 
-    def _get_headroom(self, job: JobRuntimeState) -> Headroom:
-        pool = job.queue.pool
-        headroom = self._headroom_by_pool.get(pool)
-        if headroom is None:
-            headroom = self._measure_headroom(job)
-            self._headroom_by_pool[pool] = headroom
-        return headroom
-
     def _measure_headroom(self, job: JobRuntimeState) -> Headroom:
         queue = job.queue
         steps = self._state.ready_step_by_key.values()
--- a/ragwortfield/scheduling/scheduling_rounds.py
+++ b/ragwortfield/scheduling/scheduling_rounds.py
@@ -13,6 +13,7 @@
     interference_control,
     shard_updates,
     worker_reports,
+    zone_drain,
 )
 from ragwortfield.scheduling.overload_control import OverloadControl
 from ragwortfield.scheduling.shard_state import ShardState
@@ -71,9 +72,7 @@
             dispatch.retry_start_orders(state, now)
             interference_control.adjust_paces(state, now)
             if is_store_in_reach:
-                filler_relocation.relocate_stalled_fillers(state, now)
-                consolidation.consolidate(state, now)
-                evacuation.evacuate(state, now)
+                _move_running_tasks(state, now)
         if now - self.last_expiry_at > _EXPIRY_INTERVAL_S:
             self.last_expiry_at = now
             commits.expire_finished_jobs(state, now)
@@ -87,3 +86,10 @@
                 # round.
                 defragmentation.defragment(state, now)
         self.waits.sample(state, now)
+
+
+def _move_running_tasks(state: ShardState, now: MonotonicTime) -> None:
+    filler_relocation.relocate_stalled_fillers(state, now)
+    consolidation.consolidate(state, now)
+    evacuation.evacuate(state, now)
+    zone_drain.drain_zones(state, now)
--- a/ragwortfield/scheduling/scheduling_settings.py
+++ b/ragwortfield/scheduling/scheduling_settings.py
@@ -16,6 +16,9 @@
         divided into those to be served in time and those to be deferred.
     :param is_admission_controlled: whether new jobs are refused before they are
         accepted while even a late end is out of reach.
+    :param longest_evacuated_run_s: remaining time of a checkpointed task from
+        which on it leaves an evacuated zone instead of running to its end
+        there, in seconds.
     :param longest_retry_after_s: longest time that a refused caller is told to
         wait, in seconds.
     """
@@ -24,11 +27,15 @@
     is_overload_planned: bool = True
     is_admission_controlled: bool = True
     longest_retry_after_s: Seconds = 30
+    # Twice the time that the platform leaves for the last starts in the zone:
+    # the zone is empty of tasks that can move soon after that.
+    longest_evacuated_run_s: Seconds = 10
 
 
 #: Lowest and highest value allowed for each numeric setting.
 BOUNDS_BY_SETTING: dict[str, tuple[float, float]] = {
     'longest_retry_after_s': (1, 300),
+    'longest_evacuated_run_s': (0, 3600),
 }
 
 
