Owner rows are read by name; queues close only after two seconds

Cause: instances that judge an owner read the first row of the shard's partition in the cluster table, and the row of closed queues came before that of the owner. It was written within 4 s of the start, because the capacity of a queue in which little runs was taken for small.

Change: the owner row is looked up by its name, and the other row sorts after it, since instances of earlier versions take the first one. The backlog is compared with the highest capacity of the last 10 s, and must be too long for 2 s before a queue closes.

--- a/ragwortfield/engine/ownership.py
+++ b/ragwortfield/engine/ownership.py
@@ -41,6 +41,7 @@
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
     ExpectedVersion,
+    RowName,
     RowStore,
     RowWrite,
     StoredRow,
@@ -491,7 +492,7 @@
         if shard not in self._cluster.owner_by_shard:
             # The change feed delivers only changes; the owner row may have
             # been written before the feed started.
-            row = self._read_row(owner_row(shard).table, shard)
+            row = self._read_row(owner_row(shard))
             if isinstance(row, StoredRow):
                 self._cluster.apply_owner_row(row)
                 return
@@ -618,23 +619,19 @@
         self,
         shard: int,
     ) -> tuple[StoredRow | None, StoredRow | None] | None:
-        owner = self._read_row(owner_row(shard).table, shard)
-        sequence = self._read_row(sequence_row(shard).table, shard)
+        owner = self._read_row(owner_row(shard))
+        sequence = self._read_row(sequence_row(shard))
         if isinstance(owner, Unavailable) or isinstance(sequence, Unavailable):
             return None
         if owner is not None:
             self._cluster.apply_owner_row(owner)
         return owner, sequence
 
-    def _read_row(
-        self,
-        table: str,
-        shard: int,
-    ) -> StoredRow | None | Unavailable:
-        page = self._store.read(table, partition_of_shard(shard))
+    def _read_row(self, name: RowName) -> StoredRow | None | Unavailable:
+        page = self._store.read(name.table, name.partition)
         if isinstance(page, Unavailable):
             return page
-        return page.rows[0] if page.rows else None
+        return next((row for row in page.rows if row.name == name), None)
 
     def _compute_longest_lease_s(
         self, epoch: int, previous_lease_s: Seconds
--- a/ragwortfield/engine/row_names.py
+++ b/ragwortfield/engine/row_names.py
@@ -23,7 +23,9 @@
 _SHARD_PREFIX = 's'
 _OWNER_KEY = 'owner'
 _LAYOUT_KEY = 'layout'
-_ADMISSION_KEY = 'admission'
+#: Earlier versions take the first row of the partition for that of the owner,
+#: so this key has to come after it.
+_ADMISSION_KEY = 'refusals'
 _MEMBER_PREFIX = 'member/'
 _JOB_PREFIX = 'job/'
 _CANCEL_PREFIX = 'cancel/'
--- a/ragwortfield/scheduling/overload_control.py
+++ b/ragwortfield/scheduling/overload_control.py
@@ -52,6 +52,12 @@
 #: Time after a takeover for which nothing is deferred, in seconds: until the
 #: workers have reported, what runs there is not known.
 _SETTLING_S: Seconds = 2
+#: Time for which the highest capacity counts for the admission of jobs, in
+#: seconds. A pool in which little happens to run has no small capacity.
+_PEAK_RETENTION_S: Seconds = 10
+#: Time for which a backlog must have been too long before a queue is closed, in
+#: seconds: short bursts, and the first rounds of an owner, close none.
+_CLOSE_AFTER_S: Seconds = 2
 #: Share of the capacity that is planned. A job ends with its slowest task, and
 #: a fifth of the fillers is slowed down at any time.
 _PLANNED_SHARE = 0.8
@@ -259,6 +265,10 @@
         default_factory=lambda: defaultdict(FairShares)
     )
     _planned_ids: set[JobId] = field(default_factory=set)
+    _peak_by_group: dict[_GroupKey, float] = field(default_factory=dict)
+    _overlong_since_by_queue: dict[str, MonotonicTime] = field(
+        default_factory=dict
+    )
 
     def update(self, state: ShardState, now: MonotonicTime) -> None:
         """
@@ -275,6 +285,7 @@
         self._planned_ids &= state.job_by_id.keys()
         for key in self._capacity_by_group.keys() - groups.keys():
             del self._capacity_by_group[key]
+            del self._peak_by_group[key]
         is_settled = now - state.owner_since > _SETTLING_S
         refusals: dict[str, int] = {}
         for key, group in groups.items():
@@ -286,11 +297,15 @@
                 for job in group.jobs:
                     job.is_deferred = False
                     job.work_per_value = 0
-        _record_refusals(state, refusals, now)
+        _record_refusals(state, self._select_lasting(refusals, now), now)
 
     def _measure_capacity(
         self, key: _GroupKey, group: _Group, elapsed_s: Seconds
     ) -> None:
+        peak_cpu = self._peak_by_group.get(key, 0) * (
+            1 - min(elapsed_s / _PEAK_RETENTION_S, 1)
+        )
+        self._peak_by_group[key] = max(peak_cpu, group.running_cpu)
         known_cpu = self._capacity_by_group.get(key, group.running_cpu)
         share = min(elapsed_s / _CAPACITY_SMOOTHING_S, 1)
         self._capacity_by_group[key] = known_cpu + share * (
@@ -331,6 +346,20 @@
                 )
         return demands
 
+    def _select_lasting(
+        self, refusals: dict[str, int], now: MonotonicTime
+    ) -> dict[str, int]:
+        """Select the queues whose backlog has been too long for a while."""
+        self._overlong_since_by_queue = {
+            queue: self._overlong_since_by_queue.get(queue, now)
+            for queue in refusals
+        }
+        return {
+            queue: retry_after_s
+            for queue, retry_after_s in refusals.items()
+            if now - self._overlong_since_by_queue[queue] >= _CLOSE_AFTER_S
+        }
+
     def _decide_refusals(
         self,
         state: ShardState,
@@ -344,7 +373,7 @@
             group.jobs,
             Backlog(
                 work=sum(demand.work for demand in demands),
-                capacity_cpu=self._capacity_by_group[key],
+                capacity_cpu=self._peak_by_group[key],
             ),
             state.retry_after_s_by_queue,
             state.settings,
--- a/ragwortfield/tests/test_overload_control.py
+++ b/ragwortfield/tests/test_overload_control.py
@@ -158,3 +158,18 @@
         self.assertFalse(
             any(job.is_deferred for job in self.state.job_by_id.values())
         )
+
+    # Guards against callers sent away by a new owner or in a short burst: a
+    # queue was closed while hardly anything ran yet.
+    def test_queue_closes_only_while_its_backlog_stays_too_long(self):
+        for number in range(40):
+            self.world.add_job(f'more {number}', count=8)
+        control = OverloadControl()
+        self.plan(control, NOW + 0.5)
+        self.assertEqual(self.state.retry_after_s_by_queue, {})
+        self.plan(control, NOW + 3)
+        self.assertIn('queue', self.state.retry_after_s_by_queue)
+        for step in self.state.ready_step_by_key.values():
+            step.unplaced_since = 0
+        control.update(self.state, NOW + 4)
+        self.assertEqual(self.state.retry_after_s_by_queue, {})
--- a/ragwortfield/tests/test_queue_admission.py
+++ b/ragwortfield/tests/test_queue_admission.py
@@ -133,6 +133,15 @@
         self.cluster.apply_rows(page.rows)
         self.assertIsInstance(self.submit(), Accepted)
 
+    # Guards against a shard that nobody can take over: instances took the first
+    # row of the partition for that of the owner, and found this one.
+    def test_owner_row_stays_the_first_of_its_partition(self):
+        self.publish({'queue': 7})
+        page = self.store.read(CLUSTER_TABLE, partition_of_shard(0))
+        self.assertEqual(
+            [row.name for row in page.rows], [owner_row(0), admission_row(0)]
+        )
+
     def test_unreadable_row_closes_nothing(self):
         self.publish({'queue': 7})
         row = StoredRow(name=admission_row(0), version=99, content=b'\xc1')
