Tasks with little slack avoid workers that are still cold

Workers of a zone that returns to service can be slow for a while; their entries carry cold_remaining_ms. The field was not read.

Change: it is read (missing or negative: 0). Until that time has passed on the worker's own clock, steps that would miss their latency objective if a task took twice as long prefer other workers with room; all others are placed as before.

--- a/ragwortfield/platform/document_parsing.py
+++ b/ragwortfield/platform/document_parsing.py
@@ -58,7 +58,8 @@
 
     ``service`` is the worker's pool; ``labels`` are its kind and its rack.
     ``remaining_ms`` may be negative once a draining worker has stayed longer
-    than it had said.
+    than it had said. ``cold_remaining_ms`` is missing where workers are never
+    cold.
     """
 
     service: str
@@ -71,6 +72,7 @@
     clock_ms: WholeNumber = 0
     born: WholeNumber = 0
     remaining_ms: ExactInteger = 0
+    cold_remaining_ms: ExactInteger = 0
 
 
 class _WireStep(msgspec.Struct):
@@ -180,6 +182,7 @@
         clock_ms=wire.clock_ms,
         born_ms=wire.born,
         remaining_ms=max(wire.remaining_ms, 0),
+        cold_remaining_ms=max(wire.cold_remaining_ms, 0),
     )
 
 
--- a/ragwortfield/ports/task_worker.py
+++ b/ragwortfield/ports/task_worker.py
@@ -47,6 +47,8 @@
     :param clock_ms: its monotonic clock when it wrote the entry.
     :param born_ms: Unix time at which the worker started.
     :param remaining_ms: shortest time before a draining worker leaves.
+    :param cold_remaining_ms: time after the entry was written for which the
+        worker is slow, as when its zone has returned to service.
     """
 
     worker_id: WorkerId
@@ -61,6 +63,7 @@
     clock_ms: int = 0
     born_ms: int = 0
     remaining_ms: int = 0
+    cold_remaining_ms: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -59,8 +59,8 @@
 _LOSS_RESOLUTION = 4
 
 #: Steps with the same key share a ranking: group of the need, amounts, rack of
-#: the data, and serving image.
-_RankingKey = tuple[NeedGroup, Resources, str, str]
+#: the data, serving image, and whether warm workers come first.
+_RankingKey = tuple[NeedGroup, Resources, str, str, bool]
 
 
 class WorkerSelector:
@@ -85,6 +85,11 @@
                 self._eligible_workers_by_pool.setdefault(pool, []).append(
                     worker
                 )
+        self._has_cold_workers = any(
+            worker.is_cold(now)
+            for workers in self._eligible_workers_by_pool.values()
+            for worker in workers
+        )
         self._ranking_by_key: dict[_RankingKey, WorkerRanking] = {}
         # Workers that got tasks in this round, in order, and how many of them
         # each ranking has taken into account.
@@ -293,7 +298,7 @@
                 for worker in self.list_eligible_workers(job)
                 if worker.change_number > checked_change
             ),
-            rank=self._choose_rank_function(job, step),
+            rank=self._choose_warm_rank_function(job, step),
         )
 
     def _build_ranking_key(
@@ -306,7 +311,34 @@
             filler_group = f'filler {definition.image} {waiting.name}'
         group = (job.queue.pool, definition.required_label, filler_group)
         serving_image = definition.image if definition.latency_target_ms else ''
-        return group, definition.need, definition.data_rack, serving_image
+        return (
+            group,
+            definition.need,
+            definition.data_rack,
+            serving_image,
+            self._is_warm_preferred(job, step),
+        )
+
+    def _is_warm_preferred(self, job: JobRuntimeState, step: StepState) -> bool:
+        """
+        Tell whether a step should avoid workers that are still cold.
+
+        :returns: whether its job would miss its latency objective if the task
+            took twice as long.
+        """
+        if not self._has_cold_workers or step.step.is_long_lived:
+            return False
+        age_s = self._now - job.accepted_at_monotonic
+        slack_s = job.objective_s() - age_s - job.critical_path_s(step.number)
+        return 0 <= slack_s < job.expected_task_s(step.number)
+
+    def _choose_warm_rank_function(
+        self, job: JobRuntimeState, step: StepState
+    ) -> RankFunction:
+        rank = self._choose_rank_function(job, step)
+        if not self._is_warm_preferred(job, step):
+            return rank
+        return partial(_rank_warm_first, rank, self._now)
 
     def _choose_rank_function(
         self, job: JobRuntimeState, step: StepState
@@ -484,6 +516,13 @@
     return bool(key[0][-1])
 
 
+def _rank_warm_first(
+    rank: RankFunction, now: MonotonicTime, worker: WorkerState
+) -> Rank | None:
+    usual_rank = rank(worker)
+    return usual_rank and (worker.is_cold(now), *usual_rank)
+
+
 def _rank_best_fit(step: StepState, worker: WorkerState) -> Rank | None:
     if not has_free_resources(worker, step):
         return None
--- a/ragwortfield/scheduling/worker_state.py
+++ b/ragwortfield/scheduling/worker_state.py
@@ -212,6 +212,20 @@
             not self.poll_sent_at or now - self.poll_sent_at <= bounds.contact_s
         )
 
+    def is_cold(self, now: MonotonicTime) -> bool:
+        """
+        Tell whether the worker is slow for a while, as its entry says.
+
+        :param now: monotonic time, in seconds.
+        :returns: whether it may still be by its own clock; an entry of an
+            earlier process says nothing.
+        """
+        cold_ms = self.listed.cold_remaining_ms
+        start_times = {self.born_ms, self.listed.born_ms} - {0}
+        if not cold_ms or len(start_times) > 1:
+            return False
+        return self.clock.earliest_ms(now) < self.listed.clock_ms + cold_ms
+
     def is_lease_expired(
         self, now: MonotonicTime, former_run_end: MonotonicTime
     ) -> bool:
