--- a/ragwortfield/scheduling/job_status.py
+++ b/ragwortfield/scheduling/job_status.py
@@ -60,13 +60,17 @@
         for worker in state.worker_by_id.values()
         for task in worker.run_by_key.values()
     ]
+    evacuated_workers = list_evacuated_workers(state)
     serving = [task for task in tasks if task.step.latency_target_ms]
     fillers = [task for task in tasks if task.step.is_filler]
     return {
         'jobs': sum(not job.finished_at for job in state.job_by_id.values()),
         'waiting_jobs': sum(map(is_waiting, state.job_by_id.values())),
         'workers': len(state.worker_by_id),
-        'evacuated_workers': len(list_evacuated_workers(state)),
+        'evacuated_workers': len(evacuated_workers),
+        'evacuated_tasks': sum(
+            len(worker.run_by_key) for worker in evacuated_workers
+        ),
         'waiting': sum(
             len(step.waiting_indexes)
             for step in state.ready_step_by_key.values()
--- a/ragwortfield/scheduling/zone_drain.py
+++ b/ragwortfield/scheduling/zone_drain.py
@@ -41,8 +41,11 @@
     ]
     if not workers or not _are_starts_possible(state, now):
         return
+    candidates = _list_candidates(state, workers)
+    if not candidates:
+        return
     drain = _ZoneDrain(state=state, now=now)
-    for task in drain.list_candidates(workers):
+    for task in candidates:
         if drain.is_limit_reached():
             return
         drain.move(task)
@@ -63,23 +66,6 @@
             _MIN_MOVE_LIMIT, len(state.worker_by_id) // _WORKERS_PER_MOVE
         )
 
-    def list_candidates(self, workers: list[WorkerState]) -> list[TaskState]:
-        """
-        List the tasks that should leave, long-lived ones first.
-
-        :param workers: workers in evacuated zones.
-        """
-        running = [
-            task
-            for worker in workers
-            for task in worker.run_by_key.values()
-            if task.stage == RunStage.RUNNING
-            and not (task.is_stop_wanted or task.step.is_gang)
-        ]
-        return select_disruptable_tasks(
-            self._state, (task for task in running if task.step.is_long_lived)
-        ) + [task for task in running if self._is_too_long(task)]
-
     def is_limit_reached(self) -> bool:
         """Tell whether the other tasks have to wait for the next round."""
         return len(self._destination_ids) >= self._move_limit
@@ -152,21 +138,43 @@
             for other in waiting
         )
 
-    def _is_too_long(self, task: TaskState) -> bool:
-        if task.step.is_long_lived or not task.step.is_checkpointed:
-            return False
-        remaining_s = self._estimate_remaining_s(task)
-        return remaining_s > self._state.settings.longest_evacuated_run_s
-
-    def _estimate_remaining_s(self, task: TaskState) -> Seconds:
-        job = self._state.job_by_id[task.key.job_id]
-        expected_s = job.expected_task_s(task.key.step)
-        if task.pace < _FULL_PACE_PERCENT:
-            # The percentage of a paced filler is its speed.
-            return expected_s
-        undone_share = max(_FULL_PERCENT - task.percent, 0) / _FULL_PERCENT
-        return expected_s * undone_share
-
 
 def _are_starts_possible(state: ShardState, now: MonotonicTime) -> bool:
     return state.is_inbox_current(now) and state.are_evacuations_current(now)
+
+
+def _list_candidates(
+    state: ShardState, workers: list[WorkerState]
+) -> list[TaskState]:
+    """
+    List the tasks that should leave, long-lived ones first.
+
+    :param workers: workers in evacuated zones.
+    """
+    running = [
+        task
+        for worker in workers
+        for task in worker.run_by_key.values()
+        if task.stage == RunStage.RUNNING
+        and not (task.is_stop_wanted or task.step.is_gang)
+    ]
+    return select_disruptable_tasks(
+        state, (task for task in running if task.step.is_long_lived)
+    ) + [task for task in running if _is_too_long(state, task)]
+
+
+def _is_too_long(state: ShardState, task: TaskState) -> bool:
+    if task.step.is_long_lived or not task.step.is_checkpointed:
+        return False
+    remaining_s = _estimate_remaining_s(state, task)
+    return remaining_s > state.settings.longest_evacuated_run_s
+
+
+def _estimate_remaining_s(state: ShardState, task: TaskState) -> Seconds:
+    job = state.job_by_id[task.key.job_id]
+    expected_s = job.expected_task_s(task.key.step)
+    if task.pace < _FULL_PACE_PERCENT:
+        # The percentage of a paced filler is its speed.
+        return expected_s
+    undone_share = max(_FULL_PERCENT - task.percent, 0) / _FULL_PERCENT
+    return expected_s * undone_share
