Stragglers are restarted on another worker

Seen: on the loan profile one step of ten tasks in four is late because of a single run that takes seven times as long as the others.

Cause: a run was left to its end, however slow its progress showed it to be.

Change: run_progress.py measures the speed of runs at full pace from their reports; stragglers.py compares it with the median of the runs of the same step and stops a run if its task ends much sooner elsewhere. The task starts again once the end of the run is certain, at most twice, not on the worker that it left (for 3 s, if no other has room). Restarts are kept sparsely in ProgressRecord; TaskRecord is unchanged. Settings is_straggler_restarted, max_straggler_actions, stop_ms and restore_ms; the settings template gets sections, which the soak's renderer now knows.

--- a/ragwortfield/scheduling/duration_model.py
+++ b/ragwortfield/scheduling/duration_model.py
@@ -161,6 +161,10 @@
         """Return whether a run has shown the duration."""
         return bool(self._sorted_s)
 
+    def known_count(self) -> int:
+        """Return the number of runs that have shown the duration."""
+        return len(self._sorted_s)
+
     def expected_s(self) -> Seconds:
         """Return the best known duration of a task, in seconds."""
         if not self._sorted_s:
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -16,6 +16,7 @@
 )
 from ragwortfield.scheduling.records import (
     ProgressRecord,
+    RestartRecord,
     TaskPhase,
     TaskRecord,
 )
@@ -73,6 +74,15 @@
     :param started_at: monotonic time at which the run was confirmed.
     :param is_duration_learned: whether the duration of the run was learned.
     :param percent: progress that the worker reported.
+    :param is_resumed: whether the run started from a checkpoint.
+    :param percent_seen_at: monotonic time of the latest report that listed the
+        run; 0 for none.
+    :param speed_since: monotonic time since which the run has gone at full
+        speed as far as its pace and its CPU tell; 0 if it does not, or before
+        the first report.
+    :param speed_since_percent: its progress at that time.
+    :param restart_count: number of times that the task was stopped to run
+        faster elsewhere.
     :param reading: latest measurement: tail latency in milliseconds for tasks
         with a latency target, otherwise CPU use in cores; ``None`` for none.
     :param own_utilisation: for a serving task, the utilisation in its latest
@@ -121,6 +131,11 @@
     is_duration_learned: bool = False
     percent: float = 0
     percent_changed_at: MonotonicTime = 0
+    is_resumed: bool = False
+    percent_seen_at: MonotonicTime = 0
+    speed_since: MonotonicTime = 0
+    speed_since_percent: float = 0
+    restart_count: int = 0
     reading: float | None = None
     own_utilisation: float = 0
     target_missed_since: MonotonicTime = 0
@@ -242,6 +257,16 @@
                 for step in self.steps
                 if step.last_failed_run and step.step.is_gang
             },
+            restarts=tuple(
+                RestartRecord(
+                    step=task.key.step,
+                    index=task.key.index,
+                    count=task.restart_count,
+                )
+                for step in self.steps
+                for task in step.tasks
+                if task.restart_count and task.phase != TaskPhase.DONE
+            ),
         )
 
 
@@ -418,6 +443,8 @@
         number=number,
         steps=steps,
     )
+    if record is not None:
+        _restore_restarts(occurrence, record)
     occurrence.has_started = record is not None and record.is_start_known()
     occurrence.is_durably_done = record is not None and occurrence.is_done()
     return occurrence
@@ -445,6 +472,14 @@
     return task
 
 
+def _restore_restarts(
+    occurrence: OccurrenceState, record: ProgressRecord
+) -> None:
+    for restart in record.restarts:
+        task = occurrence.steps[restart.step].tasks[restart.index]
+        task.restart_count = restart.count
+
+
 def _index_tasks(step_state: StepState) -> None:
     for index, task in enumerate(step_state.tasks):
         if task.phase == TaskPhase.WAITING:
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -20,6 +20,7 @@
 _MAX_EPOCH = 1 << sys.float_info.mant_dig
 
 _RecordT = TypeVar('_RecordT')
+_Number = Annotated[int, msgspec.Meta(ge=0)]
 _Epoch = Annotated[int, msgspec.Meta(ge=0, le=_MAX_EPOCH)]
 #: Longest refusal that is believed, in seconds; a damaged row must not close a
 #: queue for longer.
@@ -54,6 +55,21 @@
     checkpoint: str = ''
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RestartRecord:
+    """
+    Task that was stopped to run faster elsewhere.
+
+    :param step: number of its step.
+    :param index: index of the task within the step.
+    :param count: number of these stops.
+    """
+
+    step: _Number
+    index: _Number
+    count: _Number
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ProgressRecord:
     """
@@ -64,6 +80,8 @@
         the tasks; false in records of earlier versions.
     :param failed_run_by_step: latest run that has failed of each gang with one,
         by number of its step.
+    :param restarts: tasks that were stopped to run faster elsewhere and are
+        not done; few, as a row may hold 850 tasks and 64 KiB.
     """
 
     job_id: str
@@ -71,6 +89,7 @@
     steps: tuple[tuple[TaskRecord, ...], ...]
     has_started: bool = False
     failed_run_by_step: dict[int, int] = field(default_factory=dict)
+    restarts: tuple[RestartRecord, ...] = ()
 
     def is_start_known(self) -> bool:
         """
--- a/ragwortfield/scheduling/scheduling_rounds.py
+++ b/ragwortfield/scheduling/scheduling_rounds.py
@@ -12,6 +12,7 @@
     filler_relocation,
     interference_control,
     shard_updates,
+    stragglers,
     worker_reports,
     zone_drain,
 )
@@ -85,6 +86,7 @@
                 # Tasks that still wait have found no free capacity in this
                 # round.
                 defragmentation.defragment(state, now)
+                stragglers.handle_stragglers(state, now)
         self.waits.sample(state, now)
 
 
--- a/ragwortfield/scheduling/scheduling_settings.py
+++ b/ragwortfield/scheduling/scheduling_settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ragwortfield.scheduling.timing_bounds import MS_PER_S
 from ragwortfield.types import Seconds
 
 
@@ -21,6 +22,14 @@
         there, in seconds.
     :param longest_retry_after_s: longest time that a refused caller is told to
         wait, in seconds.
+    :param is_straggler_restarted: whether a task that runs far slower than the
+        others of its step is stopped and started on another worker.
+    :param max_straggler_actions: most of these actions in a round, for each 24
+        workers of the shard.
+    :param stop_ms: longest time that a worker takes to stop a run, in
+        milliseconds.
+    :param restore_ms: time that a run needs to resume from a checkpoint, in
+        milliseconds.
     """
 
     is_duration_learned: bool = True
@@ -30,12 +39,27 @@
     # Twice the time that the platform leaves for the last starts in the zone:
     # the zone is empty of tasks that can move soon after that.
     longest_evacuated_run_s: Seconds = 10
+    is_straggler_restarted: bool = True
+    max_straggler_actions: int = 2
+    stop_ms: float = 1000
+    restore_ms: float = 250
+
+    def stop_s(self) -> Seconds:
+        """Return the longest time that a stop takes, in seconds."""
+        return self.stop_ms / MS_PER_S
+
+    def restore_s(self) -> Seconds:
+        """Return the time to resume from a checkpoint, in seconds."""
+        return self.restore_ms / MS_PER_S
 
 
 #: Lowest and highest value allowed for each numeric setting.
 BOUNDS_BY_SETTING: dict[str, tuple[float, float]] = {
     'longest_retry_after_s': (1, 300),
     'longest_evacuated_run_s': (0, 3600),
+    'max_straggler_actions': (1, 100),
+    'stop_ms': (0, 60_000),
+    'restore_ms': (0, 60_000),
 }
 
 
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -98,6 +98,8 @@
     :param consolidated_at: monotonic time of the latest consolidation of
         serving tasks.
     :param defragmented_at: monotonic time of the latest defragmentation.
+    :param stragglers_checked_at: monotonic time of the latest search for
+        stragglers.
     :param duration_model: relation of real to declared durations.
     :param decisions: counts and log of the decisions, for all terms of this
         instance.
@@ -162,6 +164,7 @@
     unmet_needs: UnmetNeeds = field(default_factory=UnmetNeeds)
     consolidated_at: MonotonicTime = 0
     defragmented_at: MonotonicTime = 0
+    stragglers_checked_at: MonotonicTime = 0
     confirmation: OwnershipConfirmation = field(init=False)
     former_owner_until: MonotonicTime = 0
     former_electorate: FormerElectorate = field(
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -65,6 +65,9 @@
     task.is_duration_learned = False
     task.percent = 0
     task.percent_changed_at = now
+    task.is_resumed = bool(task.checkpoint)
+    task.percent_seen_at = 0
+    task.speed_since = 0
     task.reading = None
     task.own_utilisation = 0
     task.target_missed_since = 0
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -30,6 +30,7 @@
     log_second_run,
     log_run_of_closed_job,
 )
+from ragwortfield.scheduling.run_progress import observe_progress
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.task_lifecycle import (
     format_task_key,
@@ -413,6 +414,7 @@
     task.reading = run.reading
     if run.reading is not None and not task.step.latency_target_ms:
         task.reading = run.reading / _MILLICORES
+    observe_progress(task, now, state.settings.restore_s())
     learn_from_progress(state, task, now)
 
 
--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -248,10 +248,11 @@
         Tell whether a task should wait for a worker that it does not avoid.
 
         A task that has lost an attempt may lose the next one on a worker that
-        it avoids, and others can be full only for a moment.
+        it avoids, and others can be full only for a moment. A task that was
+        stopped because it was slow would be slow there again.
         """
         return (
-            task.failures > 0
+            (task.failures > 0 or task.restart_count > 0)
             and worker.worker_id in task.avoided_workers
             and self._now - task.not_running_since < _AVOIDED_WORKER_DELAY_S
         )
@@ -368,7 +369,7 @@
             _LOSS_RESOLUTION * lost_cpu / max(cpu, _CPU_TOLERANCE_CORES)
         )
         return (
-            _is_remote_from_data(worker, step),
+            is_remote_from_data(worker, step),
             self._now < worker.avoid_serving_until,
             loss,
             *_rank_image_mix(worker, image),
@@ -385,7 +386,7 @@
             return None
         return (
             not is_fast,
-            _is_remote_from_data(worker, step),
+            is_remote_from_data(worker, step),
             round(interference, 1),
             -self._get_sensitivity(worker),
             -compute_free_filler_cpu(worker),
@@ -526,10 +527,16 @@
 def _rank_best_fit(step: StepState, worker: WorkerState) -> Rank | None:
     if not has_free_resources(worker, step):
         return None
-    return _is_remote_from_data(worker, step), worker.free_cpu()
+    return is_remote_from_data(worker, step), worker.free_cpu()
 
 
-def _is_remote_from_data(worker: WorkerState, step: StepState) -> bool:
+def is_remote_from_data(worker: WorkerState, step: StepState) -> bool:
+    """
+    Tell whether a worker is in another rack than the data of a step.
+
+    :param worker: the worker.
+    :param step: the step.
+    """
     rack = step.step.data_rack
     return bool(rack) and worker.listed.rack != rack
 
--- a/ragwortfield/soak/processes.py
+++ b/ragwortfield/soak/processes.py
@@ -25,6 +25,8 @@
 #: Size of a pipe that nobody reads, in bytes; it is full after some lines.
 _UNREAD_PIPE_BYTES = 4096
 _PLACEHOLDER = re.compile(r'\{\{([\w.]+)\}\}')
+#: Part of a template that is left out where its field has no value.
+_SECTION = re.compile(r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
 #: Interval at which the end of a process is awaited, in seconds.
 _POLL_INTERVAL_S: Seconds = 0.02
 
@@ -76,11 +78,14 @@
 
     :param template: text with placeholders such as ``{{listen.front}}``.
     :param fields: nested tables and lists with the values.
-    :returns: the text; a placeholder without a value becomes empty.
+    :returns: the text; a placeholder without a value becomes empty, and so does
+        a section ``{{#FIELD}}...{{/FIELD}}``.
     """
-    return _PLACEHOLDER.sub(
-        lambda match: _find_field(fields, match[1]), template
+    text = _SECTION.sub(
+        lambda match: match[2] if _find_field(fields, match[1]) else '',
+        template,
     )
+    return _PLACEHOLDER.sub(lambda match: _find_field(fields, match[1]), text)
 
 
 def _find_field(fields: Mapping[str, Any], path: str) -> str:
--- a/ragwortfield/tests/test_restored_state.py
+++ b/ragwortfield/tests/test_restored_state.py
@@ -111,6 +111,11 @@
             'done': step.done_count,
             'workers': step.count_by_worker,
             'tasks': [task.to_record() for task in step.tasks],
+            'restarts': [
+                task.restart_count
+                for task in step.tasks
+                if task.phase != TaskPhase.DONE
+            ],
             'failed_run': step.step.is_gang and step.last_failed_run,
         }
         for step in occurrence.steps
--- a/ragwortfield/tests/test_soak.py
+++ b/ragwortfield/tests/test_soak.py
@@ -53,3 +53,12 @@
             {'listen': {'front': 'h:1'}, 'port_range': [7, 9]},
         )
         self.assertEqual(text, 'a = h:1 7 ""')
+
+    # Guards against a settings line without a value, which no TOML reader
+    # takes, where a deployment lacks a bound.
+    def test_section_without_a_value_is_left_out(self):
+        template = '{{#bounds.a}}a = {{bounds.a}}{{/bounds.a}}.'
+        for bounds, expected in (({'a': 5}, 'a = 5.'), ({}, '.')):
+            self.assertEqual(
+                render_template(template, {'bounds': bounds}), expected
+            )
