Stragglers of speculative steps get a copy on another worker

Seen: a short urgent job of the loan profile is late by a straggler even if the run is restarted, as the stop alone takes up to 0.9 s.

Cause: a task had one run at a time, also in steps that allow several.

Change: the straggler of a speculative step gets a second run with a higher number on another worker. The first end as done counts; the other run is stopped and awaited. A failure counts as an attempt and leaves the other run; an expired lease ends its own run; a cancellation stops both. Copies are stored sparsely in ProgressRecord, with the numbers of ended ones, and restored by a successor, also beside a finished step. The acknowledgement of an end as done is held back while a start of the other run may be under way. A job is kept after its retention until none of its runs is left. A run that reports no progress is not judged.

Tests: the check of the simulated shard allows two runs at a time to tasks of speculative steps alone, and checks starts after acknowledged ends there by time; all other tasks are checked as before.

--- a/ragwortfield/scheduling/commits.py
+++ b/ragwortfield/scheduling/commits.py
@@ -252,10 +252,7 @@
     for job_id, job in tuple(state.job_by_id.items()):
         if not job.finished_at or now - job.finished_at <= retention_s:
             continue
-        if any(
-            occurrence.is_dirty
-            for occurrence in job.occurrence_by_number.values()
-        ):
+        if not _is_settled(job):
             continue
         del state.job_by_id[job_id]
         _release_cancellation(state, job, now)
@@ -263,6 +260,15 @@
         state.removed_at_by_id[job_id] = math.inf
 
 
+def _is_settled(job: JobRuntimeState) -> bool:
+    # A second run can outlast the job, on a worker that is out of reach.
+    return not any(
+        occurrence.is_dirty
+        or any(step.count_by_worker for step in occurrence.steps)
+        for occurrence in job.occurrence_by_number.values()
+    )
+
+
 def _release_cancellation(
     state: ShardState, job: JobRuntimeState, now: MonotonicTime
 ) -> None:
--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -229,7 +229,7 @@
             continue
         if worker is None:
             break
-        bind_task(state, task, worker, run=task.run + 1, now=now)
+        bind_task(state, task, worker, run=task.next_run(), now=now)
         selector.update_after_binding(worker, step)
         bound_count += 1
     if bound_count and step.step.is_filler:
--- a/ragwortfield/scheduling/interference_control.py
+++ b/ragwortfield/scheduling/interference_control.py
@@ -173,7 +173,7 @@
     worker = state.worker_by_id.get(order.worker_id)
     if worker is not None and not isinstance(outcome, Unavailable):
         worker.suspect_restart(outcome.clock_ms)
-    task = state.find_task(order.key)
+    task = state.find_run(order.key, order.run)
     if task is None or task.run != order.run:
         return
     if isinstance(outcome, OrderDone):
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -15,6 +15,7 @@
     TaskKey,
 )
 from ragwortfield.scheduling.records import (
+    CopyRecord,
     ProgressRecord,
     RestartRecord,
     TaskPhase,
@@ -107,6 +108,11 @@
         restarted worker that has not reported yet; 0 if none can have it.
     :param avoided_workers: workers on which the task failed or could not be
         started.
+    :param copy: second run of the task, on another worker; also the run that
+        is left over when the other one has ended as done. ``None`` for none.
+    :param is_copy: whether this is such a second run, and not the task.
+    :param last_run: highest number of a run, if ``run`` and ``copy`` do not
+        show it.
     """
 
     key: TaskKey
@@ -151,11 +157,33 @@
     is_start_uncertain: bool = False
     may_run_until: MonotonicTime = 0
     avoided_workers: set[WorkerId] = field(default_factory=set)
+    copy: 'TaskState | None' = None
+    is_copy: bool = False
+    last_run: int = 0
+
+    def next_run(self) -> int:
+        """Return the number of the next run of the task."""
+        copy_run = 0 if self.copy is None else self.copy.run
+        return max(self.run, self.last_run, copy_run) + 1
 
     def is_over_target(self) -> bool:
         """Return whether a serving task's latest reading misses its target."""
         return (self.reading or 0) > self.step.latency_target_ms
 
+    def to_copy_record(self) -> CopyRecord | None:
+        """Return what is stored of its second run; ``None`` for nothing."""
+        run, worker_id = self.last_run, ''
+        if self.copy is not None:
+            run, worker_id = self.copy.run, self.copy.worker_id
+        elif run <= self.run or self.phase == TaskPhase.DONE:
+            return None
+        return CopyRecord(
+            step=self.key.step,
+            index=self.key.index,
+            run=run,
+            worker_id=worker_id,
+        )
+
     def to_record(self) -> TaskRecord:
         """Return the part of the state that is stored."""
         return TaskRecord(
@@ -267,6 +295,12 @@
                 for task in step.tasks
                 if task.restart_count and task.phase != TaskPhase.DONE
             ),
+            copies=tuple(
+                copy
+                for step in self.steps
+                for task in step.tasks
+                if (copy := task.to_copy_record()) is not None
+            ),
         )
 
 
@@ -445,6 +479,7 @@
     )
     if record is not None:
         _restore_restarts(occurrence, record)
+        _restore_copies(occurrence, record)
     occurrence.has_started = record is not None and record.is_start_known()
     occurrence.is_durably_done = record is not None and occurrence.is_done()
     return occurrence
@@ -480,6 +515,37 @@
         task.restart_count = restart.count
 
 
+def _restore_copies(
+    occurrence: OccurrenceState, record: ProgressRecord
+) -> None:
+    for stored in record.copies:
+        step = occurrence.steps[stored.step]
+        task = step.tasks[stored.index]
+        if not stored.worker_id:
+            task.last_run = stored.run
+            continue
+        is_possible = (
+            task.copy is None
+            and task.phase != TaskPhase.WAITING
+            and task.worker_id != stored.worker_id
+        )
+        if not is_possible:
+            raise ValueError(f'second run {stored} beside {task.to_record()}')
+        task.copy = TaskState(
+            key=task.key,
+            step=task.step,
+            phase=TaskPhase.BOUND,
+            stage=RunStage.ORDERED,
+            run=stored.run,
+            worker_id=stored.worker_id,
+            is_copy=True,
+            is_stop_wanted=task.phase != TaskPhase.BOUND,
+            avoided_workers=task.avoided_workers,
+        )
+        count = step.count_by_worker.get(stored.worker_id, 0)
+        step.count_by_worker[stored.worker_id] = count + 1
+
+
 def _index_tasks(step_state: StepState) -> None:
     for index, task in enumerate(step_state.tasks):
         if task.phase == TaskPhase.WAITING:
--- a/ragwortfield/scheduling/leases.py
+++ b/ragwortfield/scheduling/leases.py
@@ -42,7 +42,9 @@
         deadline_ms = int(worker.clock.earliest_ms(now) + lease_ms)
         worker.lease_end_ms = max(worker.lease_end_ms, deadline_ms)
     worker.poll_sent_at = now
-    acknowledged_end = _select_acknowledgement(worker) if is_extended else 0
+    acknowledged_end = (
+        _select_acknowledgement(worker, now) if is_extended else 0
+    )
     has_unacknowledged = worker.processed_end > worker.acknowledged_end
     return LeaseOrder(
         worker_id=worker.worker_id,
@@ -92,20 +94,32 @@
     worker.poll_sent_at = 0
 
 
-def _select_acknowledgement(worker: WorkerState) -> int:
+def _select_acknowledgement(worker: WorkerState, now: MonotonicTime) -> int:
     # A restarted worker numbers its ends from the beginning, so a number from
     # before the restart would acknowledge ends that nobody has seen. The new
     # process can only have ends if a run was started since the last report.
-    is_new = worker.acknowledged_end > worker.acknowledged_to_worker
+    acknowledged_end = _find_settled_end(worker, now)
+    is_new = acknowledged_end > worker.acknowledged_to_worker
     if (
         is_new
         and not worker.is_restart_suspected
         and not _has_pending_start(worker)
     ):
-        return worker.acknowledged_end
+        return acknowledged_end
     return 0
 
 
+def _find_settled_end(worker: WorkerState, now: MonotonicTime) -> int:
+    """Return the last durable end before those whose tasks may still start."""
+    for number, (leftover, until) in tuple(worker.leftover_by_end.items()):
+        if leftover.stage != RunStage.ORDERED or now > until:
+            del worker.leftover_by_end[number]
+    return min(
+        worker.acknowledged_end,
+        min(worker.leftover_by_end, default=worker.acknowledged_end + 1) - 1,
+    )
+
+
 def _has_pending_start(worker: WorkerState) -> bool:
     return any(
         task.stage == RunStage.ORDERED
--- a/ragwortfield/scheduling/records.py
+++ b/ragwortfield/scheduling/records.py
@@ -6,7 +6,7 @@
 import sys
 from dataclasses import dataclass, field
 from enum import IntEnum
-from typing import Annotated, TypeVar
+from typing import Annotated, NamedTuple, TypeVar
 
 import msgspec
 
@@ -55,10 +55,9 @@
     checkpoint: str = ''
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RestartRecord:
+class RestartRecord(NamedTuple):
     """
-    Task that was stopped to run faster elsewhere.
+    Task that was stopped to run faster elsewhere; stored as an array.
 
     :param step: number of its step.
     :param index: index of the task within the step.
@@ -70,6 +69,23 @@
     count: _Number
 
 
+class CopyRecord(NamedTuple):
+    """
+    Run of a task besides its latest one; stored as an array.
+
+    :param step: number of the task's step.
+    :param index: index of the task within the step.
+    :param run: number of the run.
+    :param worker_id: its worker; empty once it is over, as its number must not
+        be used again.
+    """
+
+    step: _Number
+    index: _Number
+    run: _Number
+    worker_id: WorkerId = ''
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ProgressRecord:
     """
@@ -82,6 +98,8 @@
         by number of its step.
     :param restarts: tasks that were stopped to run faster elsewhere and are
         not done; few, as a row may hold 850 tasks and 64 KiB.
+    :param copies: second runs of tasks, and numbers that ended ones have used;
+        few for the same reason.
     """
 
     job_id: str
@@ -90,6 +108,7 @@
     has_started: bool = False
     failed_run_by_step: dict[int, int] = field(default_factory=dict)
     restarts: tuple[RestartRecord, ...] = ()
+    copies: tuple[CopyRecord, ...] = ()
 
     def is_start_known(self) -> bool:
         """
--- a/ragwortfield/scheduling/run_log.py
+++ b/ragwortfield/scheduling/run_log.py
@@ -37,7 +37,7 @@
     :param order: the order.
     :param now: monotonic time, in seconds.
     """
-    task = state.find_task(order.key)
+    task = state.find_run(order.key, order.run)
     if task is not None and task.run == order.run:
         task.order_sent_at = now
 
@@ -98,7 +98,7 @@
     :param end: the end.
     :param effect: what it changes.
     """
-    task = state.find_task(end.key)
+    task = state.find_run(end.key, end.run)
     event(
         'run_ended',
         task=end.key.text(),
--- a/ragwortfield/scheduling/run_progress.py
+++ b/ragwortfield/scheduling/run_progress.py
@@ -57,13 +57,14 @@
     :param task: a running task.
     :returns: a lower bound in seconds; ``None`` if the speed is not known.
     """
-    if not task.speed_since:
+    progress = task.percent - task.speed_since_percent
+    # A run without any progress may be one that reports none.
+    if not task.speed_since or progress <= 0:
         return None
     measured_s = task.percent_seen_at - task.speed_since
     if measured_s < _MIN_MEASURED_S:
         return None
-    progress = task.percent - task.speed_since_percent + _PERCENT_RESOLUTION
-    return measured_s * _FULL_PERCENT / max(progress, _PERCENT_RESOLUTION)
+    return measured_s * _FULL_PERCENT / (progress + _PERCENT_RESOLUTION)
 
 
 def estimate_remaining_s(task: TaskState, now: MonotonicTime) -> Seconds | None:
--- a/ragwortfield/scheduling/scheduling_settings.py
+++ b/ragwortfield/scheduling/scheduling_settings.py
@@ -24,8 +24,12 @@
         wait, in seconds.
     :param is_straggler_restarted: whether a task that runs far slower than the
         others of its step is stopped and started on another worker.
-    :param max_straggler_actions: most of these actions in a round, for each 24
-        workers of the shard.
+    :param is_straggler_copied: whether such a task of a speculative step gets a
+        second run on another worker instead.
+    :param max_straggler_actions: most of both in a round, for each 24 workers
+        of the shard.
+    :param copy_share: largest share of the CPU and of the memory of a pool that
+        second runs may use.
     :param stop_ms: longest time that a worker takes to stop a run, in
         milliseconds.
     :param restore_ms: time that a run needs to resume from a checkpoint, in
@@ -40,7 +44,9 @@
     # the zone is empty of tasks that can move soon after that.
     longest_evacuated_run_s: Seconds = 10
     is_straggler_restarted: bool = True
+    is_straggler_copied: bool = True
     max_straggler_actions: int = 2
+    copy_share: float = 0.05
     stop_ms: float = 1000
     restore_ms: float = 250
 
@@ -58,6 +64,7 @@
     'longest_retry_after_s': (1, 300),
     'longest_evacuated_run_s': (0, 3600),
     'max_straggler_actions': (1, 100),
+    'copy_share': (0, 0.5),
     'stop_ms': (0, 60_000),
     'restore_ms': (0, 60_000),
 }
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -276,6 +276,20 @@
             return None
         return step.tasks[key.index]
 
+    def find_run(self, key: TaskKey, run: int) -> TaskState | None:
+        """
+        Look up a task or, by its number, the second run of it.
+
+        :param key: the task.
+        :param run: number of a run.
+        :returns: the second run if it has this number, otherwise the task;
+            ``None`` if its job or occurrence is not known.
+        """
+        task = self.find_task(key)
+        if task is not None and task.copy is not None and task.copy.run == run:
+            return task.copy
+        return task
+
     def find_step(self, key: StepKey) -> StepState | None:
         """
         Look up a step.
--- a/ragwortfield/scheduling/shard_updates.py
+++ b/ragwortfield/scheduling/shard_updates.py
@@ -147,6 +147,9 @@
     job_state.has_started = job_state.has_started or occurrence.has_started
     for step in occurrence.steps:
         for task in step.tasks:
+            if task.copy is not None:
+                _add_unlisted_worker(state, task.copy.worker_id)
+                state.worker_by_id[task.copy.worker_id].add(task.copy)
             if task.phase == TaskPhase.FAILED:
                 job_state.is_failed = True
                 job_state.is_durably_failed = True
@@ -340,7 +343,7 @@
     is_done = all(
         task.phase == TaskPhase.DONE for step in record.steps for task in step
     )
-    if is_done:
+    if is_done and not record.copies:
         # Nothing looks up the tasks of a finished occurrence, and most jobs of
         # a shard are finished, so they are not kept in memory.
         return OccurrenceState(
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -85,6 +85,31 @@
     state.mark_occurrence_dirty(state.get_occurrence(task))
 
 
+def bind_copy(
+    state: ShardState,
+    task: TaskState,
+    worker: WorkerState,
+    now: MonotonicTime,
+) -> None:
+    """
+    Bind a second run of a task to another worker.
+
+    :param state: state of the shard.
+    :param task: a bound task of a speculative step, without a second run.
+    :param worker: the worker.
+    :param now: monotonic time, in seconds.
+    """
+    run = task.next_run()
+    task.copy = TaskState(
+        key=task.key,
+        step=task.step,
+        checkpoint=task.checkpoint,
+        is_copy=True,
+        avoided_workers=task.avoided_workers,
+    )
+    bind_task(state, task.copy, worker, run=run, now=now)
+
+
 def record_start(state: ShardState, task: TaskState) -> None:
     """
     Record that a worker has, or had, a run of a task.
@@ -107,8 +132,10 @@
     """
     Release a task from its worker and let it wait again.
 
+    If it has a second run, that goes on alone.
+
     :param state: state of the shard.
-    :param task: a bound task whose run is certainly over.
+    :param task: a bound task, or a second run, whose run is certainly over.
     :param reason: why the run is over, for the log.
     """
     event(
@@ -118,8 +145,13 @@
         worker=task.worker_id,
         reason=reason,
     )
+    if task.copy is not None:
+        _exchange_runs(state, task.copy)
     _unbind_task(state, task)
     task.phase = TaskPhase.WAITING
+    if task.is_copy:
+        _drop_copy(state, task)
+        return
     step = state.get_step(task)
     step.waiting_indexes[task.key.index] = None
     step.is_held_back = False
@@ -136,18 +168,26 @@
     now: MonotonicTime,
 ) -> None:
     """
-    Record how the latest run of a task ended.
+    Record how a run of a task ended.
+
+    The first end as done counts. After it, and after the last failure allowed,
+    a second run is left over, and its end changes nothing else.
 
     :param state: state of the shard.
-    :param task: the task.
+    :param task: the task, or its second run.
     :param kind: how its run ended.
     :param checkpoint: last checkpoint of the run; empty for none.
     :param now: monotonic time, in seconds.
     """
+    if task.is_copy and not _is_task_bound(state, task):
+        release_task(state, task, f'left over, ended as {kind.value}')
+        return
     if checkpoint:
         save_checkpoint(state, task, checkpoint)
     if kind == EndKind.DONE and not task.step.is_long_lived:
-        _complete_task(state, task)
+        if task.is_copy:
+            state.decisions.count('straggler_copy_done_first')
+        _complete_task(state, task, now)
         return
     if _is_unexpected_end(task, kind):
         task.avoided_workers.add(task.worker_id)
@@ -216,8 +256,12 @@
         update_ready_steps(state, job, occurrence)
         for step in occurrence.steps:
             for task in step.tasks:
+                # The release of one run puts the other one in its place.
+                copy = task.copy
                 if task.phase == TaskPhase.BOUND:
                     request_stop(state, task, now)
+                if copy is not None:
+                    request_stop(state, copy, now)
 
 
 def complete_if_durably_done(job: JobRuntimeState, now: MonotonicTime) -> None:
@@ -300,8 +344,43 @@
     return task.key.text()
 
 
-def _complete_task(state: ShardState, task: TaskState) -> None:
+def _is_task_bound(state: ShardState, copy: TaskState) -> bool:
+    task = state.find_task(copy.key)
+    return task is not None and task.phase == TaskPhase.BOUND
+
+
+def _exchange_runs(state: ShardState, copy: TaskState) -> None:
+    """Make the second run of a task the first one, and the first the second."""
+    step = state.get_step(copy)
+    task = step.tasks[copy.key.index]
+    step.tasks[copy.key.index] = copy
+    copy.copy = task
+    copy.is_copy = False
+    task.copy = None
+    task.is_copy = True
+    copy.failures = task.failures
+    copy.last_run = task.last_run
+    copy.restart_count = task.restart_count
+    if not copy.checkpoint or copy.percent < task.percent:
+        copy.checkpoint = task.checkpoint
+
+
+def _drop_copy(state: ShardState, copy: TaskState) -> None:
+    task = state.find_task(copy.key)
+    if task is None:
+        return
+    task.copy = None
+    # Its number is not used again: a report of it may be under way.
+    task.last_run = max(task.last_run, copy.run)
+    state.mark_occurrence_dirty(state.get_occurrence(task))
+
+
+def _complete_task(
+    state: ShardState, task: TaskState, now: MonotonicTime
+) -> None:
     step = state.get_step(task)
+    if task.is_copy:
+        _exchange_runs(state, task)
     members = step.tasks if task.step.is_gang else [task]
     for member in members:
         if member.phase == TaskPhase.DONE:
@@ -314,6 +393,8 @@
     occurrence = state.get_occurrence(task)
     state.mark_occurrence_dirty(occurrence)
     update_ready_steps(state, state.job_by_id[task.key.job_id], occurrence)
+    if task.copy is not None:
+        request_stop(state, task.copy, now)
 
 
 def _record_failure(
@@ -325,9 +406,12 @@
     if task.step.is_gang and step.last_failed_run == task.run:
         return
     step.last_failed_run = task.run
-    counted = step.tasks[0] if task.step.is_gang else task
+    counted = step.tasks[0 if task.step.is_gang else task.key.index]
     counted.failures += 1
     job = state.job_by_id[task.key.job_id]
+    if counted.phase == TaskPhase.BOUND and not task.step.is_gang:
+        # Another run of the task goes on. It was allowed when it started.
+        return
     if counted.failures >= job.queue.attempts and not job.is_closed():
         job.is_failed = True
         task.phase = TaskPhase.FAILED
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -120,6 +120,7 @@
     for end in report.ends:
         if end.number > worker.processed_end:
             _apply_end(state, worker, end, now)
+            _await_leftover_start(state, worker, end, now)
             # Only after the end was applied: one that could not be applied
             # must not be acknowledged.
             worker.processed_end = end.number
@@ -150,7 +151,7 @@
     :param outcome: answer of the worker, or what is known without one.
     :param now: monotonic time, in seconds.
     """
-    task = state.find_task(order.key)
+    task = state.find_run(order.key, order.run)
     if task is None:
         return
     if isinstance(outcome, OrderDone):
@@ -193,7 +194,7 @@
     :param outcome: answer of the worker, or what is known without one.
     :param now: monotonic time, in seconds.
     """
-    task = state.find_task(order.key)
+    task = state.find_run(order.key, order.run)
     if task is None or task.run != order.run:
         return
     worker = state.worker_by_id.get(order.worker_id)
@@ -326,6 +327,7 @@
     worker.acknowledged_to_worker = 0
     worker.acknowledged_commit = 0
     worker.uncertain_acknowledgement = 0
+    worker.leftover_by_end.clear()
     worker.report_clock_ms = 0
     worker.forget_readings()
     worker.forget_failures()
@@ -349,7 +351,7 @@
     end: ListedEnd,
     now: MonotonicTime,
 ) -> None:
-    task = state.find_task(end.key)
+    task = state.find_run(end.key, end.run)
     if task is not None:
         record_start(state, task)
     if task is None or task.run != end.run:
@@ -376,6 +378,30 @@
     record_run_end(state, task, end.kind, end.checkpoint, now)
 
 
+def _await_leftover_start(
+    state: ShardState, worker: WorkerState, end: ListedEnd, now: MonotonicTime
+) -> None:
+    """
+    Hold back the acknowledgement of an end while a second run may start.
+
+    No run may start after an acknowledged end as done, and a start order of
+    the second run can be under way, also one of an earlier owner.
+    """
+    task = state.find_task(end.key)
+    if task is None or task.copy is None or task.phase == TaskPhase.BOUND:
+        return
+    if task.copy.worker_id != worker.worker_id:
+        ordered_until = (
+            now
+            if task.copy.ordered_at
+            else max(now, state.former_authority_end())
+        )
+        worker.leftover_by_end[end.number] = (
+            task.copy,
+            ordered_until + state.bounds.late_order_s,
+        )
+
+
 def _apply_listed_run(
     state: ShardState,
     worker: WorkerState,
@@ -383,7 +409,7 @@
     clock_ms: int,
     now: MonotonicTime,
 ) -> None:
-    task = state.find_task(run.key)
+    task = state.find_run(run.key, run.run)
     is_bound = (
         task is not None
         and task.phase == TaskPhase.BOUND
--- a/ragwortfield/scheduling/worker_state.py
+++ b/ragwortfield/scheduling/worker_state.py
@@ -95,6 +95,9 @@
         ``acknowledged_end`` is certainly durable.
     :param uncertain_acknowledgement: number of the last run end whose
         acknowledgement may have reached the worker, as far as it is logged.
+    :param leftover_by_end: second runs of tasks that are over, by number of the
+        end that is not acknowledged while they may still start, with the
+        monotonic time up to which that is possible.
     :param is_restart_suspected: whether an answer since the latest report
         shows an earlier clock, as after a restart.
     :param run_by_key: tasks bound to it.
@@ -147,6 +150,9 @@
     acknowledged_to_worker: int = 0
     acknowledged_commit: int = 0
     uncertain_acknowledgement: int = 0
+    leftover_by_end: dict[int, tuple[TaskState, MonotonicTime]] = field(
+        default_factory=dict
+    )
     is_restart_suspected: bool = False
     run_by_key: dict[TaskKey, TaskState] = field(default_factory=dict)
     allocated_cpu: float = 0
--- a/ragwortfield/tests/shard_checks.py
+++ b/ragwortfield/tests/shard_checks.py
@@ -53,6 +53,39 @@
     _check_progress_rows(world)
 
 
+def check_speculative_runs(world, intervals):
+    """
+    Check the runs of tasks of speculative steps.
+
+    :param world: the simulated shard.
+    :param intervals: task, start, end, kind of end and time of its
+        acknowledgement of each run, by start.
+    :raises AssertionError: if three runs of a task went on at a time, or one
+        started after an acknowledged end as done or after as many acknowledged
+        failures as are attempts.
+    """
+    earlier_by_key = {}
+    for interval in intervals:
+        key, start, *_ = interval
+        step = _get_step(world, key)
+        if not step.is_speculative:
+            continue
+        earlier = earlier_by_key.setdefault(key, [])
+        running = [other for other in earlier if other[2] > start]
+        assert len(running) < 2, f'{interval} is the third run: {running}'
+        acknowledged = [
+            other
+            for other in earlier
+            if other[4] is not None and other[4] < start
+        ]
+        kinds = [kind for _, _, _, kind, _ in acknowledged]
+        assert 'done' not in kinds, f'{interval} started after {acknowledged}'
+        assert kinds.count('failed') < world.attempts, (
+            f'{interval} started after {acknowledged}'
+        )
+        earlier.append(interval)
+
+
 def _check_start(worker, key, step, same_step_keys):
     label = step.required_label
     assert not label or label in worker.labels, (
--- a/ragwortfield/tests/test_restored_state.py
+++ b/ragwortfield/tests/test_restored_state.py
@@ -116,6 +116,7 @@
                 for task in step.tasks
                 if task.phase != TaskPhase.DONE
             ],
+            'copies': [task.to_copy_record() for task in step.tasks],
             'failed_run': step.step.is_gang and step.last_failed_run,
         }
         for step in occurrence.steps
@@ -303,6 +304,8 @@
                 build_single_step(count=2, is_gang=True),
                 build_dependent_steps(),
                 build_serving_step(count=2),
+                build_single_step(count=4, is_speculative=True),
+                build_single_step(count=4),
             )
         ),
     )
@@ -333,6 +336,10 @@
     def end_tasks(self, kind, count):
         self.world.end_runs(kind, count)
 
+    @rule()
+    def end_all_but_first(self):
+        self.world.end_all_but_first()
+
     @rule(data=strategies.data())
     def cancel(self, data):
         if self.world.accepted_job_by_id:
--- a/ragwortfield/tests/test_shard_machine.py
+++ b/ragwortfield/tests/test_shard_machine.py
@@ -89,6 +89,36 @@
             ),
         )
 
+    @precondition(lambda self: len(self.world.accepted_job_by_id) < _MAX_JOBS)
+    @rule(
+        is_speculative=strategies.booleans(),
+        limit=strategies.sampled_from((0, 0, 2)),
+        rounds=strategies.integers(1, 6),
+    )
+    def submit_with_straggler(self, is_speculative, limit, rounds):
+        """
+        Submit a step of which one task goes on when the others are done.
+
+        It stays at one percent. The newest owner has bound, stored or started
+        another run, or not, when the other rules go on.
+        """
+        self.world.submit(
+            build_single_step(
+                count=4,
+                per_worker_limit=limit,
+                is_speculative=is_speculative,
+            ),
+        )
+        self._act_newest(6)
+        self.world.end_all_but_first()
+        self._act_newest(rounds)
+        self.world.check()
+
+    @rule()
+    def end_all_but_first(self):
+        """Leave a straggler to each step, at one percent."""
+        self.world.end_all_but_first()
+
     @rule()
     def end_incomplete_gangs(self):
         self.world.end_incomplete_gangs()
@@ -193,6 +223,11 @@
         if hasattr(self, 'world'):
             self.world.check()
 
+    def _act_newest(self, rounds):
+        for _ in range(rounds):
+            self.world.owners[-1].act()
+            self.world.advance(0.1)
+
 
 def test_no_task_runs_twice_whoever_owns_the_shard():
     run_state_machine(ShardMachine, steps=40)
