Speed of workers is learned; slow ones get only tasks with slack

Users saw jobs late beside free workers: some workers take several times as long for the same tasks, for a time or for good, while they answer polls, and the choice of workers did not tell them apart.

The owner compares the progress of runs with that of the same step's runs on other workers. Nothing is stored; a successor learns the speeds again from the runs it finds.

--- a/ragwortfield/scheduling/consolidation.py
+++ b/ragwortfield/scheduling/consolidation.py
@@ -259,6 +259,7 @@
             if (
                 worker.worker_id in excluded_ids
                 or self._now < worker.avoid_serving_until
+                or worker.speed.is_slow
             ):
                 continue
             if not has_free_resources(worker, step):
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -74,6 +74,9 @@
         first binding.
     :param started_at: monotonic time at which the run was confirmed.
     :param is_duration_learned: whether the duration of the run was learned.
+    :param measured_since: monotonic time from which on the progress shows the
+        speed of the worker; 0 if no report has come.
+    :param measured_from_percent: progress at that time.
     :param percent: progress that the worker reported.
     :param is_resumed: whether the run started from a checkpoint.
     :param percent_seen_at: monotonic time of the latest report that listed the
@@ -135,6 +138,8 @@
     not_running_since: MonotonicTime = 0
     started_at: MonotonicTime = 0
     is_duration_learned: bool = False
+    measured_since: MonotonicTime = 0
+    measured_from_percent: float = 0
     percent: float = 0
     percent_changed_at: MonotonicTime = 0
     is_resumed: bool = False
@@ -226,6 +231,8 @@
     :param unplaced_since: monotonic time since which some tasks have found no
         worker; 0 when all have one.
     :param is_held_back: whether its waiting tasks leave room for short ones.
+    :param shown_s_by_worker: shortest duration that a run has shown, in
+        seconds, by worker; learned again after a change of owner.
     """
 
     job_id: JobId
@@ -244,6 +251,7 @@
     last_failed_run: int = 0
     unplaced_since: MonotonicTime = 0
     is_held_back: bool = False
+    shown_s_by_worker: dict[WorkerId, Seconds] = field(default_factory=dict)
 
     def is_done(self) -> bool:
         return self.done_count == self.step.count
--- a/ragwortfield/scheduling/scheduling_settings.py
+++ b/ragwortfield/scheduling/scheduling_settings.py
@@ -34,6 +34,11 @@
         milliseconds.
     :param restore_ms: time that a run needs to resume from a checkpoint, in
         milliseconds.
+    :param is_worker_speed_learned: whether the speed of workers is learned from
+        their runs; otherwise all count as equally fast.
+    :param slow_worker_speed: share of full speed below which a worker counts as
+        slow. Objectives are 1.5 to 2 times the critical path, so that a job
+        misses its objective at half of the speed.
     """
 
     is_duration_learned: bool = True
@@ -57,6 +62,8 @@
     def restore_s(self) -> Seconds:
         """Return the time to resume from a checkpoint, in seconds."""
         return self.restore_ms / MS_PER_S
+    is_worker_speed_learned: bool = True
+    slow_worker_speed: float = 0.5
 
 
 #: Lowest and highest value allowed for each numeric setting.
@@ -67,6 +74,7 @@
     'copy_share': (0, 0.5),
     'stop_ms': (0, 60_000),
     'restore_ms': (0, 60_000),
+    'slow_worker_speed': (0.05, 0.9),
 }
 
 
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -63,6 +63,8 @@
     task.last_seen_clock_ms = 0
     task.started_at = 0
     task.is_duration_learned = False
+    task.measured_since = 0
+    task.measured_from_percent = 0
     task.percent = 0
     task.percent_changed_at = now
     task.is_resumed = bool(task.checkpoint)
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -32,6 +32,10 @@
 )
 from ragwortfield.scheduling.run_progress import observe_progress
 from ragwortfield.scheduling.shard_state import ShardState
+from ragwortfield.scheduling.speed_learning import (
+    observe_progress,
+    observe_success,
+)
 from ragwortfield.scheduling.task_lifecycle import (
     format_task_key,
     record_run_end,
@@ -330,6 +334,7 @@
     worker.leftover_by_end.clear()
     worker.report_clock_ms = 0
     worker.forget_readings()
+    worker.speed.forget()
     worker.forget_failures()
     latest_start_ms = report.clock_ms + state.bounds.late_order_s * MS_PER_S
     for task in worker.run_by_key.values():
@@ -374,6 +379,7 @@
     worker.failed_start_count = 0
     if end.kind == EndKind.DONE and not is_late_success:
         learn_from_success(state, task, now)
+        observe_success(state, worker, task, now)
     record_run_result(state, worker, task, end.kind, now)
     record_run_end(state, task, end.kind, end.checkpoint, now)
 
@@ -442,6 +448,7 @@
         task.reading = run.reading / _MILLICORES
     observe_progress(task, now, state.settings.restore_s())
     learn_from_progress(state, task, now)
+    observe_progress(state, worker, task, now)
 
 
 def _stop_unexpected_run(
--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -29,6 +29,7 @@
     TaskState,
 )
 from ragwortfield.scheduling.shard_state import ShardState
+from ragwortfield.scheduling.slow_workers import SlowWorkers
 from ragwortfield.scheduling.worker_health import is_on_trial, is_usable
 from ragwortfield.scheduling.worker_ranking import (
     NeedGroup,
@@ -90,6 +91,11 @@
             for workers in self._eligible_workers_by_pool.values()
             for worker in workers
         )
+        self._slow_workers = SlowWorkers(
+            state=state,
+            now=now,
+            workers_by_pool=self._eligible_workers_by_pool,
+        )
         self._ranking_by_key: dict[_RankingKey, WorkerRanking] = {}
         # Workers that got tasks in this round, in order, and how many of them
         # each ranking has taken into account.
@@ -197,8 +203,8 @@
         """
         Select workers for all members of a gang at once.
 
-        Prefers workers that no member has to avoid and, if the step asks for
-        it, workers of one rack.
+        Prefers workers that are not slow and that no member has to avoid and,
+        if the step asks for it, workers of one rack.
 
         :param job: job of the gang.
         :param step: step of the gang.
@@ -210,7 +216,7 @@
             if self._is_admitted(job, worker, step=step)
             and has_free_resources(worker, step)
         ]
-        avoided_ids = set().union(
+        avoided_ids = self._slow_workers.slow_ids.union(
             *(task.avoided_workers for task in step.tasks)
         )
         preferred = [
@@ -231,6 +237,8 @@
     ) -> bool:
         if not is_placement_allowed(worker, step):
             return False
+        if not self._slow_workers.is_start_allowed(worker, job, step):
+            return False
         if is_on_trial(
             worker,
             self._now,
@@ -370,7 +378,7 @@
         )
         return (
             is_remote_from_data(worker, step),
-            self._now < worker.avoid_serving_until,
+            worker.speed.is_slow or self._now < worker.avoid_serving_until,
             loss,
             *_rank_image_mix(worker, image),
         )
@@ -385,7 +393,7 @@
         if not is_fast and not is_slow_start_allowed(waiting, worker):
             return None
         return (
-            not is_fast,
+            worker.speed.is_slow or not is_fast,
             is_remote_from_data(worker, step),
             round(interference, 1),
             -self._get_sensitivity(worker),
@@ -527,7 +535,11 @@
 def _rank_best_fit(step: StepState, worker: WorkerState) -> Rank | None:
     if not has_free_resources(worker, step):
         return None
-    return is_remote_from_data(worker, step), worker.free_cpu()
+    return (
+        worker.speed.is_slow,
+        is_remote_from_data(worker, step),
+        worker.free_cpu(),
+    )
 
 
 def is_remote_from_data(worker: WorkerState, step: StepState) -> bool:
--- a/ragwortfield/scheduling/worker_state.py
+++ b/ragwortfield/scheduling/worker_state.py
@@ -10,6 +10,7 @@
     MS_PER_S,
     TimingBounds,
 )
+from ragwortfield.scheduling.worker_speed import WorkerSpeed
 from ragwortfield.types import MonotonicTime, WorkerId
 
 #: Share of their allocated CPU that serving tasks use.
@@ -127,6 +128,7 @@
     :param paced_at: monotonic time of the latest change of a filler's pace.
     :param filler_speed_limit: highest speed of the fillers, as a share of their
         full speed; lowered when a serving task misses its target.
+    :param speed: its speed relative to other workers.
     """
 
     worker_id: WorkerId
@@ -175,6 +177,7 @@
     last_reading_clock_ms: float = 0
     paced_at: MonotonicTime = 0
     filler_speed_limit: float = 1
+    speed: WorkerSpeed = field(default_factory=WorkerSpeed)
 
     def observe_clock(self, clock_ms: float, now: MonotonicTime) -> None:
         """
