Fillers count for more until a reading shows how much they interfere

In simulations, 0.67 to 0.80 of these moments come from fillers in their first 0.75 s, most of them because the learned weight is below the present one; several start on a worker between two readings.

Until a reading covers a filler (0.5 s), its interference counts 1.3 times when it is considered for a start, 1.6 times when others are, and twice when its pace is set.

--- a/ragwortfield/scheduling/interference_control.py
+++ b/ragwortfield/scheduling/interference_control.py
@@ -7,7 +7,8 @@
 utilisation up to the target, which the fillers beside it may use. Fillers are
 placed where they interfere least. Where they do interfere, their pace (the
 speed at which they run, in percent) is reduced so that the most urgent ones
-share the headroom.
+share the headroom. Weights change within seconds, so the interference of a
+filler is uncertain until a reading covers it; until then it counts for more.
 """
 
 from functools import partial
@@ -61,6 +62,16 @@
 _SETTLING_S: Seconds = 1.5
 #: Error of the pace that a reading of CPU use shows, in percentage points.
 _PACE_TOLERANCE = 15
+#: Factors on the expected interference of fillers that no reading covers yet:
+#: when one is considered for a start, when others are started beside it, and
+#: when its pace is set. In simulations two thirds of the misses came from
+#: fillers in their first 0.75 s, mostly as weights were too low; there, weights
+#: swing by 80 % of their mean.
+_START_CAUTION = 1.3
+_NEIGHBOUR_CAUTION = 1.6
+_PACE_CAUTION = 2.0
+#: Time that a reading covers, in seconds.
+_READING_S: Seconds = 0.5
 #: Share of its full speed that a filler must reach to be started.
 _MIN_START_SPEED = 0.9
 
@@ -144,6 +155,11 @@
         ]
         for task, pace in changed:
             _queue_pace_order(state, worker, task, pace)
+        uncovered_count = sum(
+            pace < _FULL_PACE and not _is_covered_by_reading(worker, task)
+            for task, pace in changed
+        )
+        state.decisions.count('uncovered_filler_slowed', uncovered_count)
         if changed:
             worker.paced_at = now
             event(
@@ -151,6 +167,7 @@
                 worker=worker.worker_id,
                 worst=max(worker.latency_ratio_by_image.values(), default=0),
                 paces=','.join(str(pace) for _, pace in paces),
+                uncovered=uncovered_count,
             )
 
 
@@ -238,7 +255,7 @@
             continue
         for serving in headroom:
             headroom[serving] -= _predict_interference(
-                state, worker, serving, task
+                state, worker, serving, task, caution=_NEIGHBOUR_CAUTION
             )
     return headroom
 
@@ -259,13 +276,15 @@
     :param image: image of the filler.
     :param cpu: CPU that the filler requests, in cores.
     :returns: share of its full speed at which the filler could run, 0 to 1,
-        and the largest utilisation that it would add at full speed.
+        and the largest utilisation that it would add at full speed, both with
+        a margin for the uncertainty of the weights.
     """
     share = cpu / worker.listed.capacity.cpu
     speed = worker.filler_speed_limit
     worst: float = 0
     for serving, headroom in spare_headroom.items():
-        interference = _get_notable_weight(state, serving, image) * share
+        weight = _get_notable_weight(state, serving, image)
+        interference = weight * share * _START_CAUTION
         if interference > 0:
             speed = min(speed, max(headroom, 0) / interference)
         worst = max(worst, interference)
@@ -353,11 +372,23 @@
     worker: WorkerState,
     serving: str,
     task: TaskState,
+    *,
+    caution: float,
 ) -> float:
     weight = _get_notable_weight(state, serving, task.step.image)
+    if not _is_covered_by_reading(worker, task):
+        weight *= caution
     return weight * task.step.need.cpu / worker.listed.capacity.cpu
 
 
+def _is_covered_by_reading(worker: WorkerState, task: TaskState) -> bool:
+    # What a reading shows beyond the expected counts as load of the serving
+    # task itself, so an error of the weight no longer matters.
+    if task.stage != RunStage.RUNNING:
+        return False
+    return worker.reported_at - task.started_at >= _READING_S
+
+
 def _get_notable_weight(state: ShardState, serving: str, image: str) -> float:
     # Small weights are noise in the readings.
     weight = state.interference_model.weight(serving, image)
@@ -420,7 +451,9 @@
 ) -> float:
     """Return the speed allowed to a filler; deduct it from the headroom."""
     interference_by_serving = {
-        serving: _predict_interference(state, worker, serving, task)
+        serving: _predict_interference(
+            state, worker, serving, task, caution=_PACE_CAUTION
+        )
         for serving in headroom
     }
     speed = min(
--- a/ragwortfield/tests/test_interference.py
+++ b/ragwortfield/tests/test_interference.py
@@ -190,6 +190,46 @@
         self.assertTrue(task.is_stop_wanted)
 
 
+class UncoveredFillerTest(unittest.TestCase):
+    """No reading has shown yet how much a new filler interferes."""
+
+    def setUp(self):
+        self.world = PlacementWorld(workers=1)
+        self.world.set_interference_weights({('a', 'f'): 1.05})
+        self.worker = self.world.state.worker_by_id['w0']
+        self.serving = self.world.add_serving_task('a', load=0.4)
+        self.filler = self.add_filler('first')
+        self.filler.started_at = NOW
+
+    def add_filler(self, job_id):
+        return self.world.add_job(job_id, image='f', is_filler=True)[0]
+
+    # Guards against several fillers that start on one worker between two
+    # readings, and together take its serving tasks over their targets.
+    def test_next_filler_waits_until_a_reading_covers_the_first(self):
+        second = self.add_filler('second')
+        self.assertEqual(second.worker_id, '')
+        self.worker.reported_at = NOW + 0.5
+        self.worker.record_change()
+        self.world.dispatch()
+        self.assertEqual(second.worker_id, 'w0')
+
+    # Guards against a filler at full pace whose weight has grown since it was
+    # learned, where there is little headroom.
+    def test_new_filler_is_slowed_until_a_reading_covers_it(self):
+        self.world.state.get_step(self.serving).load.level = 0.55
+        self.assertLess(self.find_pace(NOW), 80)
+        self.worker.reported_at = NOW + 0.5
+        self.assertEqual(self.find_pace(NOW + 0.5), 100)
+
+    def find_pace(self, now):
+        self.filler.is_pacing = False
+        self.filler.pace = 0
+        self.world.state.orders.clear()
+        interference_control.adjust_paces(self.world.state, now)
+        return self.world.state.orders[0].percent
+
+
 class StarvedFillerTest(unittest.TestCase):
     """Fillers that would slow the serving tasks of every worker."""
 
