Simulation: readings over half a second, delayed paces, slow workers

Simulated workers reported momentary readings and no progress, orders on pace took effect at once, and tasks of one step differed as much as estimates. So the simulation hid the causes of missed targets, and could not show slow workers.

Results tell the share of readings over the target because of fillers, and the work of fillers.

--- a/ragwortfield/experiment/loads.py
+++ b/ragwortfield/experiment/loads.py
@@ -7,7 +7,7 @@
 
 from ragwortfield.core.resources import Resources
 from ragwortfield.scheduling.catalogue import Queue
-from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.job import Job, Step, TaskKey
 from ragwortfield.types import MonotonicTime, Seconds
 
 #: Name of the worker pool of every simulation.
@@ -96,6 +96,8 @@
     :param target_ms: tail-latency target of the serving tasks, in
         milliseconds.
     :param idle_ms: tail latency of an idle serving task, in milliseconds.
+    :param slow_share: fraction of the workers that become slow.
+    :param slow_factor: how many times as long tasks take there.
     """
 
     workers: int
@@ -118,9 +120,11 @@
     weight_swing: float = 0.8
     target_ms: float = 18
     idle_ms: float = 4
+    slow_share: float = 0
+    slow_factor: float = 7.5
 
 
-def make_pool_workload(workers: int) -> PoolWorkload:
+def make_pool_workload(workers: int, *, slow_share: float = 0) -> PoolWorkload:
     """
     Create a workload like those of the users' deployments.
 
@@ -128,6 +132,7 @@
     get wider steps and more images, as the users' larger deployments do.
 
     :param workers: number of workers.
+    :param slow_share: fraction of them that become slow.
     :returns: the workload.
     """
     growth = max(workers / 24, 1) ** 0.5
@@ -160,6 +165,7 @@
         ),
         filler_images=round(9 * growth),
         serving_images=round(5 * growth),
+        slow_share=slow_share,
     )
 
 
@@ -176,6 +182,7 @@
         self._workload = workload
         self._random = random.Random(seed)
         self._job_count = 0
+        self._work_s_by_step: dict[tuple[str, int], Seconds] = {}
         self._mean_weight_by_pair = {
             (serving, filler): self._draw_weight()
             for serving in _list_images('s', workload.serving_images)
@@ -219,14 +226,24 @@
             for _ in range(self._draw_poisson(mean)):
                 yield self._make_job(distribution, now=end)
 
-    def draw_work_s(self, step: Step) -> Seconds:
+    def draw_work_s(self, key: TaskKey, step: Step) -> Seconds:
         """
-        Draw the work of one task, which deviates from the estimate.
+        Draw the work of one task.
 
-        :param step: step of the task.
+        That of its step deviates from the estimate; the tasks of a step differ
+        by 15 %.
+
+        :param key: key of the task.
+        :param step: its step.
         :returns: duration at full speed, in seconds.
         """
-        return step.estimate_s * self._random.lognormvariate(-0.1, 0.45)
+        step_key = (key.job_id, key.step)
+        if step_key not in self._work_s_by_step:
+            self._work_s_by_step[step_key] = (
+                step.estimate_s * self._random.lognormvariate(-0.1, 0.45)
+            )
+        deviation = self._random.lognormvariate(0, 0.15)
+        return self._work_s_by_step[step_key] * deviation
 
     def compute_utilisation(self, job_id: str, now: MonotonicTime) -> float:
         """
--- a/ragwortfield/experiment/main.py
+++ b/ragwortfield/experiment/main.py
@@ -26,6 +26,13 @@
     'Simulated time during which jobs are submitted, in seconds.',
     lower_bound=1,
 )
+_SLOW_SHARE = flags.DEFINE_float(
+    'slow_share',
+    0,
+    'Fraction of the workers on which tasks take 7.5 times as long.',
+    lower_bound=0,
+    upper_bound=1,
+)
 _OUTPUT = flags.DEFINE_string(
     'output',
     '',
@@ -36,7 +43,7 @@
 _AXIS_HEADROOM_FACTOR = 1.1
 _HEADER = (
     'workers   seed    runs  ms a run  slowest ms  urgent  fillers  serving'
-    '  longest miss s'
+    '  missed  filler core s  longest miss s'
 )
 
 
@@ -52,7 +59,10 @@
     for workers in _parse_positive_integers('workers', _WORKERS.value):
         for seed in _parse_positive_integers('seeds', _SEEDS.value):
             simulation = Simulation(
-                workload=make_pool_workload(workers), seed=seed
+                workload=make_pool_workload(
+                    workers, slow_share=_SLOW_SHARE.value
+                ),
+                seed=seed,
             )
             results.append(simulation.run(_SECONDS.value))
             sys.stdout.write(f'{format_result(results[-1])}\n')
@@ -78,7 +88,8 @@
         f'{result.workers:7} {result.seed:6} {result.runs:7} '
         f'{result.decision_ms_a_run:9.3f} {result.slowest_round_ms:11.1f} '
         f'{on_time.get(URGENT, 0):7.3f} {on_time.get(FILLERS, 0):8.3f} '
-        f'{result.serving:8.3f} {result.longest_miss_s:15.2f}'
+        f'{result.serving:8.3f} {result.missed_share:7.4f} '
+        f'{result.filler_work_s:14.0f} {result.longest_miss_s:15.2f}'
     )
 
 
--- a/ragwortfield/experiment/simulated_worker.py
+++ b/ragwortfield/experiment/simulated_worker.py
@@ -1,5 +1,6 @@
 """Simulated worker: the progress of its runs and its lease reports."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from ragwortfield.core.resources import Resources
@@ -15,6 +16,8 @@
 from ragwortfield.scheduling.timing_bounds import MS_PER_S
 from ragwortfield.types import MonotonicTime, Seconds
 
+#: Time that a reading in a report covers, in seconds.
+_READING_S: Seconds = 0.5
 #: Time from the start of a serving task until it serves, in seconds.
 _STARTUP_S: Seconds = 0.3
 #: Lease reports state CPU usage in thousandths of a core.
@@ -31,20 +34,25 @@
     """
     Active run of a task.
 
-    :param remaining_s: remaining work at full speed, in seconds.
+    :param work_s: work at full speed, in seconds.
+    :param remaining_s: remaining part of it, in seconds.
     :param pace: pace that the owner ordered, in percent of full speed.
     :param reading: tail latency in milliseconds of a serving task, zero until
         it serves; CPU in use, in cores, of another task.
+    :param recent_readings: readings of the latest half second, which a report
+        covers.
     :param reading_without_fillers: tail latency in milliseconds that a serving
         task would have without the fillers beside it.
     """
 
     step: Step
     run: int
+    work_s: Seconds
     remaining_s: Seconds
     started_at: MonotonicTime
     pace: int = _FULL_PACE_PERCENT
     reading: float = 0
+    recent_readings: deque[float] = field(default_factory=deque)
     reading_without_fillers: float = 0
 
 
@@ -77,6 +85,8 @@
     :param generator: source of the work of tasks, the utilisation by users
         and the interference weights.
     :param idle_ms: tail latency of an idle serving task, in milliseconds.
+    :param speed: speed of short tasks, as a share of full speed.
+    :param filler_work_s: work that its fillers have done, in core-seconds.
     :param run_by_key: active runs.
     :param ends: ended runs that the owner has not acknowledged yet.
     :param last_end: number of the latest ended run.
@@ -88,6 +98,8 @@
     pool: str
     generator: WorkloadGenerator
     idle_ms: float
+    speed: float = 1
+    filler_work_s: float = 0
     run_by_key: dict[TaskKey, _Run] = field(default_factory=dict)
     ends: list[ListedEnd] = field(default_factory=list)
     last_end: int = 0
@@ -126,10 +138,12 @@
         :param run: number of the run.
         :param now: simulated time.
         """
+        work_s = self.generator.draw_work_s(key, step)
         self.run_by_key[key] = _Run(
             step=step,
             run=run,
-            remaining_s=self.generator.draw_work_s(step),
+            work_s=work_s,
+            remaining_s=work_s,
             started_at=now,
         )
 
@@ -170,10 +184,13 @@
                 else 1
             )
             run.reading = run.step.need.cpu * speed_share
-            run.remaining_s -= passed_s * speed_share
+            if run.step.is_filler:
+                self.filler_work_s += run.reading * passed_s * self.speed
+            run.remaining_s -= passed_s * speed_share * self.speed
             if run.remaining_s <= 0:
                 self._end_run(key, EndKind.DONE)
         self._update_tail_latencies(now)
+        self._keep_readings(round(_READING_S / passed_s))
 
     def list_tail_latencies(self) -> list[TailLatency]:
         """
@@ -219,7 +236,7 @@
     ) -> ListedRun:
         if run.step.latency_target_ms:
             is_serving = now - run.started_at > _STARTUP_S
-            reading = float(round(run.reading)) if is_serving else None
+            reading = float(round(_compute_mean(run))) if is_serving else None
             return ListedRun(
                 key=key,
                 run=run.run,
@@ -231,10 +248,19 @@
             key=key,
             run=run.run,
             checkpoint='',
-            percent=0,
-            reading=run.reading * _MILLICORES_PER_CORE,
+            percent=int(
+                _FULL_PACE_PERCENT * (1 - run.remaining_s / run.work_s)
+            ),
+            reading=_compute_mean(run) * _MILLICORES_PER_CORE,
         )
 
+    def _keep_readings(self, count: int) -> None:
+        for run in self.run_by_key.values():
+            if run.reading or run.step.is_filler:
+                run.recent_readings.append(run.reading)
+            while len(run.recent_readings) > count:
+                run.recent_readings.popleft()
+
     def _compute_filler_speed(self, now: MonotonicTime) -> float:
         used_cpu: float = 0
         wanted_cpu: float = 0
@@ -293,3 +319,8 @@
                 checkpoint='',
             ),
         )
+
+
+def _compute_mean(run: _Run) -> float:
+    readings = run.recent_readings
+    return sum(readings) / len(readings) if readings else run.reading
--- a/ragwortfield/experiment/simulation.py
+++ b/ragwortfield/experiment/simulation.py
@@ -1,7 +1,7 @@
 """Simulation of a worker pool under the real scheduling decisions."""
 
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 
@@ -36,6 +36,8 @@
 _ROUND_INTERVAL_S: Seconds = 0.05
 #: Interval between reports of a worker without ended runs, in seconds.
 _REPORT_INTERVAL_S: Seconds = 0.5
+#: Time until an order on pace takes effect, in seconds.
+_PACE_DELAY_S: Seconds = 0.1
 #: Time for the serving jobs to start before other jobs are submitted, in
 #: seconds.
 _WARM_UP_S: Seconds = 4
@@ -67,6 +69,9 @@
         on time; a late job counts as part of one.
     :param serving: fraction of the tail-latency readings of serving tasks that
         met the target.
+    :param missed_share: fraction of these readings that missed it because of
+        fillers.
+    :param filler_work_s: work that the fillers have done, in core-seconds.
     :param longest_miss_s: longest time for which a serving task missed its
         target without a break because of fillers, in seconds.
     """
@@ -78,6 +83,8 @@
     slowest_round_ms: float
     on_time_by_queue: dict[str, float]
     serving: float
+    missed_share: float
+    filler_work_s: float
     longest_miss_s: Seconds
 
     def to_document(self) -> dict[str, object]:
@@ -120,7 +127,9 @@
         self._decision_cpu_s: Seconds = 0
         self._slowest_round_s: Seconds = 0
         self._latency_readings_in_target = 0
+        self._latency_readings_missed = 0
         self._latency_readings = 0
+        self._delayed_orders: deque[tuple[MonotonicTime, PaceRun]] = deque()
         self._missed_since_by_task: dict[
             tuple[str, TaskKey], MonotonicTime
         ] = {}
@@ -158,6 +167,11 @@
             on_time_by_queue=self._score_queues(),
             serving=self._latency_readings_in_target
             / max(self._latency_readings, 1),
+            missed_share=self._latency_readings_missed
+            / max(self._latency_readings, 1),
+            filler_work_s=sum(
+                worker.filler_work_s for worker in self._worker_by_id.values()
+            ),
             longest_miss_s=self._longest_miss_s,
         )
 
@@ -174,10 +188,17 @@
             pool=POOL,
             generator=self._generator,
             idle_ms=self._workload.idle_ms,
+            speed=self._choose_speed(number),
         )
         shard_updates.update_worker(self.state, worker.make_listing())
         return worker
 
+    def _choose_speed(self, number: int) -> float:
+        """Spread the slow workers evenly over the pool."""
+        slow_share = self._workload.slow_share
+        is_slow = int((number + 1) * slow_share) > int(number * slow_share)
+        return 1 / self._workload.slow_factor if is_slow else 1
+
     def _simulate_round(self, *, is_submitting: bool) -> None:
         self._now += _ROUND_INTERVAL_S
         now = self._now
@@ -206,7 +227,12 @@
         orders = self.state.orders
         self.state.orders = []
         for order in orders:
-            self._execute_order(order)
+            if isinstance(order, PaceRun):
+                self._delayed_orders.append((now + _PACE_DELAY_S, order))
+            else:
+                self._execute_order(order)
+        while self._delayed_orders and self._delayed_orders[0][0] <= now:
+            self._execute_order(self._delayed_orders.popleft()[1])
 
     def _apply_reports(self) -> None:
         for worker in self._worker_by_id.values():
@@ -282,6 +308,7 @@
                     latency.tail_ms <= latency.target_ms
                 )
                 if latency.is_missed_by_fillers():
+                    self._latency_readings_missed += 1
                     key = (worker.worker_id, latency.key)
                     missed_since_by_task[key] = self._missed_since_by_task.get(
                         key, self._now
