--- a/ragwortfield/scheduling/speed_learning.py
+++ b/ragwortfield/scheduling/speed_learning.py
@@ -29,7 +29,7 @@
 _MIN_PREDICTED_SPEED = 0.28
 
 
-def observe_progress(
+def observe_run(
     state: ShardState, worker: WorkerState, task: TaskState, now: MonotonicTime
 ) -> None:
     """
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -33,7 +33,7 @@
 from ragwortfield.scheduling.run_progress import observe_progress
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.speed_learning import (
-    observe_progress,
+    observe_run,
     observe_success,
 )
 from ragwortfield.scheduling.task_lifecycle import (
@@ -448,7 +448,7 @@
         task.reading = run.reading / _MILLICORES
     observe_progress(task, now, state.settings.restore_s())
     learn_from_progress(state, task, now)
-    observe_progress(state, worker, task, now)
+    observe_run(state, worker, task, now)
 
 
 def _stop_unexpected_run(
