Tasks wait for the rack of their data where that takes less time

Cause: a task without a place in its rack started at once in any other, where it takes far_x times as long. Tasks of a same_rack step, unless a gang, were placed without regard to racks, and a gang's data_rack was ignored.

It covers same_rack steps, gangs and limits per worker. Tasks without data in a rack that others wait for prefer other racks.

--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -1,6 +1,6 @@
 """Binds waiting tasks to workers and queues their start orders."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from itertools import groupby
 
 from ragwortfield.ports.task_worker import StartRun
@@ -12,6 +12,10 @@
     TaskState,
 )
 from ragwortfield.scheduling.long_lived_growth import LongLivedGrowth
+from ragwortfield.scheduling.place_wait import (
+    PlaceWaits,
+    put_last_tasks_first,
+)
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.step_priority import sort_by_urgency
 from ragwortfield.scheduling.task_lifecycle import (
@@ -51,14 +55,15 @@
     if not state.ready_step_by_key:
         return 0
     selector = WorkerSelector(state=state, now=now)
+    waits = PlaceWaits(state=state, selector=selector, now=now)
     bound_count = 0
     by_priority = groupby(
-        sort_by_urgency(state, now),
+        put_last_tasks_first(state, sort_by_urgency(state, now), now),
         key=lambda step: state.job_by_id[step.job_id].queue.priority,
     )
     for _, steps in by_priority:
         bound_count += _bind_steps(
-            state, selector, steps, now, _MAX_BINDINGS_PER_ROUND - bound_count
+            state, waits, steps, now, _MAX_BINDINGS_PER_ROUND - bound_count
         )
         if bound_count >= _MAX_BINDINGS_PER_ROUND:
             break
@@ -167,7 +172,7 @@
 
 def _bind_steps(
     state: ShardState,
-    selector: WorkerSelector,
+    waits: PlaceWaits,
     steps: Iterable[StepState],
     now: MonotonicTime,
     max_count: int,
@@ -180,12 +185,12 @@
         for the next round.
     :returns: number of tasks bound.
     """
-    growth = LongLivedGrowth(state=state, selector=selector, now=now)
+    growth = LongLivedGrowth(state=state, selector=waits.selector, now=now)
     bound_count = 0
     for step in steps:
         if step.is_held_back and now < state.growth_retry_at:
             continue
-        bound_count += _bind_step(state, selector, growth, step, now)
+        bound_count += _bind_step(state, waits, growth, step, now)
         if bound_count >= max_count:
             return bound_count
     if now >= state.growth_retry_at:
@@ -195,62 +200,78 @@
 
 def _bind_step(
     state: ShardState,
-    selector: WorkerSelector,
+    waits: PlaceWaits,
     growth: LongLivedGrowth,
     step: StepState,
     now: MonotonicTime,
 ) -> int:
     job = state.job_by_id[step.job_id]
+    step.is_waiting_for_rack = False
     if step.step.is_gang:
-        bound_count = _bind_gang(state, selector, job, step, now)
+        bound_count = _bind_gang(state, waits, job, step, now)
     else:
-        bound_count = _bind_tasks(state, selector, growth, step, now)
+        bound_count = _bind_tasks(state, waits, growth, step, now)
     update_waiting_step(state, step, now)
     return bound_count
 
 
 def _bind_tasks(
     state: ShardState,
-    selector: WorkerSelector,
+    waits: PlaceWaits,
     growth: LongLivedGrowth,
     step: StepState,
     now: MonotonicTime,
 ) -> int:
     job = state.job_by_id[step.job_id]
+    selector = waits.selector
     bound_count = 0
     step.is_held_back = False
-    for index in tuple(step.waiting_indexes):
-        task = step.tasks[index]
-        if growth.is_deferred(job, step, task):
-            continue
+    waits.choose_rack(job, step)
+    for task in _iterate_due_tasks(growth, job, step):
         worker = selector.select_worker(job, step, task)
+        if waits.is_waiting(job, step, task, worker):
+            continue
         if worker is None and task.avoided_workers:
             # Other tasks of the step may have fewer workers to avoid.
             continue
         if worker is None:
             break
+        waits.record_binding(step, task, worker)
         bind_task(state, task, worker, run=task.next_run(), now=now)
         selector.update_after_binding(worker, step)
         bound_count += 1
+    step.is_waiting_for_rack = waits.is_step_waiting(step)
     if bound_count and step.step.is_filler:
         state.filler_bound_at_by_image[step.step.image] = now
     return bound_count
 
 
+def _iterate_due_tasks(
+    growth: LongLivedGrowth, job: JobRuntimeState, step: StepState
+) -> Iterator[TaskState]:
+    for index in tuple(step.waiting_indexes):
+        if not growth.is_deferred(job, step, step.tasks[index]):
+            yield step.tasks[index]
+
+
 def _bind_gang(
     state: ShardState,
-    selector: WorkerSelector,
+    waits: PlaceWaits,
     job: JobRuntimeState,
     step: StepState,
     now: MonotonicTime,
 ) -> int:
     if len(step.waiting_indexes) < step.step.count:
         return 0
-    workers = selector.select_gang_workers(job, step)
+    workers = waits.selector.select_gang_workers(job, step)
     if workers is None:
         return 0
+    if waits.is_gang_waiting(job, step, workers):
+        step.is_waiting_for_rack = True
+        return 0
     run = max(task.run for task in step.tasks) + 1
     for task, worker in zip(step.tasks, workers, strict=True):
+        waits.record_binding(step, task, worker)
         bind_task(state, task, worker, run=run, now=now)
-        selector.update_after_binding(worker, step)
+        waits.selector.update_after_binding(worker, step)
     return len(workers)
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -116,6 +116,9 @@
     :param is_copy: whether this is such a second run, and not the task.
     :param last_run: highest number of a run, if ``run`` and ``copy`` do not
         show it.
+    :param rack_wait_since: monotonic time since which the waiting task leaves
+        room elsewhere unused for the sake of its rack; 0 if it does not. Only
+        counted and shown; a successor decides without it.
     """
 
     key: TaskKey
@@ -165,6 +168,7 @@
     copy: 'TaskState | None' = None
     is_copy: bool = False
     last_run: int = 0
+    rack_wait_since: MonotonicTime = 0
 
     def next_run(self) -> int:
         """Return the number of the next run of the task."""
@@ -229,7 +233,9 @@
     :param denied_workers: workers that were not approved.
     :param last_failed_run: latest run of a gang that failed; 0 for none.
     :param unplaced_since: monotonic time since which some tasks have found no
-        worker; 0 when all have one.
+        worker; 0 when all have one or wait for their rack.
+    :param is_waiting_for_rack: whether all waiting tasks leave room elsewhere
+        unused for the sake of their rack; decided anew in each round.
     :param is_held_back: whether its waiting tasks leave room for short ones.
     :param shown_s_by_worker: shortest duration that a run has shown, in
         seconds, by worker; learned again after a change of owner.
@@ -252,6 +258,7 @@
     unplaced_since: MonotonicTime = 0
     is_held_back: bool = False
     shown_s_by_worker: dict[WorkerId, Seconds] = field(default_factory=dict)
+    is_waiting_for_rack: bool = False
 
     def is_done(self) -> bool:
         return self.done_count == self.step.count
--- a/ragwortfield/scheduling/scheduling_settings.py
+++ b/ragwortfield/scheduling/scheduling_settings.py
@@ -39,6 +39,9 @@
     :param slow_worker_speed: share of full speed below which a worker counts as
         slow. Objectives are 1.5 to 2 times the critical path, so that a job
         misses its objective at half of the speed.
+    :param remote_duration_factor: duration of a task away from its data, or of
+        the tasks of a ``same_rack`` step on several racks, as a multiple of
+        that in its place; with 1, no task waits for a rack.
     """
 
     is_duration_learned: bool = True
@@ -64,6 +67,7 @@
         return self.restore_ms / MS_PER_S
     is_worker_speed_learned: bool = True
     slow_worker_speed: float = 0.5
+    remote_duration_factor: float = 1
 
 
 #: Lowest and highest value allowed for each numeric setting.
@@ -75,6 +79,7 @@
     'stop_ms': (0, 60_000),
     'restore_ms': (0, 60_000),
     'slow_worker_speed': (0.05, 0.9),
+    'remote_duration_factor': (1, 20),
 }
 
 
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -82,6 +82,7 @@
     task.is_start_uncertain = False
     task.may_run_until = 0
     task.pending_start_calls = 0
+    task.rack_wait_since = 0
     worker.add(task)
     state.uncommitted_bindings.append((task, run))
     state.mark_occurrence_dirty(state.get_occurrence(task))
@@ -244,9 +245,8 @@
     :param now: monotonic time, in seconds.
     """
     job = state.job_by_id[step.job_id]
-    step.unplaced_since = (
-        (step.unplaced_since or now) if step.waiting_indexes else 0
-    )
+    is_unplaced = bool(step.waiting_indexes) and not step.is_waiting_for_rack
+    step.unplaced_since = (step.unplaced_since or now) if is_unplaced else 0
     update_ready_steps(state, job, job.occurrence_by_number[step.occurrence])
 
 
--- a/ragwortfield/scheduling/wait_causes.py
+++ b/ragwortfield/scheduling/wait_causes.py
@@ -45,7 +45,8 @@
     that get no starts now; ``PLACEMENT``: only workers have room that the step
     does not allow; ``APPROVAL``: no worker has been approved; ``GANG``: room
     for all members at once; ``INTERFERENCE``: fillers would slow down serving
-    tasks; ``HEADROOM``: room is kept for short tasks; ``ROUND``: a worker has
+    tasks; ``HEADROOM``: room is kept for short tasks; ``RACK``: the rack of
+    their data, although others have room; ``ROUND``: a worker has
     room and gets the task in a later round; ``COMMIT``: the binding is being
     stored; ``START``: the worker has not confirmed the start; ``STOP``: the
     end of a run that is being stopped; ``RUN``: the tasks run;
@@ -64,6 +65,7 @@
     GANG = 'gang'
     INTERFERENCE = 'interference'
     HEADROOM = 'headroom'
+    RACK = 'rack'
     ROUND = 'round'
     COMMIT = 'commit'
     START = 'start'
@@ -192,6 +194,8 @@
         """Find what the waiting tasks of a step lack."""
         if step.is_held_back:
             return WaitCause.HEADROOM
+        if step.is_waiting_for_rack:
+            return WaitCause.RACK
         if job.queue.advice is not None and not step.ticket_by_worker:
             return WaitCause.APPROVAL
         pool = job.queue.pool
--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -5,7 +5,7 @@
 that others leave idle and go where they interfere least.
 """
 
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from functools import partial
 from itertools import repeat
 
@@ -28,7 +28,7 @@
     StepState,
     TaskState,
 )
-from ragwortfield.scheduling.shard_state import ShardState
+from ragwortfield.scheduling.shard_state import ShardState, StepKey
 from ragwortfield.scheduling.slow_workers import SlowWorkers
 from ragwortfield.scheduling.worker_health import is_on_trial, is_usable
 from ragwortfield.scheduling.worker_ranking import (
@@ -109,6 +109,56 @@
             step.unplaced_since and not step.step.is_filler
             for step in state.ready_step_by_key.values()
         )
+        # Tasks that need not run in these racks leave them to those that do.
+        self._wanted_racks = frozenset(
+            step.step.data_rack
+            for step in state.ready_step_by_key.values()
+            if step.step.data_rack
+        )
+        self._chosen_rack_by_step: dict[StepKey, str] = {}
+
+    def choose_rack(self, step: StepState, rack: str) -> None:
+        """
+        Prefer a rack for the tasks of a ``same_rack`` step in this round.
+
+        :param step: the step; the rack of its data, if any, comes first.
+        :param rack: the rack; empty for none.
+        """
+        key = (step.job_id, step.occurrence, step.number)
+        self._chosen_rack_by_step[key] = rack
+
+    def get_preferred_rack(self, step: StepState) -> str:
+        """
+        Return the rack where the tasks of a step run fastest.
+
+        :param step: the step.
+        :returns: the rack; empty if they run equally fast anywhere.
+        """
+        if step.step.data_rack or not step.step.is_same_rack:
+            return step.step.data_rack
+        key = (step.job_id, step.occurrence, step.number)
+        return self._chosen_rack_by_step.get(key, '')
+
+    def list_suitable_workers(
+        self,
+        job: JobRuntimeState,
+        step: StepState,
+        workers: Iterable[WorkerState],
+    ) -> list[WorkerState]:
+        """
+        Return the workers that a step allows, with or without free room.
+
+        :param job: job of the step.
+        :param step: the step; its limit per worker is not considered.
+        :param workers: workers that can get tasks in this round.
+        :returns: those of them that can get tasks of the step.
+        """
+        return [
+            worker
+            for worker in workers
+            if has_required_label(worker, step)
+            and self._is_trusted(job, worker, step=step)
+        ]
 
     def select_worker(
         self,
@@ -235,8 +285,17 @@
         *,
         step: StepState,
     ) -> bool:
-        if not is_placement_allowed(worker, step):
-            return False
+        return is_placement_allowed(worker, step) and self._is_trusted(
+            job, worker, step=step
+        )
+
+    def _is_trusted(
+        self,
+        job: JobRuntimeState,
+        worker: WorkerState,
+        *,
+        step: StepState,
+    ) -> bool:
         if not self._slow_workers.is_start_allowed(worker, job, step):
             return False
         if is_on_trial(
@@ -323,7 +382,7 @@
         return (
             group,
             definition.need,
-            definition.data_rack,
+            self.get_preferred_rack(step),
             serving_image,
             self._is_warm_preferred(job, step),
         )
@@ -352,15 +411,43 @@
     def _choose_rank_function(
         self, job: JobRuntimeState, step: StepState
     ) -> RankFunction:
+        rack = self.get_preferred_rack(step)
         if step.step.is_filler:
             waiting = compute_waiting_level(job, step, self._now)
-            return partial(self._rank_filler, step, waiting)
+            return partial(self._rank_filler, step, waiting, rack)
         if step.step.latency_target_ms:
-            return partial(self._rank_serving, step)
+            return partial(self._rank_serving, step, rack)
+        if rack or self._wanted_racks:
+            return partial(self._rank_by_rack, step, rack)
         return partial(_rank_best_fit, step)
 
+    def _rank_by_rack(
+        self, step: StepState, rack: str, worker: WorkerState
+    ) -> Rank | None:
+        if not has_free_resources(worker, step):
+            return None
+        return (
+            worker.speed.is_slow,
+            self._rank_rack(worker, rack),
+            worker.free_cpu(),
+        )
+
+    def _rank_rack(self, worker: WorkerState, rack: str) -> int:
+        """
+        Return a sort key for the rack of a worker.
+
+        :param worker: the worker.
+        :param rack: rack where the task runs fastest; empty for any.
+        :returns: lowest for that rack; racks that waiting tasks want for their
+            data come after others.
+        """
+        if worker.listed.rack == rack:
+            return 0
+        is_wanted_by_others = worker.listed.rack in self._wanted_racks
+        return 2 * bool(rack) + is_wanted_by_others
+
     def _rank_serving(
-        self, step: StepState, worker: WorkerState
+        self, step: StepState, rack: str, worker: WorkerState
     ) -> Rank | None:
         if not has_free_resources(worker, step):
             return None
@@ -377,14 +464,18 @@
             _LOSS_RESOLUTION * lost_cpu / max(cpu, _CPU_TOLERANCE_CORES)
         )
         return (
-            is_remote_from_data(worker, step),
+            _is_remote(worker, rack),
             worker.speed.is_slow or self._now < worker.avoid_serving_until,
             loss,
             *_rank_image_mix(worker, image),
         )
 
     def _rank_filler(
-        self, step: StepState, waiting: WaitingLevel, worker: WorkerState
+        self,
+        step: StepState,
+        waiting: WaitingLevel,
+        rack: str,
+        worker: WorkerState,
     ) -> Rank | None:
         if not has_free_resources(worker, step):
             return None
@@ -394,7 +485,7 @@
             return None
         return (
             worker.speed.is_slow or not is_fast,
-            is_remote_from_data(worker, step),
+            self._rank_rack(worker, rack),
             round(interference, 1),
             -self._get_sensitivity(worker),
             -compute_free_filler_cpu(worker),
@@ -535,11 +626,7 @@
 def _rank_best_fit(step: StepState, worker: WorkerState) -> Rank | None:
     if not has_free_resources(worker, step):
         return None
-    return (
-        worker.speed.is_slow,
-        is_remote_from_data(worker, step),
-        worker.free_cpu(),
-    )
+    return worker.speed.is_slow, worker.free_cpu()
 
 
 def is_remote_from_data(worker: WorkerState, step: StepState) -> bool:
@@ -549,7 +636,10 @@
     :param worker: the worker.
     :param step: the step.
     """
-    rack = step.step.data_rack
+    return _is_remote(worker, step.step.data_rack)
+
+
+def _is_remote(worker: WorkerState, rack: str) -> bool:
     return bool(rack) and worker.listed.rack != rack
 
 
@@ -598,8 +688,7 @@
     workers: list[WorkerState],
     step: StepState,
 ) -> list[WorkerState] | None:
-    racks = sorted({worker.listed.rack for worker in workers})
-    for rack in racks if step.step.is_same_rack else ():
+    for rack in _list_gang_racks(workers, step):
         on_rack = [worker for worker in workers if worker.listed.rack == rack]
         chosen = _assign_gang(on_rack, step)
         if chosen is not None:
@@ -607,6 +696,14 @@
     return _assign_gang(workers, step)
 
 
+def _list_gang_racks(workers: list[WorkerState], step: StepState) -> list[str]:
+    """List the racks to be tried for a whole gang, that of its data first."""
+    data_rack = step.step.data_rack
+    racks = {worker.listed.rack for worker in workers}
+    others = sorted(racks - {data_rack}) if step.step.is_same_rack else []
+    return [data_rack, *others] if data_rack in racks else others
+
+
 def _assign_gang(
     workers: list[WorkerState],
     step: StepState,
