Runs away from their data no longer inflate learned durations

The expected duration of a step doubled with the first run on another rack, and with it the objective as the owner sees it and the wait that pays off.

Cause: a run away from its data takes far_x times as long, and was learned like any other.

Change: the duration of such a run is divided by remote_duration_factor.

--- a/ragwortfield/scheduling/duration_learning.py
+++ b/ragwortfield/scheduling/duration_learning.py
@@ -98,6 +98,10 @@
     task.is_duration_learned = True
     if not state.settings.is_duration_learned or duration_s <= 0:
         return
+    worker = state.worker_by_id.get(task.worker_id)
+    rack = task.step.data_rack
+    if rack and worker is not None and worker.listed.rack != rack:
+        duration_s /= state.settings.remote_duration_factor
     job = state.job_by_id[task.key.job_id]
     known = job.durations_by_step[task.key.step]
     if not known.is_known():
--- a/ragwortfield/tests/test_duration_model.py
+++ b/ragwortfield/tests/test_duration_model.py
@@ -6,6 +6,7 @@
 
 from ragwortfield.scheduling.duration_learning import learn_from_progress
 from ragwortfield.scheduling.duration_model import DurationModel
+from ragwortfield.scheduling.scheduling_settings import SchedulingSettings
 from ragwortfield.tests.placement_world import NOW, PlacementWorld
 
 _QUEUE = 'queue'
@@ -91,3 +92,15 @@
         self.assertEqual(
             self.world.state.job_by_id['filler'].expected_task_s(0), 1
         )
+
+    # Guards against an expected duration that doubles as soon as one task runs
+    # away from its data; objectives and waits follow from it.
+    def test_run_away_from_its_data_shows_the_duration_beside_them(self):
+        state = self.world.state
+        state.settings = SchedulingSettings(remote_duration_factor=2)
+        task = self.world.add_job('remote', data_rack='none')[0]
+        task.ordered_at = NOW
+        task.started_at = NOW
+        task.percent = 25
+        learn_from_progress(state, task, NOW + 1)
+        self.assertEqual(state.job_by_id['remote'].expected_task_s(0), 2)
