Command explain: where a job or a request would go now, and why

Users saw: why a job waited could only be worked out from the log, and where a request would run only by sending it.

Change: `ragwortfield explain request FILE --to HOST/PATH` and `explain job JOB` ask any scheduler instance over its health address; it asks the owner of the shard with the peer call `explain`. Text or JSON; distinct errors and exit statuses for a malformed job, an unknown queue or job and an owner without an answer.

--- a/ragwortfield/command/main.py
+++ b/ragwortfield/command/main.py
@@ -9,6 +9,7 @@
 
 from ragwortfield.command.actions import Actions
 from ragwortfield.command.client import OperatorClient
+from ragwortfield.command.explain import ExplainActions
 from ragwortfield.command.output import ExitStatus, write_error, write_line
 from ragwortfield.settings.instance import split_address
 
@@ -23,6 +24,12 @@
     'File with the operator token; without it, the token is taken from '
     'RAGWORTFIELD_OPERATOR_TOKEN.',
 )
+_INSTANCE = flags.DEFINE_string(
+    'instance',
+    os.environ.get('RAGWORTFIELD_INSTANCE', '127.0.0.1:9080'),
+    'HOST:PORT of the health address of a scheduler instance; default from '
+    'RAGWORTFIELD_INSTANCE.',
+)
 _JSON = flags.DEFINE_bool('json', False, 'Print JSON instead of tables.')
 
 _HELP = """\
@@ -51,6 +58,12 @@
   targets list                list the targets known to the entry instance
   instances list              list entry instances and their seats
 
+job scheduler
+  explain request FILE        where the request with this body would go now,
+                              and why, without sending it
+                              (--to HOST/PATH: where it would be sent)
+  explain job JOB             the same for the waiting tasks of a job
+
 report
   report burn                 burn rate of the error budget by team and
                               service
@@ -58,6 +71,8 @@
 
 flags
   --entry HOST:PORT           entry instance to call (or RAGWORTFIELD_ENTRY)
+  --instance HOST:PORT        health address of a scheduler instance, for
+                              explain (or RAGWORTFIELD_INSTANCE)
   --token_file FILE           operator token (or RAGWORTFIELD_OPERATOR_TOKEN)
   --json                      print JSON instead of tables
 
@@ -92,15 +107,24 @@
     if not words or words[0] == 'help':
         write_line(_HELP.rstrip())
         return ExitStatus.DONE if words else ExitStatus.USAGE
-    if split_address(_ENTRY.value) is None:
-        write_error(f'--entry is {_ENTRY.value!r}, expected HOST:PORT')
-        return ExitStatus.USAGE
+    for name, address in (
+        ('entry', _ENTRY.value),
+        ('instance', _INSTANCE.value),
+    ):
+        if split_address(address) is None:
+            write_error(f'--{name} is {address!r}, expected HOST:PORT')
+            return ExitStatus.USAGE
     token = _load_token()
     if token is None:
         return ExitStatus.USAGE
     client = OperatorClient(address=_ENTRY.value, token=token)
     actions = Actions(client=client, is_json=_JSON.value)
-    return _run_command(_list_commands(actions), words)
+    explain_actions = ExplainActions(
+        client=OperatorClient(address=_INSTANCE.value, token=''),
+        is_json=_JSON.value,
+    )
+    commands = _list_commands(actions) | _list_explain_commands(explain_actions)
+    return _run_command(commands, words)
 
 
 def run() -> None:
@@ -162,6 +186,19 @@
     }
 
 
+def _list_explain_commands(
+    actions: ExplainActions,
+) -> dict[tuple[str, str], _Command]:
+    return {
+        ('explain', 'request'): _Command(
+            run=actions.explain_request, has_argument=True
+        ),
+        ('explain', 'job'): _Command(
+            run=actions.explain_job, has_argument=True
+        ),
+    }
+
+
 def _run_command(
     command_by_name: dict[tuple[str, str], _Command],
     words: list[str],
--- a/ragwortfield/daemons/scheduler.py
+++ b/ragwortfield/daemons/scheduler.py
@@ -33,6 +33,7 @@
 from ragwortfield.platform import table_names
 from ragwortfield.platform.approval_service_client import ApprovalServiceClient
 from ragwortfield.platform.document_parsing import parse_catalogue, parse_worker
+from ragwortfield.platform.explain_api import EXPLAIN_PATH, ExplainApi
 from ragwortfield.platform.job_api import JobApi
 from ragwortfield.platform.row_store_client import RowStoreClient
 from ragwortfield.platform.settings_path import find_settings_path
@@ -96,7 +97,10 @@
         )
         self._health_server = HttpServer(
             address=split_address(settings.listen.health) or ('', 0),
-            application=HealthApplication(node=self.node),
+            application=HealthApplication(
+                node=self.node,
+                application_by_path={EXPLAIN_PATH: ExplainApi(node=self.node)},
+            ),
             max_connections=_MAX_HEALTH_CONNECTIONS,
         )
         self._stop_requested = Event()
--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -11,6 +11,7 @@
 from ragwortfield.engine.change_feed import ChangeFeed, read_all_rows
 from ragwortfield.engine.cluster_view import ClusterView
 from ragwortfield.engine.evacuation_view import EvacuationView
+from ragwortfield.engine.job_explanations import JobExplanations
 from ragwortfield.engine.job_request_handler import (
     JobRequestHandler,
     SubmitOutcome,
@@ -201,6 +202,12 @@
             peers=self._peers,
             make_empty_state=lambda: self._make_shard_state(0),
         )
+        self.explanations = JobExplanations(
+            instance_id=identity.instance_id,
+            cluster=self._cluster,
+            ownership=self.ownership,
+            peers=self._peers,
+        )
         self._watched: set[int] = set()
         self._handler_by_call: dict[str, Callable[[CallBody], CallBody]] = {
             'ping': self.ownership.answer_ping,
@@ -212,6 +219,7 @@
             'waiting': self._answer_waiting,
             'submit': self._answer_submit,
             'cancel': self._answer_cancel,
+            'explain': self.explanations.answer,
         }
 
     def start(self) -> None:
--- a/ragwortfield/http_api/health.py
+++ b/ragwortfield/http_api/health.py
@@ -1,6 +1,6 @@
-"""Readiness check for the load balancer, and metrics."""
+"""Readiness check for the load balancer, metrics, and questions."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any
 
@@ -16,17 +16,26 @@
 _TEXT_HEADERS: HeaderFields = (('content-type', 'text/plain'),)
 _METRICS_PATH = '/metrics'
 
+Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
+
 
 class HealthApplication:
     """
     WSGI application that answers readiness checks and serves metrics.
 
     :param node: node whose readiness and metrics are shown.
+    :param application_by_path: applications for further paths.
     """
 
-    def __init__(self, *, node: SchedulerNode) -> None:
+    def __init__(
+        self,
+        *,
+        node: SchedulerNode,
+        application_by_path: dict[str, Application] | None = None,
+    ) -> None:
         """Create the application."""
         self._node = node
+        self._application_by_path = application_by_path or {}
 
     def __call__(
         self,
@@ -34,13 +43,17 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         """
-        Handle one request: metrics on ``/metrics``, readiness elsewhere.
+        Handle one request: metrics on ``/metrics``, readiness by default.
 
         :param environ: WSGI environment.
         :param start_response: WSGI function that takes status and headers.
         :returns: body of the response.
         """
-        if get_raw_path(environ) == _METRICS_PATH:
+        path = get_raw_path(environ)
+        application = self._application_by_path.get(path)
+        if application is not None:
+            return application(environ, start_response)
+        if path == _METRICS_PATH:
             return send_response(self._make_metrics_response(), start_response)
         if self._node.is_serving():
             return send_response(
--- a/ragwortfield/scheduling/place_wait.py
+++ b/ragwortfield/scheduling/place_wait.py
@@ -81,11 +81,14 @@
     :param state: state of the shard.
     :param selector: selects the workers of this round.
     :param now: monotonic time, in seconds.
+    :param is_trial: whether to count and log nothing, for questions of
+        operators.
     """
 
     state: ShardState
     selector: WorkerSelector
     now: MonotonicTime
+    is_trial: bool = False
     _outlook_by_rack: dict[_RackKey, RackOutlook] = field(default_factory=dict)
     _plan_by_step: dict[StepKey, _StepPlan] = field(default_factory=dict)
     _unserved_by_rack: dict[_RackKey, list[StepState]] = field(
@@ -153,7 +156,8 @@
         key = (step.job_id, step.occurrence, step.number)
         plan = self._plan_by_step.get(key)
         if plan is None:
-            plan = self._plan_step(job, step, rack)
+            waits_s = self.plan(job, step, rack)
+            plan = _StepPlan(waiting_count=len(waits_s))
             self._plan_by_step[key] = plan
         if plan.told_count == plan.waiting_count:
             return False
@@ -202,7 +206,7 @@
             rack = self._find_best_rack(job, step, definition.count)
         else:
             return False
-        is_waiting = self._plan_step(job, step, rack).waiting_count > 0
+        is_waiting = bool(self.plan(job, step, rack))
         for task in step.tasks if is_waiting else ():
             task.rack_wait_since = task.rack_wait_since or self.now
         return is_waiting
@@ -228,14 +232,24 @@
         decisions.count('rack_wait_seconds', self.now - task.rack_wait_since)
         task.rack_wait_since = 0
 
-    def _plan_step(
+    def plan(
         self, job: JobRuntimeState, step: StepState, rack: str
-    ) -> _StepPlan:
-        """Decide how many of the waiting tasks of a step wait for a rack."""
+    ) -> list[Seconds]:
+        """
+        Decide how many of the waiting tasks of a step wait for a rack.
+
+        Later steps count their places as taken.
+
+        :param job: job of the step.
+        :param step: the step; none of its tasks has room in the rack now.
+        :param rack: the rack.
+        :returns: expected waits in seconds, one for each task that waits; the
+            others start elsewhere.
+        """
         count = len(step.waiting_indexes)
         longest_s = compute_longest_wait_s(self.state, job, step, self.now)
         if longest_s <= 0 or self._estimated_count >= _MAX_STEPS_ESTIMATED:
-            return _StepPlan(waiting_count=0)
+            return []
         self._estimated_count += 1
         outlook = self._get_outlook(job, step, rack)
         workers = self._list_workers(job, step, rack)
@@ -253,8 +267,9 @@
             waits_s = []
         if waits_s:
             outlook.take(estimate)
-        self._record_plan(step, rack, waits_s, longest_s)
-        return _StepPlan(waiting_count=len(waits_s))
+        if not self.is_trial:
+            self._record_plan(step, rack, waits_s, longest_s)
+        return waits_s
 
     def _record_plan(
         self,
@@ -394,16 +409,14 @@
         if self._estimated_count >= _MAX_STEPS_ESTIMATED:
             return
         self._estimated_count += 1
-        outlook.take(
-            outlook.estimate(
-                PlaceRequest(
-                    step=step,
-                    count=len(step.waiting_indexes),
-                    hold_s=get_hold_s(job, step),
-                ),
-                self._list_workers(job, step, rack),
-                _UNSERVED_HORIZON_S,
-            )
+        outlook.place(
+            PlaceRequest(
+                step=step,
+                count=len(step.waiting_indexes),
+                hold_s=get_hold_s(job, step),
+            ),
+            self._list_workers(job, step, rack),
+            _UNSERVED_HORIZON_S,
         )
 
 
--- a/ragwortfield/scheduling/rack_outlook.py
+++ b/ragwortfield/scheduling/rack_outlook.py
@@ -227,12 +227,32 @@
             seconds.
         :returns: the waits, which nothing counts as taken yet.
         """
-        outlooks = self._select_candidates(request, workers)
+        outlooks = [
+            outlook.copy()
+            for outlook in self._select_candidates(request, workers)
+        ]
         return PlaceEstimate(
             waits_s=_give_places(request, outlooks, self._now, longest_s),
             outlooks=outlooks,
         )
 
+    def place(
+        self,
+        request: PlaceRequest,
+        workers: Iterable[WorkerState],
+        longest_s: Seconds,
+    ) -> list[Seconds]:
+        """
+        Estimate the waits of the tasks of a step, and count them as taken.
+
+        :param request: the tasks.
+        :param workers: as in ``estimate``.
+        :param longest_s: as in ``estimate``.
+        :returns: the waits, as in ``estimate``.
+        """
+        outlooks = self._select_candidates(request, workers)
+        return _give_places(request, outlooks, self._now, longest_s)
+
     def take(self, estimate: PlaceEstimate) -> None:
         """
         Count the places of an estimate as taken.
@@ -247,13 +267,13 @@
     ) -> list[_WorkerOutlook]:
         step = request.step
         return [
-            self._outlook_by_worker[worker.worker_id].copy()
+            self._outlook_by_worker[worker.worker_id]
             for worker in workers
             if worker.worker_id in self._outlook_by_worker
             and (
                 request.is_free_room_counted
-                or not count_fitting_tasks(worker, step)
                 or not has_free_resources(worker, step)
+                or not count_fitting_tasks(worker, step)
             )
         ]
 
--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -70,11 +70,20 @@
 
     :param state: state of the shard.
     :param now: monotonic time, in seconds.
+    :param is_trial: whether to leave the state as it is, for questions of
+        operators; what earlier rounds have found out is then not used.
     """
 
-    def __init__(self, *, state: ShardState, now: MonotonicTime) -> None:
+    def __init__(
+        self,
+        *,
+        state: ShardState,
+        now: MonotonicTime,
+        is_trial: bool = False,
+    ) -> None:
         """Collect the workers that can get tasks in this round."""
         self._state = state
+        self._is_trial = is_trial
         self._now = now
         self._spare_headroom_by_worker: dict[
             WorkerId, tuple[int, HeadroomByImage]
@@ -193,7 +202,7 @@
         )
         if worker is not None and self._is_too_early(task, worker):
             return None
-        if worker is None and ranking.is_empty():
+        if worker is None and ranking.is_empty() and not self._is_trial:
             self._state.unmet_needs.mark_unmet(
                 key[0],
                 step.step.need,
@@ -326,6 +335,8 @@
 
     def _check_usable(self, worker: WorkerState) -> bool:
         """Tell whether a worker can get tasks; record when that begins."""
+        if self._is_trial:
+            return is_usable(worker, self._state.bounds, self._now)
         was_usable = worker.was_usable
         worker.was_usable = is_usable(worker, self._state.bounds, self._now)
         if worker.was_usable and not was_usable:
@@ -356,10 +367,12 @@
     def _build_ranking(
         self, job: JobRuntimeState, step: StepState
     ) -> WorkerRanking:
-        checked_change = self._state.unmet_needs.find_last_checked_change(
-            self._build_ranking_key(job, step)[0],
-            step.step.need,
-        )
+        checked_change = -1
+        if not self._is_trial:
+            checked_change = self._state.unmet_needs.find_last_checked_change(
+                self._build_ranking_key(job, step)[0],
+                step.step.need,
+            )
         return WorkerRanking(
             workers=(
                 worker
