Racks that others want matter only where waits are on, and not to fillers

Users saw: nothing; found in review. Without remote_duration_factor, tasks without data in a rack avoided racks that other tasks name, and a filler chose such a rack last, before interference was compared.

Change: it depends on the setting, and fillers keep their former order.

Measured: test_place_wait 26, worker_ranking 15, interference 14, gangs 21, experiment 7, short_task_starvation 2, all passed.

--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -119,11 +119,11 @@
             for step in state.ready_step_by_key.values()
         )
         # Tasks that need not run in these racks leave them to those that do.
-        self._wanted_racks = frozenset(
-            step.step.data_rack
-            for step in state.ready_step_by_key.values()
-            if step.step.data_rack
-        )
+        self._wanted_racks: frozenset[str] = frozenset()
+        if state.settings.remote_duration_factor > 1:
+            self._wanted_racks = frozenset(
+                step.step.data_rack for step in state.ready_step_by_key.values()
+            ) - {''}
         self._chosen_rack_by_step: dict[StepKey, str] = {}
 
     def choose_rack(self, step: StepState, rack: str) -> None:
@@ -498,7 +498,7 @@
             return None
         return (
             worker.speed.is_slow or not is_fast,
-            self._rank_rack(worker, rack),
+            _is_remote(worker, rack),
             round(interference, 1),
             -self._get_sensitivity(worker),
             -compute_free_filler_cpu(worker),
