Tests of waits for racks: fillers, last tasks, random runs of owners

Change: tests that a filler waits for the end of another but not for paced ones or where it would interfere, and that the last task of a step gets the place first. The simulated shard knows a remote_duration_factor of 4, and the shard machine submits steps with data_rack and same_rack gangs, without new draws.

--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -352,7 +352,12 @@
         listing = self._read_all_rows(self._registry.table, COMMON_PARTITION)
         self._keeper.load(self._record_store_outcome)
         now = time.monotonic()
-        self._apply_worker_rows(listing.rows, is_complete=True)
+        apply_worker_rows(
+            self.state,
+            listing.rows,
+            is_complete=True,
+            registry=self._registry,
+        )
         steps = load_rows(
             self.state,
             inbox.rows,
@@ -438,22 +443,11 @@
         self,
         rows: tuple[StoredRow, ...],
         is_complete: bool,
-    ) -> None:
-        self._apply_worker_rows(rows, is_complete=is_complete)
-        self._worker_loops.start_loops()
-
-    def _apply_worker_rows(
-        self,
-        rows: tuple[StoredRow, ...],
-        *,
-        is_complete: bool,
     ) -> None:
         apply_worker_rows(
-            self.state,
-            rows,
-            is_complete=is_complete,
-            registry=self._registry,
+            self.state, rows, is_complete=is_complete, registry=self._registry
         )
+        self._worker_loops.start_loops()
 
     def _run_rounds(self) -> None:
         while True:
--- a/ragwortfield/scheduling/scheduling_settings.py
+++ b/ragwortfield/scheduling/scheduling_settings.py
@@ -65,6 +65,7 @@
     def restore_s(self) -> Seconds:
         """Return the time to resume from a checkpoint, in seconds."""
         return self.restore_ms / MS_PER_S
+
     is_worker_speed_learned: bool = True
     slow_worker_speed: float = 0.5
     remote_duration_factor: float = 1
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -96,6 +96,12 @@
     },
     pool_by_name={'pool': Pool(name='pool', is_guarded=True)},
 )
+#: Tasks take several times as long away from their data, so that some wait.
+_SETTINGS = SchedulingSettings(
+    # A copy of one task is more than the usual share of three workers.
+    copy_share=0.5,
+    remote_duration_factor=4,
+)
 
 
 class ShardOwner:
@@ -118,8 +124,7 @@
             previous_lease_s=previous_lease_s,
             is_process_bound=is_process_bound,
             catalogue=world.catalogue,
-            # A copy of one task is more than the usual share of three workers.
-            settings=SchedulingSettings(copy_share=0.5),
+            settings=_SETTINGS,
         )
         self.committer = ShardCommitter(
             shard=SHARD,
--- a/ragwortfield/tests/test_place_wait.py
+++ b/ragwortfield/tests/test_place_wait.py
@@ -3,11 +3,18 @@
 import unittest
 from dataclasses import replace
 
+from ragwortfield.core.resources import Resources
 from ragwortfield.ports.task_worker import EndKind
-from ragwortfield.scheduling import dispatch
+from ragwortfield.scheduling import dispatch, shard_updates
+from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.records import TaskPhase
 from ragwortfield.scheduling.scheduling_settings import SchedulingSettings
 from ragwortfield.scheduling.task_lifecycle import record_run_end
-from ragwortfield.tests.placement_world import NOW, PlacementWorld
+from ragwortfield.tests.placement_world import (
+    NOW,
+    STRONG_INTERFERENCE,
+    PlacementWorld,
+)
 from ragwortfield.tests.rack_world import HotRackSimulation, build_hot_workload
 from ragwortfield.tests.shard_world import ShardWorld, build_single_step
 
@@ -150,6 +157,76 @@
         self.assertEqual(self.list_racks([waiting]), [_OTHER])
 
 
+class FillerTest(_RackTest):
+    """Fillers wait for the CPU that others leave idle in their rack."""
+
+    def add_filler(self, job_id, **options):
+        return self.add_job(job_id, image='f', is_filler=True, **options)
+
+    def fill_with_fillers(self, percent, pace):
+        for number in range(2):
+            task = self.add_filler(f'filler-{number}')[0]
+            self.assertEqual(task.worker_id[:-1], _HOT)
+            task.started_at = NOW - 0.5
+            task.percent = percent
+            task.pace = pace
+
+    def test_filler_waits_for_the_end_of_another(self):
+        self.fill_with_fillers(percent=90, pace=100)
+        self.assertEqual(self.add_filler('job')[0].worker_id, '')
+
+    # Guards against waits for CPU that goes to the fillers beside it.
+    def test_filler_does_not_wait_for_paced_ones(self):
+        self.fill_with_fillers(percent=90, pace=40)
+        self.assertEqual(self.list_racks(self.add_filler('job')), [_OTHER])
+
+    # Guards against waits for workers that have room and are not chosen for
+    # another reason, which no end of a run changes.
+    def test_filler_does_not_wait_where_it_would_interfere(self):
+        self.world.set_interference_weights({('s', 'f'): STRONG_INTERFERENCE})
+        for number in range(2):
+            serving = self.world.add_serving_task(
+                's',
+                job_id=f's{number}',
+                load=0.8,
+                cpu=20,
+                data_rack=_HOT,
+            )
+            self.assertEqual(serving.worker_id[:-1], _HOT)
+        task = self.world.add_job(
+            'job', cpu=4, image='f', is_filler=True, data_rack=_HOT
+        )[0]
+        self.assertEqual(self.list_racks([task]), [_OTHER])
+
+
+class OrderTest(_RackTest):
+    # Guards against a step that ends late for the sake of its last task, while
+    # tasks of steps that have just begun take its place.
+    def test_last_tasks_of_a_step_get_the_place_first(self):
+        self.fill(_HOT, 20, 20)
+        self.fill(_OTHER, 20, 20)
+        fresh = self.add_job('fresh', count=2)
+        step = Step(
+            count=4,
+            need=Resources(cpu=_WHOLE_CPU, memory_mb=1),
+            estimate_s=1,
+            data_rack=_HOT,
+        )
+        job = Job(
+            job_id='last', queue='queue', spec='', steps=(step,), accepted_at=0
+        )
+        shard_updates.register_job(self.state, job, now=NOW, wall_time=0)
+        last = self.state.find_step(('last', 0, 0))
+        for task in last.tasks[:3]:
+            task.phase = TaskPhase.DONE
+            last.done_count += 1
+            del last.waiting_indexes[task.key.index]
+        self.finish(self.busy[0], NOW)
+        self.dispatch()
+        self.assertEqual(self.list_racks(last.tasks[3:]), [_HOT])
+        self.assertEqual(self.list_racks(fresh), ['', ''])
+
+
 class RackTest(_RackTest):
     # Guards against waits for a rack that never has capacity.
     def test_no_task_waits_for_a_rack_of_long_lived_tasks(self):
@@ -264,7 +341,7 @@
 
     def setUp(self):
         self.world = ShardWorld(workers=2)
-        self.take_over()
+        self.world.take_over()
         self.busy_id = self.submit()
         self.run_rounds(8)
         self.set_percent(80)
@@ -272,10 +349,6 @@
         self.run_rounds(1)
         self.assertEqual(self.list_workers(self.waiting_id), [])
 
-    def take_over(self):
-        self.world.take_over()
-        self.world.owners[-1].state.settings = _SETTINGS
-
     def submit(self):
         return self.world.submit(build_single_step(cpu=4, data_rack='rack-0'))
 
@@ -309,7 +382,7 @@
     # Guards against a successor that starts the task elsewhere because only
     # the former owner knew what it waits for.
     def test_successor_goes_on_waiting(self):
-        self.take_over()
+        self.world.take_over()
         self.run_rounds(3)
         self.assertEqual(self.list_workers(self.waiting_id), [])
         self.finish()
--- a/ragwortfield/tests/test_shard_machine.py
+++ b/ragwortfield/tests/test_shard_machine.py
@@ -70,6 +70,8 @@
                 count=count,
                 required_label=label,
                 per_worker_limit=limit,
+                # Without a draw of its own, so that seeds keep their runs.
+                data_rack='' if count % 2 else 'rack-0',
             ),
         )
 
@@ -86,6 +88,7 @@
                 cpu=cpu,
                 per_worker_limit=limit,
                 is_gang=True,
+                is_same_rack=limit > 0,
             ),
         )
 
