Overload means a backlog, not a single task without a worker

Change: a priority is planned only if its waiting work takes longer than a quarter of the median objective at the highest capacity of the last 10 s.

--- a/ragwortfield/scheduling/overload_control.py
+++ b/ragwortfield/scheduling/overload_control.py
@@ -25,6 +25,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from statistics import median
 
 from ragwortfield.scheduling.job_sizes import (
     SizeClass,
@@ -47,6 +48,10 @@
 #: Time without a worker from which on a step shows that the capacity is used
 #: up, in seconds; several rounds.
 _SATURATED_AFTER_S: Seconds = 0.15
+#: Backlog of waiting work from which on a priority is overloaded, as a share of
+#: the median latency objective of its jobs. Less is no lack of capacity: a
+#: large task may find no worker while many small ones do.
+_MIN_BACKLOG_SHARE = 0.25
 #: Time constant of the measured capacity, in seconds.
 _CAPACITY_SMOOTHING_S: Seconds = 1
 #: Time after a takeover for which nothing is deferred, in seconds: until the
@@ -291,7 +296,12 @@
         for key, group in groups.items():
             self._measure_capacity(key, group, elapsed_s)
             if is_settled and group.is_saturated:
-                demands = self._plan(state, key, group, now)
+                demands = _build_demands(group.jobs, state, now)
+                is_planned = self._is_overloaded(key, group, demands)
+            else:
+                is_planned = False
+            if is_planned:
+                self._plan(state, key, group, demands, now)
                 refusals |= self._decide_refusals(state, key, group, demands)
             else:
                 for job in group.jobs:
@@ -317,10 +327,10 @@
         state: ShardState,
         key: _GroupKey,
         group: _Group,
+        demands: list[JobDemand],
         now: MonotonicTime,
-    ) -> list[JobDemand]:
+    ) -> None:
         shares = self._shares_by_group[key]
-        demands = _build_demands(group.jobs, state, now)
         for demand in demands:
             if demand.job_id not in self._planned_ids:
                 self._planned_ids.add(demand.job_id)
@@ -344,7 +354,17 @@
                     deferred=len(deferred),
                     capacity_cpu=self._capacity_by_group[key],
                 )
-        return demands
+
+    def _is_overloaded(
+        self, key: _GroupKey, group: _Group, demands: Iterable[JobDemand]
+    ) -> bool:
+        """Tell whether the waiting work is more than a brief shortage."""
+        waiting_work = sum(
+            demand.work - demand.running_work for demand in demands
+        )
+        objective_s = median(job.objective_s() for job in group.jobs)
+        tolerated_s = _MIN_BACKLOG_SHARE * objective_s
+        return waiting_work > self._peak_by_group[key] * tolerated_s
 
     def _select_lasting(
         self, refusals: dict[str, int], now: MonotonicTime
--- a/ragwortfield/scheduling/step_priority.py
+++ b/ragwortfield/scheduling/step_priority.py
@@ -5,14 +5,16 @@
 steps that can still meet their latency objective, least slack first (under
 overload: least work for their value), unless the plan for overload has deferred
 their job; long-lived tasks, which earn for each
-second that they run; steps that still earn if they finish late, and those of
-deferred jobs, the smallest remaining share of the job's work first; all others;
+second that they run; steps that still earn if they finish late, oldest first
+(under overload: smallest remaining share of the job's work), and those of
+deferred jobs; all others;
 long-lived steps that only grow.
 
-A late job that is nearly done comes first: its last tasks cost little, and most
-of its work would otherwise have been in vain. A continuous stream of urgent
-jobs must not starve long-lived tasks, so a long-lived step that has waited too
-long comes before all others of its priority, unless it only grows.
+Under overload, a late job that is nearly done comes first: its last tasks cost
+little, and most of its work would otherwise have been in vain. A continuous
+stream of urgent jobs must not starve long-lived tasks, so a long-lived step
+that has waited too long comes before all others of its priority, unless it only
+grows.
 """
 
 from ragwortfield.scheduling.headroom import is_growth
@@ -89,6 +91,8 @@
         slack_s = objective_s - age_s - critical_path_s
         return job.queue.priority, _ON_TIME, job.work_per_value or slack_s
     if age_s + critical_path_s <= MAX_LATENESS_FACTOR * objective_s:
+        if not job.work_per_value:
+            return job.queue.priority, _LATE, -age_s
         if job.remaining_share <= _LATE_VALUE:
             return job.queue.priority, _ON_TIME, 0
         return job.queue.priority, _LATE, job.remaining_share
