Settings: memory of the machine for the bounds of clients

Nothing reads it yet. The deployment of the process tests writes limits of clients into the configuration and further tables into the settings.

--- a/ragwortfield/platform/fake_servers.py
+++ b/ragwortfield/platform/fake_servers.py
@@ -317,20 +317,30 @@
     )
 
 
-def encode_configuration(version: int, prefix: str, pool: str) -> bytes:
+def encode_configuration(
+    version: int,
+    prefix: str,
+    pool: str,
+    limits: dict[str, int] | None = None,
+) -> bytes:
     """
     Encode a configuration with one queue as the platform's operator writes it.
 
     :param version: version of the configuration.
     :param prefix: path prefix of the queue.
     :param pool: name of the pool that runs the queue's tasks.
+    :param limits: limits of the clients; ``None`` for a configuration without
+        them.
     :returns: the document as JSON.
     """
-    return encode_queues(version, {'queue': prefix}, pool)
+    return encode_queues(version, {'queue': prefix}, pool, limits)
 
 
 def encode_queues(
-    version: int, prefix_by_queue: dict[str, str], pool: str
+    version: int,
+    prefix_by_queue: dict[str, str],
+    pool: str,
+    limits: dict[str, int] | None = None,
 ) -> bytes:
     """
     Encode a configuration with several queues of the same terms.
@@ -338,26 +348,29 @@
     :param version: version of the configuration.
     :param prefix_by_queue: path prefix of each queue.
     :param pool: name of the pool that runs the tasks of all queues.
+    :param limits: limits of the clients; ``None`` for a configuration without
+        them.
     :returns: the document as JSON.
     """
-    return msgspec.json.encode(
-        {
-            'version': version,
-            'routes': [
-                {
-                    'name': name,
-                    'host': '127.0.0.1',
-                    'path_prefix': prefix,
-                    'service': pool,
-                    'attempts': 2,
-                    'stretch': 2.0,
-                    'target_latency_ms': _TARGET_LATENCY_MS,
-                }
-                for name, prefix in prefix_by_queue.items()
-            ],
-            'services': [{'name': pool, 'enforces_capacity': True}],
-        },
-    )
+    document: Document = {
+        'version': version,
+        'routes': [
+            {
+                'name': name,
+                'host': '127.0.0.1',
+                'path_prefix': prefix,
+                'service': pool,
+                'attempts': 2,
+                'stretch': 2.0,
+                'target_latency_ms': _TARGET_LATENCY_MS,
+            }
+            for name, prefix in prefix_by_queue.items()
+        ],
+        'services': [{'name': pool, 'enforces_capacity': True}],
+    }
+    if limits is not None:
+        document['limits'] = limits
+    return msgspec.json.encode(document)
 
 
 def encode_job(
--- a/ragwortfield/settings/scheduler.py
+++ b/ragwortfield/settings/scheduler.py
@@ -12,6 +12,9 @@
 from ragwortfield.settings.toml_parsing import SettingsError, parse_toml
 from ragwortfield.types import Seconds
 
+#: Lowest and highest memory of a machine, in MiB.
+_MEMORY_BOUNDS_MB = (64, 1_048_576)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SchedulerInstanceTable:
@@ -75,6 +78,18 @@
     grace_s: Seconds = 6
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClientsTable:
+    """
+    Protection against clients outside the limits.
+
+    :param memory_mb: memory of the machine, in MiB; the bounds of the bytes
+        and connections of all clients follow from it.
+    """
+
+    memory_mb: float = 512
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SchedulerSettings:
     """All settings of one instance of the job scheduler."""
@@ -85,6 +100,7 @@
     bounds: TimingBounds = field(default_factory=TimingBounds)
     stopping: StoppingTable = field(default_factory=StoppingTable)
     scheduling: SchedulingSettings = field(default_factory=SchedulingSettings)
+    clients: ClientsTable = field(default_factory=ClientsTable)
 
 
 def load_scheduler_settings(path: str) -> SchedulerSettings | SettingsError:
@@ -156,5 +172,11 @@
             problems.append(
                 f"key 'instance.{key}' is {amount}, expected above 0",
             )
+    lowest, highest = _MEMORY_BOUNDS_MB
+    if not lowest <= settings.clients.memory_mb <= highest:
+        problems.append(
+            f"key 'clients.memory_mb' is {settings.clients.memory_mb}, "
+            f'expected {lowest} to {highest}',
+        )
     problems.extend(find_setting_problems(settings.scheduling))
     return problems
--- a/ragwortfield/soak/processes.py
+++ b/ragwortfield/soak/processes.py
@@ -21,7 +21,7 @@
 #: Variables that a process inherits from the caller.
 _INHERITED_VARIABLES = ('PATH', 'HOME', 'LANG')
 #: Limits of a process, by their names in the settings template.
-_LIMITS = {'cpu_share': 0.537, 'cores': 2}
+_LIMITS = {'cpu_share': 0.537, 'cores': 2, 'memory_mb': 552}
 #: Size of a pipe that nobody reads, in bytes; it is full after some lines.
 _UNREAD_PIPE_BYTES = 4096
 _PLACEHOLDER = re.compile(r'\{\{([\w.]+)\}\}')
--- a/ragwortfield/testing/scheduler_deployment.py
+++ b/ragwortfield/testing/scheduler_deployment.py
@@ -74,12 +74,17 @@
     :param worker_by_id: workers that are served to the processes.
     :param address_by_worker: host and port of each worker.
     :param instance_by_name: processes, also those that have ended.
+    :param limits: limits of the clients in the configuration; ``None`` for a
+        configuration without them.
+    :param tables: further tables of the processes' settings, by name.
     """
 
     store: FakeRowStore = field(default_factory=FakeRowStore)
     worker_by_id: dict[str, FakeTaskWorker] = field(default_factory=dict)
     address_by_worker: dict[str, str] = field(default_factory=dict)
     instance_by_name: dict[str, SchedulerProcess] = field(default_factory=dict)
+    limits: dict[str, int] | None = None
+    tables: dict[str, dict[str, float]] = field(default_factory=dict)
     _folder: Path = field(init=False)
     _servers: list[HttpServer] = field(default_factory=list)
     _greenlets: list[gevent.Greenlet] = field(default_factory=list)
@@ -115,7 +120,7 @@
         self.write_row(
             OPERATOR_TABLE,
             'config',
-            encode_configuration(version, prefix, POOL),
+            encode_configuration(version, prefix, POOL, self.limits),
         )
 
     def write_row(self, table: str, key: str, content: bytes) -> None:
@@ -194,6 +199,7 @@
                         'peer_port': peer_port,
                     },
                     'dependencies': {'store': self._store_address},
+                    **self.tables,
                 },
             ),
         )
