Configuration: limits of clients

The configuration has limits for heads, bodies and pauses, which were not read; a changed max_body_bytes had no effect. They are parsed with their defaults and bounds, and the job API takes the largest body from them. A value out of range makes the configuration unreadable, and the one before stays in force.

--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -8,6 +8,7 @@
 import gevent
 
 from ragwortfield.adapters.json_codec import Malformed
+from ragwortfield.core.client_limits import ClientLimits
 from ragwortfield.engine.change_feed import ChangeFeed, read_all_rows
 from ragwortfield.engine.cluster_view import ClusterView
 from ragwortfield.engine.evacuation_view import EvacuationView
@@ -249,6 +250,16 @@
         """
         return self._catalogue
 
+    def client_limits(self) -> ClientLimits:
+        """
+        Return the limits of clients in force on this instance.
+
+        :returns: those of the configuration; the defaults before the first.
+        """
+        if self._catalogue is None:
+            return ClientLimits()
+        return self._catalogue.client_limits
+
     def wall_time(self) -> WallTime:
         """
         Return the wall time.
--- a/ragwortfield/platform/bounded_types.py
+++ b/ragwortfield/platform/bounded_types.py
@@ -22,3 +22,20 @@
 PositiveNumber = Annotated[int, msgspec.Meta(gt=0, le=MAX_EXACT_INTEGER)]
 #: Amount that may be fractional.
 Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
+
+_MIN_HEAD_BYTES = 256
+_MAX_HEAD_BYTES = 1_048_576
+_MIN_BODY_BYTES = 1024
+_MAX_BODY_BYTES = 16_777_216
+_MIN_TIME_LIMIT_MS = 100
+_MAX_TIME_LIMIT_MS = 3_600_000
+
+#: Limit of the head of a request, in bytes; from a line with some fields to
+#: what a machine can hold for several connections.
+HeadLimit = Annotated[int, msgspec.Meta(ge=_MIN_HEAD_BYTES, le=_MAX_HEAD_BYTES)]
+#: Limit of the body of a request, in bytes.
+BodyLimit = Annotated[int, msgspec.Meta(ge=_MIN_BODY_BYTES, le=_MAX_BODY_BYTES)]
+#: Time limit of a client, in milliseconds; up to an hour.
+TimeLimitMs = Annotated[
+    int, msgspec.Meta(ge=_MIN_TIME_LIMIT_MS, le=_MAX_TIME_LIMIT_MS)
+]
--- a/ragwortfield/platform/document_parsing.py
+++ b/ragwortfield/platform/document_parsing.py
@@ -5,11 +5,15 @@
 import msgspec
 
 from ragwortfield.adapters.json_codec import DECODE_ERRORS, Malformed
+from ragwortfield.core.client_limits import ClientLimits
 from ragwortfield.core.resources import Resources
 from ragwortfield.platform.bounded_types import (
     Amount,
+    BodyLimit,
     ExactInteger,
+    HeadLimit,
     PositiveNumber,
+    TimeLimitMs,
     WholeNumber,
 )
 from ragwortfield.ports.task_worker import ListedWorker
@@ -137,10 +141,20 @@
     spare: bool = False
 
 
+class _WireLimits(msgspec.Struct):
+    """Limits of clients; the defaults are those of the specification."""
+
+    max_header_bytes: HeadLimit = 16384
+    max_body_bytes: BodyLimit = 262144
+    header_timeout_ms: TimeLimitMs = 3000
+    idle_timeout_ms: TimeLimitMs = 15000
+
+
 class _WireConfiguration(msgspec.Struct):
     version: ExactInteger
     routes: list[_WireQueue] = []
     services: list[_WirePool] = []
+    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
 
 
 def parse_worker(worker_id: str, content: bytes) -> ListedWorker | Malformed:
@@ -210,6 +224,12 @@
             )
             for pool in wire.services
         },
+        client_limits=ClientLimits(
+            max_header_bytes=wire.limits.max_header_bytes,
+            max_body_bytes=wire.limits.max_body_bytes,
+            header_timeout_s=wire.limits.header_timeout_ms / _MS_PER_S,
+            idle_timeout_s=wire.limits.idle_timeout_ms / _MS_PER_S,
+        ),
     )
 
 
--- a/ragwortfield/platform/job_api.py
+++ b/ragwortfield/platform/job_api.py
@@ -49,16 +49,20 @@
 #: Fraction of the client's deadline that this instance spends on attempts. The
 #: rest leaves the client time to try another instance.
 _TIMEOUT_SHARE_OF_DEADLINE = 0.45
-_MAX_BODY_BYTES = 262144
 _MS_PER_S = 1000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _RequestedResource:
-    """Queue and job that a request names; an empty job means the queue."""
+    """
+    Queue and job that a request names; an empty job means the queue.
+
+    :param max_body_bytes: largest body that is accepted, in bytes.
+    """
 
     queue: Queue
     job_id: str
+    max_body_bytes: int
 
 
 class JobApi:
@@ -114,6 +118,7 @@
         resource = _RequestedResource(
             queue=queue,
             job_id=path.removeprefix(queue.path_prefix),
+            max_body_bytes=catalogue.client_limits.max_body_bytes,
         )
         return self._dispatch(environ, resource)
 
@@ -142,7 +147,7 @@
     def _submit(
         self, environ: dict[str, Any], resource: _RequestedResource
     ) -> Response:
-        body = read_body(environ, _MAX_BODY_BYTES)
+        body = read_body(environ, resource.max_body_bytes)
         if isinstance(body, BodyError):
             return _make_error_response(body.status, body.message)
         job = parse_job(
--- a/ragwortfield/scheduling/catalogue.py
+++ b/ragwortfield/scheduling/catalogue.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ragwortfield.core.client_limits import ClientLimits
 from ragwortfield.types import Seconds
 
 
@@ -71,6 +72,7 @@
     version: int
     queue_by_name: dict[str, Queue] = field(default_factory=dict)
     pool_by_name: dict[str, Pool] = field(default_factory=dict)
+    client_limits: ClientLimits = ClientLimits()
 
     def match_queue(self, host: str, path: str) -> Queue | None:
         """
