Peer port: bounds for connections and calls under way

Anyone who reaches the port could open connections without a bound, each with up to 256 KiB of an incomplete frame. At most 128 are served; a new one displaces one without a frame so far, or else the most silent one. A connection with more than 1,000 calls under way is ended. The handshake was bounded by websockets.

--- a/ragwortfield/peering/rpc.py
+++ b/ragwortfield/peering/rpc.py
@@ -1,6 +1,8 @@
 """Remote procedure calls between instances, over websockets with CBOR."""
 
+import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -8,10 +10,11 @@
 import gevent
 from gevent.event import AsyncResult
 from gevent.lock import BoundedSemaphore
+from gevent.pool import Group
 from websockets.exceptions import WebSocketException
 from websockets.sync.client import connect
 from websockets.sync.connection import Connection
-from websockets.sync.server import ServerConnection, serve
+from websockets.sync.server import Server, ServerConnection, serve
 
 from ragwortfield.adapters.http_client import set_socket_options
 from ragwortfield.log import event
@@ -36,6 +39,12 @@
 #: Time after a failed connection attempt during which calls to the address
 #: fail immediately, in seconds.
 _RECONNECT_DELAY_S: Seconds = 0.2
+#: Most connections that are served at a time. Up to 97 instances run, and each
+#: has one connection to each other one. An incomplete frame may take as much
+#: memory as the largest.
+_MAX_SERVED_CONNECTIONS = 128
+#: Most calls of one connection that are under way at a time.
+_MAX_CALLS_UNDER_WAY = 1000
 #: Keys of the CBOR map in a frame.
 _NUMBER_KEY = 'number'
 _NAME_KEY = 'name'
@@ -93,6 +102,7 @@
         self._connect_failed_at_by_address: dict[str, MonotonicTime] = {}
         self._unreachable_since_by_address: dict[str, MonotonicTime] = {}
         self._last_call_number = 0
+        self._served_link_by_socket: dict[socket.socket, LinkRecord] = {}
 
     def listen(self, address: str, handler: CallHandler) -> Callable[[], None]:
         """
@@ -105,10 +115,14 @@
         host, port = split_address(address) or ('', 0)
         server = serve(
             lambda websocket: _serve_connection(
-                websocket, handler, self._monotonic
+                websocket,
+                handler,
+                self._monotonic,
+                self._served_link_by_socket.get(websocket.socket),
             ),
             host,
             port,
+            create_connection=self._create_served_connection,
             max_size=_MAX_FRAME_BYTES,
             max_queue=_MAX_QUEUED_FRAMES,
             compression=None,
@@ -179,6 +193,30 @@
         finally:
             connection.pending_response_by_number.pop(call_number, None)
 
+    def _create_served_connection(
+        self, sock: socket.socket, protocol: Any, server: Server, **options: Any
+    ) -> ServerConnection:
+        """Create the server's end of a connection; a silent one may end."""
+        link_by_socket = self._served_link_by_socket
+        for other in tuple(link_by_socket):
+            if other.fileno() < 0:
+                del link_by_socket[other]
+        if len(link_by_socket) >= _MAX_SERVED_CONNECTIONS:
+            silent = min(
+                link_by_socket,
+                # Those without a frame so far come first.
+                key=lambda other: (
+                    link_by_socket[other].received_at,
+                    link_by_socket[other].opened_at,
+                ),
+            )
+            link = link_by_socket.pop(silent)
+            event('peer_link_displaced', **link.format_ages(self._monotonic()))
+            with suppress(OSError):
+                silent.shutdown(socket.SHUT_RDWR)
+        link_by_socket[sock] = LinkRecord(opened_at=self._monotonic())
+        return ServerConnection(sock, protocol, server, **options)
+
     def _get_or_connect(self, address: str) -> _PeerConnection | Unavailable:
         lock = self._connect_lock_by_address.setdefault(
             address, BoundedSemaphore()
@@ -300,8 +338,10 @@
     websocket: ServerConnection,
     handler: CallHandler,
     monotonic: Callable[[], MonotonicTime],
+    link: LinkRecord | None = None,
 ) -> None:
-    link = LinkRecord(opened_at=monotonic())
+    link = link or LinkRecord(opened_at=monotonic())
+    calls = Group()
     call_count = 0
     remote = None
     end = LinkEnd.CLOSED_BY_PEER
@@ -313,7 +353,9 @@
         for frame in websocket:
             link.received_at = monotonic()
             call_count += 1
-            gevent.spawn(_handle_call, websocket, handler, frame)
+            if len(calls) >= _MAX_CALLS_UNDER_WAY:
+                raise ConnectionAbortedError(f'{len(calls)} calls under way')
+            calls.spawn(_handle_call, websocket, handler, frame)
     except (OSError, WebSocketException) as error:
         end = classify_link_end(error)
         reason = repr(error)
--- a/ragwortfield/tests/test_peer_rpc.py
+++ b/ragwortfield/tests/test_peer_rpc.py
@@ -115,6 +115,44 @@
         self.assertIn('unreachable_s=0.3', reached)
 
 
+class ServedConnectionsTest(unittest.TestCase):
+    def setUp(self):
+        self.address = f'127.0.0.1:{find_free_port()}'
+        server = PeerRpc(monotonic=time.monotonic)
+        serve_until_end(
+            self, server.listen, self.address, lambda _name, body: body
+        )
+        self.rpc = PeerRpc(monotonic=time.monotonic)
+        self.addCleanup(self.close)
+
+    def close(self):
+        for connection in self.rpc._connection_by_address.values():
+            connection.websocket.close()
+        gevent.sleep(0.1)
+
+    # Guards against connections without number that keep peers out.
+    def test_silent_connections_make_place_for_peers(self):
+        with mock.patch.object(peer_rpc, '_MAX_SERVED_CONNECTIONS', 4):
+            self.assertEqual(self.rpc.call(self.address, 'x', {}, 1), {})
+            host, port = self.address.split(':')
+            connections = []
+            for _ in range(12):
+                connections.append(socket.create_connection((host, int(port))))
+                self.addCleanup(connections[-1].close)
+            gevent.sleep(0.2)
+            self.assertEqual(connections[0].recv(1), b'')
+            # The link of the peer has had frames and is kept.
+            with capture_log_lines() as lines:
+                self.assertEqual(self.rpc.call(self.address, 'x', {}, 1), {})
+            self.assertEqual(lines, [])
+
+    # Guards against a peer whose calls pile up without a bound.
+    def test_too_many_calls_under_way_end_the_link(self):
+        with mock.patch.object(peer_rpc, '_MAX_CALLS_UNDER_WAY', 0):
+            outcome = self.rpc.call(self.address, 'x', {}, 1)
+        self.assertIsInstance(outcome, Unavailable)
+
+
 class LinkEndTest(unittest.TestCase):
     """Links to a real server, which end in different ways."""
 
