HTTP servers: bounds for clients outside the limits

Users saw a process run out of memory: gevent's server bounds neither the bytes of all connections nor any time, and reads chunk heads byte by byte. A guard bounds the bytes of all heads and bodies, the time of each phase of a connection while the process runs, and the connections; chunks are decoded by llhttp. What is refused has not run.

--- a/ragwortfield/daemons/scheduler.py
+++ b/ragwortfield/daemons/scheduler.py
@@ -26,6 +26,11 @@
     PlatformTables,
     SchedulerNode,
 )
+from ragwortfield.http_api.client_guard import (
+    ClientGuard,
+    compute_budget_bytes,
+    compute_max_connections,
+)
 from ragwortfield.http_api.health import HealthApplication
 from ragwortfield.http_api.wsgi_server import HttpServer
 from ragwortfield.log import event
@@ -90,18 +95,37 @@
         """Create the components; ``run`` starts them."""
         self._settings = settings
         self.node = _create_node(settings)
+        memory_mb = settings.clients.memory_mb
+        caller_guard = ClientGuard(
+            limits=self.node.client_limits,
+            budget_bytes=compute_budget_bytes(memory_mb),
+            max_connections=compute_max_connections(
+                memory_mb, _MAX_CONNECTIONS
+            ),
+        )
+        health_guard = ClientGuard(
+            limits=self.node.client_limits,
+            budget_bytes=0,
+            max_connections=_MAX_HEALTH_CONNECTIONS,
+        )
         self._caller_server = HttpServer(
             address=split_address(settings.listen.callers) or ('', 0),
             application=JobApi(node=self.node),
-            max_connections=_MAX_CONNECTIONS,
+            max_connections=caller_guard.max_connections,
+            guard=caller_guard,
         )
         self._health_server = HttpServer(
             address=split_address(settings.listen.health) or ('', 0),
             application=HealthApplication(
                 node=self.node,
                 application_by_path={EXPLAIN_PATH: ExplainApi(node=self.node)},
+                guard_by_server={
+                    'callers': caller_guard,
+                    'health': health_guard,
+                },
             ),
             max_connections=_MAX_HEALTH_CONNECTIONS,
+            guard=health_guard,
         )
         self._stop_requested = Event()
 
--- a/ragwortfield/http_api/health.py
+++ b/ragwortfield/http_api/health.py
@@ -1,11 +1,12 @@
 """Readiness check for the load balancer, metrics, and questions."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 from typing import Any
 
 from ragwortfield.core.outcomes import HeaderFields
 from ragwortfield.engine.scheduler_node import SchedulerNode
+from ragwortfield.http_api.client_guard import ClientGuard
 from ragwortfield.http_api.wsgi import (
     Response,
     StartResponse,
@@ -25,16 +26,20 @@
 
     :param node: node whose readiness and metrics are shown.
     :param application_by_path: applications for further paths.
+    :param guard_by_server: bounds of the clients of each server, whose counts
+        are shown.
     """
 
     def __init__(
         self,
         *,
         node: SchedulerNode,
+        guard_by_server: Mapping[str, ClientGuard],
         application_by_path: dict[str, Application] | None = None,
     ) -> None:
         """Create the application."""
         self._node = node
+        self._guard_by_server = guard_by_server
         self._application_by_path = application_by_path or {}
 
     def __call__(
@@ -65,8 +70,13 @@
         )
 
     def _make_metrics_response(self) -> Response:
+        metrics = self._node.metrics
         self._node.refresh_metrics()
-        body, fields = self._node.metrics.render()
+        for server, guard in self._guard_by_server.items():
+            metrics.state(f'{server}_connections', len(guard.connections))
+            metrics.state(f'{server}_held_bytes', guard.held_bytes)
+            metrics.record_client_ends(server, guard.decisions.count_by_name)
+        body, fields = metrics.render()
         return Response(
             status=HTTPStatus.OK,
             fields=tuple(fields.items()),
--- a/ragwortfield/http_api/wsgi.py
+++ b/ragwortfield/http_api/wsgi.py
@@ -8,12 +8,13 @@
 
 from ragwortfield.adapters.json_codec import encode_json
 from ragwortfield.core.outcomes import HeaderFields
+from ragwortfield.http_api.client_connection import RequestRefused
 from ragwortfield.http_api.wsgi_server import RAW_PATH_KEY
 
 #: Prefix of the environment keys that hold header fields.
 _HEADER_KEY_PREFIX = 'HTTP_'
 #: Maximum number of bytes that one read of a body returns.
-_READ_CHUNK_BYTES = 10**5
+_READ_CHUNK_BYTES = 16384
 
 #: Length of a body; ``int`` cannot read all other digits, nor any number of
 #: them.
@@ -172,6 +173,12 @@
             if not chunk:
                 break
             body += chunk
+    except RequestRefused as refusal:
+        return BodyError(
+            status=refusal.status,
+            code=refusal.code,
+            message=refusal.message,
+        )
     except OSError as error:
         return BodyError(
             status=HTTPStatus.BAD_REQUEST,
--- a/ragwortfield/http_api/wsgi_server.py
+++ b/ragwortfield/http_api/wsgi_server.py
@@ -1,6 +1,9 @@
-"""WSGI server with raw request paths and socket options for small messages."""
+"""WSGI server with raw request paths and bounds for its clients."""
 
+import socket
 import time
+from contextlib import suppress
+from io import BytesIO
 from typing import Any
 
 import gevent
@@ -9,7 +12,12 @@
 
 from ragwortfield.adapters.http_client import is_readable, set_socket_options
 from ragwortfield.adapters.json_codec import encode_json
-from ragwortfield.log import event
+from ragwortfield.http_api.client_connection import (
+    BodyInput,
+    ClientConnection,
+    RequestRefused,
+)
+from ragwortfield.http_api.client_guard import ClientGuard, Phase
 from ragwortfield.types import Seconds
 
 #: Key in the WSGI environment of the path as the client sent it, still
@@ -23,11 +31,45 @@
     'too long',
     '414': 'the request line is longer than 8192 bytes',
 }
+#: Reason phrase by status, for responses that the server itself sends.
+_PHRASE_BY_STATUS = {
+    '408': 'Request Timeout',
+    '431': 'Request Header Fields Too Large',
+    '503': 'Service Unavailable',
+}
+#: Connections that the kernel keeps until they are accepted.
+_BACKLOG = 1024
+#: Size of the kernel's buffers of a connection, in bytes; the kernel doubles
+#: it. Received bytes that wait there count against the memory of the machine.
+_KERNEL_BUFFER_BYTES = 16384
 
 
 class _RequestHandler(WSGIHandler):
     """Handler that keeps the raw path and explains why it refuses a request."""
 
+    def __init__(self, sock: Any, address: Any, server: Any) -> None:
+        """
+        Create the handler of a connection.
+
+        :param sock: socket of the connection.
+        :param address: address of the client.
+        :param server: the server.
+        """
+        super().__init__(sock, address, server, rfile=BytesIO())
+        self._refusal: RequestRefused | None = None
+        self._connection = ClientConnection(
+            sock=sock, remote=address, guard=server.guard
+        )
+
+    def handle(self) -> None:
+        """Handle all requests of the connection."""
+        guard = self.server.guard
+        guard.add(self._connection)
+        try:
+            super().handle()
+        finally:
+            guard.remove(self._connection)
+
     def get_environ(self) -> dict[str, Any]:
         """
         Create the WSGI environment, with the raw path in it.
@@ -36,20 +78,30 @@
         """
         environ = super().get_environ()
         environ[RAW_PATH_KEY] = self.path
+        self.wsgi_input = BodyInput(self._connection, self.wsgi_input)
+        if environ['wsgi.input_terminated']:
+            environ['wsgi.input'] = self.wsgi_input
         return environ
 
     def read_requestline(self) -> str:
         """
-        Read the first line of a request; the connection is idle until then.
+        Read the head of a request; the connection is idle until then.
 
-        :returns: the line; empty if the client has closed the connection.
+        :returns: its first line; empty if the client has closed the
+            connection, or the request is refused.
         """
         idle_greenlets = self.server.idle_greenlet_by_socket
-        idle_greenlets[self.socket] = gevent.getcurrent()
+        if not self._connection.has_request():
+            idle_greenlets[self.socket] = gevent.getcurrent()
         try:
-            return super().read_requestline()
+            # The base class reads the fields from here as well.
+            self.rfile = BytesIO(self._connection.read_head())
+        except RequestRefused as refusal:
+            self._refusal = refusal
+            return ''
         finally:
-            del idle_greenlets[self.socket]
+            idle_greenlets.pop(self.socket, None)
+        return super().read_requestline()
 
     def handle_one_request(self) -> Any:
         """
@@ -57,21 +109,57 @@
 
         If the request cannot be parsed, the response says that it was not run.
 
-        :returns: result of the base class; for a request that cannot be
-            parsed, its status and the whole response.
+        :returns: result of the base class; ``None`` for a request that is
+            refused, after which the connection is closed.
         """
+        connection = self._connection
         outcome = super().handle_one_request()
+        connection.guard.release(connection)
         if isinstance(outcome, tuple):
-            return outcome[0], _encode_unreadable_response(str(outcome[0]))
+            status = str(outcome[0])
+            message = _MESSAGE_BY_STATUS.get(status, 'the request is malformed')
+            self._refuse(status, 'unreadable-request', message)
+            return None
+        if self._refusal is not None:
+            self._refuse(
+                str(int(self._refusal.status)),
+                self._refusal.code,
+                self._refusal.message,
+            )
+            return None
+        if connection.is_closing:
+            connection.discard_rest()
+            return None
         return outcome
 
+    def finalize_headers(self) -> None:
+        """Complete the header fields of a response."""
+        super().finalize_headers()
+        if self._connection.is_closing and not self.close_connection:
+            self.response_headers.append((b'Connection', b'close'))
+
     def log_request(self) -> None:
         """Log nothing; the application logs requests."""
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
-        event('request_unreadable', remote=self.client_address, error=ex)
+        self.server.guard.decisions.record(
+            'request_unreadable',
+            time.monotonic(),
+            remote=self.client_address,
+            error=ex,
+        )
         return '400', b''
 
+    def _sendall(self, data: bytes) -> None:
+        self._connection.enter(Phase.ANSWER)
+        super()._sendall(data)
+        self._connection.enter(Phase.BUSY)
+
+    def _refuse(self, status: str, code: str, message: str) -> None:
+        with suppress(OSError):
+            self._connection.sendall(_encode_refusal(status, code, message))
+            self._connection.discard_rest()
+
 
 class HttpServer(WSGIServer):
     """
@@ -81,6 +169,8 @@
     :param application: the WSGI application.
     :param max_connections: maximum number of concurrent connections; further
         ones wait in the kernel's accept queue.
+    :param guard: bounds of what the connections hold, of the same number of
+        connections; ``None`` for servers whose clients are trusted.
     :ivar idle_greenlet_by_socket: greenlet that waits for the next request on
         each idle connection.
     """
@@ -93,17 +183,46 @@
         address: tuple[str, int],
         application: Any,
         max_connections: int,
+        guard: ClientGuard | None = None,
     ) -> None:
         """Create a server; ``start`` makes it accept connections."""
+        self.guard = guard or ClientGuard(
+            max_connections=max_connections, is_timed=False
+        )
         super().__init__(
             address,
             application,
+            backlog=_BACKLOG,
             spawn=Pool(max_connections),
             log=None,
             error_log=None,
         )
         self.idle_greenlet_by_socket: dict[Any, gevent.Greenlet] = {}
 
+    def init_socket(self) -> None:
+        """Listen; connections inherit the sizes of the kernel's buffers."""
+        super().init_socket()
+        if self.guard.is_timed:
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                self.socket.setsockopt(
+                    socket.SOL_SOCKET, option, _KERNEL_BUFFER_BYTES
+                )
+
+    def start(self) -> None:
+        """Accept connections, and check their time limits."""
+        super().start()
+        self.guard.start()
+
+    def stop(self, timeout: Seconds | None = None) -> None:
+        """
+        Stop the server and end its connections.
+
+        :param timeout: longest wait for them, in seconds; ``None`` for the
+            default of the base class.
+        """
+        super().stop(timeout)
+        self.guard.stop()
+
     def finish(self, timeout_s: Seconds) -> int:
         """
         Refuse new connections, answer all requests, and close connections.
@@ -151,22 +270,17 @@
             accepted = None if self.pool.full() else self.do_read()
 
 
-def _encode_unreadable_response(status: str) -> bytes:
-    body = encode_json(
-        {
-            'error': 'unreadable-request',
-            'message': _MESSAGE_BY_STATUS.get(
-                status, 'the request is malformed'
-            ),
-            'run': 'not-run',
-        }
-    )
+def _encode_refusal(status: str, code: str, message: str) -> bytes:
+    body = encode_json({'error': code, 'message': message, 'run': 'not-run'})
+    phrase = _PHRASE_BY_STATUS.get(status, 'Bad Request')
+    retry = 'retry-after: 1\r\n' if status == '503' else ''
     head = (
-        f'HTTP/1.1 {status} Bad Request\r\n'
+        f'HTTP/1.1 {status} {phrase}\r\n'
         'connection: close\r\n'
         'content-type: application/json\r\n'
         'ragwortfield-run: not-run\r\n'
-        'ragwortfield-code: unreadable-request\r\n'
+        f'ragwortfield-code: {code}\r\n'
+        f'{retry}'
         f'content-length: {len(body)}\r\n\r\n'
     )
     return b''.join((head.encode('ascii'), body))
--- a/ragwortfield/report/scheduler_metrics.py
+++ b/ragwortfield/report/scheduler_metrics.py
@@ -82,6 +82,11 @@
             'Scheduling decisions of owners on this instance by name.',
             registry=self.registry,
         )
+        self._client_ends = Counter(
+            'ragwortfield_client_ends_total',
+            'Requests and connections of clients ended by this instance.',
+            registry=self.registry,
+        )
         self._gauge = Gauge(
             'ragwortfield_scheduler_state',
             'State of the scheduler by name.',
@@ -174,6 +179,19 @@
         for name, count in count_by_name.items():
             self._decisions.set({'decision': name}, count)
 
+    def record_client_ends(
+        self, server: str, count_by_cause: Mapping[str, float]
+    ) -> None:
+        """
+        Set the counters of ended requests and connections of clients.
+
+        :param server: value of the ``server`` label.
+        :param count_by_cause: counts since the start of the process, by the
+            value of the ``cause`` label.
+        """
+        for cause, count in count_by_cause.items():
+            self._client_ends.set({'server': server, 'cause': cause}, count)
+
     def state(self, name: str, amount: float) -> None:
         """
         Set a gauge of the state.
--- a/ragwortfield/tests/test_abusive_clients.py
+++ b/ragwortfield/tests/test_abusive_clients.py
@@ -57,6 +57,7 @@
 _SUSPENSION_S = 3
 _DRIP_S = 0.2
 _STATUS_OK = 200
+_STATUS_GONE = 410
 _QUERY = b'GET %b HTTP/1.1\r\nHost: 127.0.0.1\r\n' % PREFIX.encode()
 _SUBMISSION = b'POST %b%016x HTTP/1.1\r\nHost: 127.0.0.1\r\n'
 
@@ -89,10 +90,13 @@
         self.addCleanup(self.deployment.stop)
         self.deployment.start(instances=1, workers=1)
         self.instance = self.deployment.instance_by_name['entry-0']
-        self.proc = Path('/proc') / str(self.instance.process.pid)
         self.connections = []
         self.addCleanup(self.close)
         self.assertTrue(self.answers(0))
+        self.measure_idle()
+
+    def measure_idle(self):
+        self.proc = Path('/proc') / str(self.instance.process.pid)
         # Resets the peak of the resident memory, which the start has raised.
         (self.proc / 'clear_refs').write_text('5', encoding='ascii')
         self.idle_kb = self.read_kb('VmRSS')
@@ -312,6 +316,31 @@
                 connection.sendall(body[200:])
             self.assertEqual(self.read_status(connection), b'200')
 
+    # Guards against a refusal that is not final: a job that its caller was told
+    # has not run, and that is stored all the same.
+    def test_refused_jobs_are_not_stored(self):
+        body = _padded_job()
+        refused = set()
+
+        def submit(number):
+            connection = self.connect()
+            with suppress(OSError):
+                connection.sendall(_sized_head(number))
+                connection.sendall(body)
+            if self.read_status(connection) == b'503':
+                refused.add(number)
+
+        crowd = Group()
+        for number in range(_CROWD):
+            crowd.spawn(submit, number)
+        crowd.join(timeout=TIMEOUT_S)
+        self.assertTrue(self.answers(1))
+        for number in refused:
+            response = self.deployment.call(
+                self.instance, 'GET', f'{PREFIX}{number:016x}'
+            )
+            self.assertEqual(response.status, _STATUS_GONE)
+
 
 class AnswerTest(AbusiveClientTest):
     # Guards against answers that are kept for clients that never read them.
@@ -332,6 +361,24 @@
         self.assert_bounded()
 
 
+class TakeoverTest(AbusiveClientTest):
+    # Guards against a successor that is slower to serve, or ends as well, when
+    # the clients of a lost owner come to it.
+    def test_successor_withstands_the_clients_of_a_lost_owner(self):
+        successor = self.deployment.start_instance('entry-1')
+        self.deployment.wait_until_serving(successor)
+        body = b'a' * _SENT_BYTES
+
+        def make_pieces(number):
+            return (_sized_head(number), body)
+
+        self.send_crowd(make_pieces)
+        self.instance.process.kill()
+        self.instance = successor
+        self.measure_idle()
+        self.assert_withstands(make_pieces)
+
+
 class TimeTest(AbusiveClientTest):
     # Guards against time limits that go on while the process is suspended.
     def test_suspension_ends_no_request(self):
