--- a/ragwortfield/engine/scheduler_node.py
+++ b/ragwortfield/engine/scheduler_node.py
@@ -225,7 +225,10 @@
 
     def start(self) -> None:
         """Join the deployment and run in the background."""
-        self._peers.listen(self._identity.address, self._answer)
+        self._peers.listen(
+            self._identity.address,
+            lambda name, body: self._handler_by_call[name](body),
+        )
         clock_supervisor = Supervisor(name='keep_calendar', pause_s=_RETRY_S)
         gevent.spawn(clock_supervisor.run, self._sample_wall_clock)
         feed_supervisor = Supervisor(
@@ -581,9 +584,6 @@
             catalogue=self._catalogue or Catalogue(version=-1),
         )
 
-    def _answer(self, name: str, body: CallBody) -> CallBody:
-        return self._handler_by_call[name](body)
-
     def _answer_status(self, body: CallBody) -> CallBody:
         return _encode_status(
             self.job_requests.get_owned_status(body['job_id'])
