--- a/ragwortfield/tests/test_evacuation_view.py
+++ b/ragwortfield/tests/test_evacuation_view.py
@@ -1,6 +1,7 @@
 """An instance knows the evacuated zones, and up to when it knows them."""
 
 import math
+import re
 import time
 import unittest
 from pathlib import Path
@@ -36,12 +37,14 @@
     load_scheduler_settings,
 )
 from ragwortfield.settings.toml_parsing import SettingsError
+from ragwortfield.soak.processes import render_template
 from ragwortfield.testing.fake_row_store import FakeRowStore
 from ragwortfield.testing.fake_task_workers import FakeTaskWorkerControl
 
 _MAX_AGE_S = 1.8
 #: Longest wait for the greenlets of a test, in seconds.
 _TIMEOUT_S = 5
+_ROOT = Path(__file__).parents[2]
 _SETTINGS = """
 [instance]
 id = "i"
@@ -318,3 +321,15 @@
             self.assertIsInstance(problems, SettingsError, bounds)
             key = bounds.split(maxsplit=1)[0]
             self.assertIn(f"'bounds.{key}' is", problems.text())
+
+    # Guards against settings that cannot be read where the platform states no
+    # time for evacuations.
+    def test_template_leaves_out_a_time_that_is_not_stated(self):
+        template = (_ROOT / 'deploy/settings.template.toml').read_text()
+        for bounds, expected_ms in (({}, None), ({'evacuate_ms': 4000}, 4000)):
+            fields = {'bounds': bounds}
+            lines = render_template(template.split('[bounds]')[1], fields)
+            found = re.findall(r'^evacuate_ms = (\d+)$', lines, re.MULTILINE)
+            expected = [] if expected_ms is None else [str(expected_ms)]
+            self.assertEqual(found, expected)
+            self.assertNotIn('{{', lines)
