--- a/ragwortfield/scheduling/explanation.py
+++ b/ragwortfield/scheduling/explanation.py
@@ -495,6 +495,10 @@
         'draining',
         lambda _state, _job, _step, worker, _now: worker.listed.is_draining,
     ),
+    (
+        'evacuated_zone',
+        lambda _state, _job, _step, worker, _now: worker.is_evacuated,
+    ),
     ('silent', _is_silent),
     (
         'quarantine',
--- a/ragwortfield/tests/test_explanation.py
+++ b/ragwortfield/tests/test_explanation.py
@@ -129,6 +129,10 @@
             {'draining': ('hot0',), 'quarantine': ('other0',)},
         )
 
+    def test_evacuated_zone(self):
+        self.state.worker_by_id['hot0'].is_evacuated = True
+        self.assertEqual(self.explain().excluded, {'evacuated_zone': ('hot0',)})
+
     def test_label_and_capacity(self):
         self.fill('hot0', 50)
         self.assertEqual(
