--- a/ragwortfield/scheduling/overload_control.py
+++ b/ragwortfield/scheduling/overload_control.py
@@ -177,7 +177,9 @@
             deferred.append(dropped)
             if not dropped.is_deferred:
                 shares.deferred_by_group[dropped.group] += 1
-    returned = _select_returning(kept, deferred, capacity_cpu, now)
+    returned = _select_returning(
+        kept, deferred, capacity_cpu, now, taken_work=taken_work
+    )
     return {demand.job_id for demand in deferred} - returned
 
 
@@ -207,27 +209,47 @@
 
 def _select_returning(
     kept: list[JobDemand],
-    deferred: Iterable[JobDemand],
+    deferred: Sequence[JobDemand],
     capacity_cpu: float,
     now: MonotonicTime,
+    *,
+    taken_work: float,
 ) -> set[JobId]:
-    """Select deferred jobs that fit beside all kept ones, smallest first."""
+    """
+    Select deferred jobs that fit beside all kept ones, smallest first.
+
+    :param taken_work: work under way of jobs that cannot be in time, in
+        core-seconds.
+    """
     returned: set[JobId] = set()
+    # The runs of deferred jobs go on as well.
+    taken_work += sum(demand.running_work for demand in deferred)
     planned = list(kept)
     for demand in sorted(deferred, key=lambda demand: demand.work):
         candidate = sorted(
             (*planned, demand), key=lambda planned_job: planned_job.deadline
         )
-        if _is_feasible(candidate, capacity_cpu * _RETURN_SHARE, now):
+        other_work = taken_work - demand.running_work
+        if _is_feasible(
+            candidate,
+            capacity_cpu * _RETURN_SHARE,
+            now,
+            taken_work=other_work,
+        ):
             planned = candidate
+            taken_work = other_work
             returned.add(demand.job_id)
     return returned
 
 
 def _is_feasible(
-    demands: Iterable[JobDemand], capacity_cpu: float, now: MonotonicTime
+    demands: Iterable[JobDemand],
+    capacity_cpu: float,
+    now: MonotonicTime,
+    *,
+    taken_work: float,
 ) -> bool:
-    total_work: float = 0
+    total_work = taken_work
     for demand in demands:
         total_work += demand.work
         if total_work > capacity_cpu * (demand.deadline - now):
--- a/ragwortfield/tests/test_overload_control.py
+++ b/ragwortfield/tests/test_overload_control.py
@@ -96,6 +96,16 @@
         demands = [make_demand('kept'), make_demand('back', is_deferred=True)]
         self.assertEqual(self.select(demands), set())
 
+    # Guards against plans that take more than the capacity: a deferred job
+    # returned at once, as the runs of late and deferred jobs did not count.
+    def test_deferred_job_does_not_return_to_capacity_in_use(self):
+        late = make_demand('late', path_s=9, work=70, running_work=70)
+        self.assertEqual(self.select([late, make_demand('new')]), {'new'})
+        begun = make_demand('begun', work=90, running_work=70)
+        self.assertEqual(
+            self.select([begun, make_demand('new')]), {'begun', 'new'}
+        )
+
 
 class OverloadControlTest(unittest.TestCase):
     """One worker of 32 cores; each job needs all of it for a second."""
