Fairness under overload counts only jobs that stay deferred

A job that a plan deferred and took back was counted as deferred by each plan, so its size group seemed to be at a disadvantage that it did not have.

--- a/ragwortfield/scheduling/overload_control.py
+++ b/ragwortfield/scheduling/overload_control.py
@@ -180,6 +180,9 @@
     returned = _select_returning(
         kept, deferred, capacity_cpu, now, taken_work=taken_work
     )
+    for demand in deferred:
+        if demand.job_id in returned and not demand.is_deferred:
+            shares.deferred_by_group[demand.group] -= 1
     return {demand.job_id for demand in deferred} - returned
 
 
--- a/ragwortfield/tests/test_overload_control.py
+++ b/ragwortfield/tests/test_overload_control.py
@@ -106,6 +106,17 @@
             self.select([begun, make_demand('new')]), {'begun', 'new'}
         )
 
+    # Guards against size groups that count as disadvantaged by jobs that were
+    # served: each plan counted a job again that it deferred and took back.
+    def test_only_jobs_that_stay_deferred_count_for_fairness(self):
+        demands = [
+            make_demand('early', deadline=NOW + 8, work=40, value=1),
+            make_demand('middle', deadline=NOW + 11, work=40, value=2),
+            make_demand('late', deadline=NOW + 12, work=110, value=3),
+        ]
+        deferred = self.select(demands)
+        self.assertEqual(self.shares.deferred_by_group.total(), len(deferred))
+
 
 class OverloadControlTest(unittest.TestCase):
     """One worker of 32 cores; each job needs all of it for a second."""
