Jobs that fit no worker close no queue

Jobs that wait for a label that no worker has, or for more than any worker offers, counted as backlog and as a sign of used-up capacity, so their queue, and others of its pool and priority, refused jobs while workers were idle.

--- a/ragwortfield/scheduling/overload_control.py
+++ b/ragwortfield/scheduling/overload_control.py
@@ -23,7 +23,7 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from statistics import median
 
@@ -38,6 +38,7 @@
     StepState,
     TaskState,
 )
+from ragwortfield.scheduling.placeable_steps import PlaceableSteps
 from ragwortfield.scheduling.queue_admission import Backlog, decide_refusals
 from ragwortfield.scheduling.records import TaskPhase
 from ragwortfield.scheduling.shard_state import ShardState
@@ -330,8 +331,7 @@
                 refusals |= self._decide_refusals(state, key, group, demands)
             else:
                 for job in group.jobs:
-                    job.is_deferred = False
-                    job.work_per_value = 0
+                    _reset_plan(job)
         _record_refusals(state, self._select_lasting(refusals, now), now)
 
     def _measure_capacity(
@@ -442,37 +442,55 @@
     state: ShardState, now: MonotonicTime
 ) -> dict[_GroupKey, _Group]:
     groups: defaultdict[_GroupKey, _Group] = defaultdict(_Group)
+    placeable = PlaceableSteps(state=state)
     for job in state.job_by_id.values():
-        if _is_plannable(job):
+        if _is_plannable(job, placeable):
             groups[_get_group_key(job)].jobs.append(job)
+        else:
+            _reset_plan(job)
     for step in state.ready_step_by_key.values():
         job = state.job_by_id[step.job_id]
         group = groups.get(_get_group_key(job))
         if group is not None and _shows_saturation(step, now):
-            group.is_saturated = True
+            group.is_saturated |= placeable.is_placeable(
+                job.queue.pool, step.step
+            )
+    _add_running_cpu(groups, state, now)
+    return dict(groups)
+
+
+def _add_running_cpu(
+    groups: Mapping[_GroupKey, _Group], state: ShardState, now: MonotonicTime
+) -> None:
     for worker in state.worker_by_id.values():
         for task in worker.run_by_key.values():
             job = state.job_by_id[task.key.job_id]
             group = groups.get(_get_group_key(job))
             if group is not None and _is_working(task):
                 group.running_cpu += _estimate_used_cpu(task, now)
-    return dict(groups)
 
 
 def _get_group_key(job: JobRuntimeState) -> _GroupKey:
     return job.queue.pool, job.queue.priority
 
 
-def _is_plannable(job: JobRuntimeState) -> bool:
+def _is_plannable(job: JobRuntimeState, placeable: PlaceableSteps) -> bool:
     # The objective of a repeating job counts from the due time of each
     # occurrence, and a gang starts as a whole.
-    return not (
-        job.is_closed()
-        or job.job.repeat_count
-        or any(step.is_long_lived or step.is_gang for step in job.job.steps)
+    if job.is_closed() or job.job.repeat_count:
+        return False
+    return all(
+        not (step.is_long_lived or step.is_gang)
+        and placeable.is_placeable(job.queue.pool, step)
+        for step in job.job.steps
     )
 
 
+def _reset_plan(job: JobRuntimeState) -> None:
+    job.is_deferred = False
+    job.work_per_value = 0
+
+
 def _shows_saturation(step: StepState, now: MonotonicTime) -> bool:
     is_waiting = 0 < step.unplaced_since < now - _SATURATED_AFTER_S
     return is_waiting and not step.step.is_long_lived
--- a/ragwortfield/tests/test_overload_control.py
+++ b/ragwortfield/tests/test_overload_control.py
@@ -194,3 +194,19 @@
             step.unplaced_since = 0
         control.update(self.state, NOW + 4)
         self.assertEqual(self.state.retry_after_s_by_queue, {})
+
+    # Guards against a refusal that is not true: jobs that waited for a label
+    # that no worker had, or for more than it offers, closed the queue while the
+    # worker had room.
+    def test_jobs_that_fit_no_worker_close_no_queue(self):
+        for options in ({'required_label': 'absent'}, {'cpu': 64}):
+            with self.subTest(**options):
+                world = PlacementWorld(workers=1)
+                for number in range(20):
+                    world.add_job(str(number), count=10, **options)
+                world.add_job('running', count=2)
+                control = OverloadControl()
+                self.state = world.state
+                for elapsed_s in (0.5, 2, 4):
+                    self.plan(control, NOW + elapsed_s)
+                    self.assertEqual(self.state.retry_after_s_by_queue, {})
