A successor opens the queues that a lost owner left closed

The row of a lost owner stayed in the store. Instances that read it first long after, at their start or after a gap in the change feed, refused jobs for 4 s.

--- a/ragwortfield/engine/admission_publisher.py
+++ b/ragwortfield/engine/admission_publisher.py
@@ -26,7 +26,9 @@
 
 class AdmissionPublisher:
     """
-    Writes the closed queues of one shard to the store while there are any.
+    Writes the closed queues of one shard to the store.
+
+    It writes once at the beginning, and from then on while there are any.
 
     :param shard: number of the shard.
     :param state: state of the shard.
@@ -48,7 +50,9 @@
         self._state = state
         self._store = store
         self._owner_version = owner_version
-        self._written: dict[str, int] = {}
+        # What an earlier owner has written is not known. Its row, if any, would
+        # close queues at each instance that reads it for the first time.
+        self._written: dict[str, int] | None = None
         self._written_at: MonotonicTime = 0
 
     def run(self) -> None:
@@ -64,7 +68,9 @@
         :param now: monotonic time, in seconds.
         """
         closed = dict(self._state.retry_after_s_by_queue)
-        is_changed = closed.keys() != self._written.keys()
+        is_changed = (
+            self._written is None or closed.keys() != self._written.keys()
+        )
         is_expiring = now - self._written_at > _RENEWAL_INTERVAL_S
         if not is_changed and not (closed and is_expiring):
             return
--- a/ragwortfield/tests/test_queue_admission.py
+++ b/ragwortfield/tests/test_queue_admission.py
@@ -121,6 +121,14 @@
         with mock.patch(_CLOCK, return_value=NOW + 5):
             self.assertEqual(self.cluster.find_retry_after_s(0, 'queue'), 0)
 
+    # Guards against a refusal that is not true: the row of a lost owner closed
+    # its queues at each instance that read it first, long after the owner.
+    def test_successor_opens_the_queues_of_a_lost_owner(self):
+        self.publish({'queue': 7})
+        self.cluster.admission_by_shard.clear()
+        self.publish({})
+        self.assertIsInstance(self.submit(), Accepted)
+
     def test_replaced_owner_closes_no_queue(self):
         self.publish({'queue': 7}, version=self.version + 5)
         self.assertIsInstance(self.submit(), Accepted)
