A late end as done of a speculative task counts also beside another run

If the lease of a run had expired while its copy went on, a later report of its end as done was ignored and acknowledged, and another run started when the copy failed. Now it ends the task, and the other run is left over.

--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -201,6 +201,38 @@
         _record_failure(state, task, now)
 
 
+def record_former_run_done(
+    state: ShardState, task: TaskState, run: int, now: MonotonicTime
+) -> bool:
+    """
+    Record that a run of a speculative step ended as done, but is known late.
+
+    Its lease has expired before its end was reported, so it is no longer bound.
+    The run that has gone on instead is left over.
+
+    :param state: state of the shard.
+    :param task: the task, which waits or has another run.
+    :param run: number of the run.
+    :param now: monotonic time, in seconds.
+    :returns: whether the end counts. It does not if the task has ended before,
+        or has two more runs: only one can be left over.
+    """
+    step = task.step
+    if not step.is_speculative or step.is_gang or step.is_long_lived:
+        return False
+    if task.copy is not None or run >= task.next_run():
+        return False
+    if task.phase == TaskPhase.BOUND:
+        first = TaskState(key=task.key, step=step, run=run, copy=task)
+        state.get_step(task).tasks[task.key.index] = first
+        task.is_copy = True
+        task = first
+    elif task.phase != TaskPhase.WAITING:
+        return False
+    _complete_task(state, task, now)
+    return True
+
+
 def _is_unexpected_end(task: TaskState, kind: EndKind) -> bool:
     if kind in {EndKind.GANG_BROKEN, EndKind.GANG_INCOMPLETE}:
         # Another member of the gang may be the cause.
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -38,6 +38,7 @@
 )
 from ragwortfield.scheduling.task_lifecycle import (
     format_task_key,
+    record_former_run_done,
     record_run_end,
     record_start,
     release_task,
@@ -360,7 +361,14 @@
     if task is not None:
         record_start(state, task)
     if task is None or task.run != end.run:
-        log_run_end(state, worker, end, 'none')
+        is_applied = (
+            task is not None
+            and end.kind == EndKind.DONE
+            and record_former_run_done(state, task, end.run, now)
+        )
+        log_run_end(
+            state, worker, end, 'late_success' if is_applied else 'none'
+        )
         return
     # A failure of a task that waits again was counted when the task was
     # released. Only a late end as done, after its lease expired, is news.
--- a/ragwortfield/tests/test_stragglers.py
+++ b/ragwortfield/tests/test_stragglers.py
@@ -409,6 +409,49 @@
                 self.act(5)
                 self.assertEqual(self.list_running(), [])
 
+    # Guards against a start after an acknowledged end as done: the lease of the
+    # first run expired before its end was reported, and the end was ignored. A
+    # third run started when the copy failed.
+    def test_end_reported_after_the_lease_counts(self):
+        self.act_until_copy()
+        worker = self.get_worker(self.list_running()[0][1])
+        self.end(EndKind.DONE)
+        worker.is_reachable = False
+        self.act_until(self.has_no_copy)
+        worker.is_reachable = True
+        self.assert_done()
+        self.assertFalse(worker.ends)
+        self.assertEqual(len(self.list_starts()), 2)
+
+    # Guards against the same while a third run goes on in place of the copy.
+    def test_end_reported_after_the_lease_counts_beside_a_third_run(self):
+        self.act_until_copy()
+        worker = self.get_worker(self.list_running()[0][1])
+        self.end(EndKind.DONE)
+        worker.is_reachable = False
+        self.act_until(self.has_no_copy)
+        self.end(EndKind.FAILED)
+        self.act_until(lambda: len(self.list_starts()) == 3)
+        worker.is_reachable = True
+        self.assert_done()
+        self.assertFalse(worker.ends)
+
+    # Guards against a successor that does not know that the copy is left over.
+    def test_successor_knows_of_the_end_reported_after_the_lease(self):
+        self.act_until_copy()
+        worker = self.get_worker(self.list_running()[0][1])
+        self.end(EndKind.DONE)
+        worker.is_reachable = False
+        self.act_until(self.has_no_copy)
+        worker.is_reachable = True
+        self.cut(0)
+        self.act(3)
+        self.world.take_over()
+        self.act(3)
+        self.assertEqual(self.find_task().copy.run, 2)
+        self.world.clear_faults()
+        self.assert_done()
+
     def test_cancellation_stops_both_runs(self):
         self.act_until_copy()
         self.world.cancel(self.job_id)
