Stragglers of one round keep the limit of entries in a row

The limit of tasks with restarts or copies was checked before the round only, so 44 instead of 24 tasks of an occurrence got an entry in one round.

--- a/ragwortfield/scheduling/stragglers.py
+++ b/ragwortfield/scheduling/stragglers.py
@@ -239,6 +239,9 @@
         for straggler in stragglers:
             if len(self.destination_ids) == limit:
                 break
+            # Others of the same occurrence may have used up its row.
+            if not _is_recordable(self.state, straggler.task):
+                continue
             destination = self._find_destination(straggler)
             if destination is not None and _pays_off(
                 straggler, destination, settings, self.now
--- a/ragwortfield/tests/test_stragglers.py
+++ b/ragwortfield/tests/test_stragglers.py
@@ -180,6 +180,18 @@
         self.assertEqual(len(stopped), 1)
         self.assertTrue(last.is_stop_wanted)
 
+    # Guards against rows that outgrow the store: the limit of tasks with an
+    # entry was only checked before the round, so one round could double it.
+    def test_round_keeps_the_limit_of_tasks_in_a_row(self):
+        self.world = PlacementWorld(workers=270)
+        tasks = self.world.add_job('wide', count=100, cpu=1)
+        self.show_durations('wide', [1] * 3)
+        for count in (20, 100):
+            for task in tasks[:count]:
+                self.show_progress(task, 10, 0.7)
+            self.handle()
+        self.assertEqual(sum(task.restart_count for task in tasks), 24)
+
 
 class CopyTest(RestartTestCase):
     """The same for a speculative step, in a pool of 288 cores."""
