Stalled fillers are stopped only for places that they may take

A stalled filler was stopped because a filler of its image had found a worker, also if that was its own binding, one of another pool or label, or if its step limits the tasks on a worker (test_labels, test_anti_affinity). Places now count by pool, label and image, after the task stalled, and not for such steps.

An HTTP server on a listening socket, as in the soak, could not be created: the library takes no backlog with one (test_isolated_owner_processes, test_soak).

The soak's renderer failed where a whole table of the template has no fields (test_evacuation_view). The simulation of hot racks follows the changed signature of the generator (test_place_wait).

--- a/ragwortfield/http_api/wsgi_server.py
+++ b/ragwortfield/http_api/wsgi_server.py
@@ -177,7 +177,7 @@
     """
     WSGI server with a bounded number of connections.
 
-    :param address: host and port to listen on.
+    :param address: host and port to listen on, or a listening socket.
     :param application: the WSGI application.
     :param max_connections: maximum number of concurrent connections; further
         ones wait in the kernel's accept queue.
@@ -192,7 +192,7 @@
     def __init__(
         self,
         *,
-        address: tuple[str, int],
+        address: tuple[str, int] | socket.socket,
         application: Any,
         max_connections: int,
         guard: ClientGuard | None = None,
@@ -204,7 +204,7 @@
         super().__init__(
             address,
             application,
-            backlog=_BACKLOG,
+            backlog=None if isinstance(address, socket.socket) else _BACKLOG,
             spawn=Pool(max_connections),
             log=None,
             error_log=None,
--- a/ragwortfield/scheduling/dispatch.py
+++ b/ragwortfield/scheduling/dispatch.py
@@ -242,7 +242,8 @@
         bound_count += 1
     step.is_waiting_for_rack = waits.is_step_waiting(step)
     if bound_count and step.step.is_filler:
-        state.filler_bound_at_by_image[step.step.image] = now
+        group = state.get_filler_group(step)
+        state.filler_bound_at_by_group[group] = now
     return bound_count
 
 
--- a/ragwortfield/scheduling/filler_relocation.py
+++ b/ragwortfield/scheduling/filler_relocation.py
@@ -94,11 +94,18 @@
     state: ShardState, task: TaskState, now: MonotonicTime
 ) -> bool:
     """Tell whether a stopped task would soon get a place that becomes free."""
-    bound_at = state.filler_bound_at_by_image.get(task.step.image)
-    if bound_at is None or now - bound_at > _PLACE_INTERVAL_S:
+    step = state.get_step(task)
+    if task.step.per_worker_limit:
+        # The places that others find may be on workers that are full for it.
+        return False
+    group = state.get_filler_group(step)
+    bound_at = state.filler_bound_at_by_group.get(group, 0)
+    # Its own binding shows nothing.
+    stalled_since = max(task.slowed_at, task.ordered_at)
+    if bound_at <= stalled_since or now - bound_at > _PLACE_INTERVAL_S:
         return False
     job = state.job_by_id[task.key.job_id]
-    return is_worth_finishing(job, state.get_step(task), now)
+    return is_worth_finishing(job, step, now)
 
 
 def _find_destination(
--- a/ragwortfield/scheduling/shard_state.py
+++ b/ragwortfield/scheduling/shard_state.py
@@ -44,6 +44,9 @@
 Order = StartRun | StopRun | PaceRun
 #: Job, number of the occurrence, number of the step.
 StepKey = tuple[JobId, int, int]
+#: Pool, required label and image of fillers, which decide where they may start
+#: and whom they disturb.
+FillerGroup = tuple[str, str, str]
 
 
 @dataclass(kw_only=True, slots=True)
@@ -86,8 +89,8 @@
         the row may still be read and must be ignored.
     :param work_by_filler: work of the fillers submitted so far, in
         core-seconds, by image.
-    :param filler_bound_at_by_image: monotonic time at which a filler of an
-        image last found a worker.
+    :param filler_bound_at_by_group: monotonic time at which a filler of a group
+        last found a worker.
     :param retry_after_s_by_queue: queues that take no new jobs, with the
         seconds after which callers may come back.
     :param short_demand: short steps of the latest jobs.
@@ -154,7 +157,7 @@
     expired_jobs: list[JobRuntimeState] = field(default_factory=list)
     removed_at_by_id: dict[JobId, MonotonicTime] = field(default_factory=dict)
     work_by_filler: dict[str, float] = field(default_factory=dict)
-    filler_bound_at_by_image: dict[str, MonotonicTime] = field(
+    filler_bound_at_by_group: dict[FillerGroup, MonotonicTime] = field(
         default_factory=dict
     )
     retry_after_s_by_queue: dict[str, int] = field(default_factory=dict)
@@ -314,6 +317,11 @@
         """Return the step of a task that is in this state."""
         return self.get_occurrence(task).steps[task.key.step]
 
+    def get_filler_group(self, step: StepState) -> FillerGroup:
+        """Return the group of the fillers of a step."""
+        pool = self.job_by_id[step.job_id].queue.pool
+        return pool, step.step.required_label, step.step.image
+
     def mark_occurrence_dirty(self, occurrence: OccurrenceState) -> None:
         """Mark an occurrence for writing with the next commit."""
         occurrence.is_dirty = True
--- a/ragwortfield/soak/processes.py
+++ b/ragwortfield/soak/processes.py
@@ -93,7 +93,7 @@
     for part in path.split('.'):
         if isinstance(found, list):
             found = found[int(part)]
-        else:
+        elif isinstance(found, Mapping):
             found = found.get(part, '')
     return str(found)
 
--- a/ragwortfield/tests/rack_world.py
+++ b/ragwortfield/tests/rack_world.py
@@ -90,7 +90,7 @@
         )
         generate = self._generator.generate_jobs
         # Draws at each start would let the jobs depend on the decisions.
-        self._generator.draw_work_s = lambda step: step.estimate_s
+        self._generator.draw_work_s = lambda _key, step: step.estimate_s
         self._generator.generate_jobs = lambda start, end: [
             self._place_data(job) for job in generate(start, end)
         ]
--- a/ragwortfield/tests/test_interference.py
+++ b/ragwortfield/tests/test_interference.py
@@ -8,6 +8,7 @@
     filler_relocation,
     interference_control,
 )
+from ragwortfield.scheduling.filler_relocation import relocate_stalled_fillers
 from ragwortfield.scheduling.interference_model import (
     InterferenceModel,
     LoadEstimate,
@@ -280,3 +281,33 @@
         self.dispatch_after(4)
         self.dispatch_after(11)
         self.assertEqual([self.count_bound(job) for job in jobs], [1, 1, 1])
+
+
+class StalledFillerTest(unittest.TestCase):
+    """A stalled filler in a full pool, while others of its kind find places."""
+
+    def setUp(self):
+        self.world = PlacementWorld(workers=1)
+        self.task = self.world.add_job(
+            'stalled', is_filler=True, image='f', is_checkpointed=True
+        )[0]
+        self.task.pace = 0
+        self.task.slowed_at = NOW - 2
+
+    def relocate(self, bound_at, label=''):
+        self.task.ordered_at = NOW - 3
+        group = ('pool', label, 'f')
+        self.world.state.filler_bound_at_by_group = {group: bound_at}
+        relocate_stalled_fillers(self.world.state, NOW)
+        return self.task.is_stop_wanted
+
+    # Guards against a job that waits for its last task, which stands still
+    # beside a serving task while every free place goes to another job.
+    def test_it_is_stopped_while_others_find_places(self):
+        self.assertTrue(self.relocate(NOW - 0.1))
+
+    def test_it_stays_while_no_other_finds_one(self):
+        self.assertFalse(self.relocate(NOW - 0.9))
+
+    def test_places_of_other_labels_do_not_count(self):
+        self.assertFalse(self.relocate(NOW - 0.1, label='gpu'))
