Explain leaves the speed classes of workers as they are

A question of an operator updated which workers count as slow, recorded that as a decision, and counted declined workers. The state of the owner changed by it. A trial now uses the classes of the latest scheduling round.

--- a/ragwortfield/scheduling/slow_workers.py
+++ b/ragwortfield/scheduling/slow_workers.py
@@ -32,6 +32,8 @@
     :param state: state of the shard.
     :param now: monotonic time, in seconds.
     :param workers_by_pool: workers that can get tasks in this round.
+    :param is_trial: whether to leave the state as it is, for questions of
+        operators; workers then count as slow as in the latest round.
     """
 
     def __init__(
@@ -40,14 +42,16 @@
         state: ShardState,
         now: MonotonicTime,
         workers_by_pool: dict[str, list[WorkerState]],
+        is_trial: bool = False,
     ) -> None:
         """Update which workers count as slow."""
         self._state = state
         self._now = now
+        self._is_trial = is_trial
         self.slow_ids: set[WorkerId] = set()
         self._scarce_pools: set[str] = set()
         for pool, workers in workers_by_pool.items():
-            for worker in workers:
+            for worker in () if is_trial else workers:
                 update_speed_class(state, worker, now)
             slow_ids = {
                 worker.worker_id for worker in workers if worker.speed.is_slow
@@ -74,7 +78,7 @@
         is_allowed = not step.step.is_long_lived and self._has_slack(
             worker, job, step
         )
-        if not is_allowed:
+        if not (is_allowed or self._is_trial):
             self._state.decisions.count('slow_worker_declined')
         return is_allowed
 
--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -104,6 +104,7 @@
             state=state,
             now=now,
             workers_by_pool=self._eligible_workers_by_pool,
+            is_trial=is_trial,
         )
         self._ranking_by_key: dict[_RankingKey, WorkerRanking] = {}
         # Workers that got tasks in this round, in order, and how many of them
--- a/ragwortfield/tests/test_explanation.py
+++ b/ragwortfield/tests/test_explanation.py
@@ -180,6 +180,25 @@
             explain_known_job(self.state, job, NOW)
         self.assertEqual(repr(self.state), before)
 
+    # Guards against questions that reclassify workers or count decisions: a
+    # question is no scheduling round.
+    def test_questions_leave_the_speed_classes_as_they_are(self):
+        for number in range(2):
+            self.state.worker_by_id['hot0'].speed.observe(
+                (f'job-{number}', 0, 0),
+                (0, 1),
+                0.1,
+                NOW,
+                is_predicted=False,
+            )
+        before = repr(self.state)
+        self.explain(is_long_lived=True)
+        self.assertEqual(repr(self.state), before)
+        self.state.worker_by_id['hot0'].speed.is_slow = True
+        before = repr(self.state)
+        self.explain(is_long_lived=True)
+        self.assertEqual(repr(self.state), before)
+
 
 class _Runner:
     def __init__(self, state):
