A planned stop answers requests whose head is under way

A connection counted as idle until its whole head was read, so a planned stop closed it between two pieces of a head without an answer. It is now closed only if no byte of a request has come.

--- a/ragwortfield/http_api/wsgi_server.py
+++ b/ragwortfield/http_api/wsgi_server.py
@@ -10,7 +10,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-from ragwortfield.adapters.http_client import is_readable, set_socket_options
+from ragwortfield.adapters.http_client import set_socket_options
 from ragwortfield.adapters.json_codec import encode_json
 from ragwortfield.http_api.client_connection import (
     BodyInput,
@@ -91,9 +91,9 @@
         :returns: its first line; empty if the client has closed the
             connection, or the request is refused.
         """
-        idle_greenlets = self.server.idle_greenlet_by_socket
+        idle_greenlets = self.server.greenlet_by_idle_connection
         if not self._connection.has_request():
-            idle_greenlets[self.socket] = gevent.getcurrent()
+            idle_greenlets[self._connection] = gevent.getcurrent()
         try:
             # The base class reads the fields from here as well.
             self.rfile = BytesIO(self._connection.read_head())
@@ -101,7 +101,7 @@
             self._refusal = refusal
             return ''
         finally:
-            idle_greenlets.pop(self.socket, None)
+            idle_greenlets.pop(self._connection, None)
         return super().read_requestline()
 
     def handle_one_request(self) -> Any:
@@ -183,8 +183,8 @@
         ones wait in the kernel's accept queue.
     :param guard: bounds of what the connections hold, of the same number of
         connections; ``None`` for servers whose clients are trusted.
-    :ivar idle_greenlet_by_socket: greenlet that waits for the next request on
-        each idle connection.
+    :ivar greenlet_by_idle_connection: greenlet that waits for the next request
+        on each connection; it may have read a part of the head.
     """
 
     handler_class = _RequestHandler
@@ -209,7 +209,9 @@
             log=None,
             error_log=None,
         )
-        self.idle_greenlet_by_socket: dict[Any, gevent.Greenlet] = {}
+        self.greenlet_by_idle_connection: dict[
+            ClientConnection, gevent.Greenlet
+        ] = {}
 
     def init_socket(self) -> None:
         """Listen; connections inherit the sizes of the kernel's buffers."""
@@ -253,8 +255,13 @@
         while self.count_connections() and time.monotonic() < deadline:
             # New connections become idle only while this greenlet sleeps.
             gevent.sleep(_FINISH_POLL_S)
-            for sock, greenlet in tuple(self.idle_greenlet_by_socket.items()):
-                if not is_readable(sock):
+            for connection, greenlet in tuple(
+                self.greenlet_by_idle_connection.items()
+            ):
+                is_request_begun = (
+                    connection.has_request() or connection.has_unread_bytes()
+                )
+                if not is_request_begun:
                     greenlet.kill(block=False)
         return self.count_connections()
 
--- a/ragwortfield/tests/test_server_finish.py
+++ b/ragwortfield/tests/test_server_finish.py
@@ -58,6 +58,19 @@
         self.assertEqual(connection.getresponse().read(), b'{}')
         self.assertEqual(self.handled, ['/first', '/second'])
 
+    # Guards against connections that are closed as idle in the middle of a
+    # head: its first bytes were read, and the others are still under way.
+    def test_request_whose_head_is_incomplete_is_answered(self):
+        connection = self.connect()
+        connection.sock.sendall(b'GET /parts HTTP/1.1\r\nHost: x\r\n')
+        gevent.sleep(_SERVICE_S / 3)
+        finish = gevent.spawn(self.server.finish, _TIMEOUT_S)
+        gevent.sleep(_SERVICE_S / 3)
+        connection.sock.sendall(b'\r\n')
+        answer = connection.sock.recv(1000)
+        self.assertEqual(answer[:15], b'HTTP/1.1 200 OK')
+        self.assertEqual(finish.get(), 0)
+
     # Guards against connections that the kernel has accepted and that are
     # reset when the listening socket is closed.
     def test_request_on_a_connection_that_waits_to_be_accepted_is_answered(
