A head that comes in pieces no longer ends its connection

The bytes of such a head are a bytearray, and a search for one in a set of bytes raised a TypeError: the connection was closed without an answer if the first piece had at most two bytes, and otherwise after the first answer.

--- a/ragwortfield/http_api/client_connection.py
+++ b/ragwortfield/http_api/client_connection.py
@@ -424,7 +424,7 @@
 
 def _find_head_end(head: bytes | bytearray, start: int) -> int:
     """Return the size of the head; 0 if its end has not come yet."""
-    if not start and head[:1] in {b'\n', b'\r'}:
+    if not start and head.startswith((b'\n', b'\r')):
         # An empty line in place of a request line; all of it is refused.
         return 1 if head[:1] == b'\n' else 2
     match = _HEAD_END.search(head, start)
--- a/ragwortfield/tests/test_server_finish.py
+++ b/ragwortfield/tests/test_server_finish.py
@@ -82,6 +82,21 @@
         self.assertEqual(self.server.finish(_TIMEOUT_S), 0)
         self.assertEqual(connection.getresponse().read(), b'{}')
 
+    # Guards against connections that are closed after a head in pieces: their
+    # next request has no answer.
+    def test_connection_is_kept_after_a_head_in_pieces(self):
+        for first_piece in (b'G', b'GET /parts HTTP/1.1\r\nHost: '):
+            connection = self.connect()
+            head = b'GET /parts HTTP/1.1\r\nHost: x\r\n\r\n'
+            connection.sock.sendall(first_piece)
+            gevent.sleep(_SERVICE_S / 3)
+            connection.sock.sendall(head[len(first_piece) :])
+            self.assertEqual(
+                connection.sock.recv(1000)[:15], b'HTTP/1.1 200 OK'
+            )
+            connection.request('GET', '/second')
+            self.assertEqual(connection.getresponse().read(), b'{}')
+
     def test_connection_without_a_request_is_closed(self):
         connection = self.connect()
         connection.request('GET', '/first')
