Short jobs far beyond their objective come before those in time

Beside a stream that takes the whole capacity, 10 of 12 jobs of a burst had no run within 60 times their objective: deferred and late jobs had no bound on their wait. Without the plan for overload 9 of 12 had none, so the fault is older.

Change: a short job comes before those that can be in time once it has waited for twenty times its objective. Starved long-lived tasks stay first.

Measured: test_overload_wait, listed as known red before, passes; so do 34 tests of the modules around it.

--- a/ragwortfield/scheduling/step_priority.py
+++ b/ragwortfield/scheduling/step_priority.py
@@ -2,19 +2,23 @@
 
 More tasks wait than fit. The priority of the queue decides first, so that an
 urgent job is never behind a less urgent one. Within a priority the order is:
-steps that can still meet their latency objective, least slack first (under
-overload: least work for their value), unless the plan for overload has deferred
-their job; long-lived tasks, which earn for each
-second that they run; steps that still earn if they finish late, oldest first
-(under overload: smallest remaining share of the job's work), and those of
-deferred jobs; all others;
-long-lived steps that only grow.
-
-Under overload, a late job that is nearly done comes first: its last tasks cost
-little, and most of its work would otherwise have been in vain. A continuous
-stream of urgent jobs must not starve long-lived tasks, so a long-lived step
-that has waited too long comes before all others of its priority, unless it only
-grows.
+
+- short jobs far beyond their latency objective, which a stream of others would
+  keep waiting;
+- steps that can still meet their objective, least slack first (under overload:
+  least work for their value), unless the plan for overload has deferred their
+  job;
+- long-lived tasks, which earn for each second that they run;
+- steps that still earn if they finish late, oldest first (under overload:
+  smallest remaining share of the job's work), and those of deferred jobs;
+- all others;
+- long-lived steps that only grow.
+
+Under overload, a late job that is nearly done counts as one in time: its last
+tasks cost little, and most of its work would otherwise have been in vain. A
+continuous stream of urgent jobs must not starve long-lived tasks, so a
+long-lived step that has waited too long comes before all others of its
+priority, unless it only grows.
 """
 
 from ragwortfield.scheduling.headroom import is_growth
@@ -32,15 +36,21 @@
 #: Value of a late job as a share of that of one in time. The last tasks of a
 #: late job, up to this share of its work, are worth as much as a job in time.
 _LATE_VALUE = 1 / 7
+#: Age from which on a short job comes before those that can be in time, as a
+#: multiple of its latency objective: jobs that were put off for others must not
+#: wait for as long as a stream of these goes on.
+_OVERDUE_FACTOR = 20
 #: Ranks within a priority; a lower one comes first.
 _STARVED = 0
-_ON_TIME = 1
-_LONG_LIVED = 2
-_LATE = 3
-_MISSED = 4
-_GROWING = 5
+_OVERDUE = 1
+_ON_TIME = 2
+_LONG_LIVED = 3
+_LATE = 4
+_MISSED = 5
+_GROWING = 6
 _NAME_BY_RANK = {
     _STARVED: 'starved',
+    _OVERDUE: 'overdue',
     _ON_TIME: 'on_time',
     _LONG_LIVED: 'long_lived',
     _LATE: 'late',
@@ -96,6 +106,8 @@
         if job.remaining_share <= _LATE_VALUE:
             return job.queue.priority, _ON_TIME, 0
         return job.queue.priority, _LATE, job.remaining_share
+    if age_s > _OVERDUE_FACTOR * objective_s:
+        return job.queue.priority, _OVERDUE, -age_s
     return job.queue.priority, _MISSED, -age_s
 
 
