Settings fields stand before the methods; the margin's doc matches its default

A merge had left three fields of SchedulingSettings below its methods. The module documentation of interference_control said that uncovered fillers count for more, which holds only with uncovered_filler_margin above its default of 0. No behaviour changes.

--- a/ragwortfield/scheduling/interference_control.py
+++ b/ragwortfield/scheduling/interference_control.py
@@ -8,7 +8,8 @@
 placed where they interfere least. Where they do interfere, their pace (the
 speed at which they run, in percent) is reduced so that the most urgent ones
 share the headroom. Weights change within seconds, so the interference of a
-filler is uncertain until a reading covers it; until then it counts for more.
+filler is uncertain until a reading covers it; the setting
+``uncovered_filler_margin`` lets it count for more until then.
 """
 
 from functools import partial
--- a/ragwortfield/scheduling/scheduling_settings.py
+++ b/ragwortfield/scheduling/scheduling_settings.py
@@ -62,6 +62,9 @@
     copy_share: float = 0.05
     stop_ms: float = 1000
     restore_ms: float = 250
+    is_worker_speed_learned: bool = True
+    slow_worker_speed: float = 0.5
+    remote_duration_factor: float = 1
 
     def scale_margin(self, factor: float) -> float:
         """Return a factor on the interference of an uncovered filler."""
@@ -75,10 +78,6 @@
         """Return the time to resume from a checkpoint, in seconds."""
         return self.restore_ms / MS_PER_S
 
-    is_worker_speed_learned: bool = True
-    slow_worker_speed: float = 0.5
-    remote_duration_factor: float = 1
-
 
 #: Lowest and highest value allowed for each numeric setting.
 BOUNDS_BY_SETTING: dict[str, tuple[float, float]] = {
