One limit of moves for draining, evacuated zones and stalled fillers

The drain of evacuated zones had copied the limit, with its constants, from the evacuation of workers, which shared it with the relocation of fillers by a copy as well. All three now ask task_lifecycle. No behaviour changes.

--- a/ragwortfield/scheduling/evacuation.py
+++ b/ragwortfield/scheduling/evacuation.py
@@ -11,16 +11,16 @@
 from ragwortfield.log import event
 from ragwortfield.scheduling.job_state import RunStage, TaskState
 from ragwortfield.scheduling.shard_state import ShardState
-from ragwortfield.scheduling.task_lifecycle import format_task_key, request_stop
+from ragwortfield.scheduling.task_lifecycle import (
+    format_task_key,
+    get_move_limit,
+    request_stop,
+)
 from ragwortfield.scheduling.timing_bounds import MS_PER_S
 from ragwortfield.scheduling.worker_selection import WorkerSelector
 from ragwortfield.scheduling.worker_state import WorkerState
 from ragwortfield.types import MonotonicTime, Seconds
 
-#: Limit of moves in a round: this many, or one for each so many workers of the
-#: shard if that is more. Only the next round sees the room that moves take.
-_MIN_MOVE_LIMIT = 4
-_WORKERS_PER_MOVE = 6
 _FULL_PERCENT = 100
 
 
@@ -40,10 +40,7 @@
     ]
     if not endangered_tasks:
         return
-    move_limit = max(
-        _MIN_MOVE_LIMIT,
-        len(state.worker_by_id) // _WORKERS_PER_MOVE,
-    )
+    move_limit = get_move_limit(state)
     selector = WorkerSelector(state=state, now=now)
     moved = 0
     for task in endangered_tasks:
--- a/ragwortfield/scheduling/filler_relocation.py
+++ b/ragwortfield/scheduling/filler_relocation.py
@@ -14,7 +14,11 @@
 from ragwortfield.scheduling.job_state import RunStage, TaskState
 from ragwortfield.scheduling.shard_state import ShardState
 from ragwortfield.scheduling.step_priority import is_worth_finishing
-from ragwortfield.scheduling.task_lifecycle import format_task_key, request_stop
+from ragwortfield.scheduling.task_lifecycle import (
+    format_task_key,
+    get_move_limit,
+    request_stop,
+)
 from ragwortfield.scheduling.worker_selection import WorkerSelector
 from ragwortfield.scheduling.worker_state import WorkerState
 from ragwortfield.types import MonotonicTime, Seconds, WorkerId
@@ -29,10 +33,6 @@
 #: Time since a filler of an image has found a worker, in seconds, up to which
 #: another one will find one soon.
 _PLACE_INTERVAL_S: Seconds = 0.5
-#: Limit of moves in a round: this many, or one for each so many workers of the
-#: shard if that is more. Only the next round sees the effect of moves.
-_MIN_MOVE_LIMIT = 4
-_WORKERS_PER_MOVE = 6
 
 
 def relocate_stalled_fillers(state: ShardState, now: MonotonicTime) -> None:
@@ -50,10 +50,7 @@
     ]
     if not stalled_tasks:
         return
-    move_limit = max(
-        _MIN_MOVE_LIMIT,
-        len(state.worker_by_id) // _WORKERS_PER_MOVE,
-    )
+    move_limit = get_move_limit(state)
     selector = WorkerSelector(state=state, now=now)
     destination_ids: set[WorkerId] = set()
     for task in stalled_tasks:
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -16,6 +16,11 @@
 
 #: Pause before an unanswered stop order is sent again, in seconds.
 _STOP_RETRY_S: Seconds = 0.5
+#: Limit of moves in a round: this many, or one for each so many workers of the
+#: shard if that is more. Only the next round sees the room that moves take, and
+#: their effect.
+_MIN_MOVE_LIMIT = 4
+_WORKERS_PER_MOVE = 6
 
 
 def bind_task(
@@ -314,6 +319,16 @@
         job.finished_at = job.finished_at or now
 
 
+def get_move_limit(state: ShardState) -> int:
+    """
+    Return how many tasks one kind of move may stop in a round.
+
+    :param state: state of the shard.
+    :returns: number of tasks.
+    """
+    return max(_MIN_MOVE_LIMIT, len(state.worker_by_id) // _WORKERS_PER_MOVE)
+
+
 def request_stop(
     state: ShardState, task: TaskState, now: MonotonicTime
 ) -> None:
--- a/ragwortfield/scheduling/zone_drain.py
+++ b/ragwortfield/scheduling/zone_drain.py
@@ -12,15 +12,15 @@
 from ragwortfield.scheduling.job_state import RunStage, TaskState
 from ragwortfield.scheduling.long_lived_growth import LongLivedGrowth
 from ragwortfield.scheduling.shard_state import ShardState
-from ragwortfield.scheduling.task_lifecycle import format_task_key, request_stop
+from ragwortfield.scheduling.task_lifecycle import (
+    format_task_key,
+    get_move_limit,
+    request_stop,
+)
 from ragwortfield.scheduling.worker_selection import WorkerSelector
 from ragwortfield.scheduling.worker_state import WorkerState
 from ragwortfield.types import MonotonicTime, Seconds, WorkerId
 
-#: Limit of moves in a round: this many, or one for each so many workers of the
-#: shard if that is more. Only the next round sees the room that moves take.
-_MIN_MOVE_LIMIT = 4
-_WORKERS_PER_MOVE = 6
 _FULL_PERCENT = 100
 _FULL_PACE_PERCENT = 100
 
@@ -62,9 +62,7 @@
             state=state, selector=self._selector, now=now
         )
         self._destination_ids: set[WorkerId] = set()
-        self._move_limit = max(
-            _MIN_MOVE_LIMIT, len(state.worker_by_id) // _WORKERS_PER_MOVE
-        )
+        self._move_limit = get_move_limit(state)
 
     def is_limit_reached(self) -> bool:
         """Tell whether the other tasks have to wait for the next round."""
