One check of whether a filler gets less CPU than it asks for

Learned durations, the speed of runs and the speed of workers each had the same comparison of the reading with nine tenths of the request, with a constant of its own. It is now a method of the task. What each does without a reading differs and stays as it is.

--- a/ragwortfield/scheduling/duration_learning.py
+++ b/ragwortfield/scheduling/duration_learning.py
@@ -20,8 +20,6 @@
 #: Age from which on the CPU reading of a filler covers its run alone, in
 #: seconds.
 _MIN_FILLER_AGE_S: Seconds = 0.6
-#: Share of the requested CPU from which on a filler runs at full speed.
-_FULL_SPEED_SHARE = 0.9
 _FULL_PACE = 100
 _FULL_PERCENT = 100
 
@@ -90,8 +88,7 @@
     was_paced = task.pace < _FULL_PACE or task.slowed_at > task.started_at
     if was_paced or age_s < _MIN_FILLER_AGE_S:
         return False
-    wanted_cpu = task.step.need.cpu * _FULL_SPEED_SHARE
-    return task.reading is None or task.reading >= wanted_cpu
+    return not task.is_short_of_cpu()
 
 
 def _learn(state: ShardState, task: TaskState, duration_s: Seconds) -> None:
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -25,6 +25,8 @@
 
 #: Multiple of its latency objective up to which a late job still has value.
 MAX_LATENESS_FACTOR = 3
+#: Share of the requested CPU from which on a filler runs at full speed.
+_FULL_SPEED_SHARE = 0.9
 
 
 class RunStage(IntEnum):
@@ -170,6 +172,11 @@
     last_run: int = 0
     rack_wait_since: MonotonicTime = 0
 
+    def is_short_of_cpu(self) -> bool:
+        """Return whether a filler is known to get less CPU than it asks for."""
+        wanted_cpu = self.step.need.cpu * _FULL_SPEED_SHARE
+        return self.reading is not None and self.reading < wanted_cpu
+
     def next_run(self) -> int:
         """Return the number of the next run of the task."""
         copy_run = 0 if self.copy is None else self.copy.run
--- a/ragwortfield/scheduling/run_progress.py
+++ b/ragwortfield/scheduling/run_progress.py
@@ -18,8 +18,6 @@
 _MIN_MEASURED_S: Seconds = 0.3
 #: Progress is reported in whole percent; the run may be that much further.
 _PERCENT_RESOLUTION = 1
-#: Share of the requested CPU from which on a filler runs at full speed.
-_FULL_SPEED_SHARE = 0.9
 _FULL_PACE = 100
 _FULL_PERCENT = 100
 
@@ -88,5 +86,4 @@
         return True
     if task.pace < _FULL_PACE or task.is_pacing or not task.is_pace_known:
         return False
-    wanted_cpu = task.step.need.cpu * _FULL_SPEED_SHARE
-    return task.reading is not None and task.reading >= wanted_cpu
+    return task.reading is not None and not task.is_short_of_cpu()
--- a/ragwortfield/scheduling/speed_learning.py
+++ b/ragwortfield/scheduling/speed_learning.py
@@ -18,8 +18,6 @@
 _MIN_PERCENT = 12
 _FULL_PERCENT = 100
 _FULL_PACE = 100
-#: Share of the requested CPU from which on a filler runs at full speed.
-_FULL_SPEED_SHARE = 0.9
 #: Time after which progress is measured anew, in seconds, so that a worker that
 #: has changed its speed shows in long runs as well.
 _MEASURED_S: Seconds = 3
@@ -137,8 +135,7 @@
         return False
     if task.pace < _FULL_PACE or task.paced_at >= task.measured_since:
         return True
-    wanted_cpu = task.step.need.cpu * _FULL_SPEED_SHARE
-    return task.reading is not None and task.reading < wanted_cpu
+    return task.is_short_of_cpu()
 
 
 def _observe(
