--- a/ragwortfield/scheduling/overload_control.py
+++ b/ragwortfield/scheduling/overload_control.py
@@ -534,13 +534,26 @@
         works_by_queue[known.job.queue].append(estimate_work(known.job))
     for works in works_by_queue.values():
         works.sort()
+    mean_by_queue = {
+        queue: sum(works) / len(works)
+        for queue, works in works_by_queue.items()
+    }
     return [
-        _build_demand(job, works_by_queue[job.job.queue], now) for job in jobs
+        _build_demand(
+            job,
+            works_by_queue[job.job.queue],
+            mean_by_queue[job.job.queue],
+            now,
+        )
+        for job in jobs
     ]
 
 
 def _build_demand(
-    job: JobRuntimeState, works: Sequence[float], now: MonotonicTime
+    job: JobRuntimeState,
+    works: Sequence[float],
+    mean_work: float,
+    now: MonotonicTime,
 ) -> JobDemand:
     open_steps = [
         step
@@ -551,7 +564,7 @@
     left_and_running = [_estimate_step_work(job, step) for step in open_steps]
     work = sum(left for left, _ in left_and_running)
     declared_work = estimate_work(job.job)
-    value = _estimate_value(declared_work, sum(works) / len(works))
+    value = _estimate_value(declared_work, mean_work)
     job.remaining_share = work / max(_estimate_total_work(job), _MIN_WORK)
     job.work_per_value = work / value
     return JobDemand(
