--- a/ragwortfield/engine/unowned_status_log.py
+++ b/ragwortfield/engine/unowned_status_log.py
@@ -3,14 +3,8 @@
 import time
 
 from ragwortfield.engine.cluster_view import KnownOwner
-from ragwortfield.log import event
-from ragwortfield.types import JobId, MonotonicTime, Seconds
-
-#: Most lines per interval, so that callers who keep asking while a shard has no
-#: owner do not fill the log.
-_MAX_LINES_PER_INTERVAL = 20
-#: Length of that interval, in seconds.
-_INTERVAL_S: Seconds = 1
+from ragwortfield.scheduling.decision_log import DecisionLog
+from ragwortfield.types import JobId
 
 
 class UnownedStatusLog:
@@ -19,9 +13,9 @@
     def __init__(self) -> None:
         """Create without any counts."""
         self.count = 0
-        self._interval_started_at: MonotonicTime = 0
-        self._line_count = 0
-        self._unlogged_count = 0
+        # Callers who keep asking while a shard has no owner would otherwise
+        # fill the log.
+        self._lines = DecisionLog()
 
     def record(
         self,
@@ -45,15 +39,9 @@
         """
         self.count += 1
         now = time.monotonic()
-        if now - self._interval_started_at >= _INTERVAL_S:
-            self._interval_started_at = now
-            self._line_count = 0
-        if self._line_count >= _MAX_LINES_PER_INTERVAL:
-            self._unlogged_count += 1
-            return
-        self._line_count += 1
-        event(
+        self._lines.record(
             'status_unowned',
+            now,
             job=job_id,
             shard=shard,
             owner='' if owner is None else owner.record.instance_id,
@@ -62,6 +50,4 @@
             reason=reason,
             source=source,
             answer=answer,
-            unlogged_before=self._unlogged_count,
         )
-        self._unlogged_count = 0
