One function reads a row by its name

The refusal of jobs, the answers to callers and the owner's look-up of a job each built the range that holds one key. The calls to the store are the same.

--- a/ragwortfield/engine/job_request_handler.py
+++ b/ragwortfield/engine/job_request_handler.py
@@ -26,13 +26,13 @@
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
     ExpectedVersion,
-    RowName,
     RowPage,
     RowStore,
     RowWrite,
     Transaction,
     TransactionDone,
     TransactionRefused,
+    read_row,
 )
 from ragwortfield.scheduling.catalogue import Queue
 from ragwortfield.scheduling.job import Job
@@ -325,7 +325,7 @@
         :returns: the outcome.
         """
         shard = self._find_shard(job_id)
-        page = self._read_row(job_row(shard, job_id))
+        page = read_row(self._store, job_row(shard, job_id))
         if isinstance(page, Unavailable):
             return Rejected(reason=page.reason)
         if not page.rows:
@@ -382,8 +382,8 @@
         if not self._cluster.shards:
             return Unavailable(reason=_NO_LAYOUT)
         shard = self._find_shard(job_id)
-        cancelled = self._read_row(cancel_row(shard, job_id))
-        job = self._read_row(job_row(shard, job_id))
+        cancelled = read_row(self._store, cancel_row(shard, job_id))
+        job = read_row(self._store, job_row(shard, job_id))
         progress = self._store.read(
             PROGRESS_TABLE,
             partition_of_shard(shard),
@@ -663,14 +663,6 @@
             return Uncertain(reason=outcome.reason)
         return Rejected(reason=outcome.reason)
 
-    def _read_row(self, name: RowName) -> RowPage | Unavailable:
-        return self._store.read(
-            name.table,
-            name.partition,
-            first_key=name.key,
-            end_key=f'{name.key}\0',
-        )
-
     def _find_shard(self, job_id: JobId) -> int:
         return shard_of(job_id, self._cluster.shards)
 
--- a/ragwortfield/engine/queue_refusals.py
+++ b/ragwortfield/engine/queue_refusals.py
@@ -5,7 +5,7 @@
 from ragwortfield.engine.cluster_view import ClusterView
 from ragwortfield.engine.row_names import job_row, shard_of
 from ragwortfield.ports.platform import Unavailable
-from ragwortfield.ports.row_store import RowStore
+from ragwortfield.ports.row_store import RowStore, read_row
 from ragwortfield.scheduling.job import Job
 
 
@@ -41,13 +41,7 @@
     retry_after_s = cluster.find_retry_after_s(shard, job.queue)
     if not retry_after_s:
         return None
-    name = job_row(shard, job.job_id)
-    page = store.read(
-        name.table,
-        name.partition,
-        first_key=name.key,
-        end_key=f'{name.key}\0',
-    )
+    page = read_row(store, job_row(shard, job.job_id))
     if isinstance(page, Unavailable) or page.rows:
         return None
     return Refused(
--- a/ragwortfield/engine/shard_runner.py
+++ b/ragwortfield/engine/shard_runner.py
@@ -40,7 +40,7 @@
 from ragwortfield.log import event
 from ragwortfield.ports.approvals import ApprovalService
 from ragwortfield.ports.platform import Unavailable
-from ragwortfield.ports.row_store import RowPage, RowStore, StoredRow
+from ragwortfield.ports.row_store import RowPage, RowStore, StoredRow, read_row
 from ragwortfield.ports.task_worker import TaskWorkerControl
 from ragwortfield.scheduling import (
     approvals,
@@ -420,13 +420,7 @@
         ).run(version)
 
     def _fetch_job(self, job_id: JobId) -> JobRuntimeState | None | Unavailable:
-        name = job_row(self.shard, job_id)
-        page = self._store.read(
-            name.table,
-            name.partition,
-            first_key=name.key,
-            end_key=f'{name.key}\0',
-        )
+        page = read_row(self._store, job_row(self.shard, job_id))
         if isinstance(page, Unavailable):
             return page
         if not page.rows:
--- a/ragwortfield/ports/row_store.py
+++ b/ragwortfield/ports/row_store.py
@@ -138,3 +138,19 @@
         timeout_s: Seconds,
     ) -> TransactionDone | TransactionRefused | Unavailable:
         """Apply all writes atomically."""
+
+
+def read_row(store: RowStore, name: RowName) -> RowPage | Unavailable:
+    """
+    Read one row.
+
+    :param store: the store.
+    :param name: the row.
+    :returns: a page with the row; without any if it does not exist.
+    """
+    return store.read(
+        name.table,
+        name.partition,
+        first_key=name.key,
+        end_key=f'{name.key}\0',
+    )
