One check of whether a worker is remote from a rack

Five places compared the rack of a worker with one that may be empty, two of them behind functions of the selection. It is now a method of the worker. No behaviour changes.

--- a/ragwortfield/scheduling/duration_learning.py
+++ b/ragwortfield/scheduling/duration_learning.py
@@ -96,8 +96,7 @@
     if not state.settings.is_duration_learned or duration_s <= 0:
         return
     worker = state.worker_by_id.get(task.worker_id)
-    rack = task.step.data_rack
-    if rack and worker is not None and worker.listed.rack != rack:
+    if worker is not None and worker.is_remote_from(task.step.data_rack):
         duration_s /= state.settings.remote_duration_factor
     job = state.job_by_id[task.key.job_id]
     known = job.durations_by_step[task.key.step]
--- a/ragwortfield/scheduling/place_wait.py
+++ b/ragwortfield/scheduling/place_wait.py
@@ -228,9 +228,9 @@
             return
         decisions = self.state.decisions
         rack = self.selector.get_preferred_rack(step)
-        is_local = not rack or worker.listed.rack == rack
+        is_away = worker.is_remote_from(rack)
         decisions.count(
-            'rack_wait_ended_in_rack' if is_local else 'rack_wait_ended_away'
+            'rack_wait_ended_away' if is_away else 'rack_wait_ended_in_rack'
         )
         decisions.count('rack_wait_seconds', self.now - task.rack_wait_since)
         task.rack_wait_since = 0
--- a/ragwortfield/scheduling/rack_outlook.py
+++ b/ragwortfield/scheduling/rack_outlook.py
@@ -331,8 +331,7 @@
     :returns: seconds; longer on another rack than that of its data.
     """
     expected_s = state.job_by_id[task.key.job_id].expected_task_s(task.key.step)
-    rack = task.step.data_rack
-    if rack and worker.listed.rack != rack:
+    if worker.is_remote_from(task.step.data_rack):
         return expected_s * state.settings.remote_duration_factor
     return expected_s
 
--- a/ragwortfield/scheduling/speed_learning.py
+++ b/ragwortfield/scheduling/speed_learning.py
@@ -114,7 +114,7 @@
         return False
     if step.is_long_lived or step.is_gang:
         return False
-    return not step.data_rack or step.data_rack == worker.listed.rack
+    return not worker.is_remote_from(step.data_rack)
 
 
 def _begin_measurement(task: TaskState, now: MonotonicTime) -> None:
--- a/ragwortfield/scheduling/stragglers.py
+++ b/ragwortfield/scheduling/stragglers.py
@@ -36,10 +36,7 @@
     format_task_key,
     request_stop,
 )
-from ragwortfield.scheduling.worker_selection import (
-    WorkerSelector,
-    is_remote_from_data,
-)
+from ragwortfield.scheduling.worker_selection import WorkerSelector
 from ragwortfield.scheduling.worker_state import WorkerState
 from ragwortfield.types import MonotonicTime, Seconds, WorkerId
 
@@ -445,7 +442,8 @@
 def _is_remote(step: StepState, destination: WorkerState) -> bool:
     # The rack of the others is not looked up: a wrong guess only asks for more
     # gain.
-    return step.step.is_same_rack or is_remote_from_data(destination, step)
+    is_away = destination.is_remote_from(step.step.data_rack)
+    return step.step.is_same_rack or is_away
 
 
 def _copy(
--- a/ragwortfield/scheduling/worker_selection.py
+++ b/ragwortfield/scheduling/worker_selection.py
@@ -478,7 +478,7 @@
             _LOSS_RESOLUTION * lost_cpu / max(cpu, _CPU_TOLERANCE_CORES)
         )
         return (
-            _is_remote(worker, rack),
+            worker.is_remote_from(rack),
             worker.speed.is_slow or self._now < worker.avoid_serving_until,
             loss,
             *_rank_image_mix(worker, image),
@@ -499,7 +499,7 @@
             return None
         return (
             worker.speed.is_slow or not is_fast,
-            _is_remote(worker, rack),
+            worker.is_remote_from(rack),
             round(interference, 1),
             -self._get_sensitivity(worker),
             -compute_free_filler_cpu(worker),
@@ -643,20 +643,6 @@
     return worker.speed.is_slow, worker.free_cpu()
 
 
-def is_remote_from_data(worker: WorkerState, step: StepState) -> bool:
-    """
-    Tell whether a worker is in another rack than the data of a step.
-
-    :param worker: the worker.
-    :param step: the step.
-    """
-    return _is_remote(worker, step.step.data_rack)
-
-
-def _is_remote(worker: WorkerState, rack: str) -> bool:
-    return bool(rack) and worker.listed.rack != rack
-
-
 def _compute_stranded_cpu(worker: WorkerState, cpu: float) -> float:
     """Return the CPU left after a task, if too little for another like it."""
     remaining_cpu = worker.free_cpu() - cpu
--- a/ragwortfield/scheduling/worker_state.py
+++ b/ragwortfield/scheduling/worker_state.py
@@ -298,6 +298,14 @@
         self.blamed_task_keys.clear()
         self.fence_ignored_until = 0
 
+    def is_remote_from(self, rack: str) -> bool:
+        """
+        Tell whether the worker is in another rack.
+
+        :param rack: the rack; empty for any, which no worker is remote from.
+        """
+        return bool(rack) and self.listed.rack != rack
+
     def free_cpu(self) -> float:
         """Return the CPU that is not allocated, in cores."""
         return self.listed.capacity.cpu - self.allocated_cpu
