Tests build scheduler instances in one place

Three test modules each had the whole construction of a SchedulerNode, and one of them the same wait twice. The tests and their assertions are unchanged.

--- a/ragwortfield/tests/test_configuration_versions.py
+++ b/ragwortfield/tests/test_configuration_versions.py
@@ -7,15 +7,7 @@
 import gevent
 import msgspec
 
-from ragwortfield.adapters.json_codec import Malformed
-from ragwortfield.engine.ownership import SchedulerIdentity
 from ragwortfield.engine.row_names import COMMON_PARTITION
-from ragwortfield.engine.scheduler_node import (
-    OwnerSettings,
-    PlatformTables,
-    SchedulerNode,
-)
-from ragwortfield.platform.approval_service_client import ApprovalServiceClient
 from ragwortfield.platform.document_parsing import parse_catalogue
 from ragwortfield.platform.table_names import find_evacuated_zone
 from ragwortfield.ports.row_store import RowName, RowWrite, Transaction
@@ -23,9 +15,8 @@
 from ragwortfield.scheduling import shard_updates
 from ragwortfield.scheduling.catalogue import Catalogue
 from ragwortfield.scheduling.job_status import JobStatus
-from ragwortfield.scheduling.timing_bounds import TimingBounds
 from ragwortfield.testing.fake_row_store import FakeRowStore
-from ragwortfield.testing.fake_task_workers import FakeTaskWorkerControl
+from ragwortfield.tests.scheduler_node_world import build_scheduler_node
 from ragwortfield.tests.shard_world import (
     CATALOGUE,
     ShardWorld,
@@ -83,24 +74,12 @@
 
     def setUp(self):
         self.store = _YieldingStore()
-        self.node = SchedulerNode(
-            identity=SchedulerIdentity(
-                instance_id='i', incarnation='1', address='i:1'
-            ),
-            data_centre='dc',
-            cores=1,
-            store=self.store,
-            make_workers=FakeTaskWorkerControl,
-            approval_service=ApprovalServiceClient(address=''),
-            table_names=PlatformTables(
-                operator_table=_OPERATOR_TABLE,
-                worker_table='workers',
-                is_configuration_row=lambda name: name == _CONFIGURATION_ROW,
-                find_evacuated_zone=find_evacuated_zone,
-                parse_catalogue=parse_catalogue,
-                parse_worker=lambda _id, _content: Malformed(reason='none'),
-            ),
-            owner_settings=OwnerSettings(bounds=TimingBounds()),
+        self.node = build_scheduler_node(
+            self.store,
+            operator_table=_OPERATOR_TABLE,
+            is_configuration_row=lambda name: name == _CONFIGURATION_ROW,
+            find_evacuated_zone=find_evacuated_zone,
+            parse_catalogue=parse_catalogue,
         )
         self.write_configuration(5, 'fifth')
         follower = gevent.spawn(self.node._follow_operator)
--- a/ragwortfield/tests/test_evacuation_view.py
+++ b/ragwortfield/tests/test_evacuation_view.py
@@ -10,18 +10,11 @@
 
 import gevent
 
-from ragwortfield.adapters.json_codec import Malformed
 from ragwortfield.engine import evacuation_view
 from ragwortfield.engine.change_feed import ChangeFeed
 from ragwortfield.engine.evacuation_view import EvacuationView
-from ragwortfield.engine.ownership import OwnershipTerm, SchedulerIdentity
+from ragwortfield.engine.ownership import OwnershipTerm
 from ragwortfield.engine.row_names import COMMON_PARTITION
-from ragwortfield.engine.scheduler_node import (
-    OwnerSettings,
-    PlatformTables,
-    SchedulerNode,
-)
-from ragwortfield.platform.approval_service_client import ApprovalServiceClient
 from ragwortfield.platform.document_parsing import parse_catalogue
 from ragwortfield.platform.table_names import (
     OPERATOR_TABLE,
@@ -39,7 +32,7 @@
 from ragwortfield.settings.toml_parsing import SettingsError
 from ragwortfield.soak.processes import render_template
 from ragwortfield.testing.fake_row_store import FakeRowStore
-from ragwortfield.testing.fake_task_workers import FakeTaskWorkerControl
+from ragwortfield.tests.scheduler_node_world import build_scheduler_node
 
 _MAX_AGE_S = 1.8
 #: Longest wait for the greenlets of a test, in seconds.
@@ -89,7 +82,15 @@
         return super().wait_for_changes(table, after, wait_s)
 
 
-class EvacuationViewTest(unittest.TestCase):
+class _AwaitingCase(unittest.TestCase):
+    def await_true(self, condition):
+        end = time.monotonic() + _TIMEOUT_S
+        while not condition() and time.monotonic() < end:
+            gevent.sleep(0.005)
+        self.assertTrue(condition())
+
+
+class EvacuationViewTest(_AwaitingCase):
     def setUp(self):
         self.store = _YieldingStore()
         self.view = EvacuationView(
@@ -110,12 +111,6 @@
         self.addCleanup(gevent.spawn(self.feed.run).kill)
         self.await_true(lambda: self.view.known_until() > 0)
 
-    def await_true(self, condition):
-        end = time.monotonic() + _TIMEOUT_S
-        while not condition() and time.monotonic() < end:
-            gevent.sleep(0.005)
-        self.assertTrue(condition())
-
     def apply(self, *keys, is_complete=False):
         page = self.store.read(OPERATOR_TABLE, COMMON_PARTITION)
         rows = [row for row in page.rows if row.name.key in keys]
@@ -198,29 +193,17 @@
         self.assertLess(self.view.known_until(), time.monotonic() - 0.9)
 
 
-class NodeEvacuationTest(unittest.TestCase):
+class NodeEvacuationTest(_AwaitingCase):
     """An instance follows the operator and owns shards."""
 
     def setUp(self):
         self.store = _YieldingStore()
-        self.node = SchedulerNode(
-            identity=SchedulerIdentity(
-                instance_id='i', incarnation='1', address='i:1'
-            ),
-            data_centre='dc',
-            cores=1,
-            store=self.store,
-            make_workers=FakeTaskWorkerControl,
-            approval_service=ApprovalServiceClient(address=''),
-            table_names=PlatformTables(
-                operator_table=OPERATOR_TABLE,
-                worker_table='workers',
-                is_configuration_row=is_configuration_row,
-                find_evacuated_zone=find_evacuated_zone,
-                parse_catalogue=parse_catalogue,
-                parse_worker=lambda _id, _content: Malformed(reason='none'),
-            ),
-            owner_settings=OwnerSettings(),
+        self.node = build_scheduler_node(
+            self.store,
+            operator_table=OPERATOR_TABLE,
+            is_configuration_row=is_configuration_row,
+            find_evacuated_zone=find_evacuated_zone,
+            parse_catalogue=parse_catalogue,
         )
 
     def make_runner(self):
@@ -247,12 +230,6 @@
         ):
             self.addCleanup(gevent.spawn(loop, *arguments).kill)
 
-    def await_true(self, condition):
-        end = time.monotonic() + _TIMEOUT_S
-        while not condition() and time.monotonic() < end:
-            gevent.sleep(0.005)
-        self.assertTrue(condition())
-
     # Guards against a new owner that starts tasks before its instance has read
     # the operator's rows, and against one that is not told of them.
     def test_runner_follows_the_zones_from_its_creation(self):
--- a/ragwortfield/tests/test_scheduler_node.py
+++ b/ragwortfield/tests/test_scheduler_node.py
@@ -6,12 +6,10 @@
 
 import gevent
 
-from ragwortfield.adapters.json_codec import Malformed
 from ragwortfield.engine.cluster_view import ClusterView, KnownOwner
 from ragwortfield.engine.ownership import (
     OwnershipManager,
     OwnershipTerm,
-    SchedulerIdentity,
 )
 from ragwortfield.engine.ownership_keeper import OwnershipKeeper
 from ragwortfield.engine.row_names import (
@@ -19,13 +17,7 @@
     layout_row,
     owner_row,
 )
-from ragwortfield.engine.scheduler_node import (
-    OwnerSettings,
-    PlatformTables,
-    SchedulerNode,
-)
 from ragwortfield.engine.wall_clock import WallClock
-from ragwortfield.platform.approval_service_client import ApprovalServiceClient
 from ragwortfield.ports.row_store import RowName, RowWrite, Transaction
 from ragwortfield.ports.task_worker import ListedWorker
 from ragwortfield.scheduling.ownership_confirmation import (
@@ -38,10 +30,13 @@
     decode_record,
     encode_record,
 )
-from ragwortfield.scheduling.timing_bounds import TimingBounds
 from ragwortfield.testing.fake_row_store import FakeRowStore
 from ragwortfield.testing.fake_task_workers import FakeTaskWorkerControl
 from ragwortfield.testing.log_capture import capture_log_lines
+from ragwortfield.tests.scheduler_node_world import (
+    build_scheduler_node,
+    reject_worker,
+)
 
 #: Longest wait for the greenlets of a test, in seconds.
 _TIMEOUT_S = 8
@@ -83,10 +78,6 @@
     return Catalogue(version=1)
 
 
-def _reject_worker(_worker_id, _content):
-    return Malformed(reason='none')
-
-
 def _parse_worker(worker_id, content):
     if content.startswith(b'odd'):
         raise LookupError('a fault of the code')
@@ -118,29 +109,17 @@
         self.addCleanup(patch.stop)
         self.store = _YieldingStore()
         self.parse_catalogue = _parse_catalogue
-        self.parse_worker = _reject_worker
-        self.node = SchedulerNode(
-            identity=SchedulerIdentity(
-                instance_id='own',
-                incarnation='1',
-                address='own:1',
-            ),
-            data_centre='dc',
-            cores=1,
-            store=self.store,
-            make_workers=FakeTaskWorkerControl,
-            approval_service=ApprovalServiceClient(address=''),
-            table_names=PlatformTables(
-                operator_table=_OPERATOR_TABLE,
-                worker_table='workers',
-                is_configuration_row=lambda _name: True,
-                find_evacuated_zone=lambda _name: '',
-                parse_catalogue=lambda content: self.parse_catalogue(content),
-                parse_worker=lambda worker_id, content: self.parse_worker(
-                    worker_id, content
-                ),
+        self.parse_worker = reject_worker
+        self.node = build_scheduler_node(
+            self.store,
+            instance_id='own',
+            operator_table=_OPERATOR_TABLE,
+            is_configuration_row=lambda _name: True,
+            find_evacuated_zone=lambda _name: '',
+            parse_catalogue=lambda content: self.parse_catalogue(content),
+            parse_worker=lambda worker_id, content: self.parse_worker(
+                worker_id, content
             ),
-            owner_settings=OwnerSettings(bounds=TimingBounds()),
         )
         self.write_row(
             layout_row(),
