--- a/ragwortfield/tests/test_stragglers.py
+++ b/ragwortfield/tests/test_stragglers.py
@@ -405,6 +405,15 @@
         self.end(EndKind.DONE)
         self.assert_done()
 
+    def lose_contact_after_the_end(self):
+        """End the first run as done, unreported until its lease expires."""
+        self.act_until_copy()
+        worker = self.get_worker(self.list_running()[0][1])
+        self.end(EndKind.DONE)
+        worker.is_reachable = False
+        self.act_until(self.has_no_copy)
+        return worker
+
     def test_expired_lease_ends_only_its_own_run(self):
         for number in range(2):
             with self.subTest(number=number):
@@ -425,11 +434,7 @@
     # first run expired before its end was reported, and the end was ignored. A
     # third run started when the copy failed.
     def test_end_reported_after_the_lease_counts(self):
-        self.act_until_copy()
-        worker = self.get_worker(self.list_running()[0][1])
-        self.end(EndKind.DONE)
-        worker.is_reachable = False
-        self.act_until(self.has_no_copy)
+        worker = self.lose_contact_after_the_end()
         worker.is_reachable = True
         self.assert_done()
         self.assertFalse(worker.ends)
@@ -437,11 +442,7 @@
 
     # Guards against the same while a third run goes on in place of the copy.
     def test_end_reported_after_the_lease_counts_beside_a_third_run(self):
-        self.act_until_copy()
-        worker = self.get_worker(self.list_running()[0][1])
-        self.end(EndKind.DONE)
-        worker.is_reachable = False
-        self.act_until(self.has_no_copy)
+        worker = self.lose_contact_after_the_end()
         self.end(EndKind.FAILED)
         self.act_until(lambda: len(self.list_starts()) == 3)
         worker.is_reachable = True
@@ -450,11 +451,7 @@
 
     # Guards against a successor that does not know that the copy is left over.
     def test_successor_knows_of_the_end_reported_after_the_lease(self):
-        self.act_until_copy()
-        worker = self.get_worker(self.list_running()[0][1])
-        self.end(EndKind.DONE)
-        worker.is_reachable = False
-        self.act_until(self.has_no_copy)
+        worker = self.lose_contact_after_the_end()
         worker.is_reachable = True
         self.cut(0)
         self.act(3)
