--- a/ragwortfield/engine/job_request_handler.py
+++ b/ragwortfield/engine/job_request_handler.py
@@ -26,6 +26,7 @@
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
     ExpectedVersion,
+    RowName,
     RowPage,
     RowStore,
     RowWrite,
@@ -325,7 +326,7 @@
         :returns: the outcome.
         """
         shard = self._find_shard(job_id)
-        page = read_row(self._store, job_row(shard, job_id))
+        page = self._read_row(job_row(shard, job_id))
         if isinstance(page, Unavailable):
             return Rejected(reason=page.reason)
         if not page.rows:
@@ -382,8 +383,8 @@
         if not self._cluster.shards:
             return Unavailable(reason=_NO_LAYOUT)
         shard = self._find_shard(job_id)
-        cancelled = read_row(self._store, cancel_row(shard, job_id))
-        job = read_row(self._store, job_row(shard, job_id))
+        cancelled = self._read_row(cancel_row(shard, job_id))
+        job = self._read_row(job_row(shard, job_id))
         progress = self._store.read(
             PROGRESS_TABLE,
             partition_of_shard(shard),
@@ -663,6 +664,9 @@
             return Uncertain(reason=outcome.reason)
         return Rejected(reason=outcome.reason)
 
+    def _read_row(self, name: RowName) -> RowPage | Unavailable:
+        return read_row(self._store, name)
+
     def _find_shard(self, job_id: JobId) -> int:
         return shard_of(job_id, self._cluster.shards)
 
