Connections that wait for their turn make place for others

What callers saw: beside 400 clients that send bodies in pieces and come back, 1 to 15 of 20 ordinary submissions, each on a new connection, were closed without an answer. A server whose connections all waited for their turn accepted nothing until some had been decoded.

Cause: a connection that waits for its turn was BUSY, and BUSY ones are never closed for others. Above nine tenths of the connections, the one that was closed was therefore the newest, the only one that waited for its client. A full server accepts nothing, so ClientGuard.add, which makes place, was not called any more.

Change: such a connection has a phase of its own, TURN, in which it can be ended; place is made before the new connection counts, and also by the regular check once the server is full; a client that has not taken its answer for a second makes place as well. Turns come in order (turn_queue.py): a semaphore gave the turn back to the connection that had it last, so that one client with many steps kept it. A refusal says which bound was reached.

Evidence: on the code before, test_ordinary_callers_are_answered_beside_a_full_ crowd failed in four of four runs (15, 1, 15 and 8 of 20 unanswered), the three new tests of GuardTest failed, and a server with the turn held timed out on a new client (test_full_server_answers_a_new_client, with the semaphore held instead).

--- a/ragwortfield/http_api/client_connection.py
+++ b/ragwortfield/http_api/client_connection.py
@@ -107,7 +107,7 @@
         if self._unread:
             # Requests that are sent ahead must not keep others waiting.
             self.enter(Phase.BUSY)
-            self.guard.wait_for_turn()
+            self._wait_for_turn('the head')
         searched = 0
         charged = 0
         while True:
@@ -159,11 +159,7 @@
         :raises RequestRefused: when they are refused.
         """
         if self._request_bytes > _UNBOUND_BYTES:
-            is_discarding = self.phase == Phase.DISCARD
-            self.phase = Phase.BUSY
-            self.guard.wait_for_turn()
-            if is_discarding:
-                self.phase = Phase.DISCARD
+            self._wait_for_turn('the body')
         if self._unread:
             content = self._take(min(size, _PIECE_BYTES))
         else:
@@ -224,6 +220,9 @@
         """
         self.cause = cause
         self.is_closing = True
+        if self.phase == Phase.TURN:
+            self.guard.cancel_turn(self)
+            return
         with suppress(OSError):
             if self.phase in READING_PHASES:
                 self._sock.shutdown(stdlib_socket.SHUT_RD)
@@ -252,6 +251,15 @@
         """
         return bool(self._unread)
 
+    def _wait_for_turn(self, part: str) -> None:
+        phase = self.phase
+        # Not ``enter``, as it counts from the beginning of the request.
+        self.phase = Phase.TURN
+        has_turn = self.guard.wait_for_turn(self)
+        self.phase = phase
+        if not has_turn:
+            raise self._make_cut_off(part)
+
     def _take(self, size: int) -> bytes:
         content = bytes(self._unread[:size])
         self._unread = self._unread[size:]
@@ -321,11 +329,14 @@
 
     def _make_refusal(self) -> RequestRefused:
         self.is_closing = True
+        if self.cause == EndCause.CONNECTIONS:
+            reason = f'{len(self.guard.connections)} connections are open'
+        else:
+            reason = 'too many bytes of requests are being read'
         return RequestRefused(
             status=HTTPStatus.SERVICE_UNAVAILABLE,
             code='overload',
-            message='too many bytes of requests are being read; this request '
-            'has not run',
+            message=f'{reason}; this request has not run',
         )
 
 
--- a/ragwortfield/http_api/client_guard.py
+++ b/ragwortfield/http_api/client_guard.py
@@ -11,9 +11,9 @@
 from typing import Protocol
 
 import gevent
-from gevent.lock import BoundedSemaphore
 
 from ragwortfield.core.client_limits import LENIENT_LIMITS, ClientLimits
+from ragwortfield.http_api.turn_queue import TurnQueue
 from ragwortfield.scheduling.decision_log import DecisionLog
 from ragwortfield.types import MonotonicTime, Seconds
 
@@ -39,11 +39,6 @@
 #: of them that is closed at a time.
 _FULL_SHARE = 0.9
 _CLOSED_SHARE = 0.05
-#: Number of waiting steps of long work above which there is a pause after
-#: each, and the pause, in seconds. Without it the event loop takes such steps
-#: for 5 ms before it looks for new bytes.
-_CROWDED_COUNT = 4
-_CROWDED_PAUSE_S: Seconds = 0.001
 #: Share of the machine's memory for heads and bodies of all connections.
 _BUDGET_SHARE = 0.08
 #: Largest requests that the budget always has space for.
@@ -65,12 +60,18 @@
     DISCARD = 'discard'
     #: The client, which is to take the answer.
     ANSWER = 'answer'
+    #: Its turn to have received bytes handled.
+    TURN = 'turn'
     #: This process.
     BUSY = 'busy'
 
 
 #: Phases in which a connection waits for bytes of its client.
 READING_PHASES = frozenset((Phase.IDLE, Phase.HEAD, Phase.BODY, Phase.DISCARD))
+#: Phases in which a connection waits for this process.
+_INTERNAL_PHASES = frozenset((Phase.TURN, Phase.BUSY))
+#: Phases in which a connection may be closed for others at any time.
+_CLOSABLE_PHASES = READING_PHASES | {Phase.TURN}
 
 
 class EndCause(StrEnum):
@@ -128,6 +129,7 @@
     :param budget_bytes: most bytes of heads and bodies that are held, of all
         connections together.
     :param max_connections: most connections at a time.
+    :param turns: queue of the connections with work that can take long.
     :param is_timed: whether time limits are checked, and connections that have
         waited are closed for others.
     """
@@ -138,6 +140,7 @@
         limits: Callable[[], ClientLimits] = lambda: LENIENT_LIMITS,
         budget_bytes: float = math.inf,
         max_connections: int,
+        turns: TurnQueue | None = None,
         is_timed: bool = True,
     ) -> None:
         """Create a guard; ``start`` makes it check the time limits."""
@@ -150,8 +153,7 @@
         self.is_timed = is_timed
         self._get_limits = limits
         self._budget_bytes = budget_bytes
-        self._bulk_lock = BoundedSemaphore()
-        self._waiting_count = 0
+        self._turns = turns or TurnQueue()
         self._watch: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -171,10 +173,9 @@
 
         :param connection: the connection.
         """
+        if len(self.connections) >= _FULL_SHARE * self.max_connections:
+            self._make_place()
         self.connections.add(connection)
-        fullest = _FULL_SHARE * self.max_connections
-        if self.is_timed and len(self.connections) > fullest:
-            self._close_waiting(math.ceil(_CLOSED_SHARE * self.max_connections))
 
     def remove(self, connection: GuardedConnection) -> None:
         """
@@ -214,21 +215,25 @@
         self.held_bytes -= connection.held_bytes
         connection.held_bytes = 0
 
-    def wait_for_turn(self) -> None:
+    def wait_for_turn(self, connection: GuardedConnection) -> bool:
         """
         Wait until work that can take long may go on for one short step.
 
-        One such step is taken at a time, and with many waiting ones there is a
-        pause after each, so that short requests are not kept waiting by more
-        than one of them.
+        One such step is taken at a time, so that short requests are not kept
+        waiting by more than one of them.
+
+        :param connection: connection whose bytes cause the work.
+        :returns: whether it may go on; false if the connection was ended.
+        """
+        return self._turns.wait(connection)
+
+    def cancel_turn(self, connection: GuardedConnection) -> None:
         """
-        self._waiting_count += 1
-        try:
-            with self._bulk_lock:
-                is_crowded = self._waiting_count > _CROWDED_COUNT
-                gevent.sleep(_CROWDED_PAUSE_S if is_crowded else 0)
-        finally:
-            self._waiting_count -= 1
+        End a connection's wait for its turn.
+
+        :param connection: the connection.
+        """
+        self._turns.cancel(connection)
 
     def end(self, connection: GuardedConnection, cause: EndCause) -> None:
         """
@@ -269,6 +274,9 @@
         for connection in tuple(self.connections):
             if self._is_overdue(connection):
                 self.end(connection, EndCause.TIMED_OUT)
+        # A full server accepts no connections, so ``add`` makes no place.
+        if len(self.connections) >= self.max_connections:
+            self._make_place()
 
     def _check_forever(self) -> None:
         checked_at: MonotonicTime = time.monotonic()
@@ -280,7 +288,7 @@
 
     def _is_overdue(self, connection: GuardedConnection) -> bool:
         phase = connection.phase
-        if phase == Phase.BUSY:
+        if phase in _INTERNAL_PHASES:
             return False
         # ``running_s`` is behind by up to one interval.
         latest_start = self.running_s - _CHECK_INTERVAL_S
@@ -341,18 +349,26 @@
                 return True
         return False
 
-    def _close_waiting(self, count: int) -> None:
+    def _make_place(self) -> None:
+        if not self.is_timed:
+            return
+        # Of those that have waited for equally long, the largest go first.
         waiting = sorted(
-            (
-                connection
-                for connection in self.connections
-                if connection.phase in READING_PHASES
+            filter(self._is_closable, self.connections),
+            key=lambda connection: (
+                _get_waiting_since(connection),
+                -connection.held_bytes,
             ),
-            key=lambda connection: connection.progress_at,
         )
+        count = math.ceil(_CLOSED_SHARE * self.max_connections)
         for connection in waiting[:count]:
             self.end(connection, EndCause.CONNECTIONS)
 
+    def _is_closable(self, connection: GuardedConnection) -> bool:
+        if connection.phase == Phase.ANSWER:
+            return connection.progress_at < self.running_s - _STALL_S
+        return connection.phase in _CLOSABLE_PHASES
+
 
 def compute_budget_bytes(memory_mb: float) -> float:
     """
@@ -373,3 +389,11 @@
     :returns: number of connections.
     """
     return min(highest, int(memory_mb * _CONNECTIONS_PER_MB))
+
+
+def _get_waiting_since(connection: GuardedConnection) -> Seconds:
+    # All bytes of a connection that waits for its turn may have come long ago,
+    # and those of one that sends on come all the time.
+    if connection.phase == Phase.TURN:
+        return connection.phase_since
+    return connection.progress_at
--- /dev/null
+++ b/ragwortfield/tests/test_client_crowds.py
@@ -0,0 +1,59 @@
+"""Crowds that fill a process, reset their connections, or find it in trouble.
+
+Each test checks what does not depend on the speed of the machine, as those of
+``test_abusive_clients`` do.
+"""
+
+from contextlib import suppress
+
+from gevent.pool import Group
+
+from ragwortfield.platform.fake_servers import encode_job
+from ragwortfield.tests.client_crowd_case import (
+    MAKE_PIECES_BY_KIND,
+    ClientCrowdTestCase,
+    encode_head,
+)
+
+#: Connections to callers that fill a process of 64 MiB, which serves 320.
+_FULL_CROWD = 400
+#: Requests of ordinary callers, each on a connection of its own.
+_ORDINARY_REQUESTS = 20
+
+
+class FullProcessTest(ClientCrowdTestCase):
+    # Guards against connections that wait for this process, which are never
+    # closed for others, so that each new one is closed instead.
+    def test_full_crowds_are_bounded(self):
+        for kind in ('tiny chunks', 'body in pieces', 'nothing'):
+            self.send_crowd(MAKE_PIECES_BY_KIND[kind], _FULL_CROWD)
+            self.assert_bounded()
+            self.reset()
+
+    # Guards against a full process that closes the newest connection, as it is
+    # the only one that waits for its client.
+    def test_ordinary_callers_are_answered_beside_a_full_crowd(self):
+        make_pieces = MAKE_PIECES_BY_KIND['body in pieces']
+        self.exchanges = 0
+        crowd = Group()
+        for number in range(_FULL_CROWD):
+            crowd.spawn(self.return_for_ever, make_pieces(number))
+        self.await_true(lambda: self.exchanges > _FULL_CROWD)
+        unanswered = 0
+        for number in range(_ORDINARY_REQUESTS):
+            body = encode_job('sleep 0', (1,))
+            connection = self.connect()
+            with suppress(OSError):
+                length = b'Content-Length: %d' % len(body)
+                connection.sendall(encode_head(_FULL_CROWD + number, length))
+                connection.sendall(body)
+            unanswered += not self.read_status(connection)
+        crowd.kill()
+        self.assertEqual(unanswered, 0)
+        self.reset()
+        self.assert_bounded()
+
+    def return_for_ever(self, pieces):
+        while True:
+            self.exchange(pieces)
+            self.exchanges += 1
--- a/ragwortfield/tests/test_client_guard.py
+++ b/ragwortfield/tests/test_client_guard.py
@@ -147,6 +147,34 @@
         for connection in others:
             self.assertEqual(connection.cause, EndCause.NONE)
 
+    # Guards against connections that wait for their turn, which keep others
+    # out: the new connection alone waits for its client, and would be closed.
+    def test_connection_in_turn_makes_place(self):
+        in_turn = [self.add(Phase.TURN, size=1000) for _ in range(18)]
+        newest = [self.add(Phase.IDLE) for _ in range(2)]
+        self.assertIn(
+            EndCause.CONNECTIONS, [connection.cause for connection in in_turn]
+        )
+        for connection in newest:
+            self.assertEqual(connection.cause, EndCause.NONE)
+
+    # Guards against a full process that accepts nothing any more, and so never
+    # looks for a connection to close.
+    def test_full_guard_makes_place_without_a_new_connection(self):
+        connections = [self.add(Phase.BUSY) for _ in range(20)]
+        connections[5].phase = Phase.TURN
+        self.run_for(_TICK_S)
+        self.assertEqual(connections[5].cause, EndCause.CONNECTIONS)
+
+    def test_answer_that_is_not_taken_makes_place(self):
+        connections = [self.add(Phase.ANSWER) for _ in range(20)]
+        self.run_for(1)
+        self.assertEqual(connections[0].cause, EndCause.NONE)
+        self.run_for(1)
+        self.assertIn(
+            EndCause.CONNECTIONS, [other.cause for other in connections]
+        )
+
 
 class ChunkDecoderTest(unittest.TestCase):
     def test_content_is_the_same_however_it_arrives(self):
--- /dev/null
+++ b/ragwortfield/tests/test_client_turns.py
@@ -0,0 +1,114 @@
+"""Connections of a server that wait for their turn, over real sockets."""
+
+import socket
+import unittest
+
+import gevent
+
+from ragwortfield.core.client_limits import ClientLimits
+from ragwortfield.http_api.client_guard import ClientGuard
+from ragwortfield.http_api.turn_queue import TurnQueue
+from ragwortfield.http_api.wsgi import read_body
+from ragwortfield.http_api.wsgi_server import HttpServer
+from ragwortfield.tests.scheduler_process_case import TIMEOUT_S
+
+_MAX_CONNECTIONS = 20
+#: Bytes of a chunked body of which the first part is read without a turn.
+_CHUNKS = b'1\r\na\r\n' * 4000
+_CHUNKED_HEAD = (
+    b'POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+_QUERY = b'GET / HTTP/1.1\r\nHost: test\r\n\r\n'
+
+
+def _application(environ, start_response):
+    read_body(environ, ClientLimits().max_body_bytes)
+    start_response('200 OK', [('content-length', '0')])
+    return [b'']
+
+
+class ServerTurnTest(unittest.TestCase):
+    """Server in this process, in which the test holds the turn."""
+
+    def setUp(self):
+        self.is_held = False
+        self.turns = TurnQueue(sleep=self.sleep)
+        self.guard = ClientGuard(
+            limits=ClientLimits,
+            max_connections=_MAX_CONNECTIONS,
+            turns=self.turns,
+        )
+        self.server = HttpServer(
+            address=('127.0.0.1', 0),
+            application=_application,
+            max_connections=_MAX_CONNECTIONS,
+            guard=self.guard,
+        )
+        self.server.start()
+        self.addCleanup(self.server.stop, 0)
+
+    def sleep(self, duration_s):
+        """Never return while the turn is held."""
+        gevent.sleep(TIMEOUT_S if self.is_held else duration_s)
+
+    def hold_turn(self):
+        self.is_held = True
+        holder = gevent.spawn(self.turns.wait, self)
+        self.addCleanup(holder.kill)
+        gevent.sleep(0)
+
+    def connect(self):
+        connection = socket.create_connection(
+            ('127.0.0.1', self.server.server_port), TIMEOUT_S
+        )
+        self.addCleanup(connection.close)
+        return connection
+
+    def await_true(self, condition):
+        with gevent.Timeout(TIMEOUT_S):
+            while not condition():
+                gevent.sleep(0.01)
+
+    # Guards against a server that is full of connections in turn.
+    def test_full_server_answers_a_new_client(self):
+        self.hold_turn()
+        for _ in range(_MAX_CONNECTIONS + 5):
+            self.connect().sendall(_CHUNKED_HEAD + _CHUNKS)
+        connection = self.connect()
+        connection.sendall(_QUERY)
+        self.assertIn(b'200 OK', connection.recv(1000))
+
+
+class TurnQueueTest(unittest.TestCase):
+    def setUp(self):
+        self.turns = TurnQueue(sleep=lambda _duration_s: gevent.sleep(0.01))
+        self.order = []
+
+    def step(self, holder):
+        self.order.append((holder, self.turns.wait(holder)))
+
+    def test_turns_come_in_order_and_can_be_cancelled(self):
+        steps = [gevent.spawn(self.step, holder) for holder in 'abcd']
+        gevent.sleep(0)
+        self.turns.cancel('c')
+        self.turns.cancel('unknown')
+        gevent.joinall(steps)
+        self.assertEqual(
+            sorted(self.order),
+            [('a', True), ('b', True), ('c', False), ('d', True)],
+        )
+        self.assertEqual(
+            [holder for holder, has_turn in self.order if has_turn],
+            ['a', 'b', 'd'],
+        )
+        self.assertEqual(self.turns.count_waiting(), 0)
+
+    # Guards against a turn that is lost with a connection that is killed.
+    def test_killed_holder_passes_its_turn_on(self):
+        steps = [gevent.spawn(self.step, holder) for holder in 'abc']
+        gevent.sleep(0)
+        gevent.killall(steps[:2])
+        steps[2].get(timeout=TIMEOUT_S)
+        self.assertEqual(self.order, [('c', True)])
+        self.step('d')
+        self.assertEqual(self.order[-1], ('d', True))
