A connection that its client has reset ends without its turn

What callers saw: 600 clients with chunks of one byte reset their connections, and 470 descriptors were still open a second later; crowds that followed each other filled the process, and ordinary requests had no answer.

Cause: a connection that waits for its turn reads nothing, so it does not notice a reset; the kernel keeps what it has received of it, and all of that was decoded, one turn after the other.

Change: the regular check asks the kernel whether connections in this phase were reset, and ends those that were. Their turns are cancelled and their bytes return to the budget.

Evidence: test_reset_connections_end_without_a_turn holds the turn, lets five clients reset their connections, and waits for the connections to end.

--- a/ragwortfield/adapters/http_client.py
+++ b/ragwortfield/adapters/http_client.py
@@ -492,6 +492,19 @@
     return bool(poller.poll(0))
 
 
+def is_reset(sock: socket.socket) -> bool:
+    """
+    Check whether a connection was reset, also before unread bytes are read.
+
+    :param sock: the connection.
+    :returns: whether nothing can be sent to its other end any more.
+    """
+    poller = _original_poll()
+    # Errors are reported without being asked for.
+    poller.register(sock.fileno(), 0)
+    return bool(poller.poll(0))
+
+
 def _encode_request(request: HttpRequest, host: str) -> bytes:
     lines = [f'{request.method} {request.path} HTTP/1.1', f'host: {host}']
     lines.extend(f'{name}: {text}' for name, text in request.fields)
--- a/ragwortfield/http_api/client_connection.py
+++ b/ragwortfield/http_api/client_connection.py
@@ -10,7 +10,7 @@
 import gevent
 from gevent.pywsgi import Input
 
-from ragwortfield.adapters.http_client import is_readable
+from ragwortfield.adapters.http_client import is_readable, is_reset
 from ragwortfield.http_api.chunked_body import ChunkDecoder, ChunkError
 from ragwortfield.http_api.client_guard import (
     READING_PHASES,
@@ -243,6 +243,14 @@
         """
         return self._sock.fileno() >= 0 and is_readable(self._sock)
 
+    def is_reset(self) -> bool:
+        """
+        Check whether the client has reset the connection.
+
+        :returns: whether it has, also if bytes of it are still unread.
+        """
+        return self._sock.fileno() >= 0 and is_reset(self._sock)
+
     def has_request(self) -> bool:
         """
         Check for bytes of the next request that were read already.
--- a/ragwortfield/http_api/client_guard.py
+++ b/ragwortfield/http_api/client_guard.py
@@ -68,10 +68,10 @@
 
 #: Phases in which a connection waits for bytes of its client.
 READING_PHASES = frozenset((Phase.IDLE, Phase.HEAD, Phase.BODY, Phase.DISCARD))
-#: Phases in which a connection waits for this process.
-_INTERNAL_PHASES = frozenset((Phase.TURN, Phase.BUSY))
+#: Phases in which a request can be ended while the process works on it.
+_RESET_CHECKED_PHASES = frozenset((Phase.TURN,))
 #: Phases in which a connection may be closed for others at any time.
-_CLOSABLE_PHASES = READING_PHASES | {Phase.TURN}
+_CLOSABLE_PHASES = READING_PHASES | _RESET_CHECKED_PHASES
 
 
 class EndCause(StrEnum):
@@ -85,6 +85,8 @@
     CONNECTIONS = 'connections'
     HEAD_TOO_LARGE = 'head_too_large'
     CHUNKS = 'chunks'
+    #: The client has reset the connection.
+    RESET = 'reset'
 
 
 class GuardedConnection(Protocol):
@@ -117,6 +119,13 @@
         :returns: whether there are some.
         """
 
+    def is_reset(self) -> bool:
+        """
+        Check whether the client has reset the connection.
+
+        :returns: whether it has, also if bytes of it are still unread.
+        """
+
 
 class ClientGuard:
     """
@@ -265,14 +274,18 @@
 
     def check(self, elapsed_s: Seconds) -> None:
         """
-        End the connections that are over their time limits.
+        End the connections that are over their time limits, or were reset.
 
         :param elapsed_s: time since the last check, in seconds.
         """
         self.running_s += min(elapsed_s, _MAX_COUNTED_S)
         self.limits = self._get_limits()
         for connection in tuple(self.connections):
-            if self._is_overdue(connection):
+            # A reset ends a read of the socket, but none of these waits.
+            if connection.phase in _RESET_CHECKED_PHASES:
+                if connection.is_reset():
+                    self.end(connection, EndCause.RESET)
+            elif self._is_overdue(connection):
                 self.end(connection, EndCause.TIMED_OUT)
         # A full server accepts no connections, so ``add`` makes no place.
         if len(self.connections) >= self.max_connections:
@@ -288,7 +301,7 @@
 
     def _is_overdue(self, connection: GuardedConnection) -> bool:
         phase = connection.phase
-        if phase in _INTERNAL_PHASES:
+        if phase == Phase.BUSY:
             return False
         # ``running_s`` is behind by up to one interval.
         latest_start = self.running_s - _CHECK_INTERVAL_S
--- a/ragwortfield/tests/test_client_crowds.py
+++ b/ragwortfield/tests/test_client_crowds.py
@@ -10,17 +10,52 @@
 
 from ragwortfield.platform.fake_servers import encode_job
 from ragwortfield.tests.client_crowd_case import (
+    CROWD,
     MAKE_PIECES_BY_KIND,
     ClientCrowdTestCase,
     encode_head,
 )
+from ragwortfield.tests.scheduler_process_case import TIMEOUT_S
 
 #: Connections to callers that fill a process of 64 MiB, which serves 320.
 _FULL_CROWD = 400
+#: Connections of each client that comes again when it was refused.
+_RECONNECTIONS = 5
 #: Requests of ordinary callers, each on a connection of its own.
 _ORDINARY_REQUESTS = 20
 
 
+class CrowdAfterCrowdTest(ClientCrowdTestCase):
+    # Guards against connections of a crowd that has gone, which are kept until
+    # all that it sent is decoded, and so fill the process with the next crowds.
+    def test_one_crowd_after_the_other_is_forgotten(self):
+        for make_pieces in MAKE_PIECES_BY_KIND.values():
+            self.send_crowd(make_pieces)
+            self.reset()
+        self.assert_bounded()
+
+    def test_the_same_crowd_again_and_again_is_forgotten(self):
+        for _ in range(6):
+            self.send_crowd(MAKE_PIECES_BY_KIND['tiny chunks'])
+            self.reset()
+        self.assert_bounded()
+
+    # Guards against a process that has no time or place for others while a
+    # crowd comes back at once after each refusal.
+    def test_crowd_that_returns_after_each_refusal_is_bounded(self):
+        def come_again(number):
+            pieces = MAKE_PIECES_BY_KIND['body'](number)
+            for _ in range(_RECONNECTIONS):
+                self.exchange(pieces)
+
+        crowd = Group()
+        for number in range(CROWD):
+            crowd.spawn(come_again, number)
+        crowd.join(timeout=TIMEOUT_S)
+        crowd.kill()
+        self.assert_bounded()
+
+
 class FullProcessTest(ClientCrowdTestCase):
     # Guards against connections that wait for this process, which are never
     # closed for others, so that each new one is closed instead.
--- a/ragwortfield/tests/test_client_guard.py
+++ b/ragwortfield/tests/test_client_guard.py
@@ -34,6 +34,7 @@
     held_bytes: int = 0
     cause: EndCause = EndCause.NONE
     is_readable: bool = False
+    was_reset: bool = False
 
     def end(self, cause):
         self.cause = cause
@@ -41,6 +42,9 @@
     def has_unread_bytes(self):
         return self.is_readable
 
+    def is_reset(self):
+        return self.was_reset
+
 
 class GuardTest(unittest.TestCase):
     def setUp(self):
@@ -158,6 +162,16 @@
         for connection in newest:
             self.assertEqual(connection.cause, EndCause.NONE)
 
+    # Guards against connections of clients that have gone, which are kept until
+    # all that they sent is handled.
+    def test_reset_connection_does_not_wait_for_its_turn(self):
+        connections = [self.add(Phase.TURN, size=1000) for _ in range(2)]
+        connections[0].was_reset = True
+        self.run_for(_TICK_S)
+        self.assertEqual(connections[0].cause, EndCause.RESET)
+        self.assertEqual(connections[1].cause, EndCause.NONE)
+        self.assertEqual(self.guard.held_bytes, 1000)
+
     # Guards against a full process that accepts nothing any more, and so never
     # looks for a connection to close.
     def test_full_guard_makes_place_without_a_new_connection(self):
--- a/ragwortfield/tests/test_client_turns.py
+++ b/ragwortfield/tests/test_client_turns.py
@@ -1,6 +1,7 @@
 """Connections of a server that wait for their turn, over real sockets."""
 
 import socket
+import struct
 import unittest
 
 import gevent
@@ -19,6 +20,7 @@
     b'POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
 _QUERY = b'GET / HTTP/1.1\r\nHost: test\r\n\r\n'
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 def _application(environ, start_response):
@@ -69,6 +71,22 @@
             while not condition():
                 gevent.sleep(0.01)
 
+    # Guards against connections of a crowd that has gone, which wait for their
+    # turns one after the other, and keep descriptors and bytes until then.
+    def test_reset_connections_end_without_a_turn(self):
+        self.hold_turn()
+        crowd = [self.connect() for _ in range(5)]
+        for connection in crowd:
+            connection.sendall(_CHUNKED_HEAD + _CHUNKS)
+        self.await_true(lambda: self.turns.count_waiting() == 5)
+        for connection in crowd:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+            connection.close()
+        self.await_true(lambda: not self.server.count_connections())
+        self.assertEqual(self.guard.held_bytes, 0)
+
     # Guards against a server that is full of connections in turn.
     def test_full_server_answers_a_new_client(self):
         self.hold_turn()
