Requests sent ahead of their predecessors' answers are bounded

What callers saw: nothing yet. Clients that send requests without end and read no answer were served until the kernels' buffers were full: 25 of them got 28,062 answers in 36 s, at a third of a core.

Cause: a client that reads nothing can't be told from a slow one until a write blocks.

Change: after 100 requests in a row that each were there before the answer to the one before, the connection closes with the response, which says so. The requests behind it have not run.

Evidence: test_requests_ahead_are_bounded got 200 answers on the code before and gets 101 now.

--- a/ragwortfield/http_api/client_connection.py
+++ b/ragwortfield/http_api/client_connection.py
@@ -31,6 +31,9 @@
 _HEAD_COST = 4
 #: Most fields of a head; that of the parser in the standard library.
 _MAX_FIELDS = 100
+#: Most requests in a row that are served although each was sent before the
+#: answer to the one before it.
+_MAX_REQUESTS_AHEAD = 100
 #: Largest bodies that are dropped after a refusal.
 _DISCARDED_BODIES = 4
 _HEAD_END = re.compile(rb'\n\r?\n')
@@ -85,6 +88,7 @@
         self._sock = sock
         self._unread: bytes | bytearray = b''
         self._request_bytes = 0
+        self._requests_ahead = 0
 
     def enter(self, phase: Phase) -> None:
         """
@@ -108,6 +112,9 @@
             # Requests that are sent ahead must not keep others waiting.
             self.enter(Phase.BUSY)
             self._wait_for_turn('the head')
+            self._count_request_ahead()
+        else:
+            self._requests_ahead = 0
         searched = 0
         charged = 0
         while True:
@@ -268,6 +275,13 @@
         if not has_turn:
             raise self._make_cut_off(part)
 
+    def _count_request_ahead(self) -> None:
+        self._requests_ahead += 1
+        if self._requests_ahead >= _MAX_REQUESTS_AHEAD:
+            # Such a client may not read any answer.
+            self.is_closing = True
+            self.guard.note_end(self, EndCause.REQUESTS_AHEAD)
+
     def _take(self, size: int) -> bytes:
         content = bytes(self._unread[:size])
         self._unread = self._unread[size:]
--- a/ragwortfield/http_api/client_guard.py
+++ b/ragwortfield/http_api/client_guard.py
@@ -85,6 +85,7 @@
     CONNECTIONS = 'connections'
     HEAD_TOO_LARGE = 'head_too_large'
     CHUNKS = 'chunks'
+    REQUESTS_AHEAD = 'requests_ahead'
     #: The client has reset the connection.
     RESET = 'reset'
 
--- a/ragwortfield/tests/test_client_turns.py
+++ b/ragwortfield/tests/test_client_turns.py
@@ -20,6 +20,7 @@
     b'POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
 _QUERY = b'GET / HTTP/1.1\r\nHost: test\r\n\r\n'
+_MAX_REQUESTS_AHEAD = 100
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
@@ -96,6 +97,15 @@
         connection.sendall(_QUERY)
         self.assertIn(b'200 OK', connection.recv(1000))
 
+    # Guards against requests without end that are sent ahead by a client that
+    # reads no answer.
+    def test_requests_ahead_are_bounded(self):
+        connection = self.connect()
+        connection.sendall(_QUERY * (2 * _MAX_REQUESTS_AHEAD))
+        answers = connection.makefile('rb').read()
+        self.assertEqual(answers.count(b'200 OK'), _MAX_REQUESTS_AHEAD + 1)
+        self.assertIn(b'Connection: close', answers)
+
 
 class TurnQueueTest(unittest.TestCase):
     def setUp(self):
