Reads that wait for the store end for others and with their clients

Cause: the status of a job and the count of a queue are read again and again until the deadline of the client, and such a connection was BUSY: nothing closed it for others, and nobody noticed that its client had gone.

Change: the pause between two attempts is the connection's (ports/pause.py). In it, the connection has the phase RETRY, in which it makes place for others and ends when its client has reset it. The caller of a read that is ended for others gets the answer of the last attempt, 503 with Retry-After.

Evidence: test_reads_end_with_their_clients had 193 descriptors instead of at most 29 on the code before, and passes now.

--- a/ragwortfield/engine/job_request_handler.py
+++ b/ragwortfield/engine/job_request_handler.py
@@ -23,6 +23,7 @@
 from ragwortfield.engine.unowned_status_log import UnownedStatusLog
 from ragwortfield.log import event
 from ragwortfield.peering.rpc import CallBody, PeerRpc
+from ragwortfield.ports.pause import Pause, pause_uninterrupted
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.ports.row_store import (
     ExpectedVersion,
@@ -225,7 +226,12 @@
         )
         return outcome
 
-    def status(self, job_id: JobId, timeout_s: Seconds) -> StatusOutcome:
+    def status(
+        self,
+        job_id: JobId,
+        timeout_s: Seconds,
+        pause: Pause = pause_uninterrupted,
+    ) -> StatusOutcome:
         """
         Return the status of a job.
 
@@ -233,6 +239,7 @@
 
         :param job_id: the job.
         :param timeout_s: longest time for all attempts, in seconds.
+        :param pause: waits before the next attempt.
         :returns: its status, or why it cannot be determined.
         """
         if not self._cluster.shards:
@@ -241,19 +248,19 @@
         while True:
             found = self._find_status(job_id)
             is_final = not isinstance(found.status, Unavailable)
-            if is_final or time.monotonic() + _RETRY_S > deadline:
+            if is_final or not _is_repeated(deadline, pause):
                 self._log_status(job_id, found)
                 return found.status
-            gevent.sleep(_RETRY_S)
 
     def count_waiting(
-        self, queue: str, timeout_s: Seconds
+        self, queue: str, timeout_s: Seconds, pause: Pause = pause_uninterrupted
     ) -> int | Unavailable:
         """
         Count the jobs of a queue of which no task has started.
 
         :param queue: name of the queue.
         :param timeout_s: longest time for all attempts, in seconds.
+        :param pause: waits before the next attempt.
         :returns: number of jobs in all shards.
         """
         deadline = time.monotonic() + timeout_s
@@ -267,11 +274,10 @@
             ]
             if not failures and counts:
                 return sum(counts)
-            if time.monotonic() + _RETRY_S > deadline:
+            if not _is_repeated(deadline, pause):
                 return (
                     failures[0] if failures else Unavailable(reason=_NO_LAYOUT)
                 )
-            gevent.sleep(_RETRY_S)
 
     def write_for_peer(
         self,
@@ -671,6 +677,11 @@
         return shard_of(job_id, self._cluster.shards)
 
 
+def _is_repeated(deadline: MonotonicTime, pause: Pause) -> bool:
+    """Wait before the next attempt of a read, if there is to be one."""
+    return time.monotonic() + _RETRY_S <= deadline and pause(_RETRY_S)
+
+
 def _collect_outcomes(attempts: list[gevent.Greenlet]) -> list[_WriteOutcome]:
     return [
         Uncertain(reason='no answer in time')
--- a/ragwortfield/http_api/client_connection.py
+++ b/ragwortfield/http_api/client_connection.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
 from gevent.pywsgi import Input
 
 from ragwortfield.adapters.http_client import is_readable, is_reset
@@ -18,6 +19,7 @@
     EndCause,
     Phase,
 )
+from ragwortfield.types import Seconds
 
 #: Largest read from a socket, in bytes.
 _PIECE_BYTES = 16384
@@ -37,6 +39,8 @@
 #: Largest bodies that are dropped after a refusal.
 _DISCARDED_BODIES = 4
 _HEAD_END = re.compile(rb'\n\r?\n')
+#: Phases in which a connection waits for its socket.
+_SOCKET_PHASES = READING_PHASES | {Phase.ANSWER}
 #: Bytes before the end of a search that can begin the end of a head.
 _HEAD_END_OVERLAP = 2
 #: Socket option value that makes ``close`` reset the connection, so that the
@@ -89,6 +93,7 @@
         self._unread: bytes | bytearray = b''
         self._request_bytes = 0
         self._requests_ahead = 0
+        self._ended = Event()
 
     def enter(self, phase: Phase) -> None:
         """
@@ -186,6 +191,20 @@
         if self.phase != Phase.DISCARD:
             self._charge(size)
 
+    def pause(self, duration_s: Seconds) -> bool:
+        """
+        Wait before the application repeats an attempt of a read.
+
+        From then on the request may be ended for others, or because its client
+        has left.
+
+        :param duration_s: length of the pause, in seconds.
+        :returns: whether to go on; false if the request was ended.
+        """
+        # Not ``enter``, as it counts from the beginning of the request.
+        self.phase = Phase.RETRY
+        return not self._ended.wait(duration_s)
+
     def sendall(self, content: bytes) -> None:
         """
         Send bytes to the client.
@@ -227,8 +246,10 @@
         """
         self.cause = cause
         self.is_closing = True
+        self._ended.set()
         if self.phase == Phase.TURN:
             self.guard.cancel_turn(self)
+        if self.phase not in _SOCKET_PHASES:
             return
         with suppress(OSError):
             if self.phase in READING_PHASES:
--- a/ragwortfield/http_api/client_guard.py
+++ b/ragwortfield/http_api/client_guard.py
@@ -62,6 +62,8 @@
     ANSWER = 'answer'
     #: Its turn to have received bytes handled.
     TURN = 'turn'
+    #: A read that this process repeats until it succeeds.
+    RETRY = 'retry'
     #: This process.
     BUSY = 'busy'
 
@@ -69,7 +71,7 @@
 #: Phases in which a connection waits for bytes of its client.
 READING_PHASES = frozenset((Phase.IDLE, Phase.HEAD, Phase.BODY, Phase.DISCARD))
 #: Phases in which a request can be ended while the process works on it.
-_RESET_CHECKED_PHASES = frozenset((Phase.TURN,))
+_RESET_CHECKED_PHASES = frozenset((Phase.TURN, Phase.RETRY))
 #: Phases in which a connection may be closed for others at any time.
 _CLOSABLE_PHASES = READING_PHASES | _RESET_CHECKED_PHASES
 
@@ -406,8 +408,7 @@
 
 
 def _get_waiting_since(connection: GuardedConnection) -> Seconds:
-    # All bytes of a connection that waits for its turn may have come long ago,
-    # and those of one that sends on come all the time.
-    if connection.phase == Phase.TURN:
+    # The bytes of one that waits for this process may still be coming.
+    if connection.phase in _RESET_CHECKED_PHASES:
         return connection.phase_since
     return connection.progress_at
--- a/ragwortfield/http_api/wsgi.py
+++ b/ragwortfield/http_api/wsgi.py
@@ -9,7 +9,8 @@
 from ragwortfield.adapters.json_codec import encode_json
 from ragwortfield.core.outcomes import HeaderFields
 from ragwortfield.http_api.client_connection import RequestRefused
-from ragwortfield.http_api.wsgi_server import RAW_PATH_KEY
+from ragwortfield.http_api.wsgi_server import PAUSE_KEY, RAW_PATH_KEY
+from ragwortfield.ports.pause import Pause, pause_uninterrupted
 
 #: Prefix of the environment keys that hold header fields.
 _HEADER_KEY_PREFIX = 'HTTP_'
@@ -61,6 +62,17 @@
     return str(environ[RAW_PATH_KEY])
 
 
+def get_pause(environ: dict[str, Any]) -> Pause:
+    """
+    Get the function that waits between two attempts of a read.
+
+    :param environ: WSGI environment.
+    :returns: function that takes a duration in seconds, and returns whether to
+        go on; false if the request was ended.
+    """
+    return environ.get(PAUSE_KEY, pause_uninterrupted)
+
+
 def get_header(environ: dict[str, Any], name: str) -> str:
     """
     Get a header field of a request.
--- a/ragwortfield/http_api/wsgi_server.py
+++ b/ragwortfield/http_api/wsgi_server.py
@@ -23,6 +23,9 @@
 #: Key in the WSGI environment of the path as the client sent it, still
 #: percent-encoded.
 RAW_PATH_KEY = 'ragwortfield.raw_path'
+#: Key in the WSGI environment of a function that waits between two attempts of
+#: a read, see ``ClientConnection.pause``.
+PAUSE_KEY = 'ragwortfield.pause'
 #: Interval at which a server that ends looks for idle connections, in seconds.
 _FINISH_POLL_S: Seconds = 0.01
 #: Error message by status, for requests whose head could not be parsed.
@@ -79,6 +82,7 @@
         """
         environ = super().get_environ()
         environ[RAW_PATH_KEY] = self.path
+        environ[PAUSE_KEY] = self._connection.pause
         self.wsgi_input = BodyInput(self._connection, self.wsgi_input)
         if environ['wsgi.input_terminated']:
             environ['wsgi.input'] = self.wsgi_input
--- a/ragwortfield/platform/job_api.py
+++ b/ragwortfield/platform/job_api.py
@@ -26,6 +26,7 @@
     Response,
     StartResponse,
     get_header,
+    get_pause,
     get_raw_path,
     read_body,
     send_response,
@@ -181,7 +182,7 @@
         self, resource: _RequestedResource, environ: dict[str, Any]
     ) -> Response:
         found = self._node.job_requests.status(
-            resource.job_id, _compute_timeout_s(environ)
+            resource.job_id, _compute_timeout_s(environ), get_pause(environ)
         )
         if isinstance(found, Unavailable):
             return _make_error_response(
@@ -207,7 +208,9 @@
         self, resource: _RequestedResource, environ: dict[str, Any]
     ) -> Response:
         count = self._node.job_requests.count_waiting(
-            resource.queue.name, _compute_timeout_s(environ)
+            resource.queue.name,
+            _compute_timeout_s(environ),
+            get_pause(environ),
         )
         if isinstance(count, Unavailable):
             return _make_error_response(
--- a/ragwortfield/tests/test_client_crowds.py
+++ b/ragwortfield/tests/test_client_crowds.py
@@ -9,9 +9,11 @@
 from gevent.pool import Group
 
 from ragwortfield.platform.fake_servers import encode_job
+from ragwortfield.testing.scheduler_deployment import PREFIX
 from ragwortfield.tests.client_crowd_case import (
     CROWD,
     MAKE_PIECES_BY_KIND,
+    MAX_LEFT_DESCRIPTORS,
     ClientCrowdTestCase,
     encode_head,
 )
@@ -21,10 +23,20 @@
 _FULL_CROWD = 400
 #: Connections of each client that comes again when it was refused.
 _RECONNECTIONS = 5
+#: A read that waits for eleven days if the store is away.
+_PATIENT_READ = (
+    b'GET %b%016x HTTP/1.1\r\nHost: 127.0.0.1\r\n'
+    b'X-Ragwortfield-Deadline-Ms: 999999999\r\n\r\n'
+)
+_STATUS_UNAVAILABLE = 503
 #: Requests of ordinary callers, each on a connection of its own.
 _ORDINARY_REQUESTS = 20
 
 
+def _read_patiently(number):
+    return (_PATIENT_READ % (PREFIX.encode(), number),)
+
+
 class CrowdAfterCrowdTest(ClientCrowdTestCase):
     # Guards against connections of a crowd that has gone, which are kept until
     # all that it sent is decoded, and so fill the process with the next crowds.
@@ -92,3 +104,35 @@
         while True:
             self.exchange(pieces)
             self.exchanges += 1
+
+
+class OutageTest(ClientCrowdTestCase):
+    def setUp(self):
+        super().setUp()
+        self.deployment.store.is_down = True
+        self.await_true(lambda: self.read_once() == _STATUS_UNAVAILABLE)
+
+    def read_once(self):
+        """Return the status of one ordinary read; 0 without an answer."""
+        response = self.deployment.call(
+            self.instance, 'GET', f'{PREFIX}{0xB0000000:016x}'
+        )
+        return 0 if response is None else response.status
+
+    # Guards against reads that go on after their clients have left.
+    def test_reads_end_with_their_clients(self):
+        self.send_crowd(_read_patiently)
+        self.reset()
+        left = self.idle_descriptors + MAX_LEFT_DESCRIPTORS
+        self.assertTrue(
+            self.happens(lambda: self.count_descriptors() <= left),
+            f'{self.count_descriptors()} descriptors, expected {left}',
+        )
+        self.deployment.store.is_down = False
+        self.assert_bounded()
+
+    def test_bodies_in_an_outage_are_bounded(self):
+        for kind in ('body', 'tiny chunks', 'endless head'):
+            self.send_crowd(MAKE_PIECES_BY_KIND[kind])
+        self.deployment.store.is_down = False
+        self.assert_bounded()
--- a/ragwortfield/tests/test_client_turns.py
+++ b/ragwortfield/tests/test_client_turns.py
@@ -9,7 +9,7 @@
 from ragwortfield.core.client_limits import ClientLimits
 from ragwortfield.http_api.client_guard import ClientGuard
 from ragwortfield.http_api.turn_queue import TurnQueue
-from ragwortfield.http_api.wsgi import read_body
+from ragwortfield.http_api.wsgi import get_pause, read_body
 from ragwortfield.http_api.wsgi_server import HttpServer
 from ragwortfield.tests.scheduler_process_case import TIMEOUT_S
 
@@ -20,14 +20,15 @@
     b'POST / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
 _QUERY = b'GET / HTTP/1.1\r\nHost: test\r\n\r\n'
+_PATIENT_QUERY = b'GET /patient HTTP/1.1\r\nHost: test\r\n\r\n'
+_PAUSE_S = 0.01
 _MAX_REQUESTS_AHEAD = 100
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
-def _application(environ, start_response):
-    read_body(environ, ClientLimits().max_body_bytes)
-    start_response('200 OK', [('content-length', '0')])
-    return [b'']
+def _reset(connection):
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    connection.close()
 
 
 class ServerTurnTest(unittest.TestCase):
@@ -35,6 +36,7 @@
 
     def setUp(self):
         self.is_held = False
+        self.attempts = 0
         self.turns = TurnQueue(sleep=self.sleep)
         self.guard = ClientGuard(
             limits=ClientLimits,
@@ -43,13 +45,21 @@
         )
         self.server = HttpServer(
             address=('127.0.0.1', 0),
-            application=_application,
+            application=self.respond,
             max_connections=_MAX_CONNECTIONS,
             guard=self.guard,
         )
         self.server.start()
         self.addCleanup(self.server.stop, 0)
 
+    def respond(self, environ, start_response):
+        read_body(environ, ClientLimits().max_body_bytes)
+        if environ['PATH_INFO'] == '/patient':
+            while get_pause(environ)(_PAUSE_S):
+                self.attempts += 1
+        start_response('200 OK', [('content-length', '0')])
+        return [b'']
+
     def sleep(self, duration_s):
         """Never return while the turn is held."""
         gevent.sleep(TIMEOUT_S if self.is_held else duration_s)
@@ -81,10 +91,7 @@
             connection.sendall(_CHUNKED_HEAD + _CHUNKS)
         self.await_true(lambda: self.turns.count_waiting() == 5)
         for connection in crowd:
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
-            connection.close()
+            _reset(connection)
         self.await_true(lambda: not self.server.count_connections())
         self.assertEqual(self.guard.held_bytes, 0)
 
@@ -97,6 +104,14 @@
         connection.sendall(_QUERY)
         self.assertIn(b'200 OK', connection.recv(1000))
 
+    # Guards against reads that are repeated for clients that have gone.
+    def test_repeated_read_ends_with_its_client(self):
+        connection = self.connect()
+        connection.sendall(_PATIENT_QUERY)
+        self.await_true(lambda: self.attempts)
+        _reset(connection)
+        self.await_true(lambda: not self.server.count_connections())
+
     # Guards against requests without end that are sent ahead by a client that
     # reads no answer.
     def test_requests_ahead_are_bounded(self):
