Connections to the store that are too old for requests are closed

What callers saw: nothing yet. After an outage in which 400 clients waited for reads, the process kept 135 to 152 connections to the store for good.

Cause: an idle connection is used for 20 s. Later it is closed when a request would take it, but the newest ones are taken first, so those that a burst has left are never reached.

Change: the client of the store closes those at each exchange, as that of the workers does.

--- a/ragwortfield/platform/row_store_client.py
+++ b/ragwortfield/platform/row_store_client.py
@@ -208,6 +208,8 @@
         timeouts: Timeouts,
     ) -> WholeAnswer | Unavailable:
         outcome = self._pool.exchange(request, timeouts)
+        # A burst leaves connections that are too old for further requests.
+        self._pool.close_spare()
         if isinstance(outcome, NotSent):
             return Unavailable(reason=outcome.reason)
         if isinstance(outcome, Broken):
--- a/ragwortfield/tests/test_client_crowds.py
+++ b/ragwortfield/tests/test_client_crowds.py
@@ -119,6 +119,17 @@
         )
         return 0 if response is None else response.status
 
+    # Guards against reads that wait for the store for as long as their clients
+    # say, and keep ordinary callers out meanwhile.
+    def test_patient_reads_leave_place_for_others(self):
+        self.send_crowd(_read_patiently, _FULL_CROWD)
+        self.assertTrue(
+            self.happens(lambda: self.read_once() == _STATUS_UNAVAILABLE)
+        )
+        self.deployment.store.is_down = False
+        self.reset()
+        self.assert_bounded()
+
     # Guards against reads that go on after their clients have left.
     def test_reads_end_with_their_clients(self):
         self.send_crowd(_read_patiently)
