A planned stop of a full server does not wait for a place

What callers saw: nothing but the end: an instance with a full server went on after SIGTERM (400 reads in an outage; not ended after 40 s) until the platform killed it, and answered nothing that was still open.

Cause: before the listening socket is closed, connections that wait there are accepted. The first of them was taken without a look at the pool, and a full pool blocks until it has a place.

Change: connections are accepted only while the pool has a place.

--- a/ragwortfield/http_api/wsgi_server.py
+++ b/ragwortfield/http_api/wsgi_server.py
@@ -287,10 +287,11 @@
         super().do_handle(*args)
 
     def _accept_waiting_connections(self) -> None:
-        accepted = self.do_read()
-        while accepted:
+        while not self.pool.full():
+            accepted = self.do_read()
+            if not accepted:
+                return
             self.do_handle(*accepted)
-            accepted = None if self.pool.full() else self.do_read()
 
 
 def _encode_refusal(status: str, code: str, message: str) -> bytes:
--- a/ragwortfield/tests/test_client_crowds.py
+++ b/ragwortfield/tests/test_client_crowds.py
@@ -4,6 +4,7 @@
 ``test_abusive_clients`` do.
 """
 
+import signal
 from contextlib import suppress
 
 from gevent.pool import Group
@@ -12,10 +13,12 @@
 from ragwortfield.testing.scheduler_deployment import PREFIX
 from ragwortfield.tests.client_crowd_case import (
     CROWD,
+    LIMITS,
     MAKE_PIECES_BY_KIND,
     MAX_LEFT_DESCRIPTORS,
     ClientCrowdTestCase,
     encode_head,
+    encode_sized_head,
 )
 from ragwortfield.tests.scheduler_process_case import TIMEOUT_S
 
@@ -23,6 +26,8 @@
 _FULL_CROWD = 400
 #: Connections of each client that comes again when it was refused.
 _RECONNECTIONS = 5
+#: A pause that is longer than a test.
+_LONG_MS = 600_000
 #: A read that waits for eleven days if the store is away.
 _PATIENT_READ = (
     b'GET %b%016x HTTP/1.1\r\nHost: 127.0.0.1\r\n'
@@ -147,3 +152,28 @@
             self.send_crowd(MAKE_PIECES_BY_KIND[kind])
         self.deployment.store.is_down = False
         self.assert_bounded()
+
+    # Guards against a planned stop that waits for a place in a full process,
+    # until the platform kills it.
+    def test_planned_stop_of_a_full_process_ends(self):
+        self.send_crowd(_read_patiently, _FULL_CROWD)
+        self.instance.process.send_signal(signal.SIGTERM)
+        self.await_true(lambda: self.instance.process.poll() is not None)
+        self.assertEqual(self.instance.process.returncode, 0)
+
+
+class StopTest(ClientCrowdTestCase):
+    limits = {
+        **LIMITS,
+        'header_timeout_ms': _LONG_MS,
+        'idle_timeout_ms': _LONG_MS,
+    }
+
+    # Guards against a planned stop that waits for requests without end.
+    def test_planned_stop_beside_a_crowd_ends(self):
+        self.send_crowd(MAKE_PIECES_BY_KIND['tiny chunks'])
+        self.send_crowd(lambda number: (encode_sized_head(number)[:-1],))
+        self.instance.process.send_signal(signal.SIGTERM)
+        self.send_crowd(MAKE_PIECES_BY_KIND['body'])
+        self.await_true(lambda: self.instance.process.poll() is not None)
+        self.assertEqual(self.instance.process.returncode, 0)
--- a/ragwortfield/tests/test_server_finish.py
+++ b/ragwortfield/tests/test_server_finish.py
@@ -5,10 +5,12 @@
 from http.client import HTTPConnection
 
 import gevent
+from gevent.event import Event
 
 from ragwortfield.http_api.wsgi_server import HttpServer
 
 _HOST = '127.0.0.1'
+_MAX_CONNECTIONS = 10
 _SERVICE_S = 0.3
 _TIMEOUT_S = 5
 
@@ -16,16 +18,19 @@
 class ServerFinishTest(unittest.TestCase):
     def setUp(self):
         self.handled = []
+        self.released = Event()
         self.server = HttpServer(
             address=(_HOST, 0),
             application=self.serve,
-            max_connections=10,
+            max_connections=_MAX_CONNECTIONS,
         )
         self.server.start()
         self.addCleanup(self.server.stop)
 
     def serve(self, environ, start_response):
         gevent.sleep(_SERVICE_S)
+        if environ['PATH_INFO'] == '/held':
+            self.released.wait()
         self.handled.append(environ['PATH_INFO'])
         start_response('200 OK', [('content-length', '2')])
         return [b'{}']
@@ -110,6 +115,16 @@
         with self.assertRaises(ConnectionRefusedError):
             socket.create_connection(address)
 
+    # Guards against a planned stop of a full server that waits for a place for
+    # the next connection, and so for as long as the requests take.
+    def test_full_server_does_not_wait_for_a_place(self):
+        self.addCleanup(self.released.set)
+        for _ in range(_MAX_CONNECTIONS + 1):
+            self.connect().request('GET', '/held')
+        gevent.sleep(_SERVICE_S / 3)
+        with gevent.Timeout(_TIMEOUT_S):
+            self.assertEqual(self.server.finish(0), _MAX_CONNECTIONS)
+
     def test_request_that_takes_too_long_is_counted(self):
         connection = self.connect()
         connection.request('GET', '/slow')
