Incomplete messages at the port for peers are bounded

What callers saw: nothing yet; the port is one for instances. 100 connections with heads of 1 MB each added 120 MB to a process, which kept them; 100 messages one byte short of their end added 33.6 MB and stayed, with their descriptors.

Cause: a handshake may have 128 lines of 8 KB, and the parser keeps them until its end. Each of 128 connections may hold an incomplete message of 256 KB, for any time.

Change: receive_guard.py bounds the head of a handshake (8 KiB), the bytes of incomplete messages of all connections together (8 MiB, the largest is closed), and the time without a byte within a message (15 s in which the process runs).

The tests of the health address passed before as well.

--- a/ragwortfield/peering/rpc.py
+++ b/ragwortfield/peering/rpc.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import cbor2
@@ -23,6 +24,7 @@
     LinkRecord,
     classify_link_end,
 )
+from ragwortfield.peering.receive_guard import ReceiveGuard
 from ragwortfield.ports.platform import Unavailable
 from ragwortfield.settings.instance import split_address
 from ragwortfield.types import MonotonicTime, Seconds
@@ -40,8 +42,7 @@
 #: fail immediately, in seconds.
 _RECONNECT_DELAY_S: Seconds = 0.2
 #: Most connections that are served at a time. Up to 97 instances run, and each
-#: has one connection to each other one. An incomplete frame may take as much
-#: memory as the largest.
+#: has one connection to each other one.
 _MAX_SERVED_CONNECTIONS = 128
 #: Most calls of one connection that are under way at a time.
 _MAX_CALLS_UNDER_WAY = 1000
@@ -103,6 +104,7 @@
         self._unreachable_since_by_address: dict[str, MonotonicTime] = {}
         self._last_call_number = 0
         self._served_link_by_socket: dict[socket.socket, LinkRecord] = {}
+        self._receive_guard = ReceiveGuard()
 
     def listen(self, address: str, handler: CallHandler) -> Callable[[], None]:
         """
@@ -130,7 +132,8 @@
             server_header=None,
         )
         gevent.spawn(server.serve_forever)
-        return server.shutdown
+        guard_greenlet = gevent.spawn(self._receive_guard.run)
+        return partial(_stop_listening, server, guard_greenlet)
 
     def is_unreachable(self, address: str) -> bool:
         """
@@ -215,7 +218,10 @@
             with suppress(OSError):
                 silent.shutdown(socket.SHUT_RDWR)
         link_by_socket[sock] = LinkRecord(opened_at=self._monotonic())
-        return ServerConnection(sock, protocol, server, **options)
+        guarded_protocol = self._receive_guard.create_protocol(
+            sock, max_size=_MAX_FRAME_BYTES, logger=protocol.logger
+        )
+        return ServerConnection(sock, guarded_protocol, server, **options)
 
     def _get_or_connect(self, address: str) -> _PeerConnection | Unavailable:
         lock = self._connect_lock_by_address.setdefault(
@@ -327,6 +333,11 @@
         gevent.spawn(_close_socket, connection.websocket)
 
 
+def _stop_listening(server: Server, guard_greenlet: gevent.Greenlet) -> None:
+    guard_greenlet.kill(block=False)
+    server.shutdown()
+
+
 def _close_socket(websocket: Connection) -> None:
     try:
         websocket.close_socket()
--- a/ragwortfield/testing/scheduler_deployment.py
+++ b/ragwortfield/testing/scheduler_deployment.py
@@ -224,6 +224,15 @@
         self.instance_by_name[name] = instance
         return instance
 
+    def find_settings(self, instance: SchedulerProcess) -> Path:
+        """
+        Find the settings file of an instance.
+
+        :param instance: the process.
+        :returns: path of the file.
+        """
+        return self._folder / f'{instance.name}.toml'
+
     def wait_until_serving(self, instance: SchedulerProcess) -> None:
         """
         Wait until an instance serves callers, which requires a shard owner.
--- a/ragwortfield/tests/test_client_crowds.py
+++ b/ragwortfield/tests/test_client_crowds.py
@@ -4,9 +4,15 @@
 ``test_abusive_clients`` do.
 """
 
+import base64
+import re
 import signal
+import socket
+import struct
 from contextlib import suppress
+from itertools import repeat
 
+import gevent
 from gevent.pool import Group
 
 from ragwortfield.platform.fake_servers import encode_job
@@ -34,6 +40,25 @@
     b'X-Ragwortfield-Deadline-Ms: 999999999\r\n\r\n'
 )
 _STATUS_UNAVAILABLE = 503
+#: Connections to the health address; more than it serves at a time.
+_HEALTH_CROWD = 80
+#: Size of the receive buffer of a client that reads nothing.
+_SMALL_BUFFER_BYTES = 2048
+#: Requests for metrics of a client that reads no answer.
+_UNREAD_ANSWERS = 20
+_METRICS_REQUEST = b'GET /metrics HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n'
+_UPGRADE = (
+    b'GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nUpgrade: websocket\r\n'
+    b'Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n'
+    b'Sec-WebSocket-Key: %b\r\n\r\n' % base64.b64encode(b'0123456789abcdef')
+)
+#: Largest message of a peer; one that is sent stops just short of its end.
+_FRAME_BYTES = 262144
+_INCOMPLETE_FRAME = b'\x82\xff%b\0\0\0\0%b' % (
+    struct.pack('!Q', _FRAME_BYTES),
+    b'a' * (_FRAME_BYTES - 1),
+)
+_PEER_HEAD_FIELD = b'X-A: %b\r\n' % (b'a' * 8000)
 #: Requests of ordinary callers, each on a connection of its own.
 _ORDINARY_REQUESTS = 20
 
@@ -177,3 +202,72 @@
         self.send_crowd(MAKE_PIECES_BY_KIND['body'])
         self.await_true(lambda: self.instance.process.poll() is not None)
         self.assertEqual(self.instance.process.returncode, 0)
+
+
+class HealthAddressTest(ClientCrowdTestCase):
+    # Guards against clients that keep the load balancer from its checks.
+    def test_health_address_withstands_each_kind(self):
+        for kind, make_pieces in MAKE_PIECES_BY_KIND.items():
+            with self.subTest(kind=kind):
+                self.send_crowd(
+                    make_pieces, _HEALTH_CROWD, self.instance.health
+                )
+                self.await_metrics()
+                self.reset()
+        self.assert_bounded()
+
+
+class UnreadMetricsTest(ClientCrowdTestCase):
+    limits = {**LIMITS, 'idle_timeout_ms': _LONG_MS}
+
+    # Guards against answers that nobody reads, which keep the load balancer
+    # out for as long as a client may pause.
+    def test_metrics_that_nobody_reads_leave_place(self):
+        for _ in range(_HEALTH_CROWD):
+            connection = socket.socket()
+            self.connections.append(connection)
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES
+            )
+            host, _, port = self.instance.health.rpartition(':')
+            connection.connect((host, int(port)))
+            with suppress(OSError):
+                connection.sendall(_METRICS_REQUEST * _UNREAD_ANSWERS)
+        self.await_metrics()
+        self.reset()
+        self.assert_bounded()
+
+
+class PeerPortTest(ClientCrowdTestCase):
+    """Crowds at the port on which instances call each other."""
+
+    def setUp(self):
+        super().setUp()
+        path = self.deployment.find_settings(self.instance)
+        match = re.search(r'peer_port = (\d+)', path.read_text('utf-8'))
+        self.address = f'127.0.0.1:{match[1]}'
+
+    # Guards against a process that runs out of memory over heads, which are
+    # kept until a handshake ends.
+    def test_heads_without_end_are_bounded(self):
+        self.send_crowd(
+            lambda _number: (
+                b'GET / HTTP/1.1\r\n',
+                *repeat(_PEER_HEAD_FIELD, 126),
+            ),
+            address=self.address,
+        )
+        self.assert_bounded()
+
+    # Guards against a process that runs out of memory over messages that stop
+    # just short of their end.
+    def test_incomplete_messages_are_bounded(self):
+        self.send_crowd(
+            lambda _number: (_UPGRADE, _INCOMPLETE_FRAME), address=self.address
+        )
+        gevent.sleep(1)
+        self.assert_bounded()
+
+    def test_connections_that_send_nothing_are_ended(self):
+        self.send_crowd(lambda _number: (), address=self.address)
+        self.assert_bounded()
