Soak: crowds of clients outside the limits

The soak had no clients but sound ones, so a crowd beside a change of owner or a planned stop was not tried on the deployed processes.

The theme clients strikes three of them beside another fault; seeds draw the themes that they drew before.

--- a/ragwortfield/soak/main.py
+++ b/ragwortfield/soak/main.py
@@ -15,7 +15,7 @@
 from absl import app, flags, logging
 
 from ragwortfield.soak.processes import build
-from ragwortfield.soak.run import THEMES, SoakPlan, run_soak
+from ragwortfield.soak.run import CLIENT_THEME, THEMES, SoakPlan, run_soak
 from ragwortfield.soak.site import full_site, small_site
 
 _ROOT = flags.DEFINE_string(
@@ -28,7 +28,10 @@
 )
 _IS_SMALL = flags.DEFINE_bool('small', False, 'Whether to use the small site.')
 _THEME = flags.DEFINE_enum(
-    'theme', '', ['', *THEMES], 'Kind of faults; by default by the seed.'
+    'theme',
+    '',
+    ['', *THEMES, CLIENT_THEME],
+    'Kind of faults; by default by the seed.',
 )
 _KINDS = flags.DEFINE_list(
     'kinds', [], 'Kinds of faults to strike in turn, instead of a theme.'
--- a/ragwortfield/soak/run.py
+++ b/ragwortfield/soak/run.py
@@ -11,6 +11,7 @@
 
 from ragwortfield.soak.callers import CallerPool
 from ragwortfield.soak.checks import Checker
+from ragwortfield.soak.client_faults import ClientFaults
 from ragwortfield.soak.cut_faults import CutFaults
 from ragwortfield.soak.deployment import SoakDeployment
 from ragwortfield.soak.instance_faults import InstanceFaults
@@ -26,6 +27,10 @@
 #: loss of owners in series, at last together with workers, and cuts between
 #: single instances and workers while jobs are cancelled.
 THEMES = ('planned', 'series', 'overlapping', 'power', 'owners', 'cuts')
+#: Theme that no seed draws: crowds of clients outside the limits beside another
+#: fault.
+CLIENT_THEME = 'clients'
+_CLIENT_CROWD = 'client_crowd'
 #: Faults of owners, and longest pause between two of them, in seconds.
 _OWNER_FAULTS = ('owner_gone', 'owner_kill', 'owner_power', 'owner_term')
 _OWNER_PAUSE_S: Seconds = 5
@@ -196,7 +201,13 @@
             random=self._random,
             callers=self._callers,
         )
+        clients = ClientFaults(
+            deployment=self._deployment,
+            timeline=self._timeline,
+            random=self._random,
+        )
         return {
+            **clients.unplanned(),
             **self._list_cuts(),
             **instances.planned(),
             **instances.unplanned(),
@@ -230,13 +241,24 @@
             return tuple(self._random.choices(planned, k=4))
         if self._plan.theme == 'cuts':
             cuts = self._random.choices(sorted(self._list_cuts()), k=2)
-            other = self._random.choice(sorted(strike_by_kind))
+            other = self._random.choice(
+                sorted(strike_by_kind.keys() - {_CLIENT_CROWD})
+            )
             return ('cancel_wave', *cuts, other)
         if self._plan.theme == 'owners':
             count = self._random.randint(0, 3)
             series = self._random.choices(_OWNER_FAULTS, k=count)
             return (*series, 'srv_gone', self._random.choice(_OWNER_FAULTS))
-        uncut = sorted(strike_by_kind.keys() - self._list_cuts().keys())
+        uncut = sorted(
+            strike_by_kind.keys() - self._list_cuts().keys() - {_CLIENT_CROWD}
+        )
+        if self._plan.theme == CLIENT_THEME:
+            return (
+                _CLIENT_CROWD,
+                self._random.choice(uncut),
+                _CLIENT_CROWD,
+                _CLIENT_CROWD,
+            )
         if self._plan.theme == 'power':
             herd = self._random.choice(('herd_kill', 'herd_power'))
             other = self._random.choice(uncut)
--- a/ragwortfield/tests/test_soak.py
+++ b/ragwortfield/tests/test_soak.py
@@ -45,6 +45,15 @@
         self.assertEqual(report.violations, ())
         self.assertEqual(len(report.struck), 3)
 
+    # Guards against jobs that are lost, run twice or cancelled by crowds of
+    # clients outside the limits, also while an owner stops.
+    def test_crowds_of_clients_lose_nothing(self):
+        report = self.run_kinds(
+            'clients', 'client_crowd', 'owner_term', 'client_crowd'
+        )
+        self.assertEqual(report.violations, ())
+        self.assertEqual(len(report.struck), 3)
+
 
 class TemplateTest(unittest.TestCase):
     def test_placeholders_are_filled_in_from_tables_and_lists(self):
