Review stand-ins render the sections of the settings template

The template got sections ({{#FIELD}}...{{/FIELD}}) and memory_mb, which the stand-ins did not know: the rendered file was no TOML, no process started, and all scripts under review/ were red for that reason or guarded nothing.

Change: the renderers of lib and lib-2 leave out sections without a value, and name a memory of 300 MB. No case changes.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -638,6 +638,7 @@
             'ip': HOST,
             'limits.cpu_share': 0.43,
             'limits.cores': 1,
+            'limits.memory_mb': 300,
             'listen.front': self.callers,
             'listen.ready': self.health,
             'port_range.0': self.ports[2],
@@ -647,6 +648,13 @@
             **{f'bounds.{key}': value for key, value in bounds.items()},
         }
         template = (REPOSITORY / role['template']).read_text()
+        # A section is left out where its field has no value.
+        template = re.sub(
+            r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}',
+            lambda found: found.group(2) if found.group(1) in values else '',
+            template,
+            flags=re.DOTALL,
+        )
         self.settings.write_text(
             re.sub(
                 r'\{\{([\w.]+)\}\}',
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -606,7 +606,8 @@
                 'ip': HOST, 'port_range': [ports[2], ports[2]],
                 'listen': {'front': f'{HOST}:{ports[0]}',
                            'ready': f'{HOST}:{ports[1]}'},
-                'limits': {'cpu_share': self.cpu_share, 'cores': 1},
+                'limits': {'cpu_share': self.cpu_share, 'cores': 1,
+                           'memory_mb': 300},
                 'platform': {'address': self.store.server.address},
                 'cloud': {}, 'advice': '', 'bounds': self.bounds,
             }
@@ -618,9 +619,9 @@
             (ROOT / 'deploy/system.toml').read_text())['roles']['entry']
         settings = self._settings(name)
 
-        def value(match):
+        def find(name):
             found = settings
-            for part in match[1].split('.'):
+            for part in name.split('.'):
                 if isinstance(found, list):
                     found = found[int(part)]
                 else:
@@ -629,7 +630,20 @@
 
         template = (ROOT / role['template']).read_text()
         path = self.folder / f'{name}.toml'
-        path.write_text(re.sub(r'\{\{([\w.]+)\}\}', value, template))
+        # A section is left out where its field has no value.
+        template = re.sub(
+            r'\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}',
+            lambda match: match[2] if find(match[1]) else '',
+            template,
+            flags=re.DOTALL,
+        )
+        path.write_text(
+            re.sub(
+                r'\{\{([\w.]+)\}\}',
+                lambda match: find(match[1]),
+                template,
+            )
+        )
         log = open(self.folder / f'{name}.log', 'ab')
         self.nodes[name] = subprocess.Popen(
             role['run'].split(), cwd=ROOT, stdout=log, stderr=log,
