Ended connections stay ended; trusted servers have no bound on requests ahead

A connection that was ended just after its turn had come took that turn. The port for peers went on parsing what the kernel still had of a connection that was ended, and could log its end again for each piece. The bound on requests ahead also held for servers whose clients are trusted, which then closed with unread bytes.

--- a/ragwortfield/engine/job_request_handler.py
+++ b/ragwortfield/engine/job_request_handler.py
@@ -248,7 +248,7 @@
         while True:
             found = self._find_status(job_id)
             is_final = not isinstance(found.status, Unavailable)
-            if is_final or not _is_repeated(deadline, pause):
+            if is_final or not _await_next_attempt(deadline, pause):
                 self._log_status(job_id, found)
                 return found.status
 
@@ -274,7 +274,7 @@
             ]
             if not failures and counts:
                 return sum(counts)
-            if not _is_repeated(deadline, pause):
+            if not _await_next_attempt(deadline, pause):
                 return (
                     failures[0] if failures else Unavailable(reason=_NO_LAYOUT)
                 )
@@ -677,8 +677,8 @@
         return shard_of(job_id, self._cluster.shards)
 
 
-def _is_repeated(deadline: MonotonicTime, pause: Pause) -> bool:
-    """Wait before the next attempt of a read, if there is to be one."""
+def _await_next_attempt(deadline: MonotonicTime, pause: Pause) -> bool:
+    """Wait before the next attempt of a read; return false if there is none."""
     return time.monotonic() + _RETRY_S <= deadline and pause(_RETRY_S)
 
 
--- a/ragwortfield/http_api/client_connection.py
+++ b/ragwortfield/http_api/client_connection.py
@@ -293,12 +293,14 @@
         self.phase = Phase.TURN
         has_turn = self.guard.wait_for_turn(self)
         self.phase = phase
-        if not has_turn:
+        # It may have been ended just after its turn had come.
+        if not has_turn or self.cause:
             raise self._make_cut_off(part)
 
     def _count_request_ahead(self) -> None:
         self._requests_ahead += 1
-        if self._requests_ahead >= _MAX_REQUESTS_AHEAD:
+        is_over = self._requests_ahead >= _MAX_REQUESTS_AHEAD
+        if is_over and self.guard.is_timed:
             # Such a client may not read any answer.
             self.is_closing = True
             self.guard.note_end(self, EndCause.REQUESTS_AHEAD)
--- a/ragwortfield/http_api/client_guard.py
+++ b/ragwortfield/http_api/client_guard.py
@@ -284,7 +284,7 @@
         self.running_s += min(elapsed_s, _MAX_COUNTED_S)
         self.limits = self._get_limits()
         for connection in tuple(self.connections):
-            # A reset ends a read of the socket, but none of these waits.
+            # A connection notices a reset only when it reads.
             if connection.phase in _RESET_CHECKED_PHASES:
                 if connection.is_reset():
                     self.end(connection, EndCause.RESET)
--- a/ragwortfield/peering/receive_guard.py
+++ b/ragwortfield/peering/receive_guard.py
@@ -120,6 +120,7 @@
             held_bytes=protocol.held_bytes,
         )
         self._protocols.discard(protocol)
+        protocol.is_ended = True
         # The reader then finds the end of the connection, and closes it.
         with suppress(OSError):
             protocol.sock.shutdown(socket.SHUT_RDWR)
@@ -134,6 +135,7 @@
     :ivar head_bytes: bytes received before the end of the handshake.
     :ivar held_bytes: bytes of the present message, or of the handshake.
     :ivar progress_at: running time of the last received bytes.
+    :ivar is_ended: whether the guard has ended the connection.
     """
 
     def __init__(
@@ -145,14 +147,17 @@
         self.head_bytes = 0
         self.held_bytes = 0
         self.progress_at = guard.running_s
+        self.is_ended = False
         self._guard = guard
 
     def receive_data(self, data: bytes | bytearray) -> None:
         """
         Receive bytes of the connection.
 
-        :param data: the bytes.
+        :param data: the bytes; dropped if the connection was ended.
         """
+        if self.is_ended:
+            return
         super().receive_data(data)
         if self.state is State.CONNECTING:
             self.head_bytes += len(data)
