Soak: callers do not use connections that were idle for 14 s

Its last four reads each went over a connection that the instance had closed, as the limits of the configuration let it after 15 s without a request.

Trace: the three instances logged client_timed_out, phase=idle, for these connections from 04:43:23 on, 15 s after the traffic had ended; each read was cut 0.2 ms after it was sent on one that the caller had left idle. A client that reuses such a connection can't tell whether its request has run.

Change: a caller closes connections that it has not used for 14 s.

--- a/ragwortfield/soak/callers.py
+++ b/ragwortfield/soak/callers.py
@@ -21,6 +21,9 @@
 #: Pause before a request is repeated, in seconds.
 _RETRY_S: Seconds = 0.3
 _RETRIES = 4
+#: Time after which an idle connection is not used again, in seconds. Instances
+#: close it after ``idle_timeout_ms``, which is 15 s.
+_MAX_IDLE_S: Seconds = 14
 #: Mean interval at which the state of a job is requested, in seconds.
 _STATUS_INTERVAL_S: Seconds = 0.7
 #: Mean time from acceptance to cancellation of a lasting job that is
@@ -75,6 +78,18 @@
         return str(msgspec.json.decode(self.body).get('state', ''))
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _IdleConnection:
+    """
+    Open connection without a request.
+
+    :param since: end of its latest exchange.
+    """
+
+    connection: HTTPConnection
+    since: MonotonicTime
+
+
 @dataclass(kw_only=True, slots=True)
 class CallerPool:
     """
@@ -91,7 +106,7 @@
     on_exchange: Callable[[Exchange, SubmittedJob], None]
     is_ending: bool = False
     rate_factor: float = 1
-    _idle_by_caller: dict[int, list[HTTPConnection]] = field(
+    _idle_by_caller: dict[int, list[_IdleConnection]] = field(
         default_factory=lambda: defaultdict(list),
     )
     _instance_by_caller: dict[int, InstanceProcess] = field(
@@ -130,15 +145,18 @@
         :returns: the exchange.
         """
         instance = self._choose_instance(caller)
+        self._close_old_connections(caller)
         idle = self._idle_by_caller[caller]
         # Any idle connection may be the one that is used, so some are old.
         position = self.random.randrange(len(idle)) if idle else 0
-        connection = idle.pop(position) if idle else _open(instance)
+        connection = idle.pop(position).connection if idle else _open(instance)
         exchange = _exchange(connection, instance, method, job.path, body)
         if exchange.status is None:
             connection.close()
         elif self._instance_by_caller.get(caller) is instance:
-            idle.append(connection)
+            idle.append(
+                _IdleConnection(connection=connection, since=exchange.ended_at)
+            )
         if exchange.sent_at is None:
             self._leave_instance(caller)
         self.on_exchange(exchange, job)
@@ -172,8 +190,15 @@
 
     def _leave_instance(self, caller: int) -> None:
         self._instance_by_caller.pop(caller, None)
-        for connection in self._idle_by_caller.pop(caller, ()):
-            connection.close()
+        for idle in self._idle_by_caller.pop(caller, ()):
+            idle.connection.close()
+
+    def _close_old_connections(self, caller: int) -> None:
+        earliest = time.monotonic() - _MAX_IDLE_S
+        idle = self._idle_by_caller[caller]
+        # The order is that of the latest exchanges.
+        while idle and idle[0].since < earliest:
+            idle.pop(0).connection.close()
 
     def _send_jobs(self, workload: Workload) -> None:
         while not self.is_ending:
