Bodies are kept in pieces until they are whole

What callers saw: nothing; the process took more memory beside crowds than on. 600 whole bodies at memory_mb 200: 97 MB instead of 75 MB; test_full_crowds_are_bounded: 18,404 KiB of 16,384 in one whole run beside load.

Cause: each body grew in a buffer that is copied as it grows, and once more at its end. Turns in order let many bodies grow at the same time, and the holes that the copies leave fit none of the others.

Change: the pieces are joined once the body is whole.

--- a/ragwortfield/http_api/wsgi.py
+++ b/ragwortfield/http_api/wsgi.py
@@ -178,13 +178,15 @@
     length_text: str,
 ) -> bytes | BodyError:
     stream = environ['wsgi.input']
-    body = bytearray()
+    pieces = []
+    count = 0
     try:
-        while len(body) <= limit_bytes:
+        while count <= limit_bytes:
             chunk = stream.read(_READ_CHUNK_BYTES)
             if not chunk:
                 break
-            body += chunk
+            pieces.append(chunk)
+            count += len(chunk)
     except RequestRefused as refusal:
         return BodyError(
             status=refusal.status,
@@ -195,8 +197,9 @@
         return BodyError(
             status=HTTPStatus.BAD_REQUEST,
             code='body-cut-off',
-            message=f'reading the body failed after {len(body)} bytes: {error}',
+            message=f'reading the body failed after {count} bytes: {error}',
         )
+    body = b''.join(pieces)
     if len(body) > limit_bytes:
         return _make_too_large_error(
             f'more than {limit_bytes} bytes', limit_bytes
@@ -210,7 +213,7 @@
                 'in Content-Length'
             ),
         )
-    return bytes(body)
+    return body
 
 
 def _make_too_large_error(size: str, limit_bytes: int) -> BodyError:
