Tests read the port for peers from the process, not from its settings file

SchedulerProcess has the address beside those for callers and for health checks, so find_settings and a search in the file are not needed. PeerPortTest: 3 passed.

--- a/ragwortfield/testing/scheduler_deployment.py
+++ b/ragwortfield/testing/scheduler_deployment.py
@@ -56,11 +56,13 @@
 
     :param callers: host and port for callers.
     :param health: host and port for health checks and metrics.
+    :param peers: host and port for calls of other instances.
     """
 
     name: str
     callers: str
     health: str
+    peers: str
     process: subprocess.Popen[bytes]
 
 
@@ -208,6 +210,7 @@
             name=name,
             callers=f'{_HOST}:{callers}',
             health=f'{_HOST}:{health}',
+            peers=f'{_HOST}:{peer_port}',
             process=subprocess.Popen(
                 [
                     sys.executable,
@@ -224,15 +227,6 @@
         self.instance_by_name[name] = instance
         return instance
 
-    def find_settings(self, instance: SchedulerProcess) -> Path:
-        """
-        Find the settings file of an instance.
-
-        :param instance: the process.
-        :returns: path of the file.
-        """
-        return self._folder / f'{instance.name}.toml'
-
     def wait_until_serving(self, instance: SchedulerProcess) -> None:
         """
         Wait until an instance serves callers, which requires a shard owner.
--- a/ragwortfield/tests/test_client_crowds.py
+++ b/ragwortfield/tests/test_client_crowds.py
@@ -5,7 +5,6 @@
 """
 
 import base64
-import re
 import signal
 import socket
 import struct
@@ -241,12 +240,6 @@
 class PeerPortTest(ClientCrowdTestCase):
     """Crowds at the port on which instances call each other."""
 
-    def setUp(self):
-        super().setUp()
-        path = self.deployment.find_settings(self.instance)
-        match = re.search(r'peer_port = (\d+)', path.read_text('utf-8'))
-        self.address = f'127.0.0.1:{match[1]}'
-
     # Guards against a process that runs out of memory over heads, which are
     # kept until a handshake ends.
     def test_heads_without_end_are_bounded(self):
@@ -255,7 +248,7 @@
                 b'GET / HTTP/1.1\r\n',
                 *repeat(_PEER_HEAD_FIELD, 126),
             ),
-            address=self.address,
+            address=self.instance.peers,
         )
         self.assert_bounded()
 
@@ -263,11 +256,12 @@
     # just short of their end.
     def test_incomplete_messages_are_bounded(self):
         self.send_crowd(
-            lambda _number: (_UPGRADE, _INCOMPLETE_FRAME), address=self.address
+            lambda _number: (_UPGRADE, _INCOMPLETE_FRAME),
+            address=self.instance.peers,
         )
         gevent.sleep(1)
         self.assert_bounded()
 
     def test_connections_that_send_nothing_are_ended(self):
-        self.send_crowd(lambda _number: (), address=self.address)
+        self.send_crowd(lambda _number: (), address=self.instance.peers)
         self.assert_bounded()
