Crowds of clients use the reset that the faulty servers have

reset_on_close stood in platform/faulty_servers.py already; the crowds of the tests and of the soak set the socket option again in three places. Nothing that they send or check changes. test_client_turns, CrowdAfterCrowdTest and test_crowds_of_clients_lose_nothing: 10 passed; linter clean.

--- a/ragwortfield/soak/client_faults.py
+++ b/ragwortfield/soak/client_faults.py
@@ -1,7 +1,6 @@
 """Crowds of clients outside the limits of the configuration."""
 
 import socket
-import struct
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -11,6 +10,7 @@
 import gevent
 from gevent.pool import Group
 
+from ragwortfield.platform.faulty_servers import reset_on_close
 from ragwortfield.soak.deployment import SoakDeployment
 from ragwortfield.soak.processes import HOST, InstanceProcess
 from ragwortfield.soak.timeline import Timeline
@@ -26,8 +26,6 @@
 _ANSWER_BYTES = 1024
 _BODY_BYTES = 262_144
 _PIECE_BYTES = 1024
-#: Socket option value that makes ``close`` reset the connection.
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _START = b'POST /match/%016x HTTP/1.1\r\nHost: soak\r\n'
 _SIZED_HEAD = b'%bContent-Length: %d\r\n\r\n' % (_START, _BODY_BYTES)
 _CHUNKED_HEAD = b'%bTransfer-Encoding: chunked\r\n\r\n' % _START
@@ -98,11 +96,15 @@
 
 def _send_once(instance: InstanceProcess, pieces: tuple[bytes, ...]) -> None:
     address = (HOST, instance.callers_port)
-    with socket.create_connection(address, _CONNECT_TIMEOUT_S) as connection:
-        connection.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-        )
-        connection.settimeout(None)
-        for piece in pieces:
-            connection.sendall(piece)
-        connection.recv(_ANSWER_BYTES)
+    connection = socket.create_connection(address, _CONNECT_TIMEOUT_S)
+    try:
+        _exchange(connection, pieces)
+    finally:
+        reset_on_close(connection)
+
+
+def _exchange(connection: socket.socket, pieces: tuple[bytes, ...]) -> None:
+    connection.settimeout(None)
+    for piece in pieces:
+        connection.sendall(piece)
+    connection.recv(_ANSWER_BYTES)
--- a/ragwortfield/tests/client_crowd_case.py
+++ b/ragwortfield/tests/client_crowd_case.py
@@ -2,7 +2,6 @@
 
 import os
 import socket
-import struct
 import time
 from contextlib import suppress
 from itertools import repeat
@@ -12,6 +11,7 @@
 from gevent.pool import Group
 
 from ragwortfield.platform.fake_servers import encode_job
+from ragwortfield.platform.faulty_servers import reset_on_close
 from ragwortfield.settings.instance import split_address
 from ragwortfield.testing.scheduler_deployment import (
     PREFIX,
@@ -48,8 +48,6 @@
 CHUNK_BYTES = 32768
 _LONG_LINE = b'X-A: %b\r\n' % (b'a' * 8000)
 _STATUS_OK = 200
-#: Socket option value that makes ``close`` reset the connection.
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _SUBMISSION = b'POST %b%016x HTTP/1.1\r\nHost: 127.0.0.1\r\n'
 
 
@@ -151,10 +149,7 @@
         """Reset all connections of the crowd."""
         for connection in self.connections:
             with suppress(OSError):
-                connection.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
-        self.close()
+                reset_on_close(connection)
         self.connections.clear()
 
     def read_kb(self, name):
--- a/ragwortfield/tests/test_client_turns.py
+++ b/ragwortfield/tests/test_client_turns.py
@@ -1,7 +1,6 @@
 """Connections of a server that wait for their turn, over real sockets."""
 
 import socket
-import struct
 import unittest
 
 import gevent
@@ -11,6 +10,7 @@
 from ragwortfield.http_api.turn_queue import TurnQueue
 from ragwortfield.http_api.wsgi import get_pause, read_body
 from ragwortfield.http_api.wsgi_server import HttpServer
+from ragwortfield.platform.faulty_servers import reset_on_close
 from ragwortfield.tests.scheduler_process_case import TIMEOUT_S
 
 _MAX_CONNECTIONS = 20
@@ -23,12 +23,6 @@
 _PATIENT_QUERY = b'GET /patient HTTP/1.1\r\nHost: test\r\n\r\n'
 _PAUSE_S = 0.01
 _MAX_REQUESTS_AHEAD = 100
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-
-
-def _reset(connection):
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    connection.close()
 
 
 class ServerTurnTest(unittest.TestCase):
@@ -91,7 +85,7 @@
             connection.sendall(_CHUNKED_HEAD + _CHUNKS)
         self.await_true(lambda: self.turns.count_waiting() == 5)
         for connection in crowd:
-            _reset(connection)
+            reset_on_close(connection)
         self.await_true(lambda: not self.server.count_connections())
         self.assertEqual(self.guard.held_bytes, 0)
 
@@ -109,7 +103,7 @@
         connection = self.connect()
         connection.sendall(_PATIENT_QUERY)
         self.await_true(lambda: self.attempts)
-        _reset(connection)
+        reset_on_close(connection)
         self.await_true(lambda: not self.server.count_connections())
 
     # Guards against requests without end that are sent ahead by a client that
