Log why an earlier run of a task was held for over

When a worker reports a run beside a later one of the same task, the lines second_run_reported and stray_run told both runs, but not what the owner had concluded about the first: that its lease was over, that the worker no longer reported it, or that an order was refused.

Each task keeps the latest run that its owner has released, with the reason. The lines name it, second_run_reported comes once a run, and ragwortfield_second_runs_total counts such runs. No decision reads this. A successor does not know it and says so with an empty reason.

--- a/ragwortfield/report/scheduler_metrics.py
+++ b/ragwortfield/report/scheduler_metrics.py
@@ -72,6 +72,11 @@
             'Orders that workers refused for the epoch of a newer owner.',
             registry=self.registry,
         )
+        self._second_runs = Counter(
+            'ragwortfield_second_runs_total',
+            'Runs that workers reported beside later ones of the same tasks.',
+            registry=self.registry,
+        )
         self._owner_changes = Counter(
             'ragwortfield_owner_changes_total',
             'Changes of owners of shards: taken over here, or seen.',
@@ -166,6 +171,7 @@
             {'has_reported': 'false'}, counts.lapses_without_report
         )
         self._fenced_orders.set({}, counts.fenced_orders)
+        self._second_runs.set({}, counts.second_runs)
         self._owner_changes.set({'kind': 'taken_over'}, counts.takeovers)
         self._owner_changes.set({'kind': 'seen'}, counts.seen_changes)
 
--- a/ragwortfield/scheduling/job_state.py
+++ b/ragwortfield/scheduling/job_state.py
@@ -45,6 +45,21 @@
     STOPPING = 4
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReleasedRun:
+    """
+    Run that its owner has held for over.
+
+    :param run: its number.
+    :param worker_id: its worker.
+    :param reason: why it was held for over.
+    """
+
+    run: int
+    worker_id: WorkerId
+    reason: str
+
+
 @dataclass(kw_only=True, slots=True)
 class TaskState:
     """
@@ -121,6 +136,10 @@
     :param rack_wait_since: monotonic time since which the waiting task leaves
         room elsewhere unused for the sake of its rack; 0 if it does not. Only
         counted and shown; a successor decides without it.
+    :param released: latest run that this owner has held for over, for the log;
+        ``None`` for none.
+    :param second_run: latest run that a worker has reported beside a later one
+        of this owner, for the log; 0 for none.
     """
 
     key: TaskKey
@@ -171,6 +190,8 @@
     is_copy: bool = False
     last_run: int = 0
     rack_wait_since: MonotonicTime = 0
+    released: ReleasedRun | None = None
+    second_run: int = 0
 
     def is_short_of_cpu(self) -> bool:
         """Return whether a filler is known to get less CPU than it asks for."""
--- a/ragwortfield/scheduling/owner_counts.py
+++ b/ragwortfield/scheduling/owner_counts.py
@@ -13,6 +13,8 @@
     :param lapses_without_report: leases that lapsed on workers that had not:
         what is known of them comes from earlier owners.
     :param fenced_orders: orders that a worker refused for their epoch.
+    :param second_runs: runs that workers reported beside later ones of the
+        same tasks.
     :param takeovers: shards that this instance has taken over.
     :param seen_changes: changes of an owner that this instance has seen, its
         own takeovers included.
@@ -21,6 +23,7 @@
     lapses_after_report: int = 0
     lapses_without_report: int = 0
     fenced_orders: int = 0
+    second_runs: int = 0
     takeovers: int = 0
     seen_changes: int = 0
 
--- a/ragwortfield/scheduling/run_log.py
+++ b/ragwortfield/scheduling/run_log.py
@@ -87,6 +87,21 @@
     return 'finished_occurrence' if is_done else 'no_task'
 
 
+def format_release(task: TaskState, run: int) -> str:
+    """
+    Format why this owner has held a run for over.
+
+    :param task: the task.
+    :param run: number of the run.
+    :returns: the reason; empty if this owner has not, or has released a later
+        run since.
+    """
+    released = task.released
+    if released is None or released.run != run:
+        return ''
+    return released.reason
+
+
 def log_run_end(
     state: ShardState, worker: WorkerState, end: ListedEnd, effect: str
 ) -> None:
@@ -191,7 +206,7 @@
     state: ShardState, task: TaskState, worker: WorkerState, run: ListedRun
 ) -> None:
     """
-    Log that a worker reports a run of a task that runs elsewhere.
+    Log once that a worker reports a run of a task that runs elsewhere.
 
     It is no invariant, since workers may report anything. The run that is
     reported is stopped.
@@ -204,9 +219,12 @@
     other = state.worker_by_id.get(task.worker_id)
     if other is None or other is worker or task.stage != RunStage.RUNNING:
         return
-    if run.run < task.run and other.is_in_contact(
+    is_later_run_heard = run.run < task.run and other.is_in_contact(
         state.bounds, worker.reported_at
-    ):
+    )
+    if is_later_run_heard and task.second_run != run.run:
+        task.second_run = run.run
+        state.counts.second_runs += 1
         event(
             'second_run_reported',
             level=logging.ERROR,
@@ -216,4 +234,6 @@
             worker=worker.worker_id,
             current_run=task.run,
             current_worker=task.worker_id,
+            current_s=worker.reported_at - task.started_at,
+            released=format_release(task, run.run),
         )
--- a/ragwortfield/scheduling/task_lifecycle.py
+++ b/ragwortfield/scheduling/task_lifecycle.py
@@ -5,6 +5,7 @@
 from ragwortfield.scheduling.job_state import (
     JobRuntimeState,
     OccurrenceState,
+    ReleasedRun,
     RunStage,
     StepState,
     TaskState,
@@ -153,8 +154,12 @@
         worker=task.worker_id,
         reason=reason,
     )
+    released = ReleasedRun(
+        run=task.run, worker_id=task.worker_id, reason=reason
+    )
     if task.copy is not None:
         _exchange_runs(state, task.copy)
+    state.get_step(task).tasks[task.key.index].released = released
     _unbind_task(state, task)
     task.phase = TaskPhase.WAITING
     if task.is_copy:
--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -26,6 +26,7 @@
 from ragwortfield.scheduling.run_log import (
     describe_start,
     format_recorded_state,
+    format_release,
     log_run_end,
     log_second_run,
     log_run_of_closed_job,
@@ -431,7 +432,7 @@
         and task.worker_id == worker.worker_id
     )
     if task is None or not is_bound:
-        _stop_unexpected_run(state, worker, run)
+        _stop_unexpected_run(state, worker, task, run)
         if task is not None:
             record_start(state, task)
             log_second_run(state, task, worker, run)
@@ -462,6 +463,7 @@
 def _stop_unexpected_run(
     state: ShardState,
     worker: WorkerState,
+    task: TaskState | None,
     run: ListedRun,
 ) -> None:
     event(
@@ -471,6 +473,7 @@
         worker=worker.worker_id,
         epoch=state.epoch,
         recorded=format_recorded_state(state, run.key),
+        released='' if task is None else format_release(task, run.run),
     )
     state.orders.append(
         StopRun(
--- a/ragwortfield/tests/test_ownership_invariants.py
+++ b/ragwortfield/tests/test_ownership_invariants.py
@@ -6,6 +6,7 @@
 from ragwortfield.invariants import INVARIANTS, InvariantError
 from ragwortfield.ports.task_worker import ListedRun
 from ragwortfield.scheduling import worker_reports
+from ragwortfield.scheduling.job_state import ReleasedRun
 from ragwortfield.scheduling.run_log import log_second_run
 from ragwortfield.testing.log_capture import capture_log_lines
 from ragwortfield.tests.shard_world import ShardWorld, build_single_step
@@ -68,7 +69,13 @@
             if worker.worker_id != self.busy.worker_id
         )
         listed = ListedRun(key=task.key, run=1, checkpoint='', percent=100)
+        task.released = ReleasedRun(
+            run=1, worker_id=other.worker_id, reason='lease over'
+        )
         with capture_log_lines() as lines:
             log_second_run(state, task, other, listed)
+            log_second_run(state, task, other, listed)
         self.assertEqual(len(lines), 1)
         self.assertIn('second_run_reported', lines[0])
+        self.assertIn('released="lease over"', lines[0])
+        self.assertEqual(state.counts.second_runs, 1)
--- a/ragwortfield/tests/test_run_log.py
+++ b/ragwortfield/tests/test_run_log.py
@@ -18,6 +18,7 @@
     log_acknowledgement,
     record_start_sent,
 )
+from ragwortfield.scheduling.task_lifecycle import release_task
 from ragwortfield.testing.log_capture import capture_log_lines
 from ragwortfield.tests.shard_world import ShardWorld, build_single_step
 
@@ -223,4 +224,14 @@
         task = self.state.find_task(TaskKey(job_id, 0, 0, 0))
         task.run = 2
         (line,) = _select(self.act(_ROUND_S), 'stray_run')
-        self.assertIn('epoch=1 recorded=bound:2@w0', line)
+        self.assertIn('epoch=1 recorded=bound:2@w0 released=""', line)
+
+    # Guards against a run that goes on after its release without a trace of the
+    # reason for the release.
+    def test_unexpected_run_shows_why_it_was_released(self):
+        job_id = self.world.submit(build_single_step())
+        self.act(0.5)
+        task = self.state.find_task(TaskKey(job_id, 0, 0, 0))
+        release_task(self.state, task, 'lease over')
+        (line,) = _select(self.act(_ROUND_S), 'stray_run')
+        self.assertIn('recorded=waiting:1@ released="lease over"', line)
--- a/ragwortfield/tests/test_scheduler_node.py
+++ b/ragwortfield/tests/test_scheduler_node.py
@@ -330,6 +330,7 @@
         counts.count_lapse(has_reported=False)
         counts.count_lapse(has_reported=False)
         counts.fenced_orders += 3
+        counts.second_runs += 6
         counts.seen_changes += 4
         self.node.job_requests.unowned_statuses.count = 5
         self.node.refresh_metrics()
@@ -338,6 +339,7 @@
             'ragwortfield_lapsed_leases_total{has_reported="true"} 1',
             'ragwortfield_lapsed_leases_total{has_reported="false"} 2',
             'ragwortfield_fenced_orders_total 3',
+            'ragwortfield_second_runs_total 6',
             'ragwortfield_owner_changes_total{kind="seen"} 4',
             'ragwortfield_owner_changes_total{kind="taken_over"} 1',
             'ragwortfield_unowned_statuses_total 5',
