Fake workers take time to stop a run

stop_s is the time from the answer to a stop order to the end of the run; 0, the default, as before. Meanwhile the run is listed as running, starts of it and of earlier runs are refused, and it may end as done or failed or lapse before. No stand-in did this, so an owner that took the answer to a stop, or a stop that was only sent, for the end of a run broke no check.

--- a/ragwortfield/testing/fake_task_workers.py
+++ b/ragwortfield/testing/fake_task_workers.py
@@ -1,5 +1,6 @@
 """In-memory fakes of task workers and of the port to them."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -22,7 +23,7 @@
     StopRun,
 )
 from ragwortfield.scheduling.job import TaskKey
-from ragwortfield.types import MonotonicTime, WorkerId
+from ragwortfield.types import MonotonicTime, Seconds, WorkerId
 
 _MS_PER_S = 1000
 _Order = StartRun | StopRun | LeaseOrder | PaceRun
@@ -35,6 +36,11 @@
     started_at: MonotonicTime
     percent: float = 0
     pace: int = 100
+    stops_at: MonotonicTime = math.inf
+
+    def is_started_by(self, order: StartRun) -> bool:
+        # A run that is being stopped counts as one that was stopped.
+        return self.run == order.run and math.isinf(self.stops_at)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -51,6 +57,8 @@
     :param is_reachable: whether orders reach the worker.
     :param born_at: reading of ``clock`` when the worker started.
     :param is_draining: whether the worker says that it will leave.
+    :param stop_s: time from the answer to a stop order to the end of the run,
+        in seconds; until then the run goes on and is listed as running.
     :param highest_fencing_token: highest token seen; orders with a lower one
         are refused.
     :param lease_end_ms: end of the lease by the worker's clock.
@@ -76,6 +84,7 @@
     is_reachable: bool = True
     born_at: MonotonicTime = 0
     is_draining: bool = False
+    stop_s: Seconds = 0
     highest_fencing_token: int = 0
     lease_end_ms: float = 0
     run_by_key: dict[TaskKey, _Run] = field(default_factory=dict)
@@ -134,7 +143,8 @@
         self.run_by_key.clear()
 
     def expire_lease(self) -> None:
-        """End all runs if the lease has expired."""
+        """End the runs whose stop is over, and all if the lease has expired."""
+        self._end_stopped_runs()
         if self.now_ms() <= self.lease_end_ms or self.is_lease_expired:
             return
         self.is_lease_expired = True
@@ -208,7 +218,7 @@
         if not self._accept_token(order.fencing_token):
             return self._refuse(Refusal.FENCED)
         current_run = self.run_by_key.get(order.key)
-        if current_run is not None and current_run.run == order.run:
+        if current_run is not None and current_run.is_started_by(order):
             return OrderDone(clock_ms=int(self.now_ms()))
         if order.deadline_ms < self.now_ms():
             return self._refuse(Refusal.DEADLINE_PASSED)
@@ -238,7 +248,11 @@
         self.highest_run_by_key[order.key] = max(highest, order.run)
         current_run = self.run_by_key.get(order.key)
         if current_run is not None and current_run.run <= order.run:
-            self.end(order.key, EndKind.STOPPED, f'saved-{current_run.run}')
+            # A stop that is under way is not begun again.
+            current_run.stops_at = min(
+                current_run.stops_at, self.clock() + self.stop_s
+            )
+            self._end_stopped_runs()
         return OrderDone(clock_ms=int(self.now_ms()))
 
     def pace(self, order: PaceRun) -> OrderOutcome:
@@ -255,6 +269,15 @@
             current_run.pace = order.percent
         return OrderDone(clock_ms=int(self.now_ms()))
 
+    def _end_stopped_runs(self) -> None:
+        # What the end of the lease has ended before has lapsed.
+        now = self.clock()
+        lease_s = self.lease_end_ms / self.clock_rate / _MS_PER_S
+        ended_by = min(now, self.born_at + lease_s)
+        for key, run in tuple(self.run_by_key.items()):
+            if run.stops_at <= ended_by:
+                self.end(key, EndKind.STOPPED, f'saved-{run.run}')
+
     def _record_acknowledged_end(self, end: ListedEnd) -> None:
         # An end does not count when the lease expired between the end and
         # its acknowledgement.
