A refused repetition of a start ends no run that may have started

Two runs of one task at a time: a start without an answer was carried out, its repetition waited for its turn and was refused as unhealthy (503, nothing done) or late, later than the start window. _apply_refusal then released the run, since no earlier order could be carried out any more; that one may have been carried out was forgotten, even if reports showed the run. The task started elsewhere, while the next report of the first worker only began the stop of a stray run, which takes up to 0.9 s.

A run whose start is uncertain now stays bound after any refusal but 'old' and a confirmed fence. The next report that lists neither the run nor its end, with a clock past the latest order's deadline, releases it, as after an order without an answer; a repeated order or a stop follows meanwhile as before. It works since only the worker's own list tells whether an order without an answer had an effect.

--- a/ragwortfield/scheduling/worker_reports.py
+++ b/ragwortfield/scheduling/worker_reports.py
@@ -614,8 +614,9 @@
         task.last_seen_clock_ms = max(task.last_seen_clock_ms, outcome.clock_ms)
         task.stage = RunStage.STOPPING
         return
-    if task.is_start_uncertain and task.order_deadline_ms > outcome.clock_ms:
-        # An earlier start order for this run may still be carried out.
+    if task.is_start_uncertain:
+        # An earlier start order for this run may have been carried out, or may
+        # still be: the next reports tell.
         return
     release_task(state, task, f'refused: {outcome.refusal.value}')
 
