Machines of the shard: stops that take time, and more around them

New rules of the shard machine, and so of the takeover machine and the cancellation machine: running tasks are stopped for a move, alone and beside two changes of owner; entries of workers are removed and come back; orders wait for up to 2.9 s for their turn and are withheld if the ownership is in doubt by then; workers refuse starts as unhealthy, also repetitions of starts that had no answer; the owner acts for 2, 6 or 12 s before late orders are carried out. The liveness machine and the model of ownership have the stop's time, too.

Draws: with new rules a seed gives another run of the shard, takeover and cancellation machines. Seeds of the liveness machine keep theirs. Worlds of other tests stop at once as before, and waiting orders draw from a source of their own.

--- a/ragwortfield/testing/fake_task_workers.py
+++ b/ragwortfield/testing/fake_task_workers.py
@@ -319,6 +319,8 @@
         true loses its response.
     :param is_order_delayed: called at each order; true delays the order until
         ``apply_delayed`` and gives no response.
+    :param unhealthy_ids: workers that refuse all starts as unhealthy, and do
+        nothing.
     :param is_process_checked: whether an order with a deadline only reaches the
         process that it is for, as with the client of the platform's workers.
     :param delayed_orders: orders that are delayed, each with the start time of
@@ -328,6 +330,7 @@
     worker_by_id: dict[WorkerId, FakeTaskWorker] = field(default_factory=dict)
     is_order_answer_lost: Callable[[], bool] = field(default=bool)
     is_order_delayed: Callable[[], bool] = field(default=bool)
+    unhealthy_ids: set[WorkerId] = field(default_factory=set)
     is_process_checked: bool = False
     delayed_orders: list[tuple[_Order, MonotonicTime]] = field(
         default_factory=list
@@ -364,6 +367,11 @@
         worker = self.worker_by_id.get(order.worker_id)
         if not self._is_for_process(worker, order.born_ms):
             return Unavailable(reason='another process answers')
+        is_unhealthy = order.worker_id in self.unhealthy_ids
+        if worker and worker.is_reachable and is_unhealthy:
+            return OrderRefused(
+                refusal=Refusal.UNHEALTHY, clock_ms=int(worker.now_ms())
+            )
         return self._carry_out(order, 'start')
 
     def stop(self, order: StopRun) -> OrderOutcome:
--- a/ragwortfield/tests/liveness_world.py
+++ b/ragwortfield/tests/liveness_world.py
@@ -293,12 +293,9 @@
 
     owner_type = LivenessOwner
 
-    def __init__(self, *, workers=3, seed=0, is_process_checked=False):
-        super().__init__(
-            workers=workers, seed=seed, is_process_checked=is_process_checked
-        )
+    def __init__(self, *, is_process_checked=False, **options):
+        super().__init__(is_process_checked=is_process_checked, **options)
         self.commit_s = 0
-        self.unlisted_ids = set()
         self.draining_ids = set()
         self._complete_gang_runs = set()
         self.workers = FaultyTaskWorkerControl(
--- a/ragwortfield/tests/ownership_model.py
+++ b/ragwortfield/tests/ownership_model.py
@@ -46,6 +46,7 @@
 from ragwortfield.testing.fake_task_workers import FakeTaskWorker
 from ragwortfield.tests.shard_world import (
     SHARD,
+    STOP_S,
     ShardOwner,
     ShardWorld,
     build_single_step,
@@ -136,6 +137,7 @@
         self.store = InstanceStore(world.store)
         self.unaware_s = world.unaware_s
         self.catalogue = world.catalogue
+        self.unlisted_ids = world.unlisted_ids
 
     @property
     def now(self):
@@ -497,6 +499,7 @@
             capacity=Resources(cpu=4, memory_mb=100, accelerators=0),
             clock_rate=clock_rate,
             born_at=self.now - 1,
+            stop_s=STOP_S,
         )
 
     def wait(self, seconds):
@@ -678,6 +681,9 @@
                 if key.job_id == self.short_job_id:
                     worker.end(key, EndKind.DONE)
 
+    def is_move_possible(self):
+        return self.newest.is_running and self.is_short_task_running()
+
     def is_short_task_running(self):
         return any(
             key.job_id == self.short_job_id
--- a/ragwortfield/tests/shard_world.py
+++ b/ragwortfield/tests/shard_world.py
@@ -50,6 +50,7 @@
     record_stopped_owner,
 )
 from ragwortfield.scheduling.job import Job, Step
+from ragwortfield.scheduling.job_state import RunStage
 from ragwortfield.scheduling.job_status import JobStatus, get_job_status
 from ragwortfield.scheduling.records import (
     CancellationRecord,
@@ -62,6 +63,7 @@
 from ragwortfield.scheduling.scheduling_rounds import SchedulingRounds
 from ragwortfield.scheduling.scheduling_settings import SchedulingSettings
 from ragwortfield.scheduling.shard_state import ShardState
+from ragwortfield.scheduling.task_lifecycle import request_stop
 from ragwortfield.scheduling.timing_bounds import TimingBounds
 from ragwortfield.testing.fake_row_store import FakeRowStore
 from ragwortfield.testing.fake_task_workers import (
@@ -81,6 +83,9 @@
 #: Number of racks; workers are assigned to them in turn, and each is also a
 #: label.
 _RACKS = 2
+#: Longest time from the answer to a stop order to the end of the run, in
+#: seconds, as platforms state it.
+STOP_S = 0.9
 CATALOGUE = Catalogue(
     version=1,
     queue_by_name={
@@ -142,6 +147,8 @@
         self.unreachable_worker_ids = set()
         self.feed_version = 0
         self.load_step_count = 0
+        # Orders that wait for their turn: times of creation and turn, order.
+        self.waiting_orders = []
 
     def load(self):
         """Load the shard; does nothing if the store does not respond."""
@@ -256,8 +263,11 @@
         )
 
     def _update_workers(self):
-        for worker in self.world.workers.worker_by_id.values():
-            shard_updates.update_worker(self.state, worker.listing())
+        for worker_id, worker in self.world.workers.worker_by_id.items():
+            if worker_id in self.world.unlisted_ids:
+                shard_updates.mark_worker_unlisted(self.state, worker_id)
+            else:
+                shard_updates.update_worker(self.state, worker.listing())
 
     def _renew_leases(self):
         for worker in tuple(self.state.worker_by_id.values()):
@@ -308,20 +318,45 @@
     def _send_orders(self):
         orders = self.state.orders
         self.state.orders = []
-        for order in orders:
-            if isinstance(order, StartRun):
-                outcome = self._call(self.world.workers.start, order)
-                worker_reports.apply_start_outcome(
-                    self.state,
-                    order,
-                    outcome,
-                    self.world.now,
-                )
-            elif not isinstance(order, PaceRun):
-                outcome = self._call(self.world.workers.stop, order)
-                worker_reports.apply_stop_outcome(
-                    self.state, order, outcome, self.world.now
+        self.waiting_orders.extend(
+            (self.world.now, self.world.now + self.world.draw_wait_s(), order)
+            for order in orders
+        )
+        for order, is_withheld in self._take_due_orders():
+            if isinstance(order, PaceRun):
+                continue
+            is_start = isinstance(order, StartRun)
+            workers = self.world.workers
+            outcome = worker_reports.WITHHELD_ORDER
+            if not is_withheld:
+                outcome = self._call(
+                    workers.start if is_start else workers.stop, order
                 )
+            apply_outcome = (
+                worker_reports.apply_start_outcome
+                if is_start
+                else worker_reports.apply_stop_outcome
+            )
+            apply_outcome(self.state, order, outcome, self.world.now)
+
+    def _take_due_orders(self):
+        """
+        Take the orders whose turn has come.
+
+        :returns: each with whether it is withheld, as ``WorkerLoops`` does with
+            orders that have waited while the ownership came in doubt.
+        """
+        now = self.world.now
+        is_confirmed = self.state.confirmation.is_valid(self.state.bounds, now)
+        due = [
+            (order, created_at < now and not is_confirmed)
+            for created_at, due_at, order in self.waiting_orders
+            if due_at <= now
+        ]
+        self.waiting_orders = [
+            waiting for waiting in self.waiting_orders if waiting[1] > now
+        ]
+        return due
 
 
 class ShardWorld:
@@ -330,7 +365,9 @@
     owner_type = ShardOwner
     attempts = ATTEMPTS
 
-    def __init__(self, *, workers=3, seed=0, is_process_checked=False):
+    def __init__(
+        self, *, workers=3, seed=0, is_process_checked=False, stop_s=0
+    ):
         """
         Create the world.
 
@@ -340,8 +377,11 @@
             process that they are for, as with the client of the platform's
             workers; otherwise owners behave as after owners of earlier
             versions.
+        :param stop_s: time from the answer to a stop order to the end of the
+            run, in seconds.
         """
         self.now = _START
+        self.stop_s = stop_s
         self.random = random.Random(seed)
         # Owners of earlier versions allowed for 5 s.
         self.unaware_s = TimingBounds().unaware_s if is_process_checked else 5
@@ -361,6 +401,10 @@
             ),
             is_process_checked=is_process_checked,
         )
+        # Apart from the other draws, so that seeds keep their runs.
+        self.fault_random = random.Random(seed)
+        self.longest_wait_s = 0
+        self.unlisted_ids = set()
         self.store_loss_probability = 0
         self.store_delay_probability = 0
         self.order_loss_probability = 0
@@ -377,6 +421,12 @@
     def is_drawn(self, probability):
         return probability > 0 and self.random.random() < probability
 
+    def draw_wait_s(self):
+        """Return how long an order waits until it reaches its worker."""
+        if not self.longest_wait_s:
+            return 0
+        return self.fault_random.uniform(0, self.longest_wait_s)
+
     def add_worker(self, number, **options):
         worker_id = f'w{number}'
         self.workers.worker_by_id[worker_id] = FakeTaskWorker(
@@ -387,6 +437,7 @@
             rack=f'rack-{number % _RACKS}',
             clock_rate=self.random.choice((0.98, 0.99, 1.0)),
             born_at=self.now - 1,
+            stop_s=self.stop_s,
             **options,
         )
 
@@ -589,6 +640,18 @@
             if step.is_gang and not members <= worker_by_key.keys():
                 worker.end(key, EndKind.GANG_BROKEN)
 
+    def move_runs(self, count):
+        """Let the newest owner stop running tasks, as for a move."""
+        state = self.owners[-1].state
+        running = [
+            task
+            for worker in state.worker_by_id.values()
+            for task in worker.run_by_key.values()
+            if task.stage == RunStage.RUNNING and not task.is_stop_wanted
+        ]
+        for task in running[:count]:
+            request_stop(state, task, self.now)
+
     def mark_all_ready(self):
         """Set every run as started completely."""
         for worker in self.workers.worker_by_id.values():
@@ -613,6 +676,9 @@
         self.store_delay_probability = 0
         self.order_loss_probability = 0
         self.order_delay_probability = 0
+        self.workers.unhealthy_ids.clear()
+        self.longest_wait_s = 0
+        self.unlisted_ids.clear()
         self.store.apply_delayed()
         for worker in self.workers.worker_by_id.values():
             worker.is_reachable = True
--- a/ragwortfield/tests/test_cancellation_machine.py
+++ b/ragwortfield/tests/test_cancellation_machine.py
@@ -18,6 +18,7 @@
 )
 from ragwortfield.testing.state_machine_runs import run_state_machine
 from ragwortfield.tests.shard_world import (
+    STOP_S,
     ShardOwner,
     ShardWorld,
     build_dependent_steps,
@@ -82,7 +83,7 @@
     @initialize(seed=strategies.integers(0, 2**16))
     def start(self, seed):
         self.world = CancellationWorld(
-            workers=3, seed=seed, is_process_checked=True
+            workers=3, seed=seed, is_process_checked=True, stop_s=STOP_S
         )
         self.world.take_over()
         self.world.submit(build_dependent_steps())
--- a/ragwortfield/tests/test_liveness_machine.py
+++ b/ragwortfield/tests/test_liveness_machine.py
@@ -29,6 +29,7 @@
 )
 from ragwortfield.tests.shard_world import (
     CATALOGUE,
+    STOP_S,
     build_dependent_steps,
     build_serving_step,
     build_single_step,
@@ -104,7 +105,7 @@
     )
     def start(self, faults, seed):
         workers = len(_FAULTY_IDS) + len(_SOUND_IDS)
-        self.world = LivenessWorld(workers=workers, seed=seed)
+        self.world = LivenessWorld(workers=workers, seed=seed, stop_s=STOP_S)
         for worker_id in _SOUND_IDS:
             self.get_worker(worker_id).capacity = _SOUND_CAPACITY
         self.check = LivenessCheck(
--- a/ragwortfield/tests/test_shard_machine.py
+++ b/ragwortfield/tests/test_shard_machine.py
@@ -11,6 +11,7 @@
 from ragwortfield.ports.task_worker import EndKind
 from ragwortfield.testing.state_machine_runs import run_state_machine
 from ragwortfield.tests.shard_world import (
+    STOP_S,
     ShardWorld,
     build_dependent_steps,
     build_serving_step,
@@ -18,6 +19,8 @@
 )
 
 _MAX_JOBS = 8
+#: Longest wait of an order for its turn and its connection, in seconds.
+_MAX_WAIT_S = 2.9
 _PROBABILITIES = strategies.sampled_from((0, 0, 0.2, 0.5))
 
 
@@ -38,6 +41,7 @@
             workers=3,
             seed=seed,
             is_process_checked=self.is_process_checked,
+            stop_s=STOP_S,
         )
         self.world.take_over()
         self.world.submit(build_dependent_steps())
@@ -206,6 +210,92 @@
         self.world.order_loss_probability = loss
         self.world.order_delay_probability = delay
 
+    @rule(
+        is_unhealthy=strategies.booleans(),
+        number=strategies.integers(0, 2),
+        wait_s=strategies.sampled_from((0, 0, 1, _MAX_WAIT_S)),
+    )
+    def disturb_starts(self, is_unhealthy, number, wait_s):
+        """Let a worker refuse starts, and orders wait for their turn."""
+        self.world.longest_wait_s = wait_s
+        self.world.workers.unhealthy_ids.discard(f'w{number}')
+        if is_unhealthy:
+            self.world.workers.unhealthy_ids.add(f'w{number}')
+
+    @precondition(lambda self: len(self.world.accepted_job_by_id) < _MAX_JOBS)
+    @rule(
+        count=strategies.integers(1, 3),
+        is_polled=strategies.booleans(),
+        rounds=strategies.integers(1, 8),
+    )
+    def repeat_starts(self, count, is_polled, rounds):
+        """Lose the answers to starts; refuse their repetitions, some late."""
+        world = self.world
+        world.submit(build_single_step(count=count))
+        world.order_loss_probability = 1
+        self._act_newest(2, is_renewing_leases=False)
+        world.order_loss_probability = 0
+        world.workers.unhealthy_ids = {
+            worker.worker_id
+            for worker in world.workers.worker_by_id.values()
+            if worker.run_by_key
+        }
+        world.longest_wait_s = _MAX_WAIT_S
+        self._act_newest(rounds, is_renewing_leases=False)
+        world.longest_wait_s = 0
+        self._act_newest(30, is_renewing_leases=is_polled)
+        world.workers.unhealthy_ids = set()
+        self._act_newest(3)
+        world.check()
+
+    @rule(count=strategies.integers(1, 4), rounds=strategies.integers(0, 3))
+    def move_runs(self, count, rounds):
+        """Stop running tasks; the other rules go on while they stop."""
+        self.world.move_runs(count)
+        self._act_newest(rounds)
+        self.world.check()
+
+    @precondition(lambda self: len(self.world.owners) < 5)
+    @rule(
+        count=strategies.integers(1, 4),
+        is_handed_over=strategies.booleans(),
+        rounds=strategies.integers(1, 3),
+    )
+    def replace_owners_during_stops(self, count, is_handed_over, rounds):
+        """Replace the owner twice while the runs of tasks are stopped."""
+        self.world.move_runs(count)
+        self._act_newest(2)
+        for _ in range(2):
+            if is_handed_over:
+                self.world.hand_over()
+            else:
+                self.world.take_over()
+            self._act_newest(rounds + 1)
+        self.world.check()
+
+    @rule(number=strategies.integers(0, 2), is_listed=strategies.booleans())
+    def list_worker(self, number, is_listed):
+        self.world.unlisted_ids.discard(f'w{number}')
+        if not is_listed:
+            self.world.unlisted_ids.add(f'w{number}')
+
+    @rule(number=strategies.integers(0, 2), rounds=strategies.integers(1, 3))
+    def remove_entry_for_a_while(self, number, rounds):
+        """Remove the entry of a worker, which runs on, and let it come back."""
+        self.world.unlisted_ids.add(f'w{number}')
+        self._act_newest(rounds)
+        self.world.unlisted_ids.discard(f'w{number}')
+        self._act_newest(1)
+        self.world.check()
+
+    @rule(seconds=strategies.sampled_from((2, 6, 12)))
+    def act_until_orders_are_late(self, seconds):
+        """Let the newest owner act, and workers carry out what is left."""
+        self._act_newest(seconds * 10)
+        self.world.workers.apply_delayed()
+        self._act_newest(2)
+        self.world.check()
+
     @rule()
     def carry_out_late(self):
         self.world.store.apply_delayed()
@@ -226,9 +316,9 @@
         if hasattr(self, 'world'):
             self.world.check()
 
-    def _act_newest(self, rounds):
+    def _act_newest(self, rounds, **options):
         for _ in range(rounds):
-            self.world.owners[-1].act()
+            self.world.owners[-1].act(**options)
             self.world.advance(0.1)
 
 
