Model of ownership: events around runs that are stopped for a move

Two running tasks of the newest owner are stopped; takeovers, cuts, pauses, a restart of the worker, late calls and ends as done follow or come before. A model in which the answer to a stop is taken for the end of the run is found. The search of single events is unchanged.

--- a/ragwortfield/tests/ownership_search.py
+++ b/ragwortfield/tests/ownership_search.py
@@ -25,6 +25,7 @@
 #: in seconds.
 _LEASE_WAIT_S = 8
 _MAX_OWNERS = 4
+_MOVED_RUNS = 2
 
 Sequence = tuple[str, ...]
 
@@ -178,6 +179,10 @@
         apply=OwnershipWorld.end_tasks,
         is_possible=OwnershipWorld.is_short_task_running,
     ),
+    'move runs': Event(
+        apply=lambda world: world.move_runs(_MOVED_RUNS),
+        is_possible=OwnershipWorld.is_move_possible,
+    ),
     'cancel': Event(
         apply=OwnershipWorld.cancel_lasting_job,
         is_possible=lambda world: not world.cancelled_at_by_id,
@@ -220,6 +225,23 @@
     'resume after 8 s',
     'submit',
 )
+#: Events around runs that are stopped to be moved.
+STOP_EVENTS = (
+    'wait 0.5 s',
+    'move runs',
+    'take over',
+    'take over blindly',
+    'replace isolated owner',
+    'answer successor',
+    'pause before start',
+    'pause after polls',
+    'resume',
+    'cut busy worker',
+    'restart busy worker',
+    'hold up calls',
+    'carry out late',
+    'end tasks',
+)
 #: Events that are left out of the search of single changes: combinations of
 #: others, and variants that the searches above contain.
 _LEFT_OUT = frozenset(
@@ -234,6 +256,7 @@
         'pause before start',
         'resume after 3.8 s',
         'resume after 8 s',
+        'move runs',
     ),
 )
 #: Faults, changes of owner and requests of clients, each a single change.
--- a/ragwortfield/tests/test_ownership_machine.py
+++ b/ragwortfield/tests/test_ownership_machine.py
@@ -185,6 +185,12 @@
         job_ids = sorted(self.world.accepted_job_by_id)
         self.world.cancel(data.draw(strategies.sampled_from(job_ids)))
 
+    @precondition(lambda self: self.world.newest.is_running)
+    @rule(count=strategies.integers(1, 3))
+    def move_runs(self, count):
+        """Stop running tasks; the other rules go on while they stop."""
+        self.world.move_runs(count)
+
     @rule()
     def heal(self):
         self.world.heal()
--- a/ragwortfield/tests/test_ownership_model.py
+++ b/ragwortfield/tests/test_ownership_model.py
@@ -14,10 +14,12 @@
     OwnershipConfirmation,
 )
 from ragwortfield.scheduling.shard_state import ShardState
+from ragwortfield.scheduling.task_lifecycle import release_task
 from ragwortfield.tests.ownership_search import (
     CORE_EVENTS,
     SINGLE_EVENTS,
     START_EVENTS,
+    STOP_EVENTS,
     finish,
     replay,
     search,
@@ -49,6 +51,11 @@
     def test_no_sequence_of_events_around_a_start_breaks_an_invariant(self):
         self.search(_START_DEPTH, START_EVENTS)
 
+    # Guards against the same around stops that are under way, since runs go on
+    # after the answers to their stops.
+    def test_no_sequence_of_events_around_a_stop_breaks_an_invariant(self):
+        self.search(_DEPTH, STOP_EVENTS)
+
     def search(self, depth, names):
         result = search(depth, names)
         shortest = select_shortest(result.message_by_violation)
@@ -152,6 +159,16 @@
             ):
                 self.assert_found('replace isolated majority')
 
+    # Guards against a model in which a run is over when its stop is answered.
+    def test_answer_to_a_stop_taken_for_the_end_is_found(self):
+        with (
+            mock.patch.object(
+                worker_reports, 'apply_stop_outcome', _release_stopped_run
+            ),
+            self.assertRaisesRegex(AssertionError, 'runs twice'),
+        ):
+            finish(replay(('move runs',)))
+
     # Guards against a model that does not show that the former owner goes on
     # for a while after half of its electorate was fenced.
     def test_fenced_half_without_further_wait_is_found(self):
@@ -264,3 +281,7 @@
     _record_poll(
         confirmation, worker_id, born_ms, ownership_keeper.time.monotonic()
     )
+
+
+def _release_stopped_run(state, order, _outcome, _now):
+    release_task(state, state.find_run(order.key, order.run), 'stopped')
