Soak: a site with long stops and a theme of long faults that overlap

Workers flap, pause, restart under the same or another name, lose and delay answers, carry orders and polls out 2 to 12 s late, report false health, lose their entries in an outage of the store; owners are paused after commits and killed in series; single pairs are cut one way. The judge takes runs to end with their lease to the moment, also if it sees that later, and the report tells how runs ended and the shortest time from an end to the next start.

--- a/ragwortfield/platform/fake_servers.py
+++ b/ragwortfield/platform/fake_servers.py
@@ -59,6 +59,7 @@
 _POLL_INTERVAL_S: Seconds = 0.005
 #: Interval between checks for tasks that are due to end, in seconds.
 _TASK_CHECK_INTERVAL_S: Seconds = 0.02
+_STRAGGLER_FACTOR = 7
 _FULL_SPEED_PERCENT = 100
 #: CPU amounts on the wire are in thousandths of a core.
 _MILLICORES_PER_CORE = 1000
@@ -164,6 +165,11 @@
     :param worker: state of the worker.
     :ivar slowdown: factor on the duration of all tasks.
     :ivar is_failing: whether all tasks fail.
+    :ivar is_unhealthy: whether starts are refused without a reason.
+    :ivar is_paused: whether no task makes progress or ends.
+    :ivar straggler_interval: one run in each so many tasks of a step takes
+        seven times as long; 0 for none.
+    :ivar percent: speed of all tasks that the worker reports, in percent.
     """
 
     def __init__(self, *, worker: FakeTaskWorker) -> None:
@@ -171,6 +177,10 @@
         self.worker = worker
         self.slowdown: float = 1
         self.is_failing = False
+        self.is_unhealthy = False
+        self.is_paused = False
+        self.straggler_interval = 0
+        self.percent = _FULL_SPEED_PERCENT
         self._command_by_run: dict[tuple[TaskKey, int], str] = {}
 
     def __call__(
@@ -197,6 +207,14 @@
             )
         order = msgspec.json.decode(body)
         path = get_raw_path(environ)
+        if path == '/run-start' and self.is_unhealthy:
+            return send_response(
+                _make_json_response(
+                    HTTPStatus.SERVICE_UNAVAILABLE,
+                    {'clock_ms': int(self.worker.now_ms())},
+                ),
+                start_response,
+            )
         if path == '/hold':
             return send_response(self._renew_lease(order), start_response)
         return send_response(self._carry_out(path, order), start_response)
@@ -205,6 +223,8 @@
         """Simulate the tasks in an endless loop: end those that are due."""
         while True:
             gevent.sleep(_TASK_CHECK_INTERVAL_S)
+            if self.is_paused:
+                continue
             self.worker.expire_lease()
             now = self.worker.clock()
             for key, run in tuple(self.worker.run_by_key.items()):
@@ -212,9 +232,18 @@
                 name, _, duration = command.partition(' ')
                 if name == 'fail' or self.is_failing:
                     self.worker.end(key, EndKind.FAILED)
-                elif now - run.started_at > float(duration) * self.slowdown:
+                elif now - run.started_at > float(
+                    duration
+                ) * self._find_slowdown(key, run.run):
                     self.worker.end(key, EndKind.DONE)
 
+    def _find_slowdown(self, key: TaskKey, run: int) -> float:
+        interval = self.straggler_interval
+        # The next run of a straggler is not one again.
+        if interval and not (key.index + 3 * run) % interval:
+            return self.slowdown * _STRAGGLER_FACTOR
+        return self.slowdown
+
     def _renew_lease(self, order: Document) -> Response:
         lease = LeaseOrder(
             worker_id=self.worker.worker_id,
@@ -224,6 +253,7 @@
             deadline_ms=order.get('deadline_ms'),
             wait_ms=order.get('wait_ms', 0),
         )
+        born_at = self.worker.born_at
         report = self.worker.renew_lease(lease)
         wait_ends_at = time.monotonic() + lease.wait_ms / _MS_PER_S
         while not isinstance(report, OrderRefused) and not report.ends:
@@ -231,6 +261,9 @@
                 break
             while not self.worker.ends and time.monotonic() <= wait_ends_at:
                 gevent.sleep(_POLL_INTERVAL_S)
+            if self.worker.born_at != born_at:
+                # The process that the call was for has ended.
+                break
             report = self.worker.renew_lease(lease)
         if isinstance(report, OrderRefused):
             return _make_order_response(report)
@@ -244,7 +277,7 @@
                         _format_task_name(run.key),
                         run.run,
                         run.checkpoint,
-                        _FULL_SPEED_PERCENT,
+                        self.percent,
                     ]
                     for run in report.runs
                 ],
--- a/ragwortfield/platform/faulty_servers.py
+++ b/ragwortfield/platform/faulty_servers.py
@@ -32,7 +32,9 @@
 #: Key in the WSGI environment of the socket of the connection.
 _SOCKET_KEY = 'ragwortfield.socket'
 #: Calls that change something.
-_WRITE_PATHS = frozenset(('/rows-tx', '/run-start', '/run-stop', '/pace'))
+_WRITE_PATHS = frozenset(
+    ('/rows-tx', '/run-start', '/run-stop', '/pace', '/hold')
+)
 
 #: Local address of the connection on which the current call has arrived.
 CALLED_HOST: ContextVar[str] = ContextVar('called_host', default='')
@@ -48,6 +50,8 @@
     SILENT = 'silent'
     #: Calls wait for the end of the fault and are carried out then.
     HELD = 'held'
+    #: The same, and responses wait for the end of the fault as well.
+    PAUSED = 'paused'
     #: Calls are carried out and get no response.
     UNANSWERED = 'unanswered'
 
@@ -56,6 +60,7 @@
     FaultKind.BUSY: HTTPStatus.SERVICE_UNAVAILABLE,
     FaultKind.THROTTLED: HTTPStatus.TOO_MANY_REQUESTS,
 }
+_WAITING_KINDS = frozenset((FaultKind.HELD, FaultKind.PAUSED))
 
 
 @dataclass(kw_only=True, slots=True)
@@ -65,8 +70,12 @@
 
     :param kind: what happens to all calls.
     :param delay_s: time that each call takes, in seconds.
+    :param jitter_s: longest time by which each call and each response is late,
+        in seconds; they overtake each other.
     :param unanswered_share: share of the writes that are carried out and not
         answered.
+    :param earliest_s: shortest time after which such a write is carried out, in
+        seconds.
     :param latest_s: longest time after which such a write is carried out, in
         seconds; 0 for at once.
     :param silent_ports: ports of connections that get no responses any more.
@@ -75,7 +84,9 @@
 
     kind: FaultKind = FaultKind.NONE
     delay_s: Seconds = 0
+    jitter_s: Seconds = 0
     unanswered_share: float = 0
+    earliest_s: Seconds = 0
     latest_s: Seconds = 0
     silent_ports: set[str] = field(default_factory=set)
     known_ports: set[str] = field(default_factory=set)
@@ -156,13 +167,14 @@
             return send_response(
                 Response(status=status, fields=(), body=b'{}'), start_response
             )
-        gevent.sleep(self._faults.delay_s)
         if not self._is_sent_to_this_life():
             return _reset_connection(environ)
         path = get_raw_path(environ)
         if path in _WRITE_PATHS and self._is_unanswered():
             return self._carry_out_unanswered(environ, start_response)
         chunks = self._application(environ, start_response)
+        if not self._is_answered_by_this_life():
+            return _reset_connection(environ)
         if self._is_answer_lost(environ):
             return self._stay_silent(environ)
         return chunks
@@ -177,9 +189,21 @@
         return is_unanswered or self._is_silent(environ)
 
     def _is_sent_to_this_life(self) -> bool:
-        """Wait while calls are held; return whether the server has lived on."""
+        """Wait for delays and holds; return whether the server has lived on."""
         life = self._life()
-        while self._faults.kind == FaultKind.HELD:
+        gevent.sleep(self._faults.delay_s + self._draw_jitter_s())
+        while self._faults.kind in _WAITING_KINDS:
+            gevent.sleep(_CHECK_INTERVAL_S)
+        return life == self._life()
+
+    def _draw_jitter_s(self) -> Seconds:
+        return self._random.uniform(0, self._faults.jitter_s)
+
+    def _is_answered_by_this_life(self) -> bool:
+        """Wait during a pause; return whether the server has lived on."""
+        life = self._life()
+        gevent.sleep(self._draw_jitter_s())
+        while self._faults.kind == FaultKind.PAUSED:
             gevent.sleep(_CHECK_INTERVAL_S)
         return life == self._life()
 
@@ -190,7 +214,12 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         life = self._life()
-        gevent.sleep(self._random.uniform(0, self._faults.latest_s))
+        gevent.sleep(
+            self._random.uniform(
+                min(self._faults.earliest_s, self._faults.latest_s),
+                self._faults.latest_s,
+            )
+        )
         if life == self._life():
             self._application(environ, start_response)
         self._faults.silent_ports.add(environ['REMOTE_PORT'])
--- a/ragwortfield/soak/checks.py
+++ b/ragwortfield/soak/checks.py
@@ -92,7 +92,7 @@
             runs = self._count_runs()
             for key, count in runs.items():
                 if count > 1:
-                    self._report(key, 'TWICE: two runs at a time', task=key)
+                    self._report(key, 'TWICE: two runs seen', task=key)
             self._check_lasting_tasks(runs)
             self._check_cancelled_jobs(runs)
             self._update_idle_jobs(runs)
@@ -294,7 +294,8 @@
         running = {key.job_id for key in runs}
         for job in self.deployment.jobs.list_cancelled():
             since = max(calm_since, job.cancel_answered_at or 0)
-            late_s = time.monotonic() - since - _CANCEL_S - _STOP_S
+            bound_s = _CANCEL_S + _STOP_S + self.deployment.site.stop_s
+            late_s = time.monotonic() - since - bound_s
             if job.job_id in running and late_s > _WATCH_INTERVAL_S:
                 self._report(
                     job.job_id,
@@ -310,6 +311,8 @@
         ]
 
     def _count_runs(self) -> Counter[TaskKey]:
+        for host in self.deployment.workers:
+            host.worker.expire_lease()
         return Counter(
             key
             for host in self.deployment.workers
--- a/ragwortfield/soak/deployment.py
+++ b/ragwortfield/soak/deployment.py
@@ -18,7 +18,7 @@
 from ragwortfield.ports.row_store import RowName, RowWrite, Transaction
 from ragwortfield.soak.jobs import JobBook
 from ragwortfield.soak.processes import HOST, DeployedRole, InstanceProcess
-from ragwortfield.soak.site import BOUNDS, POOL, Site
+from ragwortfield.soak.site import POOL, Site
 from ragwortfield.soak.timeline import Timeline
 from ragwortfield.soak.workers import WorkerHost, make_worker_host
 from ragwortfield.testing.address_view import (
@@ -111,11 +111,13 @@
         host = make_worker_host(
             len(self.workers),
             rack,
+            self.site,
             self.store,
             self.random,
             self.jobs.find_resources,
         )
         host.start()
+        host.application.straggler_interval = self.site.straggler_interval
         self.workers.append(host)
         return host
 
@@ -133,7 +135,7 @@
             data_centre=data_centre,
             role=self.role,
             caller_host=make_caller_host(number),
-            bounds=BOUNDS,
+            bounds=self.site.bounds,
             folder=self.folder,
             is_log_read=self.is_log_read,
         )
--- a/ragwortfield/soak/jobs.py
+++ b/ragwortfield/soak/jobs.py
@@ -1,6 +1,6 @@
 """Jobs that the callers of a soak have submitted."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from ragwortfield.core.resources import Resources
@@ -63,6 +63,9 @@
             mem_mb=resources.memory_mb,
             est_ms=int(duration_s * _MS_PER_S),
             long_lived=self.is_lasting,
+            fills=self.workload.is_filler,
+            saves_progress=self.workload.is_filler,
+            image=self.workload.prefix.strip('/'),
         )
 
 
@@ -127,4 +130,7 @@
         :param key: the task.
         :returns: its resources.
         """
-        return self.job_by_id[key.job_id].workload.resources
+        workload = self.job_by_id[key.job_id].workload
+        if workload.is_filler:
+            return replace(workload.resources, cpu=0)
+        return workload.resources
--- a/ragwortfield/soak/main.py
+++ b/ragwortfield/soak/main.py
@@ -15,8 +15,14 @@
 from absl import app, flags, logging
 
 from ragwortfield.soak.processes import build
-from ragwortfield.soak.run import CLIENT_THEME, THEMES, SoakPlan, run_soak
-from ragwortfield.soak.site import full_site, small_site
+from ragwortfield.soak.run import (
+    CLIENT_THEME,
+    STORM_THEME,
+    THEMES,
+    SoakPlan,
+    run_soak,
+)
+from ragwortfield.soak.site import full_site, long_stop_site, small_site
 
 _ROOT = flags.DEFINE_string(
     'root', '.', 'Folder of the sources that are deployed.'
@@ -27,10 +33,15 @@
     'traffic_s', 30, 'Duration of the traffic of each seed, in seconds.'
 )
 _IS_SMALL = flags.DEFINE_bool('small', False, 'Whether to use the small site.')
+_INSTANCES = flags.DEFINE_integer(
+    'long_stops',
+    0,
+    'Number of instances of the site with long stops; 0 for another site.',
+)
 _THEME = flags.DEFINE_enum(
     'theme',
     '',
-    ['', *THEMES, CLIENT_THEME],
+    ['', *THEMES, CLIENT_THEME, STORM_THEME],
     'Kind of faults; by default by the seed.',
 )
 _KINDS = flags.DEFINE_list(
@@ -48,6 +59,8 @@
     """
     logging.set_verbosity(logging.FATAL)
     site = (small_site if _IS_SMALL.value else full_site)(_TRAFFIC_S.value)
+    if _INSTANCES.value:
+        site = long_stop_site(_TRAFFIC_S.value, _INSTANCES.value)
     role = build(Path(_ROOT.value).resolve())
     broken = 0
     for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
--- a/ragwortfield/soak/run.py
+++ b/ragwortfield/soak/run.py
@@ -1,7 +1,7 @@
 """One seeded run of a soak."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from itertools import accumulate
 from pathlib import Path
@@ -18,7 +18,9 @@
 from ragwortfield.soak.jobs import JobBook
 from ragwortfield.soak.platform_faults import PlatformFaults
 from ragwortfield.soak.processes import DeployedRole
+from ragwortfield.soak.run_history import count_ends, find_least_gaps
 from ragwortfield.soak.site import Site
+from ragwortfield.soak.storm_faults import StormFaults
 from ragwortfield.soak.timeline import Timeline
 from ragwortfield.types import Seconds
 
@@ -31,9 +33,15 @@
 #: fault.
 CLIENT_THEME = 'clients'
 _CLIENT_CROWD = 'client_crowd'
+#: Theme that no seed draws: many long faults at once, most of them of workers
+#: and owners; two of them strike in each such interval, in seconds.
+STORM_THEME = 'storm'
+_STORM_INTERVAL_S: Seconds = 5
 #: Faults of owners, and longest pause between two of them, in seconds.
 _OWNER_FAULTS = ('owner_gone', 'owner_kill', 'owner_power', 'owner_term')
 _OWNER_PAUSE_S: Seconds = 5
+#: Faults of owners and planned work that a storm draws from as well.
+_STORM_ADDITIONS = (*_OWNER_FAULTS, 'owner_freeze', 'scale_in', 'scale_out')
 #: Time for which the deployment runs before the traffic, in seconds.
 _LEAD_S: Seconds = 5
 _START_TIMEOUT_S: Seconds = 30
@@ -165,6 +173,9 @@
         faults = gevent.spawn(self._strike)
         gevent.sleep(self._plan.site.traffic_s)
         self._callers.is_ending = True
+        if self._plan.theme == STORM_THEME:
+            # Its faults last for longer than the calm at the end of others.
+            faults.join()
         gevent.sleep(_FINISH_S)
         faults.join()
         self._checker.check_end(self._callers)
@@ -209,6 +220,7 @@
         return {
             **clients.unplanned(),
             **self._list_cuts(),
+            **self._list_storm(),
             **instances.planned(),
             **instances.unplanned(),
             **platform.planned(),
@@ -224,6 +236,23 @@
         )
         return cuts.unplanned()
 
+    def _list_storm(self) -> dict[str, Callable[[], None]]:
+        storm = StormFaults(
+            deployment=self._deployment,
+            timeline=self._timeline,
+            random=self._random,
+        )
+        return storm.unplanned()
+
+    def _draw_storm(self) -> tuple[str, ...]:
+        count = round(self._plan.site.traffic_s / _STORM_INTERVAL_S)
+        kinds = sorted(self._list_storm())
+        others = sorted({*kinds, *self._list_cuts(), *_STORM_ADDITIONS})
+        drawn = self._random.choices(kinds, k=count)
+        drawn.extend(self._random.choices(others, k=count))
+        self._random.shuffle(drawn)
+        return tuple(drawn)
+
     def _draw_kinds(
         self, strike_by_kind: dict[str, Callable[[], None]]
     ) -> tuple[str, ...]:
@@ -237,12 +266,18 @@
             'config_change',
             'big_config',
         )
+        if self._plan.theme == STORM_THEME:
+            return self._draw_storm()
         if self._plan.theme == 'planned':
             return tuple(self._random.choices(planned, k=4))
         if self._plan.theme == 'cuts':
             cuts = self._random.choices(sorted(self._list_cuts()), k=2)
             other = self._random.choice(
-                sorted(strike_by_kind.keys() - {_CLIENT_CROWD})
+                sorted(
+                    strike_by_kind.keys()
+                    - self._list_storm().keys()
+                    - {_CLIENT_CROWD}
+                )
             )
             return ('cancel_wave', *cuts, other)
         if self._plan.theme == 'owners':
@@ -250,7 +285,10 @@
             series = self._random.choices(_OWNER_FAULTS, k=count)
             return (*series, 'srv_gone', self._random.choice(_OWNER_FAULTS))
         uncut = sorted(
-            strike_by_kind.keys() - self._list_cuts().keys() - {_CLIENT_CROWD}
+            strike_by_kind.keys()
+            - self._list_cuts().keys()
+            - self._list_storm().keys()
+            - {_CLIENT_CROWD}
         )
         if self._plan.theme == CLIENT_THEME:
             return (
@@ -277,16 +315,25 @@
         return list(accumulate(pauses_s))
 
     def _collect_figures(self) -> dict[str, object]:
-        counts = sorted(self._checker.counts.items())
+        hosts = self._deployment.workers
+        gaps = find_least_gaps(hosts)
         return {
+            'ends': _format(count_ends(hosts)),
+            'least_gaps_s': _format(
+                {how: round(gap_s, 3) for how, gap_s in gaps.items()}
+            ),
             'jobs': len(self._jobs.job_by_id),
             'accepted': len(self._jobs.list_accepted()),
             'longest_cut_s': round(self._checker.longest_cut_s, 3),
             'longest_away_s': round(self._checker.longest_away_s, 3),
-            'exchanges': ';'.join(f'{name}:{count}' for name, count in counts),
+            'exchanges': _format(self._checker.counts),
         }
 
 
+def _format(figures: Mapping[str, float]) -> str:
+    return ';'.join(f'{name}:{figures[name]}' for name in sorted(figures))
+
+
 def run_soak(plan: SoakPlan, role: DeployedRole, folder: Path) -> SoakReport:
     """
     Run one seed.
--- a/ragwortfield/soak/run_history.py
+++ b/ragwortfield/soak/run_history.py
@@ -1,14 +1,15 @@
 """Runs of tasks as the workers have recorded them."""
 
 import math
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from itertools import pairwise
 
 from ragwortfield.ports.task_worker import EndKind
 from ragwortfield.scheduling.job import TaskKey
 from ragwortfield.soak.workers import WorkerHost
-from ragwortfield.types import MonotonicTime, WorkerId
+from ragwortfield.types import MonotonicTime, Seconds, WorkerId
 
 _ENDINGS = frozenset(('end', 'lost'))
 
@@ -89,6 +90,34 @@
     return overlaps
 
 
+def count_ends(hosts: Iterable[WorkerHost]) -> Counter[str]:
+    """
+    Count the ends of runs.
+
+    :param hosts: all workers.
+    :returns: number of runs by how they ended.
+    """
+    return Counter(
+        run.how for runs in list_runs(hosts).values() for run in runs
+    )
+
+
+def find_least_gaps(hosts: Iterable[WorkerHost]) -> dict[str, Seconds]:
+    """
+    Find the shortest times from the end of a run to the next of its task.
+
+    :param hosts: all workers.
+    :returns: time in seconds, by how the earlier run ended.
+    """
+    gaps_by_how: dict[str, Seconds] = {}
+    for runs in list_runs(hosts).values():
+        for earlier, later in pairwise(runs):
+            gap_s = later.started_at - earlier.ended_at
+            least_s = gaps_by_how.get(earlier.how, math.inf)
+            gaps_by_how[earlier.how] = min(gap_s, least_s)
+    return gaps_by_how
+
+
 def list_starts_after_end(
     hosts: Iterable[WorkerHost],
 ) -> list[tuple[RecordedRun, RecordedRun]]:
--- a/ragwortfield/soak/workers.py
+++ b/ragwortfield/soak/workers.py
@@ -32,11 +32,11 @@
 )
 from ragwortfield.scheduling.job import TaskKey
 from ragwortfield.soak.processes import HOST
-from ragwortfield.soak.site import POOL
+from ragwortfield.soak.site import POOL, Site
 from ragwortfield.testing.address_view import listen_on_loopback
 from ragwortfield.testing.fake_row_store import FakeRowStore
 from ragwortfield.testing.fake_task_workers import FakeTaskWorker
-from ragwortfield.types import MonotonicTime, Seconds
+from ragwortfield.types import MonotonicTime, Seconds, WorkerId
 
 #: Interval between heartbeats of a worker, in seconds.
 _HEARTBEAT_INTERVAL_S: Seconds = 1.1
@@ -53,6 +53,7 @@
 _LARGE_WORKER_INTERVAL = 3
 _MEMORY_MB = 256_000
 _NAME_BITS = 40
+_MS_PER_S = 1000
 
 
 @dataclass(kw_only=True, slots=True)
@@ -113,6 +114,19 @@
             self.last_lease_at_by_token[order.fencing_token] = self.clock()
         return report
 
+    def expire_lease(self) -> None:
+        """End the runs whose time is over, and record when it was."""
+        earlier = self.history
+        self.history = []
+        FakeTaskWorker.expire_lease(self)
+        lease_end_s = self.lease_end_ms / _MS_PER_S / self.clock_rate
+        expired_at = self.born_at + lease_end_s
+        earlier.extend(
+            (kind, min(at, expired_at), key, run, how)
+            for kind, at, key, run, how in self.history
+        )
+        self.history = earlier
+
 
 @dataclass(kw_only=True, slots=True)
 class WorkerHost:
@@ -122,6 +136,7 @@
     :param store: store in which the worker registers.
     :param faults: faults of the calls of all instances.
     :param is_up: whether the worker runs.
+    :param is_registered: whether the worker keeps its entry in the store.
     :param entry_expires_at: time at which the entry of a worker that is down
         is removed; ``None`` once it is removed.
     """
@@ -131,6 +146,7 @@
     random: Random
     faults: CallFaults = field(default_factory=CallFaults)
     is_up: bool = True
+    is_registered: bool = True
     address: str = ''
     application: FakeTaskWorkerServer = field(init=False)
     caller_faults: CallerFaults = field(init=False)
@@ -171,23 +187,68 @@
         self.faults.kind = kind
         self._greenlets.append(gevent.spawn(self._expire_entry))
 
-    def restart(self) -> None:
-        """Start again under the same name, without any task."""
+    def restart(self, *, is_renamed: bool = False) -> None:
+        """
+        Start again at the same address, without any task.
+
+        :param is_renamed: whether the worker has another name.
+        """
+        if is_renamed:
+            former_id = self.worker.worker_id
+            self._greenlets.append(
+                gevent.spawn_later(
+                    _MISSED_HEARTBEATS * _HEARTBEAT_INTERVAL_S,
+                    self._remove_entry,
+                    former_id,
+                )
+            )
+            self.worker.worker_id = _make_name(self.random)
         self.worker.restart()
+        self.worker.is_draining = False
         self.faults.silence_connections()
         self.faults.kind = FaultKind.NONE
         self.is_up = True
 
-    def leave(self) -> None:
-        """Announce that the worker leaves, finish its tasks and leave."""
+    def pause(self, for_s: Seconds) -> None:
+        """
+        Do nothing for a time; calls that arrive are carried out after it.
+
+        :param for_s: the time, in seconds.
+        """
+        self.faults.kind = FaultKind.PAUSED
+        self.application.is_paused = True
+        self._server.stop_accepting()
+        gevent.sleep(for_s)
+        self.worker.expire_lease()
+        self.application.is_paused = False
+        self.faults.kind = FaultKind.NONE
+        self._server.start_accepting()
+
+    def hide(self) -> None:
+        """Remove the entry from the store until ``show``."""
+        self.is_registered = False
+        self._remove_entry(self.worker.worker_id)
+
+    def show(self) -> None:
+        """Write the entry to the store again."""
+        self.is_registered = True
+        if self.is_up:
+            self._write_entry(self._encode_entry())
+
+    def drain(self) -> None:
+        """Announce that the worker leaves."""
         self.worker.is_draining = True
         self._write_entry(self._encode_entry())
+
+    def leave(self) -> None:
+        """Announce that the worker leaves, finish its tasks and leave."""
+        self.drain()
         left_s = _DRAIN_S
         while left_s > 0 and self.worker.run_by_key:
             gevent.sleep(_DRAIN_POLL_S)
             left_s -= _DRAIN_POLL_S
         self.crash(FaultKind.RESET)
-        self._write_entry(None)
+        self._remove_entry(self.worker.worker_id)
 
     def stop(self) -> None:
         """Stop the server."""
@@ -200,7 +261,7 @@
     def _send_heartbeats(self) -> None:
         gevent.sleep(self.random.uniform(0, _HEARTBEAT_INTERVAL_S))
         while True:
-            if self.is_up:
+            if self.is_up and self.is_registered:
                 self._write_entry(self._encode_entry())
             gevent.sleep(_HEARTBEAT_INTERVAL_S)
 
@@ -208,23 +269,32 @@
         born_at = self.worker.born_at
         gevent.sleep(_MISSED_HEARTBEATS * _HEARTBEAT_INTERVAL_S)
         if born_at == self.worker.born_at and not self.is_up:
-            self._write_entry(None)
+            self._remove_entry(self.worker.worker_id)
 
     def _encode_entry(self) -> bytes:
         return encode_worker_entry(self.worker, self.address, POOL)
 
-    def _write_entry(self, content: bytes | None) -> None:
-        name = RowName(
-            table=WORKER_TABLE, partition='', key=self.worker.worker_id
-        )
+    def _write_entry(self, content: bytes) -> None:
+        self._write(self.worker.worker_id, content)
+
+    def _remove_entry(self, worker_id: WorkerId) -> None:
+        self._write(worker_id, None)
+
+    def _write(self, worker_id: WorkerId, content: bytes | None) -> None:
+        name = RowName(table=WORKER_TABLE, partition='', key=worker_id)
         self.store.commit(
             Transaction(writes=(RowWrite(name=name, content=content),)), 0
         )
 
 
+def _make_name(random: Random) -> str:
+    return f'i-{random.getrandbits(_NAME_BITS):010x}'
+
+
 def make_worker_host(
     number: int,
     rack: int,
+    site: Site,
     store: FakeRowStore,
     random: Random,
     find_resources: Callable[[TaskKey], Resources],
@@ -234,6 +304,7 @@
 
     :param number: number of the worker.
     :param rack: number of its rack.
+    :param site: deployment that it belongs to.
     :param store: store in which it registers.
     :param random: source of its random decisions.
     :param find_resources: finds what a task uses.
@@ -242,11 +313,13 @@
     cores = _CORES if number % _LARGE_WORKER_INTERVAL else _LARGE_CORES
     return WorkerHost(
         worker=GuardedWorker(
-            worker_id=f'i-{random.getrandbits(_NAME_BITS):010x}',
+            worker_id=_make_name(random),
             clock=time.monotonic,
             capacity=Resources(cpu=cores, memory_mb=_MEMORY_MB),
             labels=('a', f'r1-{rack}'),
-            longest_lease_s=6,
+            longest_lease_s=site.bounds['hold_max_ms'] / _MS_PER_S,
+            clock_rate=random.choice(site.clock_rates),
+            stop_s=site.stop_s,
             born_at=time.monotonic() - 1,
             find_resources=find_resources,
         ),
--- a/ragwortfield/tests/test_soak_checks.py
+++ b/ragwortfield/tests/test_soak_checks.py
@@ -6,7 +6,12 @@
 from types import SimpleNamespace
 
 from ragwortfield.core.resources import Resources
-from ragwortfield.ports.task_worker import EndKind, LeaseOrder, StartRun
+from ragwortfield.ports.task_worker import (
+    EndKind,
+    LeaseOrder,
+    StartRun,
+    StopRun,
+)
 from ragwortfield.scheduling.job import TaskKey
 from ragwortfield.soak.checks import Checker
 from ragwortfield.soak.jobs import JobBook
@@ -84,6 +89,41 @@
         self.start(second, 2)
         self.assertEqual(list_overlaps(self.hosts), [])
 
+    # Guards against overlaps that the soak reports, or misses, because it sees
+    # the end of a lease later than it was.
+    def test_runs_end_with_their_lease_also_if_that_is_seen_later(self):
+        for gap_s, overlaps in ((0.01, 0), (-0.01, 1)):
+            self.setUp()
+            first, second = self.workers
+            self.start(first, 1)
+            self.now += _LEASE_MS / 1000 + gap_s
+            self.start(second, 2)
+            self.now += 1
+            first.expire_lease()
+            self.assertEqual(len(list_overlaps(self.hosts)), overlaps, gap_s)
+
+    # Guards against a second run that goes unreported because the first was
+    # already being stopped.
+    def test_run_that_is_being_stopped_still_counts(self):
+        first, second = self.workers
+        first.stop_s = 0.9
+        self.start(first, 1)
+        first.stop(
+            StopRun(
+                worker_id=first.worker_id,
+                address='',
+                key=self.key,
+                run=1,
+                fencing_token=1,
+            )
+        )
+        self.now += 0.8
+        self.start(second, 2)
+        self.now += 1
+        first.expire_lease()
+        ((stopped, _),) = list_overlaps(self.hosts)
+        self.assertEqual(stopped.how, 'stopped')
+
     # Guards against starts after an end as done that go unreported because the
     # end is acknowledged only later.
     def test_start_after_an_end_that_is_noted_later_is_listed(self):
