--- a/ragwortfield/tests/test_worker_loops.py
+++ b/ragwortfield/tests/test_worker_loops.py
@@ -47,6 +47,9 @@
 _RESPONSE_TIME_S = 0.01
 #: Start of the process of a worker, as Unix time in milliseconds.
 _BORN_MS = 1_000
+#: Time until a late report arrives, in seconds: longer than polls count as
+#: under way, shorter than a lease.
+_LATE_ANSWER_S = 1.8
 #: Number of polls that shows that a loop continues.
 _MIN_POLLS = 3
 
@@ -339,6 +342,55 @@
         self.assertEqual(self.process.count_connections(), 2)
 
 
+class LateReportTest(_WorkerLoopsTestCase):
+    """Reports arrive later than polls count as silent, as on a full link."""
+
+    def setUp(self):
+        self.process = WorkerProcess(born_ms=_BORN_MS)
+        self.addCleanup(self.process.server.stop, timeout=0)
+        self.state = ShardState(
+            epoch=1,
+            owner_since=time.monotonic(),
+            bounds=TimingBounds(),
+            catalogue=Catalogue(version=1),
+        )
+        shard_updates.update_worker(
+            self.state,
+            ListedWorker(worker_id='w0', address=self.process.address),
+        )
+        self.worker = self.state.worker_by_id['w0']
+        self.make_loops(self.state, TaskWorkerClient()).start_loops()
+        self.await_true(self.process.list_deadlines)
+        self.process.ended = [[1, f'{"0" * 16}.0.0.0', 1, 'done', '']]
+        self.process.answer_s = _LATE_ANSWER_S
+
+    # Guards against a task that is started again although its worker has
+    # listed its end (TWICE, review/1): the report is on its way when the poll
+    # is given up, and so is that of each further poll.
+    def test_end_in_a_late_report_is_known_before_the_lease_is_over(self):
+        self.await_true(lambda: self.worker.processed_end)
+        now = time.monotonic()
+        self.assertFalse(self.worker.is_lease_expired(now, 0))
+
+    # Guards against a lease that is never extended again: the connection of a
+    # late report is closed, and a new one needs more time than there is.
+    def test_lease_is_extended_over_the_connection_of_a_late_report(self):
+        self.await_true(lambda: self.worker.processed_end)
+        deadline_count = len(self.process.list_deadlines())
+        self.await_true(
+            lambda: len(self.process.list_deadlines()) > deadline_count
+        )
+        self.assertLessEqual(self.process.most_connections, 2)
+
+    # Guards against a worker that stays silent after its answers are quick
+    # again, and against connections that add up.
+    def test_worker_with_late_reports_is_heard_when_they_are_quick_again(self):
+        self.await_true(lambda: not self.worker.is_responding)
+        self.process.answer_s = 0
+        self.await_true(lambda: self.worker.is_responding)
+        self.await_true(lambda: self.process.count_connections() == 1)
+
+
 class OrderSendingTest(_WorkerLoopsTestCase):
     def setUp(self):
         self.world = ShardWorld(workers=1)
--- a/ragwortfield/tests/worker_process.py
+++ b/ragwortfield/tests/worker_process.py
@@ -22,6 +22,7 @@
     :param status: status of all responses.
     :param is_silent: whether requests get no response.
     :param answer_s: time until a request is answered, in seconds.
+    :ivar ended: ends of runs that its reports list.
     :ivar unanswered_orders: number of the next orders that get no response.
     :ivar most_connections: most connections that were open at a time.
     """
@@ -41,6 +42,7 @@
         self.status = status
         self.is_silent = is_silent
         self.answer_s = answer_s
+        self.ended = []
         self.unanswered_orders = 0
         self.most_connections = 0
         self._connections = Pool(MAX_CONNECTIONS)
@@ -67,7 +69,7 @@
         gevent.sleep(30 if is_silent else self.answer_s)
         document = {'clock_ms': 5, 'born': self.born_ms, 'reason': 'fence'}
         if environ['PATH_INFO'] == '/hold':
-            document |= {'running': [], 'ended': []}
+            document |= {'running': [], 'ended': self.ended}
         content = msgspec.json.encode(document)
         headers = [('Content-Length', str(len(content)))]
         start_response(self.status, headers)
