A repetition that is not sent does not hide an attempt that may have run

Callers of ragwortfield-entry were told that a request had not run (503, run state not-run) though an earlier attempt of it had been sent without a whole answer: its repetition found no target, or was not sent, and only the last attempt was looked at. The claim of its idempotency key was freed likewise. Only idempotent requests are repeated, so nothing forbidden ran twice, but the statement was false.

An attempt that may have run now decides over later ones that were not sent: the caller hears that it is unknown.

--- a/ragwortfield/engine/dispatcher.py
+++ b/ragwortfield/engine/dispatcher.py
@@ -176,7 +176,7 @@
             result = self._attempt(configuration, request, destination)
             if result.response is not None:
                 return result.response
-            outcome = result.outcome
+            outcome = _choose_decisive(outcome, result.outcome)
             excluded = excluded | {result.tried_id}
         return self._refuse_failed_request(request, outcome)
 
@@ -565,6 +565,21 @@
         )
 
 
+def _choose_decisive(
+    earlier: ExchangeOutcome, latest: ExchangeOutcome
+) -> ExchangeOutcome:
+    """
+    Choose which of two failed attempts tells whether a request may have run.
+
+    :param earlier: outcome that decided before the latest attempt.
+    :param latest: outcome of the latest attempt.
+    :returns: the latest one, unless only the earlier one may have run.
+    """
+    if isinstance(earlier, Broken) and isinstance(latest, NotSent):
+        return earlier
+    return latest
+
+
 def _make_target_request(
     request: CallerRequest,
     remaining_s: Seconds,
--- a/ragwortfield/tests/test_dispatcher.py
+++ b/ragwortfield/tests/test_dispatcher.py
@@ -1,14 +1,14 @@
-"""Dispatching of requests: only what a target did counts against it."""
+"""Dispatching of requests: blame of targets, and what callers are told."""
 
 import unittest
 from unittest import mock
 
 from ragwortfield.core.configuration import RequestClass
 from ragwortfield.core.instance_state import InstanceState
-from ragwortfield.core.outcomes import NotSent
+from ragwortfield.core.outcomes import Broken, NotSent, Refusal, RunState
 from ragwortfield.core.requests import CallerRequest
 from ragwortfield.core.targets import Target, TargetHealth
-from ragwortfield.engine.dispatcher import Dispatcher
+from ragwortfield.engine.dispatcher import Dispatcher, _AttemptResult
 
 #: Monotonic time of the test and length of the pause before it, in seconds.
 _NOW = 100
@@ -55,6 +55,51 @@
         self.assertEqual((health.failures, health.ejections), (0, 0))
 
 
+class RepeatedRequestTest(unittest.TestCase):
+    def run_request(self, outcomes, destinations):
+        """Run a request whose attempts end as given."""
+        dispatcher = Dispatcher(
+            instance_state=InstanceState(identity=mock.Mock()),
+            clock=mock.Mock(monotonic=mock.Mock(return_value=_NOW)),
+            random_generator=mock.Mock(),
+            target_connections=mock.Mock(),
+            make_relay_headers=mock.Mock(),
+        )
+        dispatcher._retry_budget = mock.Mock(try_spend=lambda: True)
+        results = [
+            _AttemptResult(tried_id=str(number), outcome=outcome)
+            for number, outcome in enumerate(outcomes)
+        ]
+        with mock.patch.multiple(
+            dispatcher,
+            _choose_destination=mock.Mock(side_effect=destinations),
+            _attempt=mock.Mock(side_effect=results),
+        ):
+            return dispatcher.run(mock.Mock(), _make_request())
+
+    # Guards against a false "not run": a later attempt that is not sent tells
+    # nothing of the one before, which may have run.
+    def test_repetition_that_is_not_sent_says_nothing_of_a_broken_attempt(self):
+        refusal = self.run_request(
+            [Broken(reason='no answer')] + [NotSent(reason='refused')] * 9,
+            [mock.sentinel.destination] * 10,
+        )
+        self.assertIsInstance(refusal, Refusal)
+        self.assertEqual(refusal.run_state, RunState.UNKNOWN)
+
+    # Guards against the same when no target is left after the repetition.
+    def test_lack_of_targets_says_nothing_of_a_broken_attempt(self):
+        refusal = self.run_request(
+            [Broken(reason='no answer'), NotSent(reason='refused')],
+            [
+                mock.sentinel.destination,
+                mock.sentinel.destination,
+                Refusal(status=503, code='no-target', message='none'),
+            ],
+        )
+        self.assertEqual(refusal.run_state, RunState.UNKNOWN)
+
+
 def _make_request():
     return CallerRequest(
         request_id='r',
